--- /dev/null
+++ b/sycamoreproxy/metrics.py
@@ -0,0 +1,30 @@
+"""Metrics by aioprometheus."""
+
+from __future__ import annotations
+
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram, render
+
+REQUESTS = Counter("sycamore_requests_total", "Requests by kind, rank and result code (0 is whole)")
+ATTEMPTS = Counter("sycamore_attempts_total", "Attempts sent to upstream processes")
+REFUSALS = Counter("sycamore_refusals_total", "Refusals by result code and executed")
+VIOLATIONS = Counter("sycamore_invariant_violations_total", "Violations by invariant")
+TABLE_REVISION = Gauge("sycamore_table_revision", "Revision of the table in force")
+STORE_CALLS = Counter("sycamore_store_calls_total", "Calls to the configuration store by verb")
+RUNNING = Gauge("sycamore_running", "Requests given to the engine or service")
+WAITING = Gauge("sycamore_waiting", "Requests in the queue by rank")
+WINDOW = Gauge("sycamore_engine_window", "Requests that the engine may be given at once")
+WEIGHT_BYTES = Counter("sycamore_weight_bytes_total", "Bytes of weights by direction and peer kind")
+FIRST_OUTPUT_SECONDS = Histogram(
+    "sycamore_first_output_seconds",
+    "Time from the caller's request to the first output by rank",
+    buckets=[0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 8.0, 16.0, 32.0],
+)
+
+
+def render_metrics(accept: str | None) -> tuple[bytes, dict[str, str]]:
+    """Return the body and headers of the metrics page.
+
+    :param accept: the ``Accept`` header of the scraper.
+    """
+    body, headers = render(REGISTRY, [accept or "text/plain"])
+    return body, dict(headers)
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,58 @@
+"""Guards against frames that crash a process or lose a field between versions."""
+
+import contextlib
+
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sycamoreproxy.messages import (
+    Finish,
+    Hello,
+    MessageError,
+    Output,
+    Status,
+    decode_message,
+    encode_message,
+)
+
+EXAMPLES = [
+    Hello("entry-1", "a1", "entry", "trakia-yug-a", "trakia-yug"),
+    Status("ready", "engine", "bg-kiosk", waiting_by_rank={"urgent": 2}, prefixes=("p",)),
+    Output("a", 3, b"data", 1),
+    Finish("a", 4, "00"),
+]
+
+
+@pytest.mark.parametrize("value", EXAMPLES, ids=lambda value: type(value).__name__)
+def test_round_trip(value: object) -> None:
+    assert decode_message(encode_message(value)) == value
+
+
+@pytest.mark.parametrize(
+    ("row", "reason"),
+    [
+        ([], "array"),
+        (["x"], "array"),
+        ([9999], "unknown"),
+        ([1, "host"], "lacks"),
+        ([1, 5, "b", "c", "d", "e"], "type"),
+        ([7, "a", True, b""], "type"),
+    ],
+)
+def test_broken_rows_are_refused(row: list[object], reason: str) -> None:
+    with pytest.raises(MessageError, match=reason):
+        decode_message(msgpack.packb(row))
+
+
+def test_fields_of_a_newer_version_are_ignored() -> None:
+    row = [7, "a", 0, b"x", 1, "new field"]
+    assert decode_message(msgpack.packb(row)) == Output("a", 0, b"x", 1)
+
+
+@given(st.binary(max_size=200))
+@settings(derandomize=True, max_examples=300, deadline=None)
+def test_random_bytes_never_raise_anything_else(data: bytes) -> None:
+    with contextlib.suppress(MessageError):
+        decode_message(data)
