--- /dev/null
+++ b/sycamoreproxy/_http_client.py
@@ -0,0 +1,244 @@
+"""HTTP/1.1 client connections by tornado with kept connections and immediate cancellation.
+
+``SimpleAsyncHTTPClient`` opens a connection per request and cannot stop one, so the upstream
+process uses tornado's ``HTTP1Connection`` directly.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import Callable
+from urllib.parse import urlsplit
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+#: Time to establish a connection on the same host, in seconds.
+CONNECT_TIMEOUT_S = 2.0
+#: Idle connections kept per client.
+MAX_IDLE_CONNECTIONS = 64
+
+
+class NotSentError(Exception):
+    """No byte of the request was sent."""
+
+
+class AnswerLostError(Exception):
+    """The request may have been received; its answer is absent or cut.
+
+    :param received: whether any part of the answer was received.
+    """
+
+    def __init__(self, reason: str, *, received: bool) -> None:
+        super().__init__(reason)
+        self.received = received
+
+
+HeadListener = Callable[[int, HTTPHeaders], None]
+DataListener = Callable[[bytes], None]
+
+
+class _Delegate(HTTPMessageDelegate):
+    """Passes the parts of one answer on and keeps what a listener raised."""
+
+    def __init__(self, on_head: HeadListener, on_data: DataListener) -> None:
+        self._on_head = on_head
+        self._on_data = on_data
+        self.received = False
+        self.is_whole = False
+        self.keeps_open = True
+        self.error: Exception | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, ResponseStartLine)
+        if 100 <= start_line.code < 200:
+            return
+        self.received = True
+        connection = headers.get("Connection", "").lower()
+        self.keeps_open = "close" not in connection and start_line.version != "HTTP/1.0"
+        self._call(lambda: self._on_head(start_line.code, headers))
+
+    def data_received(self, chunk: bytes) -> None:
+        if self.error is None:
+            self._call(lambda: self._on_data(chunk))
+
+    def finish(self) -> None:
+        self.is_whole = True
+
+    def on_connection_close(self) -> None:
+        """The caller sees the closed connection by the exception or the result."""
+
+    def _call(self, action: Callable[[], None]) -> None:
+        # An exception that leaves a delegate is logged and replaced by tornado.
+        try:
+            action()
+        except Exception as error:
+            self.error = error
+
+
+class HttpClient:
+    """Sends requests to one base URL.
+
+    :param address: base URL; its path is put before each request's path.
+    :param max_body_bytes: longest answer body, in bytes.
+    """
+
+    def __init__(self, address: str, *, max_body_bytes: int) -> None:
+        parts = urlsplit(address)
+        self._host = parts.hostname or ""
+        self._tls = ssl.create_default_context() if parts.scheme == "https" else None
+        self._port = parts.port or (443 if self._tls else 80)
+        self._host_header = parts.netloc.rpartition("@")[2]
+        self._path = parts.path.rstrip("/")
+        self._client = TCPClient()
+        self._idle: list[IOStream] = []
+        self._parameters = HTTP1ConnectionParameters(
+            max_body_size=max_body_bytes, max_header_size=65_536
+        )
+
+    async def exchange(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: HTTPHeaders,
+        body: bytes,
+        on_head: HeadListener,
+        on_data: DataListener,
+        repeatable: bool,
+    ) -> None:
+        """Send a request and pass its answer on; cancelling the task closes the connection.
+
+        :param repeatable: whether the request may be sent again on a fresh connection when a kept
+            one closes before any part of the answer; others always get a fresh connection.
+        :raises NotSentError: if there is no connection.
+        :raises AnswerLostError: if the answer is absent, cut or malformed.
+        """
+        stream = self._take_idle() if repeatable else None
+        if stream is not None:
+            delegate = _Delegate(on_head, on_data)
+            try:
+                await self._send(stream, delegate, method, path, headers, body)
+                return
+            except AnswerLostError as error:
+                if error.received:
+                    raise
+        await self._send(
+            await self._connect(), _Delegate(on_head, on_data), method, path, headers, body
+        )
+
+    async def fetch(
+        self, *, method: str, path: str, body: bytes = b"", timeout_s: float
+    ) -> tuple[int, HTTPHeaders, bytes]:
+        """Send a short request that may be repeated; return status, headers and body.
+
+        :raises NotSentError: if there is no connection.
+        :raises AnswerLostError: if the answer is absent, cut, malformed or late.
+        """
+        parts: list[bytes] = []
+        head: list[tuple[int, HTTPHeaders]] = []
+        headers = HTTPHeaders()
+        if body:
+            headers["Content-Type"] = "application/json"
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.exchange(
+                    method=method,
+                    path=path,
+                    headers=headers,
+                    body=body,
+                    on_head=lambda status, received: head.append((status, received)),
+                    on_data=parts.append,
+                    repeatable=True,
+                )
+        except TimeoutError as error:
+            raise AnswerLostError("no answer in time", received=bool(head)) from error
+        return head[0][0], head[0][1], b"".join(parts)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for stream in self._idle:
+            stream.set_close_callback(None)
+            stream.close()
+        self._idle.clear()
+
+    def _take_idle(self) -> IOStream | None:
+        while self._idle:
+            stream = self._idle.pop()
+            stream.set_close_callback(None)
+            if not stream.closed():
+                return stream
+        return None
+
+    def _keep(self, stream: IOStream) -> None:
+        if stream.closed() or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+            stream.close()
+            return
+        self._idle.append(stream)
+        # With a callback set, tornado notices at once that the server closed the connection.
+        stream.set_close_callback(lambda: self._forget(stream))
+
+    def _forget(self, stream: IOStream) -> None:
+        if stream in self._idle:
+            self._idle.remove(stream)
+
+    async def _connect(self) -> IOStream:
+        try:
+            stream = await asyncio.wait_for(
+                self._client.connect(self._host, self._port, ssl_options=self._tls),
+                CONNECT_TIMEOUT_S,
+            )
+        except (StreamClosedError, OSError, TimeoutError) as error:
+            raise NotSentError(f"{type(error).__name__}: {error}") from error
+        stream.set_nodelay(True)
+        return stream
+
+    async def _send(
+        self,
+        stream: IOStream,
+        delegate: _Delegate,
+        method: str,
+        path: str,
+        headers: HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        headers = headers.copy()
+        headers["Host"] = self._host_header
+        if body or method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = str(len(body))
+        connection = HTTP1Connection(stream, True, self._parameters)
+        kept = False
+        try:
+            written = connection.write_headers(
+                RequestStartLine(method, self._path + path, ""), headers, body or None
+            )
+            connection.finish()
+            await connection.read_response(delegate)
+            if written.done() and not written.cancelled():
+                written.exception()
+            if delegate.error is not None:
+                raise delegate.error
+            if not delegate.is_whole:
+                raise AnswerLostError("the answer is malformed", received=delegate.received)
+            kept = delegate.keeps_open
+        except (StreamClosedError, OSError, ValueError) as error:
+            if delegate.error is not None:
+                raise delegate.error from error
+            raise AnswerLostError(
+                f"{type(error).__name__}: {error}", received=delegate.received
+            ) from error
+        finally:
+            if kept:
+                self._keep(stream)
+            else:
+                stream.close()
--- /dev/null
+++ b/sycamoreproxy/admission.py
@@ -0,0 +1,590 @@
+"""The fair queue beside an engine or service: who starts next and who is refused.
+
+Order of service. A rank below its guaranteed share goes first, else the most urgent rank. Within
+a rank the same holds for accounts with a guaranteed share, then start-time fair queuing by weight
+(Goyal, Vin, Cheng 1996) with tokens as cost, corrected as tokens arrive. Idle share is lent out.
+
+All decisions are pure: no I/O, no randomness, the time comes from a clock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.result_codes import DEADLINE_UNREACHABLE, QUEUE_FULL, Executed, Refusal
+
+#: Weight of a new sample in the moving averages.
+_ALPHA = 0.05
+#: Time constant after which an estimate without samples is halved, in seconds. An estimate that
+#: refuses all work would otherwise never be corrected.
+_FADE_S = 1.0
+#: Time after which a rank's learned part of the capacity is derived anew, in seconds.
+_FRACTION_VALID_S = 2.0
+#: Bounds of the learned correction of predictions.
+_MIN_BIAS, _MAX_BIAS = 0.5, 3.0
+#: Predictions below this are too short to learn a relative correction from, in seconds.
+_MIN_LEARNED_WAIT_S = 0.05
+#: Mean deviations added to a prediction, as in TCP's retransmission timer.
+_DEVIATIONS = 2.0
+#: A cancelled request is charged at least this part of its estimate, for its prompt.
+_MIN_CHARGED_PART = 0.25
+#: Largest weight ratio, so that a weight of 0 still makes progress.
+_MIN_WEIGHT = 1e-3
+#: Idle accounts kept in a rank before they are dropped.
+_MAX_IDLE_ACCOUNTS = 256
+
+
+class RowShares(Protocol):
+    """The cells of a table row that order the queue."""
+
+    @property
+    def weight(self) -> float:
+        """Weight against other accounts of the rank."""
+
+    @property
+    def share(self) -> float:
+        """Guaranteed fraction."""
+
+
+class SharePolicy(Protocol):
+    """The part of the table view that orders the queue."""
+
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+
+    def resolve(self, model: str, client_account: str, rank: str) -> RowShares:
+        """Return the effective row of an account."""
+
+    def rank_policy(self, model: str, rank: str) -> RowShares:
+        """Return the row ``(model, *, rank)``."""
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Ticket:
+    """One attempt in the queue or in the engine.
+
+    :param cost: estimated tokens; 1 for a service.
+    :param deadline_at: monotonic time by which the first token is due, in seconds.
+    """
+
+    attempt_id: str
+    client_account: str
+    rank: str
+    cost: float
+    deadline_at: float
+    arrived_at: float = 0.0
+    started_at: float = 0.0
+    first_output_at: float = 0.0
+    predicted_s: float = 0.0
+    charged: float = 0.0
+    tokens: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class _Account:
+    """Fair queuing state of one account within a rank.
+
+    :param finish: finish tag of the last start, in cost divided by weight.
+    :param lag: cost owed under the guaranteed share.
+    """
+
+    name: str
+    weight: float
+    share: float
+    finish: float = 0.0
+    lag: float = 0.0
+    running: int = 0
+    queued_cost: float = 0.0
+    tickets: deque[Ticket] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class _Average:
+    """Moving mean and mean deviation, with the time of the last sample."""
+
+    mean: float = 0.0
+    deviation: float = 0.0
+    count: int = 0
+    sampled_at: float = 0.0
+
+    def add(self, value: float, now: float) -> None:
+        self.count += 1
+        weight = max(_ALPHA, 1.0 / self.count)
+        error = value - self.mean
+        self.mean += weight * error
+        self.deviation += weight * (abs(error) - self.deviation)
+        self.sampled_at = now
+
+    def faded(self, now: float) -> float:
+        """Return mean plus deviation, halved for each second without a sample."""
+        age = max(0.0, now - self.sampled_at - _FADE_S)
+        value: float = (self.mean + self.deviation) * 0.5 ** (age / _FADE_S)
+        return value
+
+
+class _Rank:
+    """Queue state and learned figures of one rank."""
+
+    def __init__(self, name: str, index: int) -> None:
+        self.name = name
+        self.index = index
+        self.share = 0.0
+        self.lag = 0.0
+        self.virtual_time = 0.0
+        self.waiting = 0
+        self.queued_cost = 0.0
+        self.running = 0
+        self.accounts_by_name: dict[str, _Account] = {}
+        self.backlogged: dict[str, _Account] = {}
+        self.has_account_shares = False
+        self.seconds_per_cost = _Average()
+        self.mean_cost = _Average()
+        self.first_token = _Average()
+        self.error = _Average()
+        self.bias = 1.0
+        self.fraction = 0.0
+        self.fraction_at = -1e9
+
+
+class AdmissionQueue:
+    """Orders the work of one engine or service.
+
+    :param policy: returns the table view in force.
+    :param name: model or service name.
+    :param ranks: from the most urgent to the least.
+    :param queue_limit: waiting requests of all ranks.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        policy: SharePolicy,
+        name: str,
+        ranks: tuple[str, ...],
+        queue_limit: int,
+        window: int,
+    ) -> None:
+        self._clock = clock
+        self._policy = policy
+        self._name = name
+        self._queue_limit = queue_limit
+        self._ranks = [_Rank(rank, index) for index, rank in enumerate(ranks)]
+        self._ranks_by_name = {rank.name: rank for rank in self._ranks}
+        self._window = window
+        self._running = 0
+        self._waiting = 0
+        self._seconds_per_cost = _Average()
+        self._mean_cost = _Average()
+        self._revision = -1
+        self._refresh()
+
+    @property
+    def running(self) -> int:
+        """Requests handed to the engine."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return self._waiting
+
+    @property
+    def waiting_by_rank(self) -> dict[str, int]:
+        """Requests in the queue by rank."""
+        return {rank.name: rank.waiting for rank in self._ranks}
+
+    def set_policy(self, policy: SharePolicy) -> None:
+        """Use another table view."""
+        self._policy = policy
+        self._refresh()
+
+    def set_window(self, window: int) -> None:
+        """Take the window's size, for predictions."""
+        self._window = max(1, window)
+
+    def predict_wait(self, rank_name: str, client_account: str | None = None) -> float:
+        """Return the predicted time in seconds until a new request would start.
+
+        :param client_account: None for an account without queued work.
+        """
+        rank = self._ranks_by_name[rank_name]
+        account = rank.accounts_by_name.get(client_account) if client_account else None
+        return self._predict(rank, account, 1.0) * rank.bias
+
+    def offer(self, ticket: Ticket) -> tuple[Refusal | None, list[Ticket]]:
+        """Queue a request or refuse it.
+
+        :returns: the refusal, or None, and requests of lesser urgency that are refused as not
+            run to make room.
+        """
+        self._refresh()
+        now = self._clock.monotonic()
+        rank = self._ranks_by_name[ticket.rank]
+        account = self._get_account(rank, ticket.client_account)
+        predicted = self._predict(rank, account, account.weight)
+        time_left = ticket.deadline_at - now
+        needed = rank.first_token.faded(now)
+        if predicted > 0.0:
+            margin = min(_DEVIATIONS * rank.error.faded(now), 0.25 * max(0.0, time_left))
+            needed += predicted * rank.bias + margin
+        if needed > time_left or time_left <= 0:
+            self._drop_if_idle(rank, account)
+            retry_ms = max(1, int(1000 * (needed - max(0.0, time_left))))
+            return self._refuse(DEADLINE_UNREACHABLE, needed, retry_ms), []
+        shed: list[Ticket] = []
+        if self._waiting >= self._queue_limit:
+            victim = self._find_victim(rank, account)
+            if victim is None:
+                self._drop_if_idle(rank, account)
+                retry_ms = max(1, int(1000 * predicted * rank.bias))
+                return self._refuse(QUEUE_FULL, needed, retry_ms), []
+            self.remove(victim)
+            shed.append(victim)
+        ticket.arrived_at = now
+        ticket.predicted_s = predicted
+        if not rank.waiting:
+            rank.lag = min(rank.lag, 0.0)
+        account.tickets.append(ticket)
+        account.queued_cost += ticket.cost
+        rank.backlogged[account.name] = account
+        rank.waiting += 1
+        rank.queued_cost += ticket.cost
+        self._waiting += 1
+        return None, shed
+
+    def take(self, *, window: int, reserve: int) -> Ticket | None:
+        """Return the request to start next, or None; it counts as running from now on.
+
+        Up to ``window`` any request may start. Above it, up to ``window + reserve``, only work
+        below its entitlement: borrowers then shrink to the window as their requests finish.
+        """
+        if not self._waiting or self._running >= window + reserve:
+            return None
+        if self._running < window:
+            rank = self._pick_rank()
+            account = self._pick_account(rank)
+        else:
+            entitled = self._pick_entitled(window, reserve)
+            if entitled is None:
+                return None
+            rank, account = entitled
+        return self._start(rank, account)
+
+    def expire(self) -> list[Ticket]:
+        """Remove and return requests that can no longer have their first token in time."""
+        now = self._clock.monotonic()
+        late: list[Ticket] = []
+        for rank in self._ranks:
+            if not rank.waiting:
+                continue
+            latest = now + min(rank.first_token.mean, rank.first_token.faded(now))
+            late.extend(
+                ticket
+                for account in rank.backlogged.values()
+                for ticket in account.tickets
+                if ticket.deadline_at < latest
+            )
+        for ticket in late:
+            self._learn_wait(self._ranks_by_name[ticket.rank], ticket, now)
+            self.remove(ticket)
+        return late
+
+    def remove(self, ticket: Ticket) -> bool:
+        """Remove a waiting request; return whether it was waiting."""
+        rank = self._ranks_by_name[ticket.rank]
+        account = rank.backlogged.get(ticket.client_account)
+        if account is None or ticket not in account.tickets:
+            return False
+        account.tickets.remove(ticket)
+        self._note_removed(rank, account, ticket)
+        self._drop_if_idle(rank, account)
+        return True
+
+    def add_tokens(self, ticket: Ticket, tokens: int) -> None:
+        """Note that tokens of a running request arrived."""
+        if not ticket.first_output_at:
+            now = self._clock.monotonic()
+            ticket.first_output_at = now
+            rank = self._ranks_by_name[ticket.rank]
+            rank.first_token.add(now - ticket.started_at, now)
+        ticket.tokens += tokens
+        if ticket.tokens > ticket.charged:
+            self._charge(ticket, max(16.0, 0.25 * ticket.charged))
+
+    def finish(self, ticket: Ticket, *, cost: float | None = None) -> None:
+        """Note that a running request left the engine.
+
+        :param cost: its true cost, or None if it was cancelled or failed.
+        """
+        now = self._clock.monotonic()
+        rank = self._ranks_by_name[ticket.rank]
+        if cost is not None:
+            taken = now - ticket.started_at
+            for average in (rank.seconds_per_cost, self._seconds_per_cost):
+                average.add(taken / max(1.0, cost), now)
+            for average in (rank.mean_cost, self._mean_cost):
+                average.add(cost, now)
+        else:
+            cost = max(float(ticket.tokens), _MIN_CHARGED_PART * ticket.charged)
+        self._charge(ticket, cost - ticket.charged)
+        self._running -= 1
+        rank.running -= 1
+        account = rank.accounts_by_name.get(ticket.client_account)
+        if account is not None:
+            account.running -= 1
+            self._drop_if_idle(rank, account)
+
+    # Order of service.
+
+    def _pick_rank(self) -> _Rank:
+        first: _Rank | None = None
+        owed: _Rank | None = None
+        for rank in self._ranks:
+            if not rank.waiting:
+                continue
+            if first is None:
+                first = rank
+            if (
+                rank.lag > 0.0
+                and rank.share > 0.0
+                and (owed is None or rank.lag / rank.share > owed.lag / owed.share)
+            ):
+                owed = rank
+        assert first is not None
+        return owed or first
+
+    def _pick_account(self, rank: _Rank) -> _Account:
+        virtual_time = rank.virtual_time
+        best: _Account | None = None
+        best_tag = 0.0
+        owed: _Account | None = None
+        for account in rank.backlogged.values():
+            tag = account.finish if account.finish > virtual_time else virtual_time
+            if best is None or tag < best_tag:
+                best, best_tag = account, tag
+            if (
+                account.share > 0.0
+                and account.lag > 0.0
+                and (owed is None or account.lag > owed.lag)
+            ):
+                owed = account
+        assert best is not None
+        return owed or best
+
+    def _pick_entitled(self, window: int, reserve: int) -> tuple[_Rank, _Account] | None:
+        """Return work below its entitlement, or None."""
+        for rank in self._ranks:
+            if not rank.waiting:
+                continue
+            account = self._pick_account(rank)
+            part = self._entitled_part(rank)
+            if rank.running + 1 <= part * window:
+                return rank, account
+            # A flood within the rank leaves no room for an account that uses less than its part.
+            if (
+                rank.index == self._first_index()
+                and account.finish < rank.virtual_time
+                and self._running < window + (reserve + 1) // 2
+            ):
+                return rank, account
+        return None
+
+    def _first_index(self) -> int:
+        for rank in self._ranks:
+            if rank.waiting or rank.running:
+                return rank.index
+        return 0
+
+    def _entitled_part(self, rank: _Rank) -> float:
+        """Return the part of the window that a rank may always claim."""
+        if rank.index == 0:
+            return 1.0 - sum(other.share for other in self._ranks[1:])
+        return rank.share
+
+    def _start(self, rank: _Rank, account: _Account) -> Ticket:
+        now = self._clock.monotonic()
+        ticket = account.tickets.popleft()
+        # An account that starts by its guaranteed share may be ahead of others, whose tags must not
+        # be lifted to its own.
+        first_tag = min(item.finish for item in rank.backlogged.values())
+        rank.virtual_time = max(rank.virtual_time, first_tag)
+        account.finish = max(account.finish, rank.virtual_time)
+        self._learn_fractions(rank, ticket.cost, now)
+        self._note_removed(rank, account, ticket)
+        ticket.started_at = now
+        self._learn_wait(rank, ticket, now)
+        self._charge(ticket, ticket.cost)
+        self._running += 1
+        rank.running += 1
+        account.running += 1
+        return ticket
+
+    def _charge(self, ticket: Ticket, cost: float) -> None:
+        """Charge a cost, negative for a refund, to the account and the rank."""
+        ticket.charged += cost
+        rank = self._ranks_by_name[ticket.rank]
+        for other in self._ranks:
+            other.lag += other.share * cost
+            if not other.waiting and other.lag > 0.0:
+                other.lag = 0.0
+        # What was borrowed while others were idle is not held against the borrower for long.
+        floor = -2.0 * max(cost, ticket.cost)
+        rank.lag = max(rank.lag - cost, min(rank.lag, floor))
+        account = rank.accounts_by_name.get(ticket.client_account)
+        if account is None:
+            return
+        account.finish += cost / account.weight
+        if rank.has_account_shares:
+            for item in rank.accounts_by_name.values():
+                item.lag += item.share * cost
+                if not item.tickets and item.lag > 0.0:
+                    item.lag = 0.0
+            account.lag = max(account.lag - cost, min(account.lag, floor))
+
+    # Predictions.
+
+    def _predict(self, rank: _Rank, account: _Account | None, weight: float) -> float:
+        """Return the uncorrected prediction of the wait of a new request, in seconds."""
+        full = self._running >= self._window
+        if not full and not rank.waiting:
+            return 0.0
+        if not self._seconds_per_cost.count:
+            return 0.0
+        ahead = self._cost_ahead(rank, account)
+        speed = self._window / self._seconds_per_cost.mean * self._fraction(rank)
+        # On average half a request passes before the next slot becomes free.
+        return (ahead + 0.5 * self._mean_cost.mean) / max(speed, 1e-9)
+
+    def _cost_ahead(self, rank: _Rank, account: _Account | None) -> float:
+        """Return the queued cost of the rank that fair queuing serves before a new request."""
+        virtual_time = rank.virtual_time
+        tag = virtual_time
+        if account is not None:
+            tag = max(account.finish, virtual_time) + account.queued_cost / account.weight
+        ahead = 0.0
+        for other in rank.backlogged.values():
+            if other is account:
+                ahead += other.queued_cost
+                continue
+            lead = tag - max(other.finish, virtual_time)
+            if lead >= 0.0:
+                ahead += min(other.queued_cost, lead * other.weight)
+        return ahead
+
+    def _fraction(self, rank: _Rank) -> float:
+        """Return the part of the capacity that a rank with waiting work receives."""
+        if self._clock.monotonic() - rank.fraction_at < _FRACTION_VALID_S:
+            return max(rank.fraction, rank.share, 0.02)
+        part = 1.0
+        for other in self._ranks:
+            if other is rank:
+                continue
+            if other.index < rank.index:
+                part -= max(other.running / self._window, other.share if other.waiting else 0.0)
+            elif other.waiting:
+                part -= other.share
+        return max(part, rank.share, 0.02)
+
+    def _learn_fractions(self, started: _Rank, cost: float, now: float) -> None:
+        for rank in self._ranks:
+            if not rank.waiting:
+                continue
+            if now - rank.fraction_at >= _FRACTION_VALID_S:
+                rank.fraction = self._fraction(rank)
+            step = min(0.2, 0.03 * cost / max(1.0, self._mean_cost.mean or cost))
+            rank.fraction += step * ((1.0 if rank is started else 0.0) - rank.fraction)
+            rank.fraction_at = now
+
+    def _learn_wait(self, rank: _Rank, ticket: Ticket, now: float) -> None:
+        if ticket.predicted_s < _MIN_LEARNED_WAIT_S:
+            return
+        observed = now - ticket.arrived_at
+        ratio = observed / ticket.predicted_s
+        rank.error.add(abs(observed - ticket.predicted_s * rank.bias), now)
+        rank.bias += _ALPHA * (min(ratio, 2.0 * _MAX_BIAS) - rank.bias)
+        rank.bias = min(max(rank.bias, _MIN_BIAS), _MAX_BIAS)
+
+    # Bookkeeping.
+
+    def _find_victim(self, rank: _Rank, account: _Account) -> Ticket | None:
+        """Return the waiting request that gives way to a new one of an account, or None."""
+        for other in reversed(self._ranks):
+            if not other.waiting:
+                continue
+            longest = max(
+                other.backlogged.values(), key=lambda item: item.queued_cost / item.weight
+            )
+            if other.index > rank.index:
+                return longest.tickets[-1]
+            if other is rank and longest is not account:
+                own = account.queued_cost / account.weight
+                newest = longest.tickets[-1]
+                if (longest.queued_cost - newest.cost) / longest.weight > own:
+                    return newest
+            return None
+        return None
+
+    def _note_removed(self, rank: _Rank, account: _Account, ticket: Ticket) -> None:
+        account.queued_cost -= ticket.cost
+        rank.queued_cost -= ticket.cost
+        rank.waiting -= 1
+        self._waiting -= 1
+        if not account.tickets:
+            account.queued_cost = 0.0
+            del rank.backlogged[account.name]
+
+    def _get_account(self, rank: _Rank, name: str) -> _Account:
+        account = rank.accounts_by_name.get(name)
+        if account is None:
+            row = self._policy.resolve(self._name, name, rank.name)
+            account = _Account(name, max(row.weight, _MIN_WEIGHT), max(0.0, row.share))
+            rank.accounts_by_name[name] = account
+            rank.has_account_shares = rank.has_account_shares or account.share > 0.0
+        return account
+
+    def _drop_if_idle(self, rank: _Rank, account: _Account) -> None:
+        """Forget an idle account whose tags no longer matter, so that the table stays bounded."""
+        if account.tickets or account.running:
+            return
+        is_many = len(rank.accounts_by_name) > _MAX_IDLE_ACCOUNTS
+        if is_many or account.finish <= rank.virtual_time:
+            rank.accounts_by_name.pop(account.name, None)
+
+    def _refresh(self) -> None:
+        """Take weights and shares from the table view if its revision changed."""
+        if self._policy.revision == self._revision:
+            return
+        self._revision = self._policy.revision
+        for rank in self._ranks:
+            rank.share = max(0.0, self._policy.rank_policy(self._name, rank.name).share)
+            rank.has_account_shares = False
+            for account in rank.accounts_by_name.values():
+                row = self._policy.resolve(self._name, account.name, rank.name)
+                account.weight = max(row.weight, _MIN_WEIGHT)
+                account.share = max(0.0, row.share)
+                rank.has_account_shares = rank.has_account_shares or account.share > 0.0
+        total = sum(rank.share for rank in self._ranks)
+        if total > 1.0:
+            for rank in self._ranks:
+                rank.share /= total
+
+    @staticmethod
+    def _refuse(code: object, needed: float, retry_after_ms: int) -> Refusal:
+        return Refusal(
+            code,  # type: ignore[arg-type]
+            Executed.NO,
+            f"The predicted time to the first token is {needed * 1000:.0f} ms.",
+            retry_after_ms,
+        )
+
+    def __iter__(self) -> Iterator[Ticket]:
+        """Yield the waiting requests."""
+        for rank in self._ranks:
+            for account in rank.backlogged.values():
+                yield from account.tickets
--- /dev/null
+++ b/sycamoreproxy/engine_window.py
@@ -0,0 +1,97 @@
+"""Number of requests that the engine is given at once, learned from the gap between tokens."""
+
+from __future__ import annotations
+
+from sycamoreproxy.clock import Clock
+
+#: Time between adjustments in seconds: several gaps at the target of 59 ms.
+ADJUST_PERIOD_S = 0.25
+#: Gaps needed for an adjustment; fewer are dominated by the prompts of single requests.
+MIN_SAMPLES = 12
+#: Relative band around the target in which the size stays.
+DEAD_BAND = 0.02
+#: Largest relative shrinking and growth of one adjustment.
+MAX_SHRINK = 0.2
+MAX_GROWTH = 0.25
+#: Part of the size that may be exceeded for work below its entitlement.
+RESERVE_FRACTION = 0.25
+
+
+class EngineWindow:
+    """Grows while full and the gap is below target, shrinks when the gap is above it.
+
+    :param initial: size at start, at least 1.
+    :param maximum: largest size.
+    :param target_gap_s: mean gap between tokens that is steered to, in seconds; 0 keeps the
+        initial size (services).
+    """
+
+    def __init__(self, *, clock: Clock, initial: int, maximum: int, target_gap_s: float) -> None:
+        self._clock = clock
+        self._size = float(initial)
+        self._maximum = maximum
+        self._target_gap_s = target_gap_s
+        self._gap_sum_s = 0.0
+        self._gap_count = 0
+        self._peak_running = 0
+        self._adjusted_at = clock.monotonic()
+        self._report_gap_s = 0.0
+        self._engine_waits = False
+        self.gap_s = 0.0
+
+    @property
+    def size(self) -> int:
+        """Requests that the engine may be given."""
+        return max(1, int(self._size))
+
+    @property
+    def reserve(self) -> int:
+        """Requests above :attr:`size` that may start for work below its entitlement."""
+        return max(1, int(self._size * RESERVE_FRACTION))
+
+    def add_gap(self, seconds: float, tokens: int) -> None:
+        """Note that ``tokens`` followed an earlier token of their answer within ``seconds``."""
+        self._gap_sum_s += seconds
+        self._gap_count += tokens
+
+    def note_running(self, running: int) -> None:
+        """Note how many requests the engine has."""
+        if running > self._peak_running:
+            self._peak_running = running
+
+    def add_report(self, *, running: int, waiting: int, gap_ms: float) -> None:
+        """Take the engine's lagging report.
+
+        A queue inside the engine is out of this process's order, so the size falls to what runs.
+        """
+        self._report_gap_s = gap_ms / 1000.0
+        self._engine_waits = waiting > 0
+        if waiting > 0 and self._target_gap_s > 0:
+            self._size = max(1.0, min(self._size, float(running)))
+
+    def adjust(self) -> bool:
+        """Adjust the size if a period is over; return whether the size changed."""
+        now = self._clock.monotonic()
+        if now - self._adjusted_at < ADJUST_PERIOD_S or self._target_gap_s <= 0:
+            return False
+        if self._gap_count >= MIN_SAMPLES:
+            gap_s = self._gap_sum_s / self._gap_count
+        elif self._gap_count == 0 and self._peak_running and self._report_gap_s > 0:
+            # Answers that are not streamed show no gaps; the report is late but better than none.
+            gap_s = self._report_gap_s
+        else:
+            return False
+        was_full = self._peak_running >= self.size
+        self._adjusted_at = now
+        self._gap_sum_s = 0.0
+        self._gap_count = 0
+        self._peak_running = 0
+        self.gap_s = gap_s
+        before = self.size
+        ratio = self._target_gap_s / gap_s if gap_s > 0 else 1.0
+        if ratio < 1.0 - DEAD_BAND:
+            self._size *= max(1.0 - MAX_SHRINK, 1.0 - (1.0 - ratio) * 0.5)
+        elif ratio > 1.0 + DEAD_BAND and was_full and not self._engine_waits:
+            self._size += max(0.5, self._size * min(MAX_GROWTH, (ratio - 1.0) * 0.5))
+        self._size = min(max(1.0, self._size), float(self._maximum))
+        return self.size != before
