--- a/standins/engine.py
+++ b/standins/engine.py
@@ -231,8 +231,9 @@
                 self._record(answer, "complete")
                 if not answer.done.done():
                     answer.done.set_result("complete")
-        self._note_report(time.monotonic())
-        if self._model.running or self._model.waiting:
+        is_busy = bool(self._model.running or self._model.waiting)
+        self._note_report(time.monotonic(), always=not is_busy)
+        if is_busy:
             self._schedule()
 
     def _write_token(self, answer: _Answer, index: int, last: bool) -> None:
@@ -251,8 +252,8 @@
         except Exception:
             self.stop(answer.request_id, "caller gone")
 
-    def _note_report(self, now: float) -> None:
-        if self._reports and now - self._reports[-1][0] < 0.02:
+    def _note_report(self, now: float, *, always: bool = False) -> None:
+        if not always and self._reports and now - self._reports[-1][0] < 0.02:
             return
         self._reports.append(
             (
