Let entitled work exceed the window by credit and learn rates per rank

Cause: shares counted in slots and in tokens contradicted each other, and the reserve was too small. Change: credit per first rank and account decides who may start above the window; borrowers leave half of the usual entitled number free; predictions use each rank's observed rate of starts.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -219,7 +219,7 @@
 
     def refusal_p99(self) -> float:
         """Return the 99th percentile of the time to a refusal, in milliseconds."""
-        chosen = [item for item in self.select(lambda item: item.refused_at > 0)]
+        chosen = list(self.select(lambda item: item.refused_at > 0))
         return 1000 * _percentile([item.refused_at - item.arrived_at for item in chosen], 0.99)
 
     def share(self, rank: str) -> float:
--- a/sycamoreproxy/admission.py
+++ b/sycamoreproxy/admission.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -22,10 +23,22 @@
 #: Time constant after which an estimate without samples is halved, in seconds. An estimate that
 #: refuses all work would otherwise never be corrected.
 _FADE_S = 1.0
-#: Time after which a rank's learned part of the capacity is derived anew, in seconds.
-_FRACTION_VALID_S = 2.0
+#: Time constants of a rank's observed rate of starts: while work waits, and while none does, in
+#: seconds; and the time that the derived rate counts as if it had been observed.
+_RATE_S, _RATE_IDLE_S, _RATE_PRIOR_S = 3.0, 5.0, 0.5
+#: Time constant of an account's rate of arrivals, in seconds.
+_ARRIVAL_S = 2.0
 #: Bounds of the learned correction of predictions.
 _MIN_BIAS, _MAX_BIAS = 0.5, 3.0
+#: Credit is earned at this part of the entitled rate, so that work that always uses its whole
+#: part has none.
+_EARNED_PART = 0.9
+#: Most requests that an account may start in a burst by its credit.
+_ACCOUNT_BURST = 4.0
+#: Time constant of the mean number of running requests that started by credit, in seconds.
+_ENTITLED_MEAN_S = 10.0
+#: Part of the shortfall of such requests that borrowers leave free.
+_HELD_BACK_PART = 0.5
 #: Predictions below this are too short to learn a relative correction from, in seconds.
 _MIN_LEARNED_WAIT_S = 0.05
 #: Mean deviations added to a prediction, as in TCP's retransmission timer.
@@ -83,6 +96,20 @@
     predicted_s: float = 0.0
     charged: float = 0.0
     tokens: int = 0
+    is_entitled: bool = False
+
+
+@dataclass(slots=True)
+class _Credit:
+    """Cost that may start above the window, earned at the entitled rate and spent by starts."""
+
+    level: float = 0.0
+
+    def earn(self, cost: float, cap: float) -> None:
+        self.level = min(cap, self.level + cost)
+
+    def spend(self, cost: float, cap: float) -> None:
+        self.level = max(-cap, self.level - cost)
 
 
 @dataclass(slots=True, eq=False)
@@ -101,6 +128,18 @@
     running: int = 0
     queued_cost: float = 0.0
     tickets: deque[Ticket] = field(default_factory=deque)
+    credit: _Credit = field(default_factory=_Credit)
+    earned_seen: float = 0.0
+    arrival_rate: float = 0.0
+    arrived_at: float = -1e9
+
+    def note_arrival(self, cost: float, now: float) -> None:
+        self.arrival_rate = self.read_arrival_rate(now) + cost / _ARRIVAL_S
+        self.arrived_at = now
+
+    def read_arrival_rate(self, now: float) -> float:
+        """Return the recent arrivals in cost per second."""
+        return self.arrival_rate * math.exp((self.arrived_at - now) / _ARRIVAL_S)
 
 
 @dataclass(slots=True)
@@ -127,6 +166,27 @@
         return value
 
 
+@dataclass(slots=True)
+class _Rate:
+    """Cost that starts per second while work waits."""
+
+    cost: float = 0.0
+    seconds: float = 0.0
+    noted_at: float = 0.0
+
+    def advance(self, now: float, *, is_waiting: bool) -> None:
+        elapsed = now - self.noted_at
+        if elapsed <= 0.0:
+            return
+        self.noted_at = now
+        kept = math.exp(-elapsed / (_RATE_S if is_waiting else _RATE_IDLE_S))
+        self.cost *= kept
+        self.seconds = self.seconds * kept + (elapsed if is_waiting else 0.0)
+
+    def read(self, prior: float) -> float:
+        return (self.cost + prior * _RATE_PRIOR_S) / (self.seconds + _RATE_PRIOR_S)
+
+
 class _Rank:
     """Queue state and learned figures of one rank."""
 
@@ -142,13 +202,14 @@
         self.accounts_by_name: dict[str, _Account] = {}
         self.backlogged: dict[str, _Account] = {}
         self.has_account_shares = False
-        self.seconds_per_cost = _Average()
+        self.credit = _Credit()
+        self.earned_per_weight = 0.0
         self.mean_cost = _Average()
         self.first_token = _Average()
         self.error = _Average()
         self.bias = 1.0
-        self.fraction = 0.0
-        self.fraction_at = -1e9
+        self.rate = _Rate()
+        self.waiting_since = 0.0
 
 
 class AdmissionQueue:
@@ -179,8 +240,11 @@
         self._window = window
         self._running = 0
         self._waiting = 0
-        self._seconds_per_cost = _Average()
+        self._slot_seconds = _Average()
         self._mean_cost = _Average()
+        self._entitled = 0
+        self._entitled_mean = 0.0
+        self._entitled_at = clock.monotonic()
         self._revision = -1
         self._refresh()
 
@@ -215,7 +279,7 @@
         """
         rank = self._ranks_by_name[rank_name]
         account = rank.accounts_by_name.get(client_account) if client_account else None
-        return self._predict(rank, account, 1.0) * rank.bias
+        return self._predict(rank, account) * rank.bias
 
     def offer(self, ticket: Ticket) -> tuple[Refusal | None, list[Ticket]]:
         """Queue a request or refuse it.
@@ -227,7 +291,7 @@
         now = self._clock.monotonic()
         rank = self._ranks_by_name[ticket.rank]
         account = self._get_account(rank, ticket.client_account)
-        predicted = self._predict(rank, account, account.weight)
+        predicted = self._predict(rank, account)
         time_left = ticket.deadline_at - now
         needed = rank.first_token.faded(now)
         if predicted > 0.0:
@@ -250,6 +314,9 @@
         ticket.predicted_s = predicted
         if not rank.waiting:
             rank.lag = min(rank.lag, 0.0)
+            rank.waiting_since = now
+        rank.rate.advance(now, is_waiting=rank.waiting > 0)
+        account.note_arrival(ticket.cost, now)
         account.tickets.append(ticket)
         account.queued_cost += ticket.cost
         rank.backlogged[account.name] = account
@@ -261,20 +328,30 @@
     def take(self, *, window: int, reserve: int) -> Ticket | None:
         """Return the request to start next, or None; it counts as running from now on.
 
-        Up to ``window`` any request may start. Above it, up to ``window + reserve``, only work
-        below its entitlement: borrowers then shrink to the window as their requests finish.
+        Up to ``window`` any request may start, but borrowers leave some room for the usual number
+        of entitled requests. Above it, up to ``window + reserve``, only work with credit starts:
+        the borrowers then shrink as their requests finish.
         """
         if not self._waiting or self._running >= window + reserve:
             return None
-        if self._running < window:
+        self._note_entitled()
+        missing = self._entitled_mean - self._entitled
+        held_back = _HELD_BACK_PART * missing if missing > 0.0 else 0.0
+        if self._running < window - held_back:
             rank = self._pick_rank()
             account = self._pick_account(rank)
+            is_entitled = self._has_credit(rank, account)
         else:
-            entitled = self._pick_entitled(window, reserve)
+            entitled = self._pick_entitled()
             if entitled is None:
                 return None
             rank, account = entitled
-        return self._start(rank, account)
+            is_entitled = True
+        ticket = self._start(rank, account)
+        if is_entitled:
+            ticket.is_entitled = True
+            self._entitled += 1
+        return ticket
 
     def expire(self) -> list[Ticket]:
         """Remove and return requests that can no longer have their first token in time."""
@@ -326,8 +403,7 @@
         rank = self._ranks_by_name[ticket.rank]
         if cost is not None:
             taken = now - ticket.started_at
-            for average in (rank.seconds_per_cost, self._seconds_per_cost):
-                average.add(taken / max(1.0, cost), now)
+            self._slot_seconds.add(taken, now)
             for average in (rank.mean_cost, self._mean_cost):
                 average.add(cost, now)
         else:
@@ -335,6 +411,9 @@
         self._charge(ticket, cost - ticket.charged)
         self._running -= 1
         rank.running -= 1
+        if ticket.is_entitled:
+            self._note_entitled()
+            self._entitled -= 1
         account = rank.accounts_by_name.get(ticket.client_account)
         if account is not None:
             account.running -= 1
@@ -377,29 +456,48 @@
         assert best is not None
         return owed or best
 
-    def _pick_entitled(self, window: int, reserve: int) -> tuple[_Rank, _Account] | None:
-        """Return work below its entitlement, or None."""
+    def _pick_entitled(self) -> tuple[_Rank, _Account] | None:
+        """Return work with credit: of the first rank, or of an account of the first busy rank."""
         for rank in self._ranks:
             if not rank.waiting:
+                if rank.running:
+                    return None
                 continue
-            account = self._pick_account(rank)
-            part = self._entitled_part(rank)
-            if rank.running + 1 <= part * window:
-                return rank, account
-            # A flood within the rank leaves no room for an account that uses less than its part.
-            if (
-                rank.index == self._first_index()
-                and account.finish < rank.virtual_time
-                and self._running < window + (reserve + 1) // 2
-            ):
-                return rank, account
+            if rank.index == 0 and rank.credit.level > 0.0:
+                return rank, self._pick_account(rank)
+            best: _Account | None = None
+            for account in rank.backlogged.values():
+                if self._read_credit(rank, account) > 0.0 and (
+                    best is None or account.finish < best.finish
+                ):
+                    best = account
+            return None if best is None else (rank, best)
         return None
 
-    def _first_index(self) -> int:
-        for rank in self._ranks:
-            if rank.waiting or rank.running:
-                return rank.index
-        return 0
+    def _has_credit(self, rank: _Rank, account: _Account) -> bool:
+        if rank.index == 0 and rank.credit.level > 0.0:
+            return True
+        return self._is_first(rank) and self._read_credit(rank, account) > 0.0
+
+    def _is_first(self, rank: _Rank) -> bool:
+        return not any(other.waiting or other.running for other in self._ranks[: rank.index])
+
+    def _read_credit(self, rank: _Rank, account: _Account) -> float:
+        earned = (rank.earned_per_weight - account.earned_seen) * account.weight
+        account.earned_seen = rank.earned_per_weight
+        account.credit.earn(earned, _ACCOUNT_BURST * self._read_mean_cost(rank))
+        return account.credit.level
+
+    def _read_mean_cost(self, rank: _Rank) -> float:
+        return rank.mean_cost.mean or self._mean_cost.mean or 1.0
+
+    def _note_entitled(self) -> None:
+        now = self._clock.monotonic()
+        elapsed = now - self._entitled_at
+        if elapsed > 0.0:
+            self._entitled_at = now
+            part = 1.0 - math.exp(-elapsed / _ENTITLED_MEAN_S)
+            self._entitled_mean += part * (self._entitled - self._entitled_mean)
 
     def _entitled_part(self, rank: _Rank) -> float:
         """Return the part of the window that a rank may always claim."""
@@ -415,8 +513,9 @@
         first_tag = min(item.finish for item in rank.backlogged.values())
         rank.virtual_time = max(rank.virtual_time, first_tag)
         account.finish = max(account.finish, rank.virtual_time)
-        self._learn_fractions(rank, ticket.cost, now)
+        self._learn_rates(rank, ticket.cost, now)
         self._note_removed(rank, account, ticket)
+        self._spend_credit(rank, account, ticket.cost)
         ticket.started_at = now
         self._learn_wait(rank, ticket, now)
         self._charge(ticket, ticket.cost)
@@ -425,6 +524,21 @@
         account.running += 1
         return ticket
 
+    def _spend_credit(self, rank: _Rank, account: _Account, cost: float) -> None:
+        first = self._ranks[0]
+        cap = 0.5 * self._window * self._read_mean_cost(first)
+        first.credit.earn(_EARNED_PART * self._entitled_part(first) * cost, cap)
+        if rank is first:
+            first.credit.spend(cost, cap)
+        weights = account.weight + sum(
+            item.weight for item in rank.accounts_by_name.values() if item.tickets or item.running
+        )
+        if account.tickets or account.running:
+            weights -= account.weight
+        rank.earned_per_weight += _EARNED_PART * cost / weights
+        self._read_credit(rank, account)
+        account.credit.spend(cost, _ACCOUNT_BURST * self._read_mean_cost(rank))
+
     def _charge(self, ticket: Ticket, cost: float) -> None:
         """Charge a cost, negative for a refund, to the account and the rank."""
         ticket.charged += cost
@@ -434,7 +548,7 @@
             if not other.waiting and other.lag > 0.0:
                 other.lag = 0.0
         # What was borrowed while others were idle is not held against the borrower for long.
-        floor = -2.0 * max(cost, ticket.cost)
+        floor = -2.0 * ticket.cost
         rank.lag = max(rank.lag - cost, min(rank.lag, floor))
         account = rank.accounts_by_name.get(ticket.client_account)
         if account is None:
@@ -449,38 +563,50 @@
 
     # Predictions.
 
-    def _predict(self, rank: _Rank, account: _Account | None, weight: float) -> float:
+    def _predict(self, rank: _Rank, account: _Account | None) -> float:
         """Return the uncorrected prediction of the wait of a new request, in seconds."""
-        full = self._running >= self._window
-        if not full and not rank.waiting:
+        if self._running < self._window and not rank.waiting:
             return 0.0
-        if not self._seconds_per_cost.count:
+        if not self._slot_seconds.count:
             return 0.0
-        ahead = self._cost_ahead(rank, account)
-        speed = self._window / self._seconds_per_cost.mean * self._fraction(rank)
+        now = self._clock.monotonic()
+        rank.rate.advance(now, is_waiting=rank.waiting > 0)
+        rate = max(1e-9, rank.rate.read(self._derive_rate(rank)))
         # On average half a request passes before the next slot becomes free.
-        return (ahead + 0.5 * self._mean_cost.mean) / max(speed, 1e-9)
+        first = 0.5 * self._read_mean_cost(rank)
+        wait_s = (first + self._cost_ahead(rank, account, 0.0, now)) / rate
+        return (first + self._cost_ahead(rank, account, wait_s, now)) / rate
+
+    def _cost_ahead(
+        self, rank: _Rank, account: _Account | None, wait_s: float, now: float
+    ) -> float:
+        """Return the cost of the rank that fair queuing serves before a new request.
 
-    def _cost_ahead(self, rank: _Rank, account: _Account | None) -> float:
-        """Return the queued cost of the rank that fair queuing serves before a new request."""
+        :param wait_s: arrivals of other accounts within this time are counted too.
+        """
         virtual_time = rank.virtual_time
         tag = virtual_time
+        ahead = 0.0
         if account is not None:
             tag = max(account.finish, virtual_time) + account.queued_cost / account.weight
-        ahead = 0.0
-        for other in rank.backlogged.values():
+            ahead = account.queued_cost
+        for other in rank.accounts_by_name.values():
             if other is account:
-                ahead += other.queued_cost
                 continue
             lead = tag - max(other.finish, virtual_time)
-            if lead >= 0.0:
-                ahead += min(other.queued_cost, lead * other.weight)
+            if lead > 0.0 or (lead == 0.0 and other.tickets):
+                coming = other.queued_cost
+                if wait_s > 0.0 and other.arrival_rate > 0.0:
+                    coming += wait_s * other.read_arrival_rate(now)
+                served = lead * other.weight
+                if other.tickets:
+                    # A request that starts before the tag is served whole.
+                    served = max(served, other.tickets[0].cost)
+                ahead += min(coming, served)
         return ahead
 
-    def _fraction(self, rank: _Rank) -> float:
-        """Return the part of the capacity that a rank with waiting work receives."""
-        if self._clock.monotonic() - rank.fraction_at < _FRACTION_VALID_S:
-            return max(rank.fraction, rank.share, 0.02)
+    def _derive_rate(self, rank: _Rank) -> float:
+        """Return the rate of starts, in cost per second, that shares and load leave to a rank."""
         part = 1.0
         for other in self._ranks:
             if other is rank:
@@ -489,17 +615,15 @@
                 part -= max(other.running / self._window, other.share if other.waiting else 0.0)
             elif other.waiting:
                 part -= other.share
-        return max(part, rank.share, 0.02)
+        speed = self._window * self._mean_cost.mean / max(1e-9, self._slot_seconds.mean)
+        return speed * max(part, rank.share, 0.02)
 
-    def _learn_fractions(self, started: _Rank, cost: float, now: float) -> None:
+    def _learn_rates(self, started: _Rank, cost: float, now: float) -> None:
         for rank in self._ranks:
-            if not rank.waiting:
-                continue
-            if now - rank.fraction_at >= _FRACTION_VALID_S:
-                rank.fraction = self._fraction(rank)
-            step = min(0.2, 0.03 * cost / max(1.0, self._mean_cost.mean or cost))
-            rank.fraction += step * ((1.0 if rank is started else 0.0) - rank.fraction)
-            rank.fraction_at = now
+            rank.rate.advance(now, is_waiting=rank.waiting > 0)
+        # A request that started at once says nothing about the rate at which waiting work starts.
+        if now > started.waiting_since:
+            started.rate.cost += cost
 
     def _learn_wait(self, rank: _Rank, ticket: Ticket, now: float) -> None:
         if ticket.predicted_s < _MIN_LEARNED_WAIT_S:
@@ -550,10 +674,8 @@
 
     def _drop_if_idle(self, rank: _Rank, account: _Account) -> None:
         """Forget an idle account whose tags no longer matter, so that the table stays bounded."""
-        if account.tickets or account.running:
-            return
-        is_many = len(rank.accounts_by_name) > _MAX_IDLE_ACCOUNTS
-        if is_many or account.finish <= rank.virtual_time:
+        is_idle = not account.tickets and not account.running
+        if is_idle and len(rank.accounts_by_name) > _MAX_IDLE_ACCOUNTS:
             rank.accounts_by_name.pop(account.name, None)
 
     def _refresh(self) -> None:
--- a/sycamoreproxy/engine_window.py
+++ b/sycamoreproxy/engine_window.py
@@ -14,7 +14,7 @@
 MAX_SHRINK = 0.2
 MAX_GROWTH = 0.25
 #: Part of the size that may be exceeded for work below its entitlement.
-RESERVE_FRACTION = 0.25
+RESERVE_FRACTION = 0.5
 
 
 class EngineWindow:
