Refuse by the rank's queue and the account's fair part; serve due requests first

Cause: fair queuing let admitted requests be overtaken until they were late, so refusals came late. Change: a request is admitted if the rank's queue and the account's own lead both fit the time left; requests about to be late go first; the margin is learned from late ones.

--- a/sycamoreproxy/admission.py
+++ b/sycamoreproxy/admission.py
@@ -28,8 +28,16 @@
 _RATE_S, _RATE_IDLE_S, _RATE_PRIOR_S = 3.0, 5.0, 0.5
 #: Time constant of an account's rate of arrivals, in seconds.
 _ARRIVAL_S = 2.0
-#: Bounds of the learned correction of predictions.
-_MIN_BIAS, _MAX_BIAS = 0.5, 3.0
+#: Time after its last arrival for which an account competes, in seconds.
+_ACTIVE_S = 3.0 * _ARRIVAL_S
+#: Part of the time left that a prediction may fill, learned per rank: bounds, first value, the
+#: step down after a late request, and the fraction of late ones at which it stays.
+_MIN_TRUST, _MAX_TRUST, _FIRST_TRUST = 0.3, 1.0, 0.8
+_TRUST_STEP = 0.05
+_DISTRUST_PERIOD_S = 0.5
+_LATE_TARGET = 0.02
+#: A request is served before others of its rank when it would be late after so many more starts.
+_RESCUE_STARTS = 3.0
 #: Credit is earned at this part of the entitled rate, so that work that always uses its whole
 #: part has none.
 _EARNED_PART = 0.9
@@ -39,10 +47,6 @@
 _ENTITLED_MEAN_S = 10.0
 #: Part of the shortfall of such requests that borrowers leave free.
 _HELD_BACK_PART = 0.5
-#: Predictions below this are too short to learn a relative correction from, in seconds.
-_MIN_LEARNED_WAIT_S = 0.05
-#: Mean deviations added to a prediction, as in TCP's retransmission timer.
-_DEVIATIONS = 2.0
 #: A cancelled request is charged at least this part of its estimate, for its prompt.
 _MIN_CHARGED_PART = 0.25
 #: Largest weight ratio, so that a weight of 0 still makes progress.
@@ -206,8 +210,8 @@
         self.earned_per_weight = 0.0
         self.mean_cost = _Average()
         self.first_token = _Average()
-        self.error = _Average()
-        self.bias = 1.0
+        self.trust = _FIRST_TRUST
+        self.distrusted_at = -1e9
         self.rate = _Rate()
         self.waiting_since = 0.0
 
@@ -279,7 +283,7 @@
         """
         rank = self._ranks_by_name[rank_name]
         account = rank.accounts_by_name.get(client_account) if client_account else None
-        return self._predict(rank, account) * rank.bias
+        return self._predict(rank, account, self._clock.monotonic())
 
     def offer(self, ticket: Ticket) -> tuple[Refusal | None, list[Ticket]]:
         """Queue a request or refuse it.
@@ -291,32 +295,26 @@
         now = self._clock.monotonic()
         rank = self._ranks_by_name[ticket.rank]
         account = self._get_account(rank, ticket.client_account)
-        predicted = self._predict(rank, account)
-        time_left = ticket.deadline_at - now
-        needed = rank.first_token.faded(now)
-        if predicted > 0.0:
-            margin = min(_DEVIATIONS * rank.error.faded(now), 0.25 * max(0.0, time_left))
-            needed += predicted * rank.bias + margin
-        if needed > time_left or time_left <= 0:
-            self._drop_if_idle(rank, account)
-            retry_ms = max(1, int(1000 * (needed - max(0.0, time_left))))
+        account.note_arrival(ticket.cost, now)
+        time_left = ticket.deadline_at - now - rank.first_token.faded(now)
+        wait_s = self._predict(rank, account, now)
+        if wait_s > rank.trust * time_left or time_left <= 0.0:
+            needed = ticket.deadline_at - now - time_left + wait_s / rank.trust
+            retry_ms = max(1, int(1000 * (wait_s / rank.trust - max(0.0, time_left))))
             return self._refuse(DEADLINE_UNREACHABLE, needed, retry_ms), []
         shed: list[Ticket] = []
         if self._waiting >= self._queue_limit:
             victim = self._find_victim(rank, account)
             if victim is None:
-                self._drop_if_idle(rank, account)
-                retry_ms = max(1, int(1000 * predicted * rank.bias))
-                return self._refuse(QUEUE_FULL, needed, retry_ms), []
+                return self._refuse(QUEUE_FULL, wait_s, max(1, int(1000 * wait_s))), []
             self.remove(victim)
             shed.append(victim)
         ticket.arrived_at = now
-        ticket.predicted_s = predicted
+        ticket.predicted_s = wait_s
         if not rank.waiting:
             rank.lag = min(rank.lag, 0.0)
             rank.waiting_since = now
         rank.rate.advance(now, is_waiting=rank.waiting > 0)
-        account.note_arrival(ticket.cost, now)
         account.tickets.append(ticket)
         account.queued_cost += ticket.cost
         rank.backlogged[account.name] = account
@@ -368,7 +366,7 @@
                 if ticket.deadline_at < latest
             )
         for ticket in late:
-            self._learn_wait(self._ranks_by_name[ticket.rank], ticket, now)
+            self._learn_trust(self._ranks_by_name[ticket.rank], ticket, now, is_late=True)
             self.remove(ticket)
         return late
 
@@ -443,7 +441,11 @@
         best: _Account | None = None
         best_tag = 0.0
         owed: _Account | None = None
+        due: _Account | None = None
+        due_at = self._rescue_until(rank)
         for account in rank.backlogged.values():
+            if account.tickets[0].deadline_at < due_at:
+                due, due_at = account, account.tickets[0].deadline_at
             tag = account.finish if account.finish > virtual_time else virtual_time
             if best is None or tag < best_tag:
                 best, best_tag = account, tag
@@ -454,7 +456,14 @@
             ):
                 owed = account
         assert best is not None
-        return owed or best
+        return due or owed or best
+
+    def _rescue_until(self, rank: _Rank) -> float:
+        """Return the deadline before which a request of a rank must start next."""
+        now = self._clock.monotonic()
+        rate = max(1e-9, rank.rate.read(self._derive_rate(rank)))
+        start_s = min(1.0, self._read_mean_cost(rank) / rate)
+        return now + rank.first_token.faded(now) + _RESCUE_STARTS * start_s
 
     def _pick_entitled(self) -> tuple[_Rank, _Account] | None:
         """Return work with credit: of the first rank, or of an account of the first busy rank."""
@@ -465,6 +474,8 @@
                 continue
             if rank.index == 0 and rank.credit.level > 0.0:
                 return rank, self._pick_account(rank)
+            if any(other.lag > 0.0 and other.waiting for other in self._ranks if other is not rank):
+                return None
             best: _Account | None = None
             for account in rank.backlogged.values():
                 if self._read_credit(rank, account) > 0.0 and (
@@ -517,7 +528,7 @@
         self._note_removed(rank, account, ticket)
         self._spend_credit(rank, account, ticket.cost)
         ticket.started_at = now
-        self._learn_wait(rank, ticket, now)
+        self._learn_trust(rank, ticket, now, is_late=False)
         self._charge(ticket, ticket.cost)
         self._running += 1
         rank.running += 1
@@ -530,11 +541,12 @@
         first.credit.earn(_EARNED_PART * self._entitled_part(first) * cost, cap)
         if rank is first:
             first.credit.spend(cost, cap)
+        now = self._clock.monotonic()
         weights = account.weight + sum(
-            item.weight for item in rank.accounts_by_name.values() if item.tickets or item.running
+            item.weight
+            for item in rank.accounts_by_name.values()
+            if item is not account and (item.tickets or now - item.arrived_at < _ACTIVE_S)
         )
-        if account.tickets or account.running:
-            weights -= account.weight
         rank.earned_per_weight += _EARNED_PART * cost / weights
         self._read_credit(rank, account)
         account.credit.spend(cost, _ACCOUNT_BURST * self._read_mean_cost(rank))
@@ -563,47 +575,43 @@
 
     # Predictions.
 
-    def _predict(self, rank: _Rank, account: _Account | None) -> float:
-        """Return the uncorrected prediction of the wait of a new request, in seconds."""
+    def _predict(self, rank: _Rank, account: _Account | None, now: float) -> float:
+        """Return the predicted wait of a new request in seconds.
+
+        It is the longer of two: the rank's queue at the rank's rate of starts, and the account's
+        own lead and queue at the account's fair part of that rate. The first keeps the promises
+        made to queued requests, the second keeps a busy account from filling the queue.
+        """
         if self._running < self._window and not rank.waiting:
             return 0.0
         if not self._slot_seconds.count:
             return 0.0
-        now = self._clock.monotonic()
         rank.rate.advance(now, is_waiting=rank.waiting > 0)
         rate = max(1e-9, rank.rate.read(self._derive_rate(rank)))
+        if account is not None and not rank.waiting and self._has_credit(rank, account):
+            return 0.0
         # On average half a request passes before the next slot becomes free.
-        first = 0.5 * self._read_mean_cost(rank)
-        wait_s = (first + self._cost_ahead(rank, account, 0.0, now)) / rate
-        return (first + self._cost_ahead(rank, account, wait_s, now)) / rate
+        cost = rank.queued_cost + 0.5 * self._read_mean_cost(rank)
+        if account is None or self._has_credit(rank, account):
+            return cost / rate
+        lead = max(0.0, account.finish - rank.virtual_time)
+        own = lead + account.queued_cost / account.weight
+        return max(cost, own * self._sum_weights(rank, account, rate, now)) / rate
 
-    def _cost_ahead(
-        self, rank: _Rank, account: _Account | None, wait_s: float, now: float
-    ) -> float:
-        """Return the cost of the rank that fair queuing serves before a new request.
+    def _sum_weights(self, rank: _Rank, account: _Account, rate: float, now: float) -> float:
+        """Return the weights of the accounts that compete with one, and its own.
 
-        :param wait_s: arrivals of other accounts within this time are counted too.
+        An account that asks for less than its part counts in proportion.
         """
-        virtual_time = rank.virtual_time
-        tag = virtual_time
-        ahead = 0.0
-        if account is not None:
-            tag = max(account.finish, virtual_time) + account.queued_cost / account.weight
-            ahead = account.queued_cost
-        for other in rank.accounts_by_name.values():
-            if other is account:
-                continue
-            lead = tag - max(other.finish, virtual_time)
-            if lead > 0.0 or (lead == 0.0 and other.tickets):
-                coming = other.queued_cost
-                if wait_s > 0.0 and other.arrival_rate > 0.0:
-                    coming += wait_s * other.read_arrival_rate(now)
-                served = lead * other.weight
-                if other.tickets:
-                    # A request that starts before the tag is served whole.
-                    served = max(served, other.tickets[0].cost)
-                ahead += min(coming, served)
-        return ahead
+        others = [item for item in rank.accounts_by_name.values() if item is not account]
+        total = account.weight + sum(item.weight for item in others)
+        weights = account.weight
+        for item in others:
+            if item.tickets:
+                weights += item.weight
+            elif now - item.arrived_at < _ACTIVE_S:
+                weights += min(item.weight, item.read_arrival_rate(now) * total / rate)
+        return weights
 
     def _derive_rate(self, rank: _Rank) -> float:
         """Return the rate of starts, in cost per second, that shares and load leave to a rank."""
@@ -625,14 +633,15 @@
         if now > started.waiting_since:
             started.rate.cost += cost
 
-    def _learn_wait(self, rank: _Rank, ticket: Ticket, now: float) -> None:
-        if ticket.predicted_s < _MIN_LEARNED_WAIT_S:
-            return
-        observed = now - ticket.arrived_at
-        ratio = observed / ticket.predicted_s
-        rank.error.add(abs(observed - ticket.predicted_s * rank.bias), now)
-        rank.bias += _ALPHA * (min(ratio, 2.0 * _MAX_BIAS) - rank.bias)
-        rank.bias = min(max(rank.bias, _MIN_BIAS), _MAX_BIAS)
+    def _learn_trust(self, rank: _Rank, ticket: Ticket, now: float, *, is_late: bool) -> None:
+        """Trust predictions less after a late request and a little more after each other one."""
+        if is_late:
+            # Requests that are late together are one wrong prediction.
+            if now - rank.distrusted_at >= _DISTRUST_PERIOD_S:
+                rank.distrusted_at = now
+                rank.trust = max(_MIN_TRUST, rank.trust - _TRUST_STEP)
+        elif ticket.predicted_s > 0.0:
+            rank.trust = min(_MAX_TRUST, rank.trust + _TRUST_STEP * _LATE_TARGET)
 
     # Bookkeeping.
 
