Start with full credit and let owed ranks exceed the window

Cause: a process that starts in a flood had no credit; a rank below its share waited for borrowers. Change: credit is full at first and lasts for 8 requests of an account; a rank that is owed a whole request may use half of the reserve.

--- a/sycamoreproxy/admission.py
+++ b/sycamoreproxy/admission.py
@@ -43,7 +43,7 @@
 #: part has none.
 _EARNED_PART = 0.9
 #: Most requests that an account may start in a burst by its credit.
-_ACCOUNT_BURST = 4.0
+_ACCOUNT_BURST = 8.0
 #: Time constant of the mean number of running requests that started by credit, in seconds.
 _ENTITLED_MEAN_S = 10.0
 #: Part of the shortfall of such requests that borrowers leave free.
@@ -115,9 +115,12 @@
 
 @dataclass(slots=True)
 class _Credit:
-    """Cost that may start above the window, earned at the entitled rate and spent by starts."""
+    """Cost that may start above the window, earned at the entitled rate and spent by starts.
 
-    level: float = 0.0
+    It is full at first; the first time that it is earned bounds it.
+    """
+
+    level: float = math.inf
 
     def earn(self, cost: float, cap: float) -> None:
         self.level = min(cap, self.level + cost)
@@ -350,7 +353,7 @@
             account = self._pick_account(rank)
             is_entitled = self._has_credit(rank, account)
         else:
-            entitled = self._pick_entitled()
+            entitled = self._pick_entitled(window, reserve)
             if entitled is None:
                 return None
             rank, account = entitled
@@ -475,8 +478,12 @@
         start_s = min(1.0, self._read_mean_cost(rank) / rate)
         return now + rank.first_token.faded(now) + _RESCUE_STARTS * start_s
 
-    def _pick_entitled(self) -> tuple[_Rank, _Account] | None:
-        """Return work with credit: of the first rank, or of an account of the first busy rank."""
+    def _pick_entitled(self, window: int, reserve: int) -> tuple[_Rank, _Account] | None:
+        """Return work below its entitlement.
+
+        It is of the first rank, of a rank that is owed a whole request, or of an account with
+        credit in the first busy rank.
+        """
         for rank in self._ranks:
             if not rank.waiting:
                 if rank.running:
@@ -484,6 +491,9 @@
                 continue
             if rank.index == 0 and rank.credit.level > 0.0:
                 return rank, self._pick_account(rank)
+            owed = self._find_owed(0.5 * reserve + window)
+            if owed is not None:
+                return owed, self._pick_account(owed)
             if any(other.lag > 0.0 and other.waiting for other in self._ranks if other is not rank):
                 return None
             best: _Account | None = None
@@ -495,6 +505,14 @@
             return None if best is None else (rank, best)
         return None
 
+    def _find_owed(self, limit: float) -> _Rank | None:
+        if self._running >= limit:
+            return None
+        for rank in self._ranks:
+            if rank.waiting and rank.share > 0.0 and rank.lag > self._read_mean_cost(rank):
+                return rank
+        return None
+
     def _has_credit(self, rank: _Rank, account: _Account) -> bool:
         if rank.index == 0 and rank.credit.level > 0.0:
             return True
