Size credit by the estimates of arriving requests

Cause: credit was bounded by the mean cost of finished requests, which is unknown at first, and it did not last for a usual burst of urgent work.

--- a/sycamoreproxy/admission.py
+++ b/sycamoreproxy/admission.py
@@ -42,6 +42,8 @@
 #: Credit is earned at this part of the entitled rate, so that work that always uses its whole
 #: part has none.
 _EARNED_PART = 0.9
+#: Most requests that the first rank may start in a burst by its credit, relative to the window.
+_RANK_BURST = 1.0
 #: Most requests that an account may start in a burst by its credit.
 _ACCOUNT_BURST = 8.0
 #: Time constant of the mean number of running requests that started by credit, in seconds.
@@ -309,6 +311,7 @@
         rank = self._ranks_by_name[ticket.rank]
         account = self._get_account(rank, ticket.client_account)
         account.note_arrival(ticket.cost, now)
+        rank.mean_cost.add(ticket.cost, now)
         time_left = ticket.deadline_at - now - rank.first_token.faded(now)
         wait_s = self._predict(rank, account, now)
         if wait_s > rank.trust * time_left or time_left <= 0.0:
@@ -415,8 +418,7 @@
         if cost is not None:
             taken = now - ticket.started_at
             self._slot_seconds.add(taken, now)
-            for average in (rank.mean_cost, self._mean_cost):
-                average.add(cost, now)
+            self._mean_cost.add(cost, now)
         else:
             cost = max(float(ticket.tokens), _MIN_CHARGED_PART * ticket.charged)
         self._charge(ticket, cost - ticket.charged)
@@ -484,26 +486,23 @@
         It is of the first rank, of a rank that is owed a whole request, or of an account with
         credit in the first busy rank.
         """
-        for rank in self._ranks:
-            if not rank.waiting:
-                if rank.running:
-                    return None
-                continue
-            if rank.index == 0 and rank.credit.level > 0.0:
-                return rank, self._pick_account(rank)
-            owed = self._find_owed(0.5 * reserve + window)
-            if owed is not None:
-                return owed, self._pick_account(owed)
-            if any(other.lag > 0.0 and other.waiting for other in self._ranks if other is not rank):
-                return None
-            best: _Account | None = None
-            for account in rank.backlogged.values():
-                if self._read_credit(rank, account) > 0.0 and (
-                    best is None or account.finish < best.finish
-                ):
-                    best = account
-            return None if best is None else (rank, best)
-        return None
+        first = self._ranks[0]
+        if first.waiting and first.credit.level > 0.0:
+            return first, self._pick_account(first)
+        owed = self._find_owed(window + 0.5 * reserve)
+        if owed is not None:
+            return owed, self._pick_account(owed)
+        rank = next((item for item in self._ranks if item.waiting or item.running), first)
+        if any(other.lag > 0.0 and other.waiting for other in self._ranks if other is not rank):
+            return None
+        behind = [
+            account
+            for account in rank.backlogged.values()
+            if self._read_credit(rank, account) > 0.0
+        ]
+        if not behind:
+            return None
+        return rank, min(behind, key=lambda account: account.finish)
 
     def _find_owed(self, limit: float) -> _Rank | None:
         if self._running >= limit:
@@ -528,7 +527,7 @@
         return account.credit.level
 
     def _read_mean_cost(self, rank: _Rank) -> float:
-        return rank.mean_cost.mean or self._mean_cost.mean or 1.0
+        return rank.mean_cost.mean or 1.0
 
     def _note_entitled(self) -> None:
         now = self._clock.monotonic()
@@ -565,7 +564,7 @@
 
     def _spend_credit(self, rank: _Rank, account: _Account, cost: float) -> None:
         first = self._ranks[0]
-        cap = 0.5 * self._window * self._read_mean_cost(first)
+        cap = _RANK_BURST * self._window * self._read_mean_cost(first)
         first.credit.earn(_EARNED_PART * self._entitled_part(first) * cost, cap)
         if rank is first:
             first.credit.spend(cost, cap)
