Charge ranks the engine time of their requests

Cause: prompts cost little engine time, so tokens overstate ranks with long prompts against ranks with long answers, and urgent work lost its entitlement while it used a third of the engine. Change: shares and the first rank's credit count engine time, estimated from finished requests and corrected at the end; accounts within a rank still count tokens.

--- a/sycamoreproxy/admission.py
+++ b/sycamoreproxy/admission.py
@@ -4,6 +4,10 @@
 a rank the same holds for accounts with a guaranteed share, then start-time fair queuing by weight
 (Goyal, Vin, Cheng 1996) with tokens as cost, corrected as tokens arrive. Idle share is lent out.
 
+Ranks are charged the engine time of their requests: tokens per engine time differ between ranks by
+the length of their prompts, and a share is a part of the engine's capacity. Engine time is
+estimated from tokens by what finished requests of the rank took.
+
 All decisions are pure: no I/O, no randomness, the time comes from a clock.
 """
 
@@ -50,6 +54,8 @@
 _ENTITLED_MEAN_S = 10.0
 #: Part of the shortfall of such requests that borrowers leave free.
 _HELD_BACK_PART = 0.5
+#: Engine time per token before any request has finished, in seconds.
+_FIRST_SECONDS_PER_COST = 0.005
 #: A cancelled request is charged at least this part of its estimate, for its prompt.
 _MIN_CHARGED_PART = 0.25
 #: Largest weight ratio, so that a weight of 0 still makes progress.
@@ -90,6 +96,8 @@
 
     :param cost: estimated tokens; 1 for a service.
     :param deadline_at: monotonic time by which the first token is due, in seconds.
+    :param charged: cost charged to the account so far.
+    :param charged_s: engine time charged to the rank so far, in seconds.
     """
 
     attempt_id: str
@@ -102,6 +110,7 @@
     first_output_at: float = 0.0
     predicted_s: float = 0.0
     charged: float = 0.0
+    charged_s: float = 0.0
     tokens: int = 0
     is_entitled: bool = False
 
@@ -224,6 +233,8 @@
         self.credit = _Credit()
         self.earned_per_weight = 0.0
         self.mean_cost = _Average()
+        self.finished_cost = _Average()
+        self.finished_s = _Average()
         self.first_token = _Average()
         self.trust = _FIRST_TRUST
         self.distrusted_at = -1e9
@@ -259,8 +270,8 @@
         self._window = window
         self._running = 0
         self._waiting = 0
-        self._slot_seconds = _Average()
-        self._mean_cost = _Average()
+        self._finished_cost = _Average()
+        self._finished_s = _Average()
         self._entitled = 0
         self._entitled_mean = 0.0
         self._entitled_at = clock.monotonic()
@@ -399,14 +410,15 @@
 
     def add_tokens(self, ticket: Ticket, tokens: int) -> None:
         """Note that tokens of a running request arrived."""
+        rank = self._ranks_by_name[ticket.rank]
         if not ticket.first_output_at:
             now = self._clock.monotonic()
             ticket.first_output_at = now
-            rank = self._ranks_by_name[ticket.rank]
             rank.first_token.add(now - ticket.started_at, now)
         ticket.tokens += tokens
         if ticket.tokens > ticket.charged:
-            self._charge(ticket, max(16.0, 0.25 * ticket.charged))
+            more = max(16.0, 0.25 * ticket.charged)
+            self._charge(ticket, more, more * self._read_seconds_per_cost(rank))
 
     def finish(self, ticket: Ticket, *, cost: float | None = None) -> None:
         """Note that a running request left the engine.
@@ -415,13 +427,15 @@
         """
         now = self._clock.monotonic()
         rank = self._ranks_by_name[ticket.rank]
+        taken_s = now - ticket.started_at
         if cost is not None:
-            taken = now - ticket.started_at
-            self._slot_seconds.add(taken, now)
-            self._mean_cost.add(cost, now)
+            rank.finished_cost.add(ticket.cost, now)
+            rank.finished_s.add(taken_s, now)
+            self._finished_cost.add(ticket.cost, now)
+            self._finished_s.add(taken_s, now)
         else:
             cost = max(float(ticket.tokens), _MIN_CHARGED_PART * ticket.charged)
-        self._charge(ticket, cost - ticket.charged)
+        self._charge(ticket, cost - ticket.charged, taken_s - ticket.charged_s)
         self._running -= 1
         rank.running -= 1
         if ticket.is_entitled:
@@ -508,7 +522,7 @@
         if self._running >= limit:
             return None
         for rank in self._ranks:
-            if rank.waiting and rank.share > 0.0 and rank.lag > self._read_mean_cost(rank):
+            if rank.waiting and rank.share > 0.0 and rank.lag > self._read_mean_s(rank):
                 return rank
         return None
 
@@ -529,6 +543,18 @@
     def _read_mean_cost(self, rank: _Rank) -> float:
         return rank.mean_cost.mean or 1.0
 
+    def _read_seconds_per_cost(self, rank: _Rank) -> float:
+        """Return the engine time of a rank's requests per estimated cost."""
+        if rank.finished_cost.count:
+            return rank.finished_s.mean / rank.finished_cost.mean
+        if self._finished_cost.count:
+            return self._finished_s.mean / self._finished_cost.mean
+        return _FIRST_SECONDS_PER_COST
+
+    def _read_mean_s(self, rank: _Rank) -> float:
+        """Return the mean engine time of a rank's requests in seconds."""
+        return self._read_mean_cost(rank) * self._read_seconds_per_cost(rank)
+
     def _note_entitled(self) -> None:
         now = self._clock.monotonic()
         elapsed = now - self._entitled_at
@@ -556,7 +582,7 @@
         self._spend_credit(rank, account, ticket.cost)
         ticket.started_at = now
         self._learn_trust(rank, ticket, now, is_late=False)
-        self._charge(ticket, ticket.cost)
+        self._charge(ticket, ticket.cost, ticket.cost * self._read_seconds_per_cost(rank))
         self._running += 1
         rank.running += 1
         account.running += 1
@@ -564,10 +590,11 @@
 
     def _spend_credit(self, rank: _Rank, account: _Account, cost: float) -> None:
         first = self._ranks[0]
-        cap = _RANK_BURST * self._window * self._read_mean_cost(first)
-        first.credit.earn(_EARNED_PART * self._entitled_part(first) * cost, cap)
+        cap = _RANK_BURST * self._window * self._read_mean_s(first)
+        seconds = cost * self._read_seconds_per_cost(rank)
+        first.credit.earn(_EARNED_PART * self._entitled_part(first) * seconds, cap)
         if rank is first:
-            first.credit.spend(cost, cap)
+            first.credit.spend(seconds, cap)
         now = self._clock.monotonic()
         weights = account.weight + sum(
             item.weight
@@ -578,17 +605,18 @@
         self._read_credit(rank, account)
         account.credit.spend(cost, _ACCOUNT_BURST * self._read_mean_cost(rank))
 
-    def _charge(self, ticket: Ticket, cost: float) -> None:
-        """Charge a cost, negative for a refund, to the account and the rank."""
+    def _charge(self, ticket: Ticket, cost: float, seconds: float) -> None:
+        """Charge cost to the account and engine time to the rank; negative values are refunds."""
         ticket.charged += cost
+        ticket.charged_s += seconds
         rank = self._ranks_by_name[ticket.rank]
         for other in self._ranks:
-            other.lag += other.share * cost
+            other.lag += other.share * seconds
             if not other.waiting and other.lag > 0.0:
                 other.lag = 0.0
         # What was borrowed while others were idle is not held against the borrower for long.
-        floor = -2.0 * ticket.cost
-        rank.lag = max(rank.lag - cost, min(rank.lag, floor))
+        floor = -2.0 * self._read_mean_s(rank)
+        rank.lag = max(rank.lag - seconds, min(rank.lag, floor))
         account = rank.accounts_by_name.get(ticket.client_account)
         if account is None:
             return
@@ -598,7 +626,7 @@
                 item.lag += item.share * cost
                 if not item.tickets and item.lag > 0.0:
                     item.lag = 0.0
-            account.lag = max(account.lag - cost, min(account.lag, floor))
+            account.lag = max(account.lag - cost, min(account.lag, -2.0 * ticket.cost))
 
     # Predictions.
 
@@ -611,10 +639,10 @@
         """
         if self._running < self._window and not rank.waiting:
             return 0.0
-        if not self._slot_seconds.count:
+        if not self._finished_cost.count:
             return 0.0
         rank.rate.advance(now, is_waiting=rank.waiting > 0)
-        rate = max(1e-9, rank.share * self._speed(), rank.rate.read(self._derive_rate(rank)))
+        rate = max(1e-9, rank.share * self._speed(rank), rank.rate.read(self._derive_rate(rank)))
         if account is not None and not rank.waiting and self._has_credit(rank, account):
             return 0.0
         # On average half a request passes before the next slot becomes free.
@@ -650,11 +678,11 @@
                 part -= max(other.running / self._window, other.share if other.waiting else 0.0)
             elif other.waiting:
                 part -= other.share
-        return self._speed() * max(part, rank.share, 0.02)
+        return self._speed(rank) * max(part, rank.share, 0.02)
 
-    def _speed(self) -> float:
-        """Return the cost per second that a full window serves, by observed service times."""
-        return self._window * self._mean_cost.mean / max(1e-9, self._slot_seconds.mean)
+    def _speed(self, rank: _Rank) -> float:
+        """Return the cost per second that a full window of a rank's requests serves."""
+        return self._window / max(1e-9, self._read_seconds_per_cost(rank))
 
     def _learn_rates(self, started: _Rank, cost: float, now: float) -> None:
         for rank in self._ranks:
--- a/sycamoreproxy/engine_window.py
+++ b/sycamoreproxy/engine_window.py
@@ -105,6 +105,6 @@
             # window, as long as growth in proportion to the excess explains it.
             self._size *= max(1.0 - MAX_SHRINK, 1.0 - (1.0 - ratio * excess) * 0.5)
         elif ratio > 1.0 + DEAD_BAND and was_full and not self._engine_waits:
-            self._size += max(0.5, self._size * min(MAX_GROWTH, (ratio - 1.0) * 0.5))
+            self._size += max(0.5, self._size * min(MAX_GROWTH, ratio - 1.0))
         self._size = min(max(1.0, self._size), float(self._maximum))
         return self.size != before
