Give credit above the window only where first tokens matter

Cause: at a cold start the least urgent rank used the accounts' credit and exhausted that of urgent work. Change: accounts of the least urgent rank have no credit, accounts that come first start without, the first rank's credit starts full and lasts for twice the window.

--- a/sycamoreproxy/admission.py
+++ b/sycamoreproxy/admission.py
@@ -47,7 +47,7 @@
 #: part has none.
 _EARNED_PART = 0.9
 #: Most requests that the first rank may start in a burst by its credit, relative to the window.
-_RANK_BURST = 1.0
+_RANK_BURST = 2.0
 #: Most requests that an account may start in a burst by its credit.
 _ACCOUNT_BURST = 8.0
 #: Time constant of the mean number of running requests that started by credit, in seconds.
@@ -126,12 +126,9 @@
 
 @dataclass(slots=True)
 class _Credit:
-    """Cost that may start above the window, earned at the entitled rate and spent by starts.
+    """Cost that may start above the window, earned at the entitled rate and spent by starts."""
 
-    It is full at first; the first time that it is earned bounds it.
-    """
-
-    level: float = math.inf
+    level: float = 0.0
 
     def earn(self, cost: float, cap: float) -> None:
         self.level = min(cap, self.level + cost)
@@ -230,7 +227,8 @@
         self.accounts_by_name: dict[str, _Account] = {}
         self.backlogged: dict[str, _Account] = {}
         self.has_account_shares = False
-        self.credit = _Credit()
+        # Full at first; the first time that it is earned bounds it.
+        self.credit = _Credit(math.inf)
         self.earned_per_weight = 0.0
         self.mean_cost = _Average()
         self.finished_cost = _Average()
@@ -498,7 +496,7 @@
         """Return work below its entitlement.
 
         It is of the first rank, of a rank that is owed a whole request, or of an account with
-        credit in the first busy rank.
+        credit in the first busy rank, unless that is the least urgent one.
         """
         first = self._ranks[0]
         if first.waiting and first.credit.level > 0.0:
@@ -507,6 +505,8 @@
         if owed is not None:
             return owed, self._pick_account(owed)
         rank = next((item for item in self._ranks if item.waiting or item.running), first)
+        if rank is self._ranks[-1]:
+            return None
         if any(other.lag > 0.0 and other.waiting for other in self._ranks if other is not rank):
             return None
         behind = [
@@ -529,6 +529,8 @@
     def _has_credit(self, rank: _Rank, account: _Account) -> bool:
         if rank.index == 0 and rank.credit.level > 0.0:
             return True
+        if rank is self._ranks[-1]:
+            return False
         return self._is_first(rank) and self._read_credit(rank, account) > 0.0
 
     def _is_first(self, rank: _Rank) -> bool:
@@ -592,7 +594,8 @@
         first = self._ranks[0]
         cap = _RANK_BURST * self._window * self._read_mean_s(first)
         seconds = cost * self._read_seconds_per_cost(rank)
-        first.credit.earn(_EARNED_PART * self._entitled_part(first) * seconds, cap)
+        if first.mean_cost.count:
+            first.credit.earn(_EARNED_PART * self._entitled_part(first) * seconds, cap)
         if rank is first:
             first.credit.spend(seconds, cap)
         now = self._clock.monotonic()
