--- a/sycamoreproxy/peers.py
+++ b/sycamoreproxy/peers.py
@@ -140,7 +140,9 @@
 
     async def _keep_connected(self, address: Address) -> None:
         pause = RECONNECT_MIN_S
-        while True:
+        task = asyncio.current_task()
+        # asyncio.wait_for of Python 3.11 drops a cancellation that meets the end of the stream.
+        while task is None or not task.cancelling():
             with contextlib.suppress(StreamLostError):
                 stream = await open_stream(address, tls=self._client_tls)
                 pause = RECONNECT_MIN_S
--- a/sycamoreproxy/store.py
+++ b/sycamoreproxy/store.py
@@ -13,6 +13,10 @@
     """The call certainly had no effect (refused, or no connection)."""
 
 
+class LeaseNotFoundError(StoreUnavailableError):
+    """The call had no effect because its lease has expired."""
+
+
 class StoreAnswerLostError(Exception):
     """The call may have had its effect; its answer was not received."""
 
@@ -113,7 +117,11 @@
         """End a lease and delete its keys."""
 
     def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[list[Entry]]:
-        """Yield changes below a prefix from a store revision on; ends when the store is lost."""
+        """Yield changes below a prefix from a store revision on; ends when the store is lost.
+
+        A deleted key is an entry with empty value and ``create_revision`` 0. The end is also
+        reached when the store no longer holds ``from_revision``: read again before watching.
+        """
 
     def close(self) -> None:
         """Release connections."""
