Add weights from the origin into the engine, thin version

Cause: a host needs each model version whole, and the origin's link carries only a few copies. Streams read with asyncio.timeout: asyncio.wait_for of Python 3.11 lost a cancellation that arrived together with a message, so PeerHub.close() could wait for ever.

--- /dev/null
+++ b/sycamoreproxy/_engine_control.py
@@ -0,0 +1,163 @@
+"""Control calls to an engine over HTTP, and the protocol that :mod:`engine_orders` needs."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+
+class EngineUnreachableError(Exception):
+    """The order certainly did not reach the engine."""
+
+
+class EngineAnswerLostError(Exception):
+    """The order may have taken effect; its answer was not received."""
+
+
+class OrderRefusedError(Exception):
+    """The engine refused the order.
+
+    :param status: HTTP status: 409 for an old fencing token, 422 for an absent chunk.
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(f"status {status}: {detail}")
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine holds.
+
+    :param version: empty if no version is loaded.
+    :param digest: digest that the engine computed over the chunks of the version.
+    :param fence: fencing token of the last order that it accepted.
+    :param loading: whether a load is in progress.
+    """
+
+    version: str
+    digest: str
+    fence: int
+    loading: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """An order to load a version whose chunks the engine holds."""
+
+    version: str
+    digest: str
+    chunks: tuple[str, ...]
+    adapters: tuple[str, ...]
+    fence: int
+
+
+class EngineControl(Protocol):
+    """Control calls; every call has a time limit.
+
+    Each method raises :class:`EngineUnreachableError` or :class:`EngineAnswerLostError`, and the
+    writing ones :class:`OrderRefusedError`.
+    """
+
+    async def read_state(self) -> EngineState:
+        """Return what the engine holds."""
+
+    async def list_chunks(self) -> frozenset[str]:
+        """Return the digests of the chunks that the engine holds."""
+
+    async def put_chunk(self, digest: str, data: bytes) -> None:
+        """Put a chunk into the engine; harmless to repeat."""
+
+    async def load(self, order: LoadOrder) -> tuple[str, str]:
+        """Load a version and return the version and digest that the engine confirms."""
+
+
+class HttpEngineControl:
+    """Calls ``/control/...`` of section 12 of the design.
+
+    :param address: base URL of the engine.
+    :param timeout_s: longest wait for one answer except that of a load, in seconds.
+    :param order_timeout_s: longest wait for the answer of a load, in seconds.
+    """
+
+    def __init__(self, address: str, *, timeout_s: float, order_timeout_s: float) -> None:
+        from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4)
+        self._address = address.rstrip("/")
+        self._timeout_s = timeout_s
+        self._order_timeout_s = order_timeout_s
+
+    async def read_state(self) -> EngineState:
+        """Return what the engine holds."""
+        data = await self._call("GET", "/control/state")
+        try:
+            return EngineState(
+                version=str(data["version"]),
+                digest=str(data["digest"]),
+                fence=int(data["fence"]),
+                loading=bool(data["loading"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise EngineAnswerLostError(f"malformed state: {error!r}") from error
+
+    async def list_chunks(self) -> frozenset[str]:
+        """Return the digests of the chunks that the engine holds."""
+        data = await self._call("GET", "/control/chunks")
+        digests = data.get("chunks") if isinstance(data, dict) else data
+        if not isinstance(digests, list):
+            raise EngineAnswerLostError("malformed list of chunks")
+        return frozenset(str(digest) for digest in digests)
+
+    async def put_chunk(self, digest: str, data: bytes) -> None:
+        """Put a chunk into the engine."""
+        await self._call("PUT", f"/control/chunks/{digest}", data)
+
+    async def load(self, order: LoadOrder) -> tuple[str, str]:
+        """Load a version."""
+        body = {
+            "version": order.version,
+            "digest": order.digest,
+            "chunks": order.chunks,
+            "adapters": order.adapters,
+            "fence": order.fence,
+        }
+        text = json.dumps(body).encode()
+        data = await self._call("POST", "/control/load", text, timeout_s=self._order_timeout_s)
+        try:
+            return str(data["version"]), str(data["digest"])
+        except (KeyError, TypeError) as error:
+            raise EngineAnswerLostError(f"malformed confirmation: {error!r}") from error
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None = None, *, timeout_s: float = 0.0
+    ) -> Any:
+        from tornado.httpclient import HTTPRequest
+
+        request = HTTPRequest(
+            self._address + path,
+            method=method,
+            body=body,
+            headers={"Content-Type": "application/json"},
+            connect_timeout=self._timeout_s,
+            request_timeout=timeout_s or self._timeout_s,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except ConnectionRefusedError as error:
+            raise EngineUnreachableError(f"{method} {path}: {error}") from error
+        except Exception as error:
+            raise EngineAnswerLostError(f"{method} {path}: {error!r}") from error
+        if response.code in (400, 404, 409, 413, 422):
+            raise OrderRefusedError(response.code, response.body[:200].decode(errors="replace"))
+        if not 200 <= response.code < 300:
+            raise EngineAnswerLostError(f"{method} {path}: status {response.code}")
+        try:
+            return json.loads(response.body or b"{}")
+        except ValueError as error:
+            raise EngineAnswerLostError(f"{method} {path}: not JSON") from error
--- /dev/null
+++ b/sycamoreproxy/chunk_plan.py
@@ -0,0 +1,522 @@
+"""Which chunk is fetched from which source, pacing and upload budgets; no input or output.
+
+Sets of chunks are integers used as bitmaps: bit ``i`` stands for chunk ``i`` of the manifest. Of
+chunks with equal digests only the first index is planned.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.host_list import HostRecord
+from sycamoreproxy.weights import Manifest
+
+#: Name of the origin as a source; no host has an empty name.
+ORIGIN = ""
+
+_MASK = (1 << 64) - 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlanLimits:
+    """Bounds of a transfer.
+
+    :param bytes_per_s: rate of weights in each direction of the host's link.
+    :param upload_copies: copies of the version that a host uploads at most in one rollout.
+    :param origin_copies_per_zone: copies that an availability zone takes from the origin at most.
+    :param origin_copies: copies that all hosts together take from the origin at most.
+    :param in_flight: requests that wait for data at once.
+    :param in_flight_per_source: of these, at one peer.
+    :param in_flight_at_origin: of these, at the origin; more would only queue at its link.
+    :param upload_queue: accepted uploads that wait for the link.
+    :param take_over_s: shortest time without progress after which the next host in hash order
+        fetches a chunk from the origin.
+    :param request_s: longest wait for the data of one request.
+    :param avoid_corrupt_s: how long the source of a corrupt chunk is avoided.
+    :param avoid_failed_s: how long a source is avoided that failed or did not answer.
+    :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
+        hosts replaced later need the chunks too.
+    """
+
+    bytes_per_s: float
+    upload_copies: float = 1.0
+    origin_copies_per_zone: float = 1.5
+    origin_copies: float = 4.0
+    in_flight: int = 6
+    in_flight_per_source: int = 2
+    in_flight_at_origin: int = 1
+    upload_queue: int = 3
+    take_over_s: float = 5.0
+    request_s: float = 15.0
+    avoid_corrupt_s: float = 60.0
+    avoid_failed_s: float = 10.0
+    quiet_s: float = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """A decision to ask ``source`` (a host or :data:`ORIGIN`) for a chunk."""
+
+    index: int
+    digest: str
+    source: str
+
+
+class Pacer:
+    """Spreads bytes over time at a fixed rate.
+
+    :param bytes_per_s: the rate.
+    :param burst_bytes: bytes that may go at once after a pause.
+    """
+
+    def __init__(self, *, clock: Clock, bytes_per_s: float, burst_bytes: float) -> None:
+        self._clock = clock
+        self._rate = bytes_per_s
+        self._burst_s = burst_bytes / bytes_per_s
+        self._free_at = clock.monotonic()
+
+    def wait_s(self) -> float:
+        """Return the time until bytes may go, in seconds."""
+        return max(0.0, self._free_at - self._clock.monotonic())
+
+    def take(self, size: int) -> None:
+        """Count bytes that go now."""
+        earliest = self._clock.monotonic() - self._burst_s
+        self._free_at = max(self._free_at, earliest) + size / self._rate
+
+    def give_back(self, size: int) -> None:
+        """Return bytes that did not go after all."""
+        self._free_at -= size / self._rate
+
+
+@dataclass(slots=True)
+class _PeerState:
+    bitmap: int = 0
+    uploaded: int = 0
+    closed: bool = False
+    in_flight: int = 0
+    busy_until: float = 0.0
+
+
+def hash_name(name: str) -> int:
+    """Return a 64-bit hash of a host name that is equal in every process."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+def score_chunk(chunk_key: int, host_key: int) -> int:
+    """Return the rendezvous score of a host for a chunk; the highest fetches from the origin.
+
+    The mixing steps are those of the splitmix64 finalizer (Steele, Lea and Flood, 2014).
+    """
+    value = ((chunk_key ^ host_key) * 0x9E3779B97F4A7C15) & _MASK
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _MASK
+    return value ^ (value >> 31)
+
+
+def assign_chunks(manifest: Manifest, hosts: Iterable[str]) -> dict[str, int]:
+    """Return the chunks that each host fetches from the origin, by rendezvous hash."""
+    keys = [(hash_name(host), host) for host in sorted(hosts)]
+    chunks_by_host = {host: 0 for _, host in keys}
+    if not keys:
+        return chunks_by_host
+    for digest, indexes in manifest.indexes_by_digest.items():
+        chunk_key = int(digest[:16], 16)
+        host = max(keys, key=lambda item: score_chunk(chunk_key, item[0]))[1]
+        chunks_by_host[host] |= 1 << indexes[0]
+    return chunks_by_host
+
+
+def encode_bitmap(bitmap: int, chunks: int) -> bytes:
+    """Return the bytes of a bitmap, least significant bit first."""
+    return bitmap.to_bytes((chunks + 7) // 8, "little")
+
+
+def list_bits(bitmap: int) -> list[int]:
+    """Return the positions of the set bits in rising order."""
+    positions = []
+    while bitmap:
+        low = bitmap & -bitmap
+        positions.append(low.bit_length() - 1)
+        bitmap ^= low
+    return positions
+
+
+class ChunkPlan:
+    """Plans the transfer of one version at one host.
+
+    :param host: this host.
+    :param held: digests that are held at the start, from an older version.
+    :param random_source: breaks ties, so that hosts do not all choose the same chunk and source.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        manifest: Manifest,
+        held: Iterable[str],
+        limits: PlanLimits,
+        clock: Clock,
+        random_source: random.Random,
+        avoided_until_by_source: dict[str, float] | None = None,
+    ) -> None:
+        self.manifest = manifest
+        self.uploaded = 0
+        self.from_peers = 0
+        self.from_origin = 0
+        self._host = host
+        self._limits = limits
+        self._clock = clock
+        self._random = random_source
+        self._first_index_by_digest = {
+            digest: indexes[0] for digest, indexes in manifest.indexes_by_digest.items()
+        }
+        self._planned = sum(1 << index for index in self._first_index_by_digest.values())
+        self._unique_bytes = sum(
+            manifest.size_of(index) for index in self._first_index_by_digest.values()
+        )
+        self._held = sum(1 << self._first_index_by_digest[digest] for digest in set(held))
+        self._peers_by_host: dict[str, _PeerState] = {}
+        self._neighbours_by_host: dict[str, HostRecord] = {}
+        self._chunks_by_host: dict[str, int] = {host: self._planned}
+        self._region_size = 1
+        self._zone_size = 1
+        self._zones = 1
+        self._regions = 1
+        self._progress_at_by_host: dict[str, float] = {}
+        self._stalled: set[str] = set()
+        self._in_flight_by_index: dict[int, tuple[str, float]] = {}
+        self._avoided_until_by_source = avoided_until_by_source or {}
+        self._counts: list[int] = [0] * len(manifest.chunks)
+        self._masks_by_count: dict[int, int] = {0: self._planned}
+        self._pacer = Pacer(
+            clock=clock, bytes_per_s=limits.bytes_per_s, burst_bytes=2 * manifest.chunk_bytes
+        )
+        self._fallback_bytes = 0
+        self._wasted_bytes = 0
+        self._origin_s = 0.0
+        self._last_upload_at = clock.monotonic()
+        self._last_fallback_at = clock.monotonic()
+
+    # Queries
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every chunk is held."""
+        return self._held == self._planned
+
+    @property
+    def held(self) -> int:
+        """Bitmap of the chunks held, duplicates included as their first index."""
+        return self._held
+
+    @property
+    def avoided_until_by_source(self) -> dict[str, float]:
+        """Times until which sources are avoided, for the plan of the next version."""
+        return dict(self._avoided_until_by_source)
+
+    def list_avoided(self) -> list[str]:
+        """Return the sources that are avoided now."""
+        now = self._clock.monotonic()
+        return sorted(s for s, until in self._avoided_until_by_source.items() if until > now)
+
+    def describe_missing(self) -> str:
+        """Return a sentence on what is still missing."""
+        missing = (self._planned & ~self._held).bit_count()
+        return f"{missing} of {self._planned.bit_count()} chunks are missing"
+
+    # What happened
+
+    def set_neighbours(self, records: Iterable[HostRecord], *, zones: int, regions: int) -> None:
+        """Set the live hosts of the region that take this version, this host included or not.
+
+        :param zones: availability zones that take the version, over all regions.
+        :param regions: regions that take the version.
+        """
+        records_by_host = {r.host: r for r in records if r.host != self._host}
+        self._zones, self._regions = max(1, zones), max(1, regions)
+        if records_by_host.keys() == self._neighbours_by_host.keys():
+            return
+        self._neighbours_by_host = records_by_host
+        now = self._clock.monotonic()
+        for host in records_by_host:
+            self._progress_at_by_host.setdefault(host, now)
+        self._region_size = len(records_by_host) + 1
+        self._assign()
+
+    def note_have(self, host: str, *, bitmap: int, uploaded: int, closed: bool) -> None:
+        """Take a peer's announcement of what it holds of this version."""
+        peer = self._peers_by_host.setdefault(host, _PeerState())
+        bitmap &= self._planned
+        gained = bitmap & ~peer.bitmap
+        if gained & self._chunks_by_host.get(host, 0):
+            self._progress_at_by_host[host] = self._clock.monotonic()
+            if host in self._stalled:
+                self._stalled.discard(host)
+                self._assign()
+        self._count(gained, 1)
+        self._count(peer.bitmap & ~bitmap, -1)
+        peer.bitmap, peer.uploaded, peer.closed = bitmap, uploaded, closed
+
+    def note_lost(self, host: str) -> None:
+        """Forget a peer whose stream closed; its requests become free."""
+        peer = self._peers_by_host.pop(host, None)
+        if peer is not None:
+            self._count(peer.bitmap, -1)
+        for index, (source, _) in list(self._in_flight_by_index.items()):
+            if source == host:
+                del self._in_flight_by_index[index]
+                self._pacer.give_back(self.manifest.size_of(index))
+
+    def note_arrived(self, digest: str, source: str) -> None:
+        """Take note of a verified chunk that is stored now."""
+        index = self._first_index_by_digest.get(digest)
+        if index is None:
+            return
+        sent_at = self._finish_request(index, source)
+        if self._held >> index & 1:
+            self._wasted_bytes += self.manifest.size_of(index)
+            return
+        self._held |= 1 << index
+        if source == ORIGIN:
+            self.from_origin += self.manifest.size_of(index)
+            if sent_at is not None:
+                took = self._clock.monotonic() - sent_at
+                self._origin_s = took if not self._origin_s else 0.7 * self._origin_s + 0.3 * took
+        else:
+            self.from_peers += self.manifest.size_of(index)
+
+    def note_corrupt(self, digest: str, source: str) -> None:
+        """Avoid a source whose bytes did not match the digest."""
+        index = self._first_index_by_digest.get(digest)
+        if index is not None:
+            self._finish_request(index, source)
+            self._wasted_bytes += self.manifest.size_of(index)
+        self._avoid(source, self._limits.avoid_corrupt_s)
+
+    def note_failed(self, digest: str, source: str) -> None:
+        """Avoid a source that failed or did not answer."""
+        index = self._first_index_by_digest.get(digest)
+        if index is not None and self._finish_request(index, source) is not None:
+            self._pacer.give_back(self.manifest.size_of(index))
+        self._avoid(source, self._limits.avoid_failed_s)
+
+    def note_declined(self, digest: str, host: str, reason: str) -> None:
+        """Take a peer's refusal: ``absent``, ``budget`` or ``busy``."""
+        index = self._first_index_by_digest.get(digest)
+        if index is not None and self._finish_request(index, host) is not None:
+            self._pacer.give_back(self.manifest.size_of(index))
+        peer = self._peers_by_host.get(host)
+        if peer is None:
+            return
+        if reason == "absent" and index is not None:
+            self._count(peer.bitmap & (1 << index), -1)
+            peer.bitmap &= ~(1 << index)
+        pause = self.manifest.chunk_bytes / self._limits.bytes_per_s
+        if reason == "budget":
+            pause = self._limits.quiet_s / 4
+        peer.busy_until = self._clock.monotonic() + pause
+
+    # Decisions
+
+    def choose_fetches(self) -> list[Fetch]:
+        """Return the requests to send now and count them as in flight."""
+        self._expire()
+        fetches = []
+        while len(self._in_flight_by_index) < self._limits.in_flight and self._pacer.wait_s() == 0:
+            fetch = self._choose()
+            if fetch is None:
+                break
+            self._in_flight_by_index[fetch.index] = (fetch.source, self._clock.monotonic())
+            if fetch.source != ORIGIN:
+                self._peers_by_host[fetch.source].in_flight += 1
+            self._pacer.take(self.manifest.size_of(fetch.index))
+            fetches.append(fetch)
+        return fetches
+
+    def next_wake_s(self) -> float:
+        """Return the time until :meth:`choose_fetches` may have something new, in seconds."""
+        pacing = self._pacer.wait_s()
+        if pacing > 0 and len(self._in_flight_by_index) < self._limits.in_flight:
+            return pacing
+        return max(0.05, min(0.5, self.manifest.chunk_bytes / self._limits.bytes_per_s))
+
+    def decide_upload(self, digest: str, *, queued: int) -> str:
+        """Accept or refuse a peer's request.
+
+        :param queued: uploads that wait for the link.
+        :returns: empty to accept, which counts the bytes, or ``absent``, ``budget`` or ``busy``.
+        """
+        index = self._first_index_by_digest.get(digest)
+        if index is None or not self._held >> index & 1:
+            return "absent"
+        now = self._clock.monotonic()
+        if now - self._last_upload_at > self._limits.quiet_s:
+            self.uploaded = 0
+        size = self.manifest.size_of(index)
+        if self.uploaded + size > self.upload_budget:
+            return "budget"
+        if queued >= self._limits.upload_queue:
+            return "busy"
+        self.uploaded += size
+        self._last_upload_at = now
+        return ""
+
+    @property
+    def upload_budget(self) -> float:
+        """Bytes that may be uploaded in one rollout; corrupt bytes received count against it."""
+        return self._limits.upload_copies * self._unique_bytes - self._wasted_bytes
+
+    # Private parts
+
+    def _choose(self) -> Fetch | None:
+        wanted = self._planned & ~self._held
+        for index in self._in_flight_by_index:
+            wanted &= ~(1 << index)
+        if not wanted:
+            return None
+        now = self._clock.monotonic()
+        sources = self._usable_sources(now)
+        available = 0
+        for _, peer in sources:
+            available |= peer.bitmap
+        duty = wanted & self._chunks_by_host.get(self._host, 0) & self._masks_by_count.get(0, 0)
+        if duty and self._may_ask_origin(now):
+            return self._make_fetch(self._pick_bit(duty), ORIGIN)
+        candidates = wanted & available
+        for count in sorted(self._masks_by_count):
+            rarest = candidates & self._masks_by_count[count]
+            if rarest:
+                index = self._pick_bit(rarest)
+                return self._make_fetch(index, self._pick_source(index, sources))
+        return self._choose_fallback(wanted, now)
+
+    def _choose_fallback(self, wanted: int, now: float) -> Fetch | None:
+        """Ask the origin for chunks whose holders all refuse, within this host's allowance."""
+        if self._in_flight_by_index or not self._may_ask_origin(now):
+            return None
+        held_by_spent = 0
+        held_by_others = 0
+        for peer in self._peers_by_host.values():
+            if peer.closed or peer.uploaded + self.manifest.chunk_bytes > self.upload_budget:
+                held_by_spent |= peer.bitmap
+            else:
+                held_by_others |= peer.bitmap
+        refused = wanted & held_by_spent & ~held_by_others
+        if not refused:
+            return None
+        if now - self._last_fallback_at > self._limits.quiet_s:
+            self._fallback_bytes = 0
+        index = self._pick_bit(refused)
+        size = self.manifest.size_of(index)
+        if self._fallback_bytes + size > self._fallback_allowance():
+            return None
+        self._fallback_bytes += size
+        self._last_fallback_at = now
+        return self._make_fetch(index, ORIGIN)
+
+    def _fallback_allowance(self) -> float:
+        """Bytes beyond the first copy of the region that this host may take from the origin."""
+        spare_of_all = self._limits.origin_copies - self._regions
+        spare_per_zone = min(
+            self._limits.origin_copies_per_zone - 1, max(0.0, spare_of_all) / self._zones
+        )
+        zones_here = max(1.0, self._zones / self._regions)
+        return spare_per_zone * zones_here * self._unique_bytes / self._region_size
+
+    def _usable_sources(self, now: float) -> list[tuple[str, _PeerState]]:
+        limit = self._limits.in_flight_per_source
+        room = self.manifest.chunk_bytes
+        budget = self._limits.upload_copies * self._unique_bytes
+        return [
+            (host, peer)
+            for host, peer in self._peers_by_host.items()
+            if peer.bitmap
+            and not peer.closed
+            and peer.in_flight < limit
+            and peer.busy_until <= now
+            and peer.uploaded + room <= budget
+            and self._avoided_until_by_source.get(host, 0.0) <= now
+        ]
+
+    def _pick_source(self, index: int, sources: list[tuple[str, _PeerState]]) -> str:
+        bit = 1 << index
+        chunk = self.manifest.chunk_bytes
+        return min(
+            (
+                (peer.uploaded + peer.in_flight * chunk, self._random.random(), host)
+                for host, peer in sources
+                if peer.bitmap & bit
+            )
+        )[2]
+
+    def _pick_bit(self, bitmap: int) -> int:
+        """Return a set bit near a random position, in time independent of the bitmap's density."""
+        start = self._random.randrange(len(self.manifest.chunks))
+        upper = bitmap >> start
+        if upper:
+            return start + (upper & -upper).bit_length() - 1
+        return (bitmap & -bitmap).bit_length() - 1
+
+    def _make_fetch(self, index: int, source: str) -> Fetch:
+        return Fetch(index, self.manifest.chunks[index], source)
+
+    def _may_ask_origin(self, now: float) -> bool:
+        asked = sum(1 for source, _ in self._in_flight_by_index.values() if source == ORIGIN)
+        return (
+            asked < self._limits.in_flight_at_origin
+            and self._avoided_until_by_source.get(ORIGIN, 0.0) <= now
+        )
+
+    def _expire(self) -> None:
+        """Give up requests without an answer, and pass on the duty of hosts without progress."""
+        now = self._clock.monotonic()
+        for index, (source, sent_at) in list(self._in_flight_by_index.items()):
+            limit = self._limits.request_s
+            if source == ORIGIN:
+                limit = max(limit, 4 * self._origin_s)
+            if now - sent_at > limit:
+                self.note_failed(self.manifest.chunks[index], source)
+        patience = max(self._limits.take_over_s, 4 * self._origin_s)
+        for host in self._neighbours_by_host:
+            if host in self._stalled or now - self._progress_at_by_host[host] <= patience:
+                continue
+            peer = self._peers_by_host.get(host)
+            if self._chunks_by_host.get(host, 0) & ~(peer.bitmap if peer else 0):
+                self._stalled.add(host)
+                self._assign()
+
+    def _assign(self) -> None:
+        active = [host for host in self._neighbours_by_host if host not in self._stalled]
+        self._chunks_by_host = assign_chunks(self.manifest, [*active, self._host])
+
+    def _finish_request(self, index: int, source: str) -> float | None:
+        """Return when the request was sent, or None if it was not in flight."""
+        entry = self._in_flight_by_index.get(index)
+        if entry is None or entry[0] != source:
+            return None
+        del self._in_flight_by_index[index]
+        peer = self._peers_by_host.get(source)
+        if peer is not None:
+            peer.in_flight -= 1
+        return entry[1]
+
+    def _avoid(self, source: str, seconds: float) -> None:
+        until = self._clock.monotonic() + seconds
+        known = self._avoided_until_by_source.get(source, 0.0)
+        self._avoided_until_by_source[source] = max(known, until)
+
+    def _count(self, bitmap: int, step: int) -> None:
+        for index in list_bits(bitmap):
+            bit = 1 << index
+            count = self._counts[index]
+            self._masks_by_count[count] &= ~bit
+            if not self._masks_by_count[count]:
+                del self._masks_by_count[count]
+            self._counts[index] = count + step
+            self._masks_by_count[count + step] = self._masks_by_count.get(count + step, 0) | bit
--- a/sycamoreproxy/streams.py
+++ b/sycamoreproxy/streams.py
@@ -80,7 +80,9 @@
         :raises StreamLostError: on close, timeout or a broken frame; the stream is closed then.
         """
         try:
-            return await asyncio.wait_for(self._read(), timeout_s)
+            # asyncio.wait_for of Python 3.11 loses a cancellation that comes with the result.
+            async with asyncio.timeout(timeout_s):
+                return await self._read()
         except (StreamClosedError, TimeoutError, MessageError) as error:
             self.close()
             raise StreamLostError(f"{type(error).__name__}: {error}") from error
--- /dev/null
+++ b/sycamoreproxy/weight_transfer.py
@@ -0,0 +1,454 @@
+"""Task that fetches the chunks of the wanted version and serves chunks to other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections import deque
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from sycamoreproxy.chunk_plan import (
+    ORIGIN,
+    ChunkPlan,
+    Fetch,
+    Pacer,
+    PlanLimits,
+    encode_bitmap,
+)
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.host_list import HostRecord
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.messages import ChunkData, ChunkDecline, ChunkHave, ChunkRequest
+from sycamoreproxy.metrics import WEIGHT_BYTES
+from sycamoreproxy.origins import Origin, OriginError, VersionUnknownError
+from sycamoreproxy.peers import Peer, PeerHub
+from sycamoreproxy.weights import (
+    MAX_CHUNK_BYTES,
+    ChunkStore,
+    CorruptChunkError,
+    Manifest,
+    ManifestError,
+    parse_manifest,
+)
+
+#: Heartbeat to other upstream processes, in seconds; a stream is closed after 5 s of silence.
+HEARTBEAT_S = 1.0
+#: Shortest time between two announcements of new chunks, in seconds.
+ANNOUNCE_MIN_S = 0.05
+#: Part of the link that announcements may take; bitmaps of large versions are sent less often.
+ANNOUNCE_FRACTION = 0.01
+#: First and longest pause before a manifest is asked for again, in seconds.
+MANIFEST_RETRY_MIN_S = 0.2
+MANIFEST_RETRY_MAX_S = 5.0
+
+_log = get_logger("weight_transfer")
+
+
+@dataclass(frozen=True, slots=True)
+class TransferState:
+    """Progress of the wanted version.
+
+    :param chunks_held: chunks held of ``chunks``, counted by position.
+    :param bytes_from_peers: verified bytes of this version received from other hosts.
+    :param bytes_from_origin: verified bytes of this version received from the origin.
+    :param bytes_uploaded: bytes of this version sent to other hosts in the current rollout.
+    :param reason: why it is not done, empty if it is.
+    """
+
+    version: str
+    chunks_held: int
+    chunks: int
+    bytes_from_peers: int
+    bytes_from_origin: int
+    bytes_uploaded: int
+    done: bool
+    reason: str
+
+
+class WeightTransfer:
+    """Brings every chunk of the wanted version into the chunk store.
+
+    Registers its messages on the hub, opens streams to the neighbours, and sends ``ChunkHave`` as
+    the heartbeat between upstream processes. :meth:`run` must be running.
+
+    :param hosts: returns the hosts of all regions that take this model's weights.
+    :param random_source: breaks ties between chunks and sources.
+    """
+
+    def __init__(
+        self,
+        *,
+        hub: PeerHub,
+        chunks: ChunkStore,
+        origin: Origin,
+        hosts: Callable[[], Iterable[HostRecord]],
+        limits: PlanLimits,
+        clock: Clock,
+        random_source: random.Random,
+    ) -> None:
+        self._hub = hub
+        self._chunks = chunks
+        self._origin = origin
+        self._hosts = hosts
+        self._limits = limits
+        self._clock = clock
+        self._random = random_source
+        self._wanted = ""
+        self._served: Manifest | None = None
+        self._manifest: Manifest | None = None
+        self._plan: ChunkPlan | None = None
+        self._reason = ""
+        self._neighbours: tuple[HostRecord, ...] = ()
+        self._peers_by_host: dict[str, Peer] = {}
+        self._haves_by_host: dict[str, ChunkHave] = {}
+        self._uploads: deque[tuple[Peer, str, str]] = deque()
+        self._upload_pacer = Pacer(
+            clock=clock, bytes_per_s=limits.bytes_per_s, burst_bytes=MAX_CHUNK_BYTES
+        )
+        self._wake = asyncio.Event()
+        self._upload_wake = asyncio.Event()
+        self._changed = asyncio.Condition()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._announced_at = 0.0
+        self._announce_due = False
+        self._avoided_until_by_source: dict[str, float] = {}
+        hub.on(ChunkHave, self._handle_have)
+        hub.on(ChunkRequest, self._handle_request)
+        hub.on(ChunkData, self._handle_data)
+        hub.on(ChunkDecline, self._handle_decline)
+        hub.on_open(self._handle_open)
+        hub.on_close(self._handle_close)
+
+    # What the engine's owner uses
+
+    def want(self, version: str, *, served: Manifest | None = None) -> None:
+        """Fetch this version and abandon the transfer of any other.
+
+        Chunks with equal digests are kept, and those of ``served``.
+
+        :param version: empty for none.
+        :param served: manifest of the version that the engine serves.
+        """
+        if version == self._wanted:
+            if served != self._served:
+                self._served = served
+                self._chunks.retain(served=served, wanted=self._manifest)
+            return
+        _log.info("version wanted", version=version, before=self._wanted)
+        if self._plan is not None:
+            self._avoided_until_by_source = self._plan.avoided_until_by_source
+        self._wanted, self._served = version, served
+        self._manifest, self._plan = None, None
+        self._reason = "the manifest was not read yet"
+        self._uploads.clear()
+        self._wake.set()
+
+    @property
+    def manifest(self) -> Manifest | None:
+        """Manifest of the wanted version, once it was read."""
+        return self._manifest
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every chunk of the wanted version is held."""
+        return self._plan is not None and self._plan.is_done
+
+    @property
+    def reason(self) -> str:
+        """Why it is not done, empty if it is."""
+        return self.state.reason
+
+    @property
+    def state(self) -> TransferState:
+        """Progress of the wanted version."""
+        plan, manifest = self._plan, self._manifest
+        if plan is None or manifest is None:
+            return TransferState(self._wanted, 0, 0, 0, 0, 0, False, self._reason)
+        return TransferState(
+            version=self._wanted,
+            chunks_held=plan.held.bit_count(),
+            chunks=len(manifest.indexes_by_digest),
+            bytes_from_peers=plan.from_peers,
+            bytes_from_origin=plan.from_origin,
+            bytes_uploaded=plan.uploaded,
+            done=plan.is_done,
+            reason="" if plan.is_done else plan.describe_missing(),
+        )
+
+    async def wait_done(self, version: str) -> Manifest | None:
+        """Wait until every chunk of a version is held.
+
+        The caller bounds the wait.
+
+        :returns: its manifest, or None as soon as another version is wanted.
+        """
+        async with self._changed:
+            await self._changed.wait_for(
+                lambda: self._wanted != version or (self._plan is not None and self._plan.is_done)
+            )
+        return self._manifest if self._wanted == version else None
+
+    # The tasks
+
+    async def run(self) -> None:
+        """Fetch and serve until cancelled."""
+        self._start(self._keep_uploading())
+        self._start(self._keep_announcing())
+        try:
+            while True:
+                self._wake.clear()
+                self._update_neighbours()
+                if self._wanted and self._manifest is None:
+                    await self._notify()
+                    await self._read_manifest(self._wanted)
+                    continue
+                if self._plan is not None and not self._plan.is_done:
+                    for fetch in self._plan.choose_fetches():
+                        self._send_request(self._plan, fetch)
+                await self._notify()
+                await self._sleep_until_woken()
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget_task)
+
+    def _forget_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("transfer task failed", error=repr(task.exception()))
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _sleep_until_woken(self) -> None:
+        idle = self._plan is None or self._plan.is_done
+        wait_s = HEARTBEAT_S if idle or self._plan is None else self._plan.next_wake_s()
+        await self._sleep(wait_s)
+
+    async def _sleep(self, wait_s: float) -> None:
+        # asyncio.wait_for of Python 3.11 loses a cancellation that comes with the wake-up.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._wake.wait()
+
+    def _update_neighbours(self) -> None:
+        """Open one stream to each host of the region; of two hosts the first by name opens it."""
+        records = tuple(self._hosts())
+        me = self._hub.hello
+        self._neighbours = tuple(
+            r for r in records if r.region == me.region and r.host != me.host and r.state == "live"
+        )
+        self._hub.set_targets({r.peer for r in self._neighbours if me.host < r.host})
+        if self._plan is not None:
+            taking = [r for r in records if r.state == "live"]
+            self._plan.set_neighbours(
+                self._neighbours,
+                zones=len({(r.region, r.availability_zone) for r in taking}),
+                regions=len({r.region for r in taking}),
+            )
+
+    async def _read_manifest(self, version: str) -> None:
+        pause = MANIFEST_RETRY_MIN_S
+        while self._wanted == version:
+            try:
+                manifest = await self._origin.read_manifest(version)
+            except OriginError as error:
+                self._reason = str(error)
+                unknown = isinstance(error, VersionUnknownError)
+                _log.warning(
+                    "manifest not read", version=version, unknown=unknown, error=str(error)
+                )
+            else:
+                self._begin(manifest)
+                return
+            self._ask_peers_for_manifest(version)
+            await self._sleep(pause * (0.5 + self._random.random()))
+            if self._manifest is not None:
+                return
+            self._wake.clear()
+            pause = min(2 * pause, MANIFEST_RETRY_MAX_S)
+
+    def _ask_peers_for_manifest(self, version: str) -> None:
+        """Ask a host that has the version; an empty digest stands for the manifest."""
+        holders = [
+            peer
+            for host, peer in self._peers_by_host.items()
+            if host in self._haves_by_host and self._haves_by_host[host].version == version
+        ]
+        if holders:
+            self._random.choice(holders).send(ChunkRequest(version, ""))
+
+    def _begin(self, manifest: Manifest) -> None:
+        if manifest.version != self._wanted or self._manifest is not None:
+            return
+        self._chunks.retain(served=self._served, wanted=manifest)
+        self._manifest = manifest
+        self._plan = ChunkPlan(
+            host=self._hub.hello.host,
+            manifest=manifest,
+            held=self._chunks.list_held(manifest),
+            limits=self._limits,
+            clock=self._clock,
+            random_source=self._random,
+            avoided_until_by_source=self._avoided_until_by_source,
+        )
+        self._update_neighbours()
+        for host, have in self._haves_by_host.items():
+            self._apply_have(host, have)
+        self._announce_due = True
+        self._wake.set()
+
+    def _send_request(self, plan: ChunkPlan, fetch: Fetch) -> None:
+        if fetch.source == ORIGIN:
+            self._start(self._fetch_from_origin(plan, fetch))
+            return
+        peer = self._peers_by_host.get(fetch.source)
+        if peer is None or not peer.send(ChunkRequest(plan.manifest.version, fetch.digest)):
+            plan.note_failed(fetch.digest, fetch.source)
+
+    async def _fetch_from_origin(self, plan: ChunkPlan, fetch: Fetch) -> None:
+        try:
+            data = await self._origin.read_chunk(plan.manifest, fetch.index)
+        except OriginError as error:
+            _log.warning("chunk not read from the origin", error=str(error))
+            plan.note_failed(fetch.digest, ORIGIN)
+            self._wake.set()
+            return
+        self._store(fetch.digest, data, ORIGIN)
+
+    def _store(self, digest: str, data: bytes, source: str) -> None:
+        kind = "origin" if source == ORIGIN else "peer"
+        WEIGHT_BYTES.add({"direction": "in", "kind": kind}, len(data))
+        self._wake.set()
+        plan = self._plan
+        if plan is None or digest not in plan.manifest.indexes_by_digest:
+            # An answer to a request for a version that is not wanted any more.
+            return
+        try:
+            self._chunks.add(digest, data)
+        except CorruptChunkError as error:
+            _log.warning("corrupt chunk dropped", source=source or "origin", error=str(error))
+            plan.note_corrupt(digest, source)
+            return
+        plan.note_arrived(digest, source)
+        self._announce_due = True
+
+    # Messages
+
+    def _handle_open(self, peer: Peer) -> None:
+        if peer.hello.role == "upstream":
+            self._peers_by_host[peer.hello.host] = peer
+            peer.send(self._make_have())
+
+    def _handle_close(self, peer: Peer) -> None:
+        host = peer.hello.host
+        if self._peers_by_host.get(host) is not peer:
+            return
+        del self._peers_by_host[host]
+        self._haves_by_host.pop(host, None)
+        if self._plan is not None:
+            self._plan.note_lost(host)
+        self._uploads = deque(item for item in self._uploads if item[0] is not peer)
+        self._wake.set()
+
+    def _handle_have(self, peer: Peer, have: ChunkHave) -> None:
+        host = peer.hello.host
+        if self._peers_by_host.get(host) is peer:
+            self._haves_by_host[host] = have
+            self._apply_have(host, have)
+
+    def _apply_have(self, host: str, have: ChunkHave) -> None:
+        plan = self._plan
+        if plan is None:
+            return
+        same = have.version == plan.manifest.version
+        plan.note_have(
+            host,
+            bitmap=int.from_bytes(have.bitmap, "little") if same else 0,
+            uploaded=have.uploaded if same else 0,
+            closed=have.closed or not same,
+        )
+        self._wake.set()
+
+    def _handle_request(self, peer: Peer, request: ChunkRequest) -> None:
+        plan = self._plan
+        if plan is None or plan.manifest.version != request.version:
+            peer.send(ChunkDecline(request.digest, "absent"))
+            return
+        if not request.digest:
+            peer.send(ChunkData("", plan.manifest.encode()))
+            return
+        reason = plan.decide_upload(request.digest, queued=len(self._uploads))
+        if reason:
+            peer.send(ChunkDecline(request.digest, reason))
+            return
+        self._uploads.append((peer, request.version, request.digest))
+        self._upload_wake.set()
+
+    def _handle_data(self, peer: Peer, answer: ChunkData) -> None:
+        if answer.digest:
+            self._store(answer.digest, answer.data, peer.hello.host)
+            return
+        if self._manifest is None and self._wanted:
+            try:
+                self._begin(parse_manifest(answer.data, version=self._wanted))
+            except ManifestError as error:
+                _log.warning("bad manifest", source=peer.hello.host, error=str(error))
+
+    def _handle_decline(self, peer: Peer, decline: ChunkDecline) -> None:
+        if self._plan is not None and decline.digest:
+            self._plan.note_declined(decline.digest, peer.hello.host, decline.reason)
+            self._wake.set()
+
+    # Uploads and announcements
+
+    async def _keep_uploading(self) -> None:
+        while True:
+            if not self._uploads:
+                self._upload_wake.clear()
+                await self._upload_wake.wait()
+                continue
+            wait_s = self._upload_pacer.wait_s()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+                continue
+            peer, _, digest = self._uploads.popleft()
+            data = self._chunks.get(digest)
+            if data is None:
+                peer.send(ChunkDecline(digest, "absent"))
+            elif peer.send(ChunkData(digest, data)):
+                self._upload_pacer.take(len(data))
+                WEIGHT_BYTES.add({"direction": "out", "kind": "peer"}, len(data))
+
+    async def _keep_announcing(self) -> None:
+        while True:
+            await asyncio.sleep(ANNOUNCE_MIN_S)
+            since = self._clock.monotonic() - self._announced_at
+            if since < HEARTBEAT_S and not (self._announce_due and since >= self._announce_gap_s()):
+                continue
+            have = self._make_have()
+            self._announced_at, self._announce_due = self._clock.monotonic(), False
+            for peer in list(self._peers_by_host.values()):
+                peer.send(have)
+
+    def _announce_gap_s(self) -> float:
+        chunks = len(self._manifest.chunks) if self._manifest is not None else 0
+        size = (chunks // 8 + 120) * len(self._peers_by_host)
+        return max(ANNOUNCE_MIN_S, size / (self._limits.bytes_per_s * ANNOUNCE_FRACTION))
+
+    def _make_have(self) -> ChunkHave:
+        plan, manifest = self._plan, self._manifest
+        if plan is None or manifest is None:
+            return ChunkHave("", b"")
+        return ChunkHave(
+            manifest.version, encode_bitmap(plan.held, len(manifest.chunks)), plan.uploaded
+        )
--- /dev/null
+++ b/tests/test_weight_transfer.py
@@ -0,0 +1,178 @@
+"""Guards against transfers that stop, store corrupt chunks or load the origin more than once."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import tornado.httpserver
+import tornado.web
+from tornado.testing import bind_unused_port
+
+from standins._server import Faults
+from standins.origin import OriginState, generate_version, make_routes
+from sycamoreproxy.chunk_plan import PlanLimits
+from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.engine_orders import EngineOwner, Served
+from sycamoreproxy.host_list import HostRecord
+from sycamoreproxy.messages import Hello
+from sycamoreproxy.origins import Origin, origins
+from sycamoreproxy.peers import PeerHub
+from sycamoreproxy.streams import MessageServer
+from sycamoreproxy.weight_transfer import WeightTransfer
+from sycamoreproxy.weights import ChunkStore, Manifest, parse_manifest
+from tests._weight_fakes import FakeEngine, FakeOrigin, FakeStore, make_record
+
+_FAST = PlanLimits(bytes_per_s=1e9, take_over_s=0.3, request_s=0.5, avoid_failed_s=0.2)
+
+
+@dataclass
+class _Node:
+    hub: PeerHub
+    chunks: ChunkStore
+    transfer: WeightTransfer
+    task: asyncio.Task[None]
+    server: MessageServer
+
+    async def stop(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        self.server.stop()
+        await self.hub.close()
+
+
+class _Fleet:
+    """Upstream processes of one region that share an origin."""
+
+    def __init__(self, origin: Origin) -> None:
+        self.origin = origin
+        self.records: list[HostRecord] = []
+        self.nodes: dict[str, _Node] = {}
+
+    def start(self, *hosts: str) -> None:
+        sockets = [bind_unused_port() for _ in hosts]
+        for host, (_, port) in zip(hosts, sockets, strict=True):
+            self.records.append(make_record(host, port=port))
+        for host, (socket, _) in zip(hosts, sockets, strict=True):
+            hub = PeerHub(hello=Hello(host, host, "upstream", "a", "r"), client_tls=None)
+            server = MessageServer(handle=hub.serve, tls=None)
+            server.add_socket(socket)
+            chunks = ChunkStore()
+            transfer = WeightTransfer(
+                hub=hub,
+                chunks=chunks,
+                origin=self.origin,
+                hosts=lambda: self.records,
+                limits=_FAST,
+                clock=SystemClock(),
+                random_source=random.Random(host),
+            )
+            task = asyncio.create_task(transfer.run())
+            self.nodes[host] = _Node(hub, chunks, transfer, task, server)
+
+    async def fetch(self, version: str) -> Manifest:
+        for node in self.nodes.values():
+            node.transfer.want(version)
+        manifests = [await node.transfer.wait_done(version) for node in self.nodes.values()]
+        assert manifests[0] is not None
+        for node in self.nodes.values():
+            assert node.chunks.is_complete(manifests[0])
+        return manifests[0]
+
+    async def stop(self) -> None:
+        for node in self.nodes.values():
+            await node.stop()
+
+
+def _run(origin: Origin, action: Callable[[_Fleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        fleet = _Fleet(origin)
+        try:
+            await asyncio.wait_for(action(fleet), 30)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(main())
+
+
+def _make_chunks(seed: int, count: int = 24) -> list[bytes]:
+    return [random.Random(seed * 1000 + n).randbytes(2_000) for n in range(count)]
+
+
+def test_origin_sends_each_chunk_about_once() -> None:
+    origin = FakeOrigin()
+    origin.add("v1", _make_chunks(1))
+
+    async def action(fleet: _Fleet) -> None:
+        fleet.start("h1", "h2", "h3", "h4")
+        await asyncio.sleep(0.3)
+        await fleet.fetch("v1")
+
+    _run(origin, action)
+    assert len(origin.reads) <= 24 * 1.5
+
+
+def test_version_from_the_origin_standin_is_loaded_into_the_engine() -> None:
+    async def main() -> None:
+        state = OriginState(bytes_per_s=0)
+        state.versions_by_name["v1"] = generate_version(
+            "v1", model="m", total_bytes=50_000, chunk_bytes=4_096, seed=3
+        )
+        socket, port = bind_unused_port()
+        server = tornado.httpserver.HTTPServer(
+            tornado.web.Application(make_routes(state, Faults(seed=1)))
+        )
+        server.add_socket(socket)
+        fleet = _Fleet(origins.get("http-range")(f"http://127.0.0.1:{port}", 5.0))
+        clock = SystemClock()
+        engine = FakeEngine()
+        try:
+            fleet.start("h1", "h2")
+            node = fleet.nodes["h1"]
+            owner = EngineOwner(
+                host="h1",
+                availability_zone="a",
+                model="m",
+                prefix="/p",
+                process_id="one",
+                store=FakeStore(clock),
+                engine=engine,
+                chunks=node.chunks,
+                transfer=node.transfer,
+                hosts=lambda: fleet.records,
+                clock=clock,
+                lease_ttl_s=10,
+                order_timeout_s=1,
+                checks_fencing=True,
+            )
+            owner.set_target(_Target("v1"))
+            fleet.nodes["h2"].transfer.want("v1")
+            task = asyncio.create_task(owner.run())
+            while owner.served is None:
+                await asyncio.sleep(0.01)
+            task.cancel()
+            manifest = parse_manifest(
+                _to_json(state.versions_by_name["v1"].as_manifest()), version="v1"
+            )
+            assert owner.served == Served("v1", manifest.digest)
+            assert owner.unmet == ()
+        finally:
+            await fleet.stop()
+            server.stop()
+
+    asyncio.run(asyncio.wait_for(main(), 30))
+
+
+@dataclass(frozen=True)
+class _Target:
+    version: str
+    adapters: tuple[str, ...] = ()
+    replicas: int = 0
+
+
+def _to_json(value: object) -> bytes:
+    import json
+
+    return json.dumps(value).encode()
