Add the request path of the entry host

Callers reach models and services through an entry host: the HTTP surface checks a request, the dispatcher places it on an upstream process and repeats it only where that is harmless.

Result code 1013 is added for connections above the limit.

--- /dev/null
+++ b/sycamoreproxy/caller_http.py
@@ -0,0 +1,629 @@
+"""HTTP surface for callers: the OpenAI paths, services, and every refusal with its code."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import json
+import ssl
+import time
+from collections.abc import Callable, Sequence
+from email.utils import formatdate
+from http.client import responses
+from typing import Any, Protocol
+
+from returns.result import Result, Success
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+
+from sycamoreproxy import result_codes as codes
+from sycamoreproxy.dispatch import Answer, CallerRequest, PolicyView
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.membership import Membership
+from sycamoreproxy.messages import Pairs
+from sycamoreproxy.metrics import REFUSALS, REQUESTS
+from sycamoreproxy.result_codes import Executed, Refusal
+from sycamoreproxy.settings import RANKS, CallerLimits, ClientAccountSettings
+from sycamoreproxy.streams import Address
+
+#: RFC 9110, section 9.2.2.
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+#: Methods that reach a service.
+SERVICE_METHODS = IDEMPOTENT_METHODS | {"POST", "PATCH"}
+#: Longest idempotency key, in characters.
+MAX_IDEMPOTENCY_KEY = 255
+#: Longest deadline that a caller may name, in milliseconds.
+MAX_DEADLINE_MS = 86_400_000
+#: Output tokens assumed where the request names no maximum.
+DEFAULT_OUTPUT_TOKENS = 256
+#: Characters of text per token, for estimates before the engine has counted.
+CHARACTERS_PER_TOKEN = 4
+#: Characters of the prompt that name its prefix for the engines' caches.
+PREFIX_CHARACTERS = 1_024
+#: Bytes that may wait for a caller that reads slowly before its connection is closed.
+MAX_UNREAD_BYTES = 4 * 1024 * 1024
+
+#: Headers that end at this host (RFC 9110, section 7.6.1) or that this host sets.
+_DROPPED_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "date",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-rank",
+    }
+)
+_MODEL_PATHS = {"/v1/chat/completions": "messages", "/v1/completions": "prompt"}
+_log = get_logger("caller_http")
+
+
+class _Refused(Exception):  # noqa: N818 - carries a refusal out of nested checks
+    """The request is refused before it is dispatched."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.code.name)
+        self.refusal = refusal
+
+
+def _refused(code: codes.ResultCode, detail: str = "") -> _Refused:
+    return _Refused(Refusal(code, Executed.NO, detail))
+
+
+class Dispatching(Protocol):
+    """What this module needs of ``dispatch.Dispatcher``."""
+
+    async def dispatch(self, request: CallerRequest) -> Result[Answer, Refusal]:
+        """Return the whole answer of a request, or why there is none."""
+
+
+class Accounts:
+    """Client accounts by their bearer keys.
+
+    :param accounts: the settings of all client accounts.
+    """
+
+    def __init__(self, accounts: Sequence[ClientAccountSettings]) -> None:
+        self._accounts_by_digest = [
+            (bytes.fromhex(digest), account)
+            for account in accounts
+            for digest in account.key_sha256
+        ]
+
+    def find(self, key: str) -> ClientAccountSettings | None:
+        """Return the account of a key; every digest is compared in constant time."""
+        digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
+        found = None
+        for known, account in self._accounts_by_digest:
+            if hmac.compare_digest(known, digest):
+                found = account
+        return found
+
+
+class CallerServer(HTTPServerConnectionDelegate):
+    """Accepts the callers' requests.
+
+    :param dispatcher: takes each request on.
+    :param membership: names the services that exist.
+    :param get_view: returns the table view in force.
+    :param accounts: client accounts and their keys.
+    :param limits: bounds on what a caller may send.
+    :param tls: server context; None for plain HTTP.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatching,
+        membership: Membership,
+        get_view: Callable[[], PolicyView],
+        accounts: Sequence[ClientAccountSettings],
+        limits: CallerLimits,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.membership = membership
+        self.get_view = get_view
+        self.accounts = Accounts(accounts)
+        self.limits = limits
+        self.is_leaving = False
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._server = _BoundedServer(
+            self,
+            ssl_options=tls,
+            # Bodies are bounded by _Exchange, which can still answer with a code.
+            max_body_size=1 << 40,
+            max_buffer_size=max(4 * limits.max_header_bytes, 1 << 18),
+            max_header_size=4 * limits.max_header_bytes,
+            idle_connection_timeout=limits.receive_timeout_s,
+        )
+        self._server.max_connections = limits.max_connections
+
+    def listen(self, address: Address) -> int:
+        """Bind the listener and return its port (useful where the address names port 0)."""
+        from tornado.netutil import bind_sockets
+
+        sockets = bind_sockets(address.port, address.ip)
+        self._server.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the delegate of the next request on a connection."""
+        return _Exchange(server=self, connection=request_conn)
+
+    def leave(self) -> None:
+        """Refuse new requests; those in progress go on."""
+        self.is_leaving = True
+
+    async def wait_idle(self) -> None:
+        """Wait until every request in progress is answered."""
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+
+    async def close(self) -> None:
+        """Stop listening, cancel what is in progress and close every connection."""
+        self._server.stop()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self._server.close_all_connections()
+
+
+class _BoundedServer(HTTPServer):
+    """Refuses connections above a limit and bounds what waits for slow readers."""
+
+    max_connections = 0
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        stream.max_write_buffer_size = MAX_UNREAD_BYTES
+        if len(self._connections) >= self.max_connections:
+            refusal = Refusal(codes.TOO_MANY_CONNECTIONS, Executed.NO)
+            body = json.dumps(refusal.as_body()).encode()
+            stream.write(
+                b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
+                b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+                % (len(body), body)
+            ).add_done_callback(lambda future: _close_after(future, stream))
+            return
+        super().handle_stream(stream, address)
+
+
+class _Exchange(HTTPMessageDelegate):
+    """One request and its answer; the :class:`dispatch.AnswerWriter` of its request."""
+
+    def __init__(self, *, server: CallerServer, connection: HTTPConnection) -> None:
+        assert isinstance(connection, HTTP1Connection)
+        self._server = server
+        self._connection = connection
+        self._stream = connection.stream
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._account: ClientAccountSettings | None = None
+        self._is_refused = False
+        self.is_started = False
+        self._is_event_stream = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Check what can be checked before the body arrives."""
+        assert isinstance(start_line, RequestStartLine)
+        self._start_line = start_line
+        self._headers = headers
+        limits = self._server.limits
+        self._timer = asyncio.get_running_loop().call_later(
+            limits.receive_timeout_s, self._end_slow_sender
+        )
+        size = len(start_line.path) + sum(
+            len(name) + len(value) + 4 for name, value in headers.get_all()
+        )
+        length = headers.get("Content-Length", "0")
+        try:
+            if size > limits.max_header_bytes:
+                raise _refused(codes.HEADERS_TOO_LARGE, f"Limit {limits.max_header_bytes} bytes.")
+            if length.isdecimal() and int(length) > limits.max_body_bytes:
+                raise _refused(codes.BODY_TOO_LARGE, f"Limit {limits.max_body_bytes} bytes.")
+            if self._server.is_leaving:
+                raise _Refused(Refusal(codes.LEAVING, Executed.NO, "", 1000))
+            self._account = self._find_account()
+        except _Refused as error:
+            self._refuse_early(error.refusal)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body, within the limit."""
+        self._body_bytes += len(chunk)
+        if self._is_refused:
+            # The rest is read for a while so that the caller sees the refusal, not a reset.
+            if self._body_bytes > 4 * self._server.limits.max_body_bytes:
+                self._stream.close()
+        elif self._body_bytes > self._server.limits.max_body_bytes:
+            self._body.clear()
+            self._refuse_early(
+                Refusal(
+                    codes.BODY_TOO_LARGE,
+                    Executed.NO,
+                    f"Limit {self._server.limits.max_body_bytes} bytes.",
+                )
+            )
+        else:
+            self._body.append(chunk)
+
+    def finish(self) -> None:
+        """Take the whole request on."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._is_refused:
+            self._finish_and_close()
+            return
+        task = asyncio.get_running_loop().create_task(self._answer())
+        self._task = task
+        self._server.tasks.add(task)
+        task.add_done_callback(self._server.tasks.discard)
+
+    def on_connection_close(self) -> None:
+        """Cancel the request of a caller that is gone."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._body.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def start(self, status: int, headers: Pairs, version: str) -> None:
+        """Send the head of an answer that is passed on in parts."""
+        self.is_started = True
+        fields = _make_headers(headers, version)
+        self._is_event_stream = fields.get("Content-Type", "").startswith("text/event-stream")
+        self._write_head(status, fields, None)
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        try:
+            self._connection.write(data).add_done_callback(_ignore_result)
+        except StreamBufferFullError:
+            self._stream.close()
+        except StreamClosedError:
+            pass
+
+    async def _answer(self) -> None:
+        kind, rank, number = "", "", 0
+        try:
+            try:
+                request = self._read_request()
+                if request is None:
+                    self._send_json(200, self._list_models())
+                    return
+                kind, rank = request.kind, request.rank
+                result = await self._server.dispatcher.dispatch(request)
+            except _Refused as error:
+                refusal = error.refusal
+            except Exception:
+                _log.exception("request failed", path=self._start_line.path.partition("?")[0])
+                refusal = Refusal(codes.INTERNAL, Executed.UNKNOWN)
+            else:
+                if isinstance(result, Success):
+                    self._send_answer(result.unwrap())
+                    return
+                refusal = result.failure()
+            number = refusal.code.number
+            self._send_refusal(refusal)
+        except (StreamClosedError, StreamBufferFullError):
+            number = codes.CALLER_GONE.number
+            self._stream.close()
+        except asyncio.CancelledError:
+            number = codes.CALLER_GONE.number
+            raise
+        finally:
+            self._body.clear()
+            REQUESTS.inc({"kind": kind, "rank": rank, "code": str(number)})
+
+    def _find_account(self) -> ClientAccountSettings:
+        scheme, _, key = self._headers.get("Authorization", "").partition(" ")
+        key = key.strip()
+        if scheme.lower() != "bearer" or not key:
+            raise _refused(codes.MISSING_KEY)
+        account = self._server.accounts.find(key)
+        if account is None:
+            raise _refused(codes.UNKNOWN_KEY)
+        return account
+
+    def _read_request(self) -> CallerRequest | None:
+        """Return the request, or None for the list of models.
+
+        :raises _Refused: names what is wrong with it.
+        """
+        method = self._start_line.method
+        path, _, query = self._start_line.path.partition("?")
+        if path in _MODEL_PATHS:
+            if method != "POST":
+                raise _refused(codes.METHOD_NOT_ALLOWED, "Allowed: POST.")
+            return self._read_model_request(path)
+        if path.startswith("/services/"):
+            return self._read_service_request(path, query)
+        if path == "/v1/models":
+            if method != "GET":
+                raise _refused(codes.METHOD_NOT_ALLOWED, "Allowed: GET.")
+            return None
+        raise _refused(codes.UNKNOWN_PATH)
+
+    def _read_model_request(self, path: str) -> CallerRequest:
+        body = b"".join(self._body)
+        try:
+            data = json.loads(body)
+        except (ValueError, RecursionError) as error:
+            raise _refused(codes.MALFORMED_BODY) from error
+        if not isinstance(data, dict):
+            raise _refused(codes.INVALID_FIELD, "The body must be an object.")
+        model = data.get("model")
+        if not isinstance(model, str) or not model:
+            raise _refused(codes.INVALID_FIELD, "model must be a string.")
+        stream = data.get("stream")
+        if stream is not None and not isinstance(stream, bool):
+            raise _refused(codes.INVALID_FIELD, "stream must be true or false.")
+        prompt = _read_prompt(data, _MODEL_PATHS[path])
+        output_tokens = DEFAULT_OUTPUT_TOKENS
+        for name in ("max_tokens", "max_completion_tokens"):
+            value = data.get(name)
+            if value is None:
+                continue
+            if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+                raise _refused(codes.INVALID_FIELD, f"{name} must be a positive integer.")
+            output_tokens = min(value, 1_000_000)
+        membership = self._server.membership
+        if (
+            not membership.upstreams("engine", model)
+            and model not in self._server.get_view().models()
+        ):
+            if not membership.has_list:
+                raise _Refused(Refusal(codes.NO_UPSTREAM, Executed.NO, "", 1000))
+            raise _refused(codes.UNKNOWN_MODEL)
+        return CallerRequest(
+            kind="engine",
+            name=model,
+            client_account=self._get_account().name,
+            rank=self._read_rank(),
+            method="POST",
+            path=path,
+            headers=(("Content-Type", "application/json"),),
+            body=body,
+            # Generation changes nothing outside the engine, so a repeat is harmless.
+            idempotent=True,
+            deadline_ms=self._read_deadline(),
+            prefix_key=hashlib.blake2b(
+                f"{model}\n{prompt[:PREFIX_CHARACTERS]}".encode("utf-8", "surrogatepass"),
+                digest_size=8,
+            ).hexdigest(),
+            estimated_tokens=len(prompt) // CHARACTERS_PER_TOKEN + 1 + output_tokens,
+            stream=bool(stream),
+            writer=self,
+        )
+
+    def _read_service_request(self, path: str, query: str) -> CallerRequest:
+        method = self._start_line.method
+        if method not in SERVICE_METHODS:
+            raise _refused(codes.METHOD_NOT_ALLOWED)
+        name, _, rest = path.removeprefix("/services/").partition("/")
+        membership = self._server.membership
+        if not membership.upstreams("service", name):
+            if not membership.has_list:
+                raise _Refused(Refusal(codes.NO_UPSTREAM, Executed.NO, "", 1000))
+            raise _refused(codes.UNKNOWN_SERVICE)
+        key = self._headers.get("Idempotency-Key")
+        if key is not None:
+            key = key.strip()
+            if not 1 <= len(key) <= MAX_IDEMPOTENCY_KEY:
+                raise _refused(codes.INVALID_IDEMPOTENCY_KEY)
+        return CallerRequest(
+            kind="service",
+            name=name,
+            client_account=self._get_account().name,
+            rank=self._read_rank(),
+            method=method,
+            path=f"/{rest}?{query}" if query else f"/{rest}",
+            headers=_filter_headers(self._headers),
+            body=b"".join(self._body),
+            idempotent=method in IDEMPOTENT_METHODS,
+            deadline_ms=self._read_deadline(),
+            idempotency_key=key or "",
+            writer=self,
+        )
+
+    def _get_account(self) -> ClientAccountSettings:
+        assert self._account is not None
+        return self._account
+
+    def _read_rank(self) -> str:
+        account = self._get_account()
+        rank = self._headers.get("X-Rank")
+        if rank is None:
+            return account.ranks[0]
+        if rank not in RANKS:
+            raise _refused(codes.UNKNOWN_RANK, f"Known: {', '.join(RANKS)}.")
+        if rank not in account.ranks:
+            raise _refused(codes.RANK_NOT_ALLOWED, f"Allowed: {', '.join(account.ranks)}.")
+        return rank
+
+    def _read_deadline(self) -> int:
+        text = self._headers.get("X-Deadline-Ms")
+        if text is None:
+            return 0
+        if not text.isascii() or not text.isdecimal() or not 1 <= len(text) <= 12 or int(text) < 1:
+            raise _refused(codes.INVALID_DEADLINE)
+        return min(int(text), MAX_DEADLINE_MS)
+
+    def _list_models(self) -> dict[str, object]:
+        names = {*self._server.get_view().models(), *self._server.membership.list_names("engine")}
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "sycamoreproxy"}
+            for name in sorted(names)
+        ]
+        return {"object": "list", "data": models}
+
+    def _send_answer(self, answer: Answer) -> None:
+        if self.is_started:
+            if answer.body:
+                self.write(answer.body)
+            self._connection.finish()
+            return
+        fields = _make_headers(answer.headers, answer.version)
+        has_body = answer.status not in (204, 304) and self._start_line.method != "HEAD"
+        if has_body:
+            fields["Content-Length"] = str(len(answer.body))
+        self._write_head(answer.status, fields, answer.body if has_body else None)
+        self._connection.finish()
+
+    def _send_refusal(self, refusal: Refusal) -> None:
+        REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
+        if not self.is_started:
+            self._send_json(refusal.code.http_status, refusal.as_body(), refusal)
+        elif self._is_event_stream:
+            # Without [DONE], so that no client takes the stream for a whole answer.
+            self.write(b"data: %b\n\n" % json.dumps(refusal.as_body()).encode())
+            self._connection.finish()
+        else:
+            # A chunked body without its last chunk is recognised as cut by every client.
+            self._stream.close()
+
+    def _send_json(self, status: int, value: object, refusal: Refusal | None = None) -> None:
+        self._write_json(status, value, refusal)
+        self._connection.finish()
+
+    def _write_json(
+        self, status: int, value: object, refusal: Refusal | None = None, *, close: bool = False
+    ) -> None:
+        body = json.dumps(value).encode()
+        fields = HTTPHeaders()
+        fields["Content-Type"] = "application/json"
+        fields["Content-Length"] = str(len(body))
+        if refusal is not None and (refusal.retry_after_ms or refusal.code.retry_helps):
+            fields["Retry-After"] = str(max(1, -(-refusal.retry_after_ms // 1000)))
+        if refusal is not None and refusal.code.http_status == 401:
+            fields["WWW-Authenticate"] = "Bearer"
+        if close:
+            fields["Connection"] = "close"
+        self._write_head(status, fields, body)
+
+    def _write_head(self, status: int, fields: HTTPHeaders, body: bytes | None) -> None:
+        fields["Date"] = _format_date()
+        if self._server.is_leaving:
+            fields["Connection"] = "close"
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        future = self._connection.write_headers(line, fields, body)
+        future.add_done_callback(_ignore_result)
+
+    def _refuse_early(self, refusal: Refusal) -> None:
+        """Answer before the whole request arrived; the connection ends with this answer."""
+        self._is_refused = True
+        self.is_started = True
+        REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
+        try:
+            self._write_json(refusal.code.http_status, refusal.as_body(), refusal, close=True)
+            if self._headers.get("Expect"):
+                # The caller waits for the answer before it sends the body.
+                self._finish_and_close()
+        except (StreamClosedError, StreamBufferFullError):
+            self._stream.close()
+
+    def _finish_and_close(self) -> None:
+        stream = self._stream
+        self._connection.finish()
+        if not stream.closed():
+            stream.write(b"").add_done_callback(lambda future: _close_after(future, stream))
+
+    def _end_slow_sender(self) -> None:
+        if not self._is_refused:
+            self._refuse_early(Refusal(codes.SLOW_SENDER, Executed.NO))
+            self._finish_and_close()
+        else:
+            self._stream.close()
+
+
+def _read_prompt(data: dict[str, Any], field: str) -> str:
+    """Return the text of a prompt, roles included.
+
+    :raises _Refused: if the field is missing or has another type than the API allows.
+    """
+    value = data.get(field)
+    if field == "prompt":
+        if isinstance(value, str):
+            return value
+        if isinstance(value, list) and value:
+            return json.dumps(value)
+        raise _refused(codes.INVALID_FIELD, "prompt must be a string or an array.")
+    if not isinstance(value, list) or not value:
+        raise _refused(codes.INVALID_FIELD, "messages must be an array that is not empty.")
+    parts = []
+    for item in value:
+        if not isinstance(item, dict) or not isinstance(item.get("role"), str):
+            raise _refused(codes.INVALID_FIELD, "Each message must be an object with a role.")
+        content = item.get("content")
+        if content is not None and not isinstance(content, str | list):
+            raise _refused(codes.INVALID_FIELD, "content must be a string or an array.")
+        text = content if isinstance(content, str) else json.dumps(content)
+        parts.append(f"{item['role']}\n{text}\n")
+    return "".join(parts)
+
+
+def _filter_headers(headers: HTTPHeaders) -> Pairs:
+    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    return tuple(
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in _DROPPED_HEADERS and name.lower() not in named
+    )
+
+
+def _make_headers(headers: Pairs, version: str) -> HTTPHeaders:
+    fields = HTTPHeaders()
+    for name, value in headers:
+        if name.lower() not in _DROPPED_HEADERS:
+            fields.add(name, value)
+    if version:
+        fields["X-Model-Version"] = version
+    return fields
+
+
+_date: tuple[int, str] = (0, "")
+
+
+def _format_date() -> str:
+    """Return the date header of this second."""
+    global _date
+    now = int(time.time())
+    if _date[0] != now:
+        _date = (now, formatdate(now, usegmt=True))
+    return _date[1]
+
+
+def _ignore_result(future: asyncio.Future[None]) -> None:
+    if not future.cancelled():
+        future.exception()
+
+
+def _close_after(future: asyncio.Future[None], stream: IOStream) -> None:
+    _ignore_result(future)
+    stream.close()
--- /dev/null
+++ b/sycamoreproxy/dispatch.py
@@ -0,0 +1,399 @@
+"""One caller's request at the entry host: limits, claim, routing, attempt, retry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from sycamoreproxy import result_codes as codes
+from sycamoreproxy.invariants import InvariantViolationError, check_invariant
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.membership import Membership, UpstreamState
+from sycamoreproxy.messages import MessageError, Pairs, Submit
+from sycamoreproxy.metrics import ATTEMPTS
+from sycamoreproxy.result_codes import Executed, Refusal
+from sycamoreproxy.retries import MAX_ATTEMPTS, RetryBudget, may_repeat
+from sycamoreproxy.routing import Router
+from sycamoreproxy.upstream_links import Attempt, UpstreamLinks, Whole
+
+#: Deadline where neither the table nor the caller gives one, in milliseconds.
+DEFAULT_DEADLINE_MS = 30_000
+#: After the deadline the upstream's own refusal is awaited for this time, because it knows
+#: whether the request was run, in seconds.
+DEADLINE_GRACE_S = 0.25
+#: Time to the first output of a request that the engine already works on, in seconds.
+STARTED_LIMIT_S = 300.0
+#: Longest silence within an answer, in seconds.
+OUTPUT_LIMIT_S = 30.0
+#: An attempt that has not started is given up when its upstream misses a heartbeat, which
+#: comes each second, by this much, in seconds.
+OVERDUE_S = 1.5
+#: How often a waiting attempt is checked, in seconds.
+CHECK_PERIOD_S = 0.5
+#: A plain answer is kept until it is whole up to this size, in bytes; a larger one is passed on
+#: in chunks, and its connection is closed if it stays incomplete.
+MAX_KEPT_BYTES = 1024 * 1024
+
+_DONE = b"[DONE]"
+_log = get_logger("dispatch")
+
+
+class AnswerWriter(Protocol):
+    """Passes parts of an answer to the caller before it is whole."""
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the caller was sent anything."""
+
+    def start(self, status: int, headers: Pairs, version: str) -> None:
+        """Send status and headers."""
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+
+class Policy(Protocol):
+    """The cells of an effective row that this module reads; see ``table.RowPolicy``."""
+
+    @property
+    def concurrent_limit(self) -> int:
+        """Open requests in the fleet, 0 for no limit."""
+
+    @property
+    def requests_per_minute(self) -> int:
+        """Requests a minute in the fleet, 0 for no limit."""
+
+    @property
+    def tokens_per_minute(self) -> int:
+        """Tokens a minute in the fleet, 0 for no limit."""
+
+    @property
+    def deadline_ms(self) -> int:
+        """Time to the first token, in milliseconds, 0 for the default."""
+
+
+class PolicyView(Protocol):
+    """The table in force; see ``table_queries.TableView``."""
+
+    def resolve(self, model: str, client_account: str, rank: str) -> Policy:
+        """Return the effective row."""
+
+    def models(self) -> tuple[str, ...]:
+        """Return the models that the table names."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerRequest:
+    """A checked request of a caller.
+
+    :param kind: ``engine`` or ``service``.
+    :param name: model or service name.
+    :param deadline_ms: the caller's own time limit, 0 for the table's.
+    :param path: path and query at the upstream.
+    :param idempotent: whether a repeat is harmless.
+    :param idempotency_key: names the request for claims, or empty.
+    :param estimated_tokens: prompt tokens plus the expected output.
+    :param stream: whether the caller asked for server-sent events.
+    """
+
+    kind: str
+    name: str
+    client_account: str
+    rank: str
+    method: str
+    path: str
+    headers: Pairs
+    body: bytes
+    idempotent: bool
+    deadline_ms: int = 0
+    idempotency_key: str = ""
+    prefix_key: str = ""
+    estimated_tokens: int = 0
+    stream: bool = False
+    writer: AnswerWriter
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer.
+
+    :param body: what the writer was not given yet: all of a kept answer, the end of a stream.
+    """
+
+    status: int
+    headers: Pairs
+    body: bytes
+    version: str
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+class _AttemptRun:
+    """Collects one attempt: keeps a plain answer, passes events of a stream on.
+
+    :param request: the request; its writer gets what is passed on.
+    :param deadline: end of the time to the first output, by the event loop's clock.
+    """
+
+    __slots__ = (
+        "_deadline_passed",
+        "_is_kept",
+        "_kept",
+        "_limit",
+        "_loop",
+        "_request",
+        "_timer",
+        "attempt",
+        "end",
+        "has_output",
+        "has_started",
+        "headers",
+        "status",
+        "version",
+    )
+
+    def __init__(self, *, request: CallerRequest, deadline: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._request = request
+        self._limit = deadline + DEADLINE_GRACE_S
+        self._kept = bytearray()
+        self._is_kept = True
+        self.attempt: Attempt | None = None
+        self.end: asyncio.Future[Whole | Refusal] = self._loop.create_future()
+        self.has_started = False
+        self.has_output = False
+        self.status = 0
+        self.headers: Pairs = ()
+        self.version = ""
+        self._timer = self._loop.call_later(CHECK_PERIOD_S, self._check)
+
+    def on_started(self) -> None:
+        """Extend the limit of an engine's work; a service must answer within the deadline."""
+        self.has_started = True
+        if self._request.kind == "engine":
+            self._limit = max(self._limit, self._loop.time() + STARTED_LIMIT_S)
+
+    def on_head(self, status: int, headers: Pairs, version: str) -> None:
+        """Take status and headers."""
+        self.has_started = True
+        self.status = status
+        self.headers = headers
+        self.version = version
+        self._limit = max(self._limit, self._loop.time() + OUTPUT_LIMIT_S)
+        for name, value in headers:
+            if name.lower() == "content-type" and value.startswith("text/event-stream"):
+                self._is_kept = False
+
+    def on_output(self, data: bytes, tokens: int) -> None:
+        """Take a part of the body; a whole event is passed on at once."""
+        self._limit = self._loop.time() + OUTPUT_LIMIT_S
+        kept = self._kept
+        if self._is_kept:
+            kept += data
+            if len(kept) > MAX_KEPT_BYTES:
+                self._pass_on(bytes(kept))
+                kept.clear()
+        elif not kept and data.endswith(b"\n\n") and _DONE not in data:
+            self._pass_on(data)
+        else:
+            # The end of a stream must not reach the caller before the answer is known to be
+            # whole, and no event may be cut where an error event could follow.
+            kept += data
+            end = kept.rfind(b"\n\n", 0, _find_done(kept)) + 2
+            if len(kept) > MAX_KEPT_BYTES:
+                end = len(kept)
+            if end > 1:
+                self._pass_on(bytes(kept[:end]))
+                del kept[:end]
+
+    def on_end(self, end: Whole | Refusal) -> None:
+        """Wake the waiting dispatcher."""
+        if not self.end.done():
+            self.end.set_result(end)
+
+    def close(self) -> None:
+        """Stop the timer."""
+        self._timer.cancel()
+
+    def make_answer(self, whole: Whole) -> Answer:
+        """Return the answer with what was not passed on yet."""
+        if not self._is_kept and not self.has_output:
+            self._pass_on(b"")
+        return Answer(
+            self.status,
+            self.headers,
+            bytes(self._kept),
+            self.version,
+            whole.prompt_tokens,
+            whole.output_tokens,
+        )
+
+    def _pass_on(self, data: bytes) -> None:
+        writer = self._request.writer
+        if not self.has_output:
+            self.has_output = True
+            writer.start(self.status, self.headers, self.version)
+        if data:
+            writer.write(data)
+
+    def _check(self) -> None:
+        now = self._loop.time()
+        attempt = self.attempt
+        if now >= self._limit:
+            self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN))
+        elif (
+            not self.has_started
+            and self._request.idempotent
+            and attempt is not None
+            and now - attempt.peer.last_message_at > OVERDUE_S
+        ):
+            self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "No heartbeat."))
+        else:
+            wait_s = min(CHECK_PERIOD_S, self._limit - now)
+            self._timer = self._loop.call_later(wait_s, self._check)
+
+
+def _find_done(data: bytearray) -> int:
+    """Return where the event that ends a stream begins, or the length of the data."""
+    if data.startswith(b"data: [DONE]") or data.startswith(b"data:[DONE]"):
+        return 0
+    for mark in (b"\n\ndata: [DONE]", b"\n\ndata:[DONE]"):
+        index = data.find(mark)
+        if index >= 0:
+            return index + 2
+    return len(data)
+
+
+class Dispatcher:
+    """Takes requests through the entry host.
+
+    :param links: attempts on upstream processes.
+    :param membership: upstreams known.
+    :param router: placement.
+    :param budget: limit of extra attempts.
+    :param get_view: returns the table view in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: UpstreamLinks,
+        membership: Membership,
+        router: Router,
+        budget: RetryBudget,
+        get_view: Callable[[], PolicyView],
+    ) -> None:
+        self._links = links
+        self._membership = membership
+        self._router = router
+        self._budget = budget
+        self._get_view = get_view
+
+    async def dispatch(self, request: CallerRequest) -> Result[Answer, Refusal]:
+        """Return the whole answer of a request, or why there is none.
+
+        Parts of the answer may have gone to the request's writer before a refusal. When the
+        calling task is cancelled, the attempt is cancelled upstream.
+        """
+        policy = self._get_view().resolve(request.name, request.client_account, request.rank)
+        deadline_ms = policy.deadline_ms or DEFAULT_DEADLINE_MS
+        if request.deadline_ms:
+            deadline_ms = min(deadline_ms, request.deadline_ms)
+        deadline = asyncio.get_running_loop().time() + deadline_ms / 1000
+        try:
+            return await self._run_attempts(request, deadline)
+        except InvariantViolationError as error:
+            _log.error("invariant violated", invariant=error.name, **error.facts)
+            return Failure(Refusal(codes.INVARIANT_VIOLATED, Executed.UNKNOWN, error.name))
+
+    async def _run_attempts(
+        self, request: CallerRequest, deadline: float
+    ) -> Result[Answer, Refusal]:
+        loop = asyncio.get_running_loop()
+        self._budget.count_request()
+        excluded: set[str] = set()
+        may_have_run = False
+        refusal: Refusal | None = None
+        for number in range(1, MAX_ATTEMPTS + 1):
+            time_left_ms = (deadline - loop.time()) * 1000
+            if time_left_ms < 1:
+                refusal = refusal or Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO)
+                break
+            state = self._router.choose(
+                kind=request.kind,
+                name=request.name,
+                rank=request.rank,
+                time_left_ms=time_left_ms,
+                prefix_key=request.prefix_key,
+                excluded=excluded,
+                only_in_time=number > 1,
+            )
+            if state is None:
+                refusal = refusal or Refusal(codes.NO_UPSTREAM, Executed.NO, "", 1000)
+                break
+            if number > 1 and not self._budget.take():
+                break
+            check_invariant(
+                "non_idempotent_runs_once",
+                request.idempotent or not may_have_run,
+                target=request.name,
+            )
+            run = _AttemptRun(request=request, deadline=deadline)
+            end = await self._run_attempt(request, state, run, int(time_left_ms))
+            if isinstance(end, Whole):
+                return Success(run.make_answer(end))
+            refusal = end
+            may_have_run = may_have_run or end.executed is not Executed.NO
+            excluded.add(state.host)
+            if not may_repeat(
+                end, idempotent=request.idempotent, sent_to_caller=request.writer.is_started
+            ):
+                break
+        assert refusal is not None
+        if may_have_run and refusal.executed is Executed.NO:
+            refusal = replace(refusal, executed=Executed.UNKNOWN)
+        return Failure(refusal)
+
+    async def _run_attempt(
+        self, request: CallerRequest, state: UpstreamState, run: _AttemptRun, time_left_ms: int
+    ) -> Whole | Refusal:
+        peer = state.peer
+        check_invariant("work_only_to_ready", peer is not None, host=state.host)
+        assert peer is not None
+        submit = Submit(
+            attempt_id=self._links.make_id(),
+            kind=request.kind,
+            name=request.name,
+            client_account=request.client_account,
+            rank=request.rank,
+            time_left_ms=time_left_ms,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            idempotent=request.idempotent,
+            prefix_key=request.prefix_key,
+            estimated_tokens=request.estimated_tokens,
+            stream=request.stream,
+        )
+        end: Whole | Refusal | None = None
+        self._router.begin_attempt(state, prefix_key=request.prefix_key)
+        try:
+            run.attempt = self._links.submit(peer, submit, run)
+            if run.attempt is None:
+                end = Refusal(codes.UPSTREAM_LOST, Executed.NO)
+            else:
+                ATTEMPTS.inc({"kind": request.kind})
+                end = await run.end
+        except MessageError:
+            end = Refusal(codes.BODY_TOO_LARGE, Executed.NO)
+        finally:
+            run.close()
+            if run.attempt is not None:
+                self._links.cancel(run.attempt)
+            self._router.end_attempt(state, end if isinstance(end, Refusal) else None)
+        return end
--- a/sycamoreproxy/result_codes.py
+++ b/sycamoreproxy/result_codes.py
@@ -60,6 +60,9 @@
 INVALID_IDEMPOTENCY_KEY = _define(
     1012, "invalid_idempotency_key", 400, "The idempotency key is empty or too long."
 )
+TOO_MANY_CONNECTIONS = _define(
+    1013, "too_many_connections", 503, "Too many connections are open.", retry_helps=True
+)
 
 # 11xx: identity and permission.
 MISSING_KEY = _define(1101, "missing_key", 401, "No bearer key was given.")
