Run claimed requests to their end and bound every attempt

A request with Idempotency-Key runs in a task that outlives its caller, so that a repeat reads the outcome. An attempt ends after 300 s at the latest.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -98,6 +98,9 @@
     async def dispatch(self, request: CallerRequest) -> Result[Answer, Refusal]:
         """Return the whole answer of a request, or why there is none."""
 
+    async def wait_idle(self) -> None:
+        """Wait until nothing is left that outlives its caller."""
+
 
 class Accounts:
     """Client accounts by their bearer keys.
@@ -183,6 +186,7 @@
         """Wait until every request in progress is answered."""
         while self.tasks:
             await asyncio.wait(self.tasks)
+        await self.dispatcher.wait_idle()
 
     async def close(self) -> None:
         """Stop listening, cancel what is in progress and close every connection."""
--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Protocol
@@ -12,7 +13,7 @@
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.invariants import InvariantViolationError, check_invariant
 from sycamoreproxy.logs import get_logger
-from sycamoreproxy.membership import Membership, UpstreamState
+from sycamoreproxy.membership import UpstreamState
 from sycamoreproxy.messages import MessageError, Pairs, Submit
 from sycamoreproxy.metrics import ATTEMPTS
 from sycamoreproxy.result_codes import Executed, Refusal
@@ -26,12 +27,14 @@
 #: whether the request was run, in seconds.
 DEADLINE_GRACE_S = 0.25
 #: Time to the first output of a request that the engine already works on, in seconds.
-STARTED_LIMIT_S = 300.0
+STARTED_LIMIT_S = 120.0
 #: Longest silence within an answer, in seconds.
 OUTPUT_LIMIT_S = 30.0
 #: An attempt that has not started is given up when its upstream misses a heartbeat, which
 #: comes each second, by this much, in seconds.
 OVERDUE_S = 1.5
+#: Longest time of one attempt, in seconds; borrowed concurrency in ``limits`` relies on it.
+ATTEMPT_LIMIT_S = 300.0
 #: How often a waiting attempt is checked, in seconds.
 CHECK_PERIOD_S = 0.5
 #: A plain answer is kept until it is whole up to this size, in bytes; a larger one is passed on
@@ -122,6 +125,7 @@
     """A whole answer.
 
     :param body: what the writer was not given yet: all of a kept answer, the end of a stream.
+    :param was_passed_on: whether the writer was given the beginning.
     """
 
     status: int
@@ -130,6 +134,40 @@
     version: str
     prompt_tokens: int = 0
     output_tokens: int = 0
+    was_passed_on: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedOutcome:
+    """The outcome of an earlier request with the same idempotency key.
+
+    :param body: the body, or None where it was passed on in parts.
+    """
+
+    status: int
+    headers: Pairs
+    body: bytes | None
+
+
+class ClaimBook(Protocol):
+    """Claims of non-idempotent requests; see ``claims.ClaimBook``."""
+
+    async def begin(
+        self,
+        client_account: str,
+        service: str,
+        key: str,
+        fingerprint: str,
+        *,
+        timeout_s: float,
+    ) -> Result[object, Refusal]:
+        """Return a new claim, or the :class:`RecordedOutcome` of an earlier request."""
+
+    async def finish(self, claim: object, outcome: RecordedOutcome) -> None:
+        """Record the outcome."""
+
+    async def release(self, claim: object) -> None:
+        """Remove the claim of a request that was not run."""
 
 
 class _AttemptRun:
@@ -140,9 +178,9 @@
     """
 
     __slots__ = (
-        "_deadline_passed",
         "_is_kept",
         "_kept",
+        "_last_limit",
         "_limit",
         "_loop",
         "_request",
@@ -160,6 +198,7 @@
         self._loop = asyncio.get_running_loop()
         self._request = request
         self._limit = deadline + DEADLINE_GRACE_S
+        self._last_limit = self._loop.time() + ATTEMPT_LIMIT_S
         self._kept = bytearray()
         self._is_kept = True
         self.attempt: Attempt | None = None
@@ -230,6 +269,7 @@
             self.version,
             whole.prompt_tokens,
             whole.output_tokens,
+            self.has_output,
         )
 
     def _pass_on(self, data: bytes) -> None:
@@ -243,7 +283,7 @@
     def _check(self) -> None:
         now = self._loop.time()
         attempt = self.attempt
-        if now >= self._limit:
+        if now >= self._limit or now >= self._last_limit:
             self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN))
         elif (
             not self.has_started
@@ -272,23 +312,24 @@
     """Takes requests through the entry host.
 
     :param links: attempts on upstream processes.
-    :param membership: upstreams known.
     :param router: placement.
     :param budget: limit of extra attempts.
     :param get_view: returns the table view in force.
+    :param claims: claims for requests with an idempotency key.
     """
 
     def __init__(
         self,
         *,
         links: UpstreamLinks,
-        membership: Membership,
         router: Router,
         budget: RetryBudget,
         get_view: Callable[[], PolicyView],
+        claims: ClaimBook | None = None,
     ) -> None:
+        self._claims = claims
+        self._claim_tasks: set[asyncio.Task[None]] = set()
         self._links = links
-        self._membership = membership
         self._router = router
         self._budget = budget
         self._get_view = get_view
@@ -304,13 +345,80 @@
         if request.deadline_ms:
             deadline_ms = min(deadline_ms, request.deadline_ms)
         deadline = asyncio.get_running_loop().time() + deadline_ms / 1000
+        if request.idempotency_key and not request.idempotent and self._claims is not None:
+            return await self._run_claimed(request, deadline, self._claims)
+        return await self._run_attempts(request, deadline)
+
+    async def wait_idle(self) -> None:
+        """Wait until every claimed request has ended and is recorded."""
+        while self._claim_tasks:
+            await asyncio.wait(self._claim_tasks)
+
+    async def _run_claimed(
+        self, request: CallerRequest, deadline: float, claims: ClaimBook
+    ) -> Result[Answer, Refusal]:
+        """Run a request under a claim, in a task that outlives a caller who disconnects.
+
+        A repeat of that caller reads the outcome from the claim.
+        """
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[Result[Answer, Refusal]] = loop.create_future()
+        task = loop.create_task(self._hold_claim(request, deadline, claims, answer))
+        self._claim_tasks.add(task)
+        task.add_done_callback(self._claim_tasks.discard)
+        return await answer
+
+    async def _hold_claim(
+        self,
+        request: CallerRequest,
+        deadline: float,
+        claims: ClaimBook,
+        answer: asyncio.Future[Result[Answer, Refusal]],
+    ) -> None:
+        result: Result[Answer, Refusal] = Failure(Refusal(codes.INTERNAL, Executed.UNKNOWN))
         try:
-            return await self._run_attempts(request, deadline)
+            begun = await claims.begin(
+                request.client_account,
+                request.name,
+                request.idempotency_key,
+                _fingerprint(request),
+                timeout_s=deadline - asyncio.get_running_loop().time(),
+            )
+            if isinstance(begun, Failure):
+                result = Failure(begun.failure())
+                return
+            claim = begun.unwrap()
+            if isinstance(claim, RecordedOutcome):
+                result = _repeat_outcome(claim)
+                return
+            if answer.cancelled():
+                # The caller is gone before anything was sent.
+                await claims.release(claim)
+                return
+            result = await self._run_attempts(request, deadline)
+            if isinstance(result, Success):
+                _resolve(answer, result)
+                sent = result.unwrap()
+                body = None if sent.was_passed_on else sent.body
+                await claims.finish(claim, RecordedOutcome(sent.status, sent.headers, body))
+            elif result.failure().executed is Executed.NO:
+                # The claim is removed first, so that a repeat does not meet it.
+                await claims.release(claim)
+        except Exception:
+            _log.exception("claim not brought up to date", service=request.name)
+        finally:
+            _resolve(answer, result)
+
+    async def _run_attempts(
+        self, request: CallerRequest, deadline: float
+    ) -> Result[Answer, Refusal]:
+        try:
+            return await self._try_attempts(request, deadline)
         except InvariantViolationError as error:
             _log.error("invariant violated", invariant=error.name, **error.facts)
             return Failure(Refusal(codes.INVARIANT_VIOLATED, Executed.UNKNOWN, error.name))
 
-    async def _run_attempts(
+    async def _try_attempts(
         self, request: CallerRequest, deadline: float
     ) -> Result[Answer, Refusal]:
         loop = asyncio.get_running_loop()
@@ -397,3 +505,23 @@
                 self._links.cancel(run.attempt)
             self._router.end_attempt(state, end if isinstance(end, Refusal) else None)
         return end
+
+
+def _fingerprint(request: CallerRequest) -> str:
+    """Return the sha256 of what makes two requests with one key the same."""
+    digest = hashlib.sha256(f"{request.method} {request.path}\n".encode("utf-8", "replace"))
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def _repeat_outcome(outcome: RecordedOutcome) -> Result[Answer, Refusal]:
+    if outcome.body is None:
+        return Failure(Refusal(codes.CLAIM_OUTCOME_NOT_KEPT, Executed.YES))
+    return Success(Answer(outcome.status, outcome.headers, outcome.body, ""))
+
+
+def _resolve(
+    answer: asyncio.Future[Result[Answer, Refusal]], result: Result[Answer, Refusal]
+) -> None:
+    if not answer.done():
+        answer.set_result(result)
--- a/sycamoreproxy/upstream_links.py
+++ b/sycamoreproxy/upstream_links.py
@@ -175,6 +175,10 @@
         if not 200 <= message.status <= 599:
             self._break(attempt, f"status {message.status}")
             return
+        for pair in message.headers:
+            if len(pair) != 2 or not (isinstance(pair[0], str) and isinstance(pair[1], str)):
+                self._break(attempt, "malformed headers")
+                return
         attempt.has_started = True
         attempt.version = message.version
         attempt.listener.on_head(message.status, message.headers, message.version)
--- a/tests/_entry.py
+++ b/tests/_entry.py
@@ -121,7 +121,13 @@
 class Entry:
     """The request path of an entry host, wired by hand."""
 
-    def __init__(self, *, deadline_ms: int = 5000, limits: CallerLimits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        deadline_ms: int = 5000,
+        limits: CallerLimits | None = None,
+        claims: Any = None,
+    ) -> None:
         clock = SystemClock()
         self.policy = SimpleNamespace(
             weight=1.0,
@@ -145,10 +151,10 @@
         )
         self.dispatcher = Dispatcher(
             links=self.links,
-            membership=self.membership,
             router=self.router,
             budget=RetryBudget(clock=clock),
             get_view=lambda: view,
+            claims=claims,
         )
         self.server = CallerServer(
             dispatcher=self.dispatcher,
