Divide the fleet's limits among entry hosts

Each entry host owns limit/E and lends what it does not need. A loan is subtracted before it is sent, is matched with the ask that it answers, and counts at the lender until it is returned or can no longer be in use, so no wall clock has to agree. AllowanceAsk and AllowanceGrant get a number for this; older processes see it as 0.

--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import hashlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from typing import Protocol
+from typing import Protocol, TypeAlias
 
 from returns.result import Failure, Result, Success
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.invariants import InvariantViolationError, check_invariant
+from sycamoreproxy.limits import FleetLimits, LimitPolicy
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.membership import UpstreamState
 from sycamoreproxy.messages import MessageError, Pairs, Submit
@@ -41,6 +42,7 @@
 #: in chunks, and its connection is closed if it stays incomplete.
 MAX_KEPT_BYTES = 1024 * 1024
 
+_AnswerFuture: TypeAlias = "asyncio.Future[Result[Answer, Refusal]]"
 _DONE = b"[DONE]"
 _log = get_logger("dispatch")
 
@@ -59,21 +61,9 @@
         """Send a part of the body."""
 
 
-class Policy(Protocol):
+class Policy(LimitPolicy, Protocol):
     """The cells of an effective row that this module reads; see ``table.RowPolicy``."""
 
-    @property
-    def concurrent_limit(self) -> int:
-        """Open requests in the fleet, 0 for no limit."""
-
-    @property
-    def requests_per_minute(self) -> int:
-        """Requests a minute in the fleet, 0 for no limit."""
-
-    @property
-    def tokens_per_minute(self) -> int:
-        """Tokens a minute in the fleet, 0 for no limit."""
-
     @property
     def deadline_ms(self) -> int:
         """Time to the first token, in milliseconds, 0 for the default."""
@@ -315,6 +305,7 @@
     :param router: placement.
     :param budget: limit of extra attempts.
     :param get_view: returns the table view in force.
+    :param limits: the fleet's limits; None for none.
     :param claims: claims for requests with an idempotency key.
     """
 
@@ -325,8 +316,10 @@
         router: Router,
         budget: RetryBudget,
         get_view: Callable[[], PolicyView],
+        limits: FleetLimits | None = None,
         claims: ClaimBook | None = None,
     ) -> None:
+        self._limits = limits
         self._claims = claims
         self._claim_tasks: set[asyncio.Task[None]] = set()
         self._links = links
@@ -346,56 +339,94 @@
             deadline_ms = min(deadline_ms, request.deadline_ms)
         deadline = asyncio.get_running_loop().time() + deadline_ms / 1000
         if request.idempotency_key and not request.idempotent and self._claims is not None:
-            return await self._run_claimed(request, deadline, self._claims)
-        return await self._run_attempts(request, deadline)
+            return await self._run_claimed(request, policy, deadline, self._claims)
+        return await self._run_limited(
+            request, policy, lambda: self._run_attempts(request, deadline)
+        )
 
     async def wait_idle(self) -> None:
         """Wait until every claimed request has ended and is recorded."""
         while self._claim_tasks:
             await asyncio.wait(self._claim_tasks)
 
+    async def _run_limited(
+        self,
+        request: CallerRequest,
+        policy: Policy,
+        run: Callable[[], Awaitable[Result[Answer, Refusal]]],
+    ) -> Result[Answer, Refusal]:
+        """Run a request within the limits of its row."""
+        if self._limits is None:
+            return await run()
+        taken = await self._limits.acquire(
+            model=request.name,
+            client_account=request.client_account,
+            rank=request.rank,
+            policy=policy,
+            tokens=request.estimated_tokens,
+        )
+        if isinstance(taken, Failure):
+            return Failure(taken.failure())
+        permit = taken.unwrap()
+        tokens: int | None = None
+        try:
+            result = await run()
+            if isinstance(result, Success):
+                answer = result.unwrap()
+                tokens = answer.prompt_tokens + answer.output_tokens or None
+            elif result.failure().executed is Executed.NO:
+                tokens = 0
+            return result
+        finally:
+            permit.close(tokens=tokens)
+
     async def _run_claimed(
-        self, request: CallerRequest, deadline: float, claims: ClaimBook
+        self, request: CallerRequest, policy: Policy, deadline: float, claims: ClaimBook
     ) -> Result[Answer, Refusal]:
         """Run a request under a claim, in a task that outlives a caller who disconnects.
 
         A repeat of that caller reads the outcome from the claim.
         """
         loop = asyncio.get_running_loop()
-        answer: asyncio.Future[Result[Answer, Refusal]] = loop.create_future()
-        task = loop.create_task(self._hold_claim(request, deadline, claims, answer))
+        answer: _AnswerFuture = loop.create_future()
+
+        async def hold() -> None:
+            result: Result[Answer, Refusal] = Failure(Refusal(codes.INTERNAL, Executed.UNKNOWN))
+            try:
+                result = await self._run_limited(
+                    request, policy, lambda: self._run_in_claim(request, deadline, claims, answer)
+                )
+            except Exception:
+                _log.exception("claimed request failed", service=request.name)
+            finally:
+                _resolve(answer, result)
+
+        task = loop.create_task(hold())
         self._claim_tasks.add(task)
         task.add_done_callback(self._claim_tasks.discard)
         return await answer
 
-    async def _hold_claim(
-        self,
-        request: CallerRequest,
-        deadline: float,
-        claims: ClaimBook,
-        answer: asyncio.Future[Result[Answer, Refusal]],
-    ) -> None:
-        result: Result[Answer, Refusal] = Failure(Refusal(codes.INTERNAL, Executed.UNKNOWN))
+    async def _run_in_claim(
+        self, request: CallerRequest, deadline: float, claims: ClaimBook, answer: _AnswerFuture
+    ) -> Result[Answer, Refusal]:
+        begun = await claims.begin(
+            request.client_account,
+            request.name,
+            request.idempotency_key,
+            _fingerprint(request),
+            timeout_s=deadline - asyncio.get_running_loop().time(),
+        )
+        if isinstance(begun, Failure):
+            return Failure(begun.failure())
+        claim = begun.unwrap()
+        if isinstance(claim, RecordedOutcome):
+            return _repeat_outcome(claim)
+        if answer.cancelled():
+            # The caller is gone before anything was sent.
+            await claims.release(claim)
+            return Failure(Refusal(codes.CALLER_GONE, Executed.NO))
+        result = await self._run_attempts(request, deadline)
         try:
-            begun = await claims.begin(
-                request.client_account,
-                request.name,
-                request.idempotency_key,
-                _fingerprint(request),
-                timeout_s=deadline - asyncio.get_running_loop().time(),
-            )
-            if isinstance(begun, Failure):
-                result = Failure(begun.failure())
-                return
-            claim = begun.unwrap()
-            if isinstance(claim, RecordedOutcome):
-                result = _repeat_outcome(claim)
-                return
-            if answer.cancelled():
-                # The caller is gone before anything was sent.
-                await claims.release(claim)
-                return
-            result = await self._run_attempts(request, deadline)
             if isinstance(result, Success):
                 _resolve(answer, result)
                 sent = result.unwrap()
@@ -405,9 +436,9 @@
                 # The claim is removed first, so that a repeat does not meet it.
                 await claims.release(claim)
         except Exception:
+            # The answer stands; a repeat gets an unknown outcome instead of it.
             _log.exception("claim not brought up to date", service=request.name)
-        finally:
-            _resolve(answer, result)
+        return result
 
     async def _run_attempts(
         self, request: CallerRequest, deadline: float
@@ -520,8 +551,6 @@
     return Success(Answer(outcome.status, outcome.headers, outcome.body, ""))
 
 
-def _resolve(
-    answer: asyncio.Future[Result[Answer, Refusal]], result: Result[Answer, Refusal]
-) -> None:
+def _resolve(answer: _AnswerFuture, result: Result[Answer, Refusal]) -> None:
     if not answer.done():
         answer.set_result(result)
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -373,23 +373,30 @@
     """Hands allowance of a limit to another entry host; the sender has subtracted it.
 
     :param key: the limit, ``model|client account|rank|cell``.
-    :param minute: the minute it counts for, from the Unix epoch.
-    :param amount: requests or tokens.
+    :param minute: not used; loans are timed by the ask that they answer.
+    :param amount: requests or tokens; 0 answers an ask with nothing.
+    :param number: the number of the ask that it answers, or of the loan that it returns.
     """
 
     key: str
     minute: int
     amount: float
+    number: int = 0
 
 
 @message(41)
 @dataclass(frozen=True, slots=True)
 class AllowanceAsk:
-    """Asks a neighbour for allowance that it does not need."""
+    """Asks a neighbour for allowance that it does not need.
+
+    :param minute: not used; loans are timed by the ask that they answer.
+    :param number: random; the answer repeats it, so that a late answer is known as such.
+    """
 
     key: str
     minute: int
     amount: float
+    number: int = 0
 
 
 @message(50)
