--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools around the package: local deployments and certificates."""
