Let settings shorten the quiet time of limits at a first start

Cause: in a trial run every request of a limited row was refused for 30 s (concurrent) and 81 s (per minute) after the first start of a fleet, because a new entry host owns no allowance. Change: [limits] list_lag_s and start_quiet_s; the local launcher sets both to 1 s. Conclusion: defaults stay exact; a first start may choose to serve at once.

--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -163,6 +163,7 @@
     from sycamoreproxy.caller_http import CallerServer
     from sycamoreproxy.dispatch import Dispatcher
     from sycamoreproxy.entry_role import EntryProcess
+    from sycamoreproxy.limits import Neighbours, FleetLimits
     from sycamoreproxy.membership import Membership
     from sycamoreproxy.retries import RetryBudget
     from sycamoreproxy.routing import Router
@@ -172,14 +173,26 @@
     zone = settings.process.availability_zone
     membership = Membership(host=settings.process.host, availability_zone=zone, clock=parts.clock)
     links = UpstreamLinks(hub=parts.hub)
+    neighbours = Neighbours(hub=parts.hub)
+    limits = FleetLimits(
+        host=settings.process.host,
+        clock=parts.clock,
+        rng=random.Random(),
+        get_policy=lambda *row: parts.replica.view.resolve(*row),
+        list_neighbours=neighbours.list_hosts,
+        send=neighbours.send,
+        list_lag_s=settings.limits.list_lag_s,
+        start_quiet_s=settings.limits.start_quiet_s,
+    )
+    neighbours.connect(limits)
     dispatcher = Dispatcher(
         links=links,
-        membership=membership,
         router=Router(
             membership=membership, availability_zone=zone, clock=parts.clock, rng=random.Random()
         ),
-        budget=RetryBudget(),
+        budget=RetryBudget(clock=parts.clock),
         get_view=lambda: parts.replica.view,
+        limits=limits,
     )
     callers = CallerServer(
         dispatcher=dispatcher,
@@ -200,6 +213,7 @@
         peer_server=parts.peer_server,
         poller=parts.poller,
         membership=membership,
+        limits=limits,
         replica=parts.replica,
         callers=callers,
         admin=admin,
@@ -223,7 +237,7 @@
         from sycamoreproxy.engines import engines
 
         engine = engines.get(upstream.adapter or "openai")(upstream.address, 2.0)
-        owner, transfer = _build_weights(parts, lambda: role.send_status())
+        owner, transfer = _build_weights(parts)
     else:
         from sycamoreproxy.services import services
 
@@ -268,9 +282,7 @@
     return process
 
 
-def _build_weights(
-    parts: CommonParts, on_change: Callable[[], None]
-) -> tuple[EngineOwner, WeightTransfer]:
+def _build_weights(parts: CommonParts) -> tuple[EngineOwner, WeightTransfer]:
     """Return the parts that bring weights into the engine."""
     from sycamoreproxy._engine_control import HttpEngineControl
     from sycamoreproxy.chunk_plan import PlanLimits
@@ -315,7 +327,6 @@
         lease_ttl_s=upstream.lease_ttl_s,
         order_timeout_s=upstream.order_timeout_s,
         checks_fencing=upstream.checks_fencing,
-        on_change=on_change,
     )
     parts.dump.add_section("weights", lambda: transfer.state)
     return owner, transfer
--- a/sycamoreproxy/entry_role.py
+++ b/sycamoreproxy/entry_role.py
@@ -18,6 +18,7 @@
     from sycamoreproxy.admin_http import AdminServer
     from sycamoreproxy.caller_http import CallerServer
     from sycamoreproxy.host_poller import HostPoller
+    from sycamoreproxy.limits import FleetLimits
     from sycamoreproxy.membership import Membership
     from sycamoreproxy.peers import PeerHub
     from sycamoreproxy.store import Store
@@ -54,6 +55,7 @@
         peer_server: MessageServer,
         poller: HostPoller,
         membership: Membership,
+        limits: FleetLimits,
         replica: TableReplica,
         callers: CallerServer,
         admin: AdminServer,
@@ -65,6 +67,7 @@
         self._peer_server = peer_server
         self._poller = poller
         self._membership = membership
+        self._limits = limits
         self._replica = replica
         self._callers = callers
         self._admin = admin
@@ -120,6 +123,7 @@
         while True:
             self._send_heartbeat()
             self._update_targets()
+            self._limits.tick()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _poll_table(self) -> None:
@@ -136,6 +140,9 @@
 
     def _take_hosts(self, records: tuple[HostRecord, ...]) -> None:
         self._membership.replace_hosts(records)
+        self._limits.replace_entries(
+            {record.host: record.state for record in records if record.role == "entry"}
+        )
         self._update_targets()
 
     def _update_targets(self) -> None:
--- a/sycamoreproxy/limits.py
+++ b/sycamoreproxy/limits.py
@@ -260,6 +260,8 @@
     :param get_policy: returns the row in force for (model, client account, rank).
     :param list_neighbours: returns the entry hosts that a message can be sent to.
     :param send: sends a message to an entry host; may lose it.
+    :param list_lag_s: see :data:`LIST_LAG_S`.
+    :param start_quiet_s: see :data:`RATE_QUIET_S`.
     """
 
     def __init__(
@@ -271,7 +273,11 @@
         get_policy: Callable[[str, str, str], LimitPolicy],
         list_neighbours: Callable[[], Collection[str]],
         send: Callable[[str, object], object],
+        list_lag_s: float = LIST_LAG_S,
+        start_quiet_s: float = RATE_QUIET_S,
     ) -> None:
+        self._list_lag_s = list_lag_s
+        self._start_quiet_s = start_quiet_s
         self._host = host
         self._clock = clock
         self._rng = rng
@@ -311,9 +317,9 @@
     def get_share(self, *, is_rate: bool) -> float:
         """Return the part of each limit that this host owns, from 0 to 1."""
         now = self._clock.monotonic()
-        if self._listed_at is None or now < self._listed_at + LIST_LAG_S:
+        if self._listed_at is None or now < self._listed_at + self._list_lag_s:
             return 0.0
-        if is_rate and now < self._started_at + RATE_QUIET_S:
+        if is_rate and now < self._started_at + self._start_quiet_s:
             return 0.0
         held = sum(
             1
@@ -574,7 +580,7 @@
         pool = self._pools_by_key.get(message.key)
         if pool is not None and number in pool.credits:
             held = pool.credits[number].held
-        elif number in self._used_up or now < self._started_at + RATE_QUIET_S:
+        elif number in self._used_up or now < self._started_at + self._start_quiet_s:
             # Unknown to a restarted host, whose requests before the restart still count.
             return
         else:
--- a/sycamoreproxy/settings.py
+++ b/sycamoreproxy/settings.py
@@ -102,6 +102,21 @@
     period_s: float = 5.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitSettings:
+    """Waits that keep the fleet's limits exact when entry hosts start.
+
+    A fleet that starts for the first time may set both to 0; after a restart the sum of all
+    hosts could then pass a limit for a minute.
+
+    :param list_lag_s: longest time until every process sees a new host in the host list.
+    :param start_quiet_s: time after which what a process used before its restart no longer counts.
+    """
+
+    list_lag_s: float = 30.0
+    start_quiet_s: float = 81.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WeightSettings:
     """Where weights come from and how fast links may be used for them.
@@ -204,6 +219,7 @@
     weights: WeightSettings | None = None
     upstream: UpstreamSettings | None = None
     caller_limits: CallerLimits = field(default_factory=CallerLimits)
+    limits: LimitSettings = field(default_factory=LimitSettings)
     log: LogSettings = field(default_factory=LogSettings)
     client_accounts: tuple[ClientAccountSettings, ...] = ()
     operators: tuple[OperatorSettings, ...] = ()
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -592,6 +592,8 @@
             "listen": {key: f"127.0.0.1:{port}" for key, port in ports.items()},
             "store": {"address": store, "prefix": self._prefix},
             "host_list": {"address": f"{hosts}/hosts", "period_s": 1.0},
+            # All hosts start new and the stand-in's list has no lag.
+            "limits": {"list_lag_s": 1.0, "start_quiet_s": 1.0},
             "tls": self._make_tls(name),
         }
         if extra.get("upstream", {}).get("kind") == "engine":
