--- a/tests/_entry.py
+++ b/tests/_entry.py
@@ -229,7 +229,7 @@
 
         task = asyncio.create_task(beat())
         try:
-            await asyncio.wait_for(action(entry), 60)
+            await asyncio.wait_for(action(entry), 15)
         finally:
             task.cancel()
             await entry.close()
