--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import random
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -152,6 +153,8 @@
     :param host: this host.
     :param held: digests that are held at the start, from an older version.
     :param random_source: breaks ties, so that hosts do not all choose the same chunk and source.
+    :param previous: plan of the version wanted before: its avoided sources stay avoided, and what
+        was uploaded of chunks that both versions have counts against the budget.
     """
 
     def __init__(
@@ -163,7 +166,7 @@
         limits: PlanLimits,
         clock: Clock,
         random_source: random.Random,
-        avoided_until_by_source: dict[str, float] | None = None,
+        previous: ChunkPlan | None = None,
     ) -> None:
         self.manifest = manifest
         self.uploaded = 0
@@ -191,7 +194,7 @@
         self._progress_at_by_host: dict[str, float] = {}
         self._stalled: set[str] = set()
         self._in_flight_by_index: dict[int, tuple[str, float]] = {}
-        self._avoided_until_by_source = avoided_until_by_source or {}
+        self._avoided_until_by_source: dict[str, float] = {}
         self._counts: list[int] = [0] * len(manifest.chunks)
         self._masks_by_count: dict[int, int] = {0: self._planned}
         self._pacer = Pacer(
@@ -202,6 +205,9 @@
         self._origin_s = 0.0
         self._last_upload_at = clock.monotonic()
         self._last_fallback_at = clock.monotonic()
+        self._uploaded_by_digest: Counter[str] = Counter()
+        if previous is not None:
+            self._take_over(previous)
 
     # Queries
 
@@ -215,11 +221,6 @@
         """Bitmap of the chunks held, duplicates included as their first index."""
         return self._held
 
-    @property
-    def avoided_until_by_source(self) -> dict[str, float]:
-        """Times until which sources are avoided, for the plan of the next version."""
-        return dict(self._avoided_until_by_source)
-
     def list_avoided(self) -> list[str]:
         """Return the sources that are avoided now."""
         now = self._clock.monotonic()
@@ -358,12 +359,14 @@
         now = self._clock.monotonic()
         if now - self._last_upload_at > self._limits.quiet_s:
             self.uploaded = 0
+            self._uploaded_by_digest.clear()
         size = self.manifest.size_of(index)
         if self.uploaded + size > self.upload_budget:
             return "budget"
         if queued >= self._limits.upload_queue:
             return "busy"
         self.uploaded += size
+        self._uploaded_by_digest[digest] += size
         self._last_upload_at = now
         return ""
 
@@ -374,6 +377,13 @@
 
     # Private parts
 
+    def _take_over(self, previous: ChunkPlan) -> None:
+        self._avoided_until_by_source = dict(previous._avoided_until_by_source)
+        for digest, size in previous._uploaded_by_digest.items():
+            if digest in self._first_index_by_digest:
+                self._uploaded_by_digest[digest] = size
+                self.uploaded += size
+
     def _choose(self) -> Fetch | None:
         wanted = self._planned & ~self._held
         for index in self._in_flight_by_index:
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -44,9 +44,23 @@
 MANIFEST_RETRY_MIN_S = 0.2
 MANIFEST_RETRY_MAX_S = 5.0
 
+#: Bytes of an announcement besides its bitmap: fields, frame and TCP/IP headers.
+_ANNOUNCE_BYTES = 120
+
 _log = get_logger("weight_transfer")
 
 
+def compute_announce_gap_s(*, chunks: int, peers: int, bytes_per_s: float) -> float:
+    """Return the shortest time between two announcements, in seconds.
+
+    :param chunks: chunks of the version, one bit each in an announcement.
+    :param peers: hosts that receive an announcement.
+    :param bytes_per_s: rate of weights on the host's link.
+    """
+    size = (chunks // 8 + _ANNOUNCE_BYTES) * peers
+    return max(ANNOUNCE_MIN_S, size / (bytes_per_s * ANNOUNCE_FRACTION))
+
+
 @dataclass(frozen=True, slots=True)
 class TransferState:
     """Progress of the wanted version.
@@ -114,7 +128,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._announced_at = 0.0
         self._announce_due = False
-        self._avoided_until_by_source: dict[str, float] = {}
+        self._previous: ChunkPlan | None = None
         hub.on(ChunkHave, self._handle_have)
         hub.on(ChunkRequest, self._handle_request)
         hub.on(ChunkData, self._handle_data)
@@ -139,7 +153,7 @@
             return
         _log.info("version wanted", version=version, before=self._wanted)
         if self._plan is not None:
-            self._avoided_until_by_source = self._plan.avoided_until_by_source
+            self._previous = self._plan
         self._wanted, self._served = version, served
         self._manifest, self._plan = None, None
         self._reason = "the manifest was not read yet"
@@ -299,7 +313,7 @@
             limits=self._limits,
             clock=self._clock,
             random_source=self._random,
-            avoided_until_by_source=self._avoided_until_by_source,
+            previous=self._previous,
         )
         self._update_neighbours()
         for host, have in self._haves_by_host.items():
@@ -441,9 +455,11 @@
                 peer.send(have)
 
     def _announce_gap_s(self) -> float:
-        chunks = len(self._manifest.chunks) if self._manifest is not None else 0
-        size = (chunks // 8 + 120) * len(self._peers_by_host)
-        return max(ANNOUNCE_MIN_S, size / (self._limits.bytes_per_s * ANNOUNCE_FRACTION))
+        return compute_announce_gap_s(
+            chunks=len(self._manifest.chunks) if self._manifest is not None else 0,
+            peers=len(self._peers_by_host),
+            bytes_per_s=self._limits.bytes_per_s,
+        )
 
     def _make_have(self) -> ChunkHave:
         plan, manifest = self._plan, self._manifest
