--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -19,6 +19,9 @@
 #: Name of the origin as a source; no host has an empty name.
 ORIGIN = ""
 
+#: Time between two looks for requests and hosts without progress, in seconds.
+_EXPIRE_PERIOD_S = 0.2
+
 _MASK = (1 << 64) - 1
 
 
@@ -200,6 +203,7 @@
         self._pacer = Pacer(
             clock=clock, bytes_per_s=limits.bytes_per_s, burst_bytes=2 * manifest.chunk_bytes
         )
+        self._expire_at = 0.0
         self._fallback_bytes = 0
         self._wasted_bytes = 0
         self._origin_s = 0.0
@@ -486,6 +490,9 @@
     def _expire(self) -> None:
         """Give up requests without an answer, and pass on the duty of hosts without progress."""
         now = self._clock.monotonic()
+        if now < self._expire_at:
+            return
+        self._expire_at = now + _EXPIRE_PERIOD_S
         for index, (source, sent_at) in list(self._in_flight_by_index.items()):
             limit = self._limits.request_s
             if source == ORIGIN:
