--- a/tools/launch.py
+++ b/tools/launch.py
@@ -531,7 +531,9 @@
         self._add_daemon(zone, name, "entry", ports, {})
 
     def _add_upstream(self, zone: ZoneSpec, spec: UpstreamSpec, name: str) -> None:
-        address = self._add_standin(f"{name}-{spec.kind}", spec.kind, spec.options, zone.name)
+        # The engine answers only to its model name.
+        options = ("--name", spec.name, *spec.options) if spec.kind == "engine" else spec.options
+        address = self._add_standin(f"{name}-{spec.kind}", spec.kind, options, zone.name)
         upstream = {"kind": spec.kind, "name": spec.name, "address": address, **spec.settings}
         ports = {key: self._ports.reserve() for key in ("peer", "admin")}
         self._add_daemon(zone, name, "upstream", ports, {"upstream": upstream})
