--- a/tools/launch.py
+++ b/tools/launch.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -35,7 +36,7 @@
 _FIRST_PORT = 11_000
 _LAST_PORT = 31_000
 #: Longest wait for a process to answer after its start, in seconds.
-START_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 60.0
 #: Time that a process has to end after SIGTERM before it gets SIGKILL, in seconds.
 STOP_TIMEOUT_S = 20.0
 
@@ -99,6 +100,7 @@
     ports: dict[str, int]
     log: Path
     availability_zone: str = ""
+    scheme: str = "http"
     popen: subprocess.Popen[bytes] | None = None
 
     @property
@@ -113,7 +115,7 @@
 
     def url(self, listener: str) -> str:
         """Return the base URL of a listener."""
-        return f"http://127.0.0.1:{self.ports[listener]}"
+        return f"{self.scheme}://127.0.0.1:{self.ports[listener]}"
 
 
 class _Ports:
@@ -183,16 +185,22 @@
     *,
     headers: dict[str, str] | None = None,
     timeout_s: float = 10.0,
+    authority: Path | None = None,
 ) -> tuple[int, Any]:
     """Send one HTTP request to a loopback address.
 
+    :param authority: PEM file of the authority that signed the server's certificate.
     :returns: status and the JSON answer (None if it is not JSON); status 0 without an answer.
     """
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(url, data=data, method=method, headers=headers or {})
     if data is not None:
         request.add_header("Content-Type", "application/json")
-    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    handlers: list[urllib.request.BaseHandler] = [urllib.request.ProxyHandler({})]
+    if authority is not None:
+        context = ssl.create_default_context(cafile=str(authority))
+        handlers.append(urllib.request.HTTPSHandler(context=context))
+    opener = urllib.request.build_opener(*handlers)
     try:
         with opener.open(request, timeout=timeout_s) as response:
             status, raw = response.status, response.read()
@@ -280,6 +288,11 @@
         """Stop everything."""
         self.stop()
 
+    @property
+    def authority(self) -> Path | None:
+        """Return the PEM file of the authority of the daemons, None without TLS."""
+        return self.directory / "tls" / "authority.pem" if self._tls else None
+
     @property
     def operator_headers(self) -> dict[str, str]:
         """Return the headers of the first operator for the administration API."""
@@ -407,6 +420,7 @@
                 body,
                 headers=self.operator_headers,
                 timeout_s=timeout_s,
+                authority=self.authority,
             )
             if status == 200:
                 return int(answer["revision"])
@@ -502,7 +516,12 @@
         end = time.monotonic() + START_TIMEOUT_S
         status = 0
         while time.monotonic() < end and process.is_running:
-            status, _ = request_json("GET", process.url(listener) + path, timeout_s=2.0)
+            status, _ = request_json(
+                "GET",
+                process.url(listener) + path,
+                timeout_s=2.0,
+                authority=self.authority if listener == "admin" else None,
+            )
             if status == 200 or (status and listener == "http"):
                 return
             time.sleep(0.05)
@@ -570,6 +589,7 @@
             ports=ports,
             log=self.directory / "logs" / f"{name}.log",
             availability_zone=zone.name,
+            scheme="https" if self._tls else "http",
         )
 
     def _make_settings(
@@ -686,7 +706,7 @@
 def _print_addresses(deployment: Deployment, model: str, account: str) -> None:
     for process in deployment.processes_by_name.values():
         listeners = " ".join(f"{name}=127.0.0.1:{port}" for name, port in process.ports.items())
-        print(f"{process.kind:<10} {process.name:<28} pid {process.pid:<8} {listeners}")
+        print(f"{process.kind:<10} {process.name:<32} pid {process.pid:<8} {listeners}")
     entry = deployment.list_processes("entry")[0]
     body = json.dumps({"model": model, "messages": [{"role": "user", "content": "Hello"}]})
     print(f"\nSettings and logs: {deployment.directory}")
