Start nothing after close and keep cancellations while connecting

Cause: closing the role freed slots, which started waiting work; asyncio.wait_for of Python 3.11 loses a cancellation that comes with its result, so a cancelled attempt could still be sent. Conclusion: asyncio.timeout replaces wait_for on the request path.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -194,10 +194,9 @@
 
     async def _connect(self) -> IOStream:
         try:
-            stream = await asyncio.wait_for(
-                self._client.connect(self._host, self._port, ssl_options=self._tls),
-                CONNECT_TIMEOUT_S,
-            )
+            # asyncio.wait_for of Python 3.11 loses a cancellation that comes with the result.
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await self._client.connect(self._host, self._port, ssl_options=self._tls)
         except (StreamClosedError, OSError, TimeoutError) as error:
             raise NotSentError(f"{type(error).__name__}: {error}") from error
         stream.set_nodelay(True)
--- a/sycamoreproxy/upstream_role.py
+++ b/sycamoreproxy/upstream_role.py
@@ -185,6 +185,7 @@
         self._service = service
         self._served_version = served_version
         self._is_leaving = False
+        self._is_closed = False
         self._window = EngineWindow(
             clock=clock,
             initial=settings.window,
@@ -246,7 +247,9 @@
         await self._idle.wait()
 
     async def close(self) -> None:
-        """Stop the periodic tasks and cancel what still runs."""
+        """Stop the periodic tasks, start no more work and cancel what still runs."""
+        self._is_leaving = True
+        self._is_closed = True
         tasks = [task for task in (self._rounds, self._reports) if task is not None]
         tasks += [item.task for item in self._attempts_by_id.values() if item.task is not None]
         for task in tasks:
@@ -357,6 +360,8 @@
 
     def _start_waiting(self) -> None:
         """Hand waiting requests over while the window allows."""
+        if self._is_closed:
+            return
         now = self._clock.monotonic()
         if now - self._expired_at >= EXPIRE_PERIOD_S:
             self._expire(now)
