Decode frames that arrive together and send messages of one turn at once

Cause: each message cost two reads, a timeout and a write of its own. MessageStream now reads what is there and decodes every whole frame, and joins the messages sent within one turn of the event loop. Field types that passed the checks once are compared as a set; encoding uses attrgetter.

--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import operator
 from collections.abc import Callable
 from dataclasses import MISSING, dataclass, field, fields
 from typing import Any, TypeVar, cast
@@ -15,6 +16,8 @@
 
 #: Largest frame, in bytes: the store's largest value is 1 MB, plus the frame's own fields.
 MAX_FRAME_BYTES = 1_200_000
+#: Sets of field types that are remembered per class; a field has few valid types.
+_MAX_PASSED = 16
 
 
 class MessageError(Exception):
@@ -26,6 +29,9 @@
 _numbers_by_type: dict[type, int] = {}
 _defaults_by_type: dict[type, tuple[Callable[[], Any] | None, ...]] = {}
 _checks_by_type: dict[type, tuple[tuple[type, ...], ...]] = {}
+_getters_by_type: dict[type, Callable[[Any], Any]] = {}
+#: Field types that passed the checks before, by class, so that they are compared at once.
+_passed_by_type: dict[type, set[tuple[type, ...]]] = {}
 
 _ACCEPTED_BY_ANNOTATION: dict[str, tuple[type, ...]] = {
     "str": (str,),
@@ -65,6 +71,9 @@
             else:
                 defaults.append(None)
             checks.append(_ACCEPTED_BY_ANNOTATION[str(item.type)])
+        names = [item.name for item in fields(cast(Any, cls))]
+        _getters_by_type[cls] = operator.attrgetter(*names, names[0])
+        _passed_by_type[cls] = set()
         _defaults_by_type[cls] = tuple(defaults)
         _checks_by_type[cls] = tuple(checks)
         return cls
@@ -78,9 +87,9 @@
     :raises MessageError: if the result exceeds :data:`MAX_FRAME_BYTES`.
     """
     cls = type(value)
-    row = [_numbers_by_type[cls]]
-    row.extend(getattr(value, item.name) for item in fields(cast(Any, cls)))
-    data = msgpack.packb(row, use_bin_type=True)
+    # The getter names the first field twice, so that it returns a tuple for one field, too.
+    row = (_numbers_by_type[cls], *_getters_by_type[cls](value)[:-1])
+    data = cast(bytes, msgpack.packb(row, use_bin_type=True))
     if len(data) > MAX_FRAME_BYTES:
         raise MessageError(f"{cls.__name__} of {len(data)} bytes exceeds {MAX_FRAME_BYTES}")
     return data
@@ -101,6 +110,10 @@
     if cls is None:
         raise MessageError(f"unknown message number {row[0]}")
     checks = _checks_by_type[cls]
+    passed = _passed_by_type[cls]
+    types = tuple(map(type, row))
+    if types in passed:
+        return cls(*row[1:])
     defaults = _defaults_by_type[cls]
     values = []
     for index, accepted in enumerate(checks):
@@ -114,6 +127,8 @@
                 raise MessageError(f"{cls.__name__} lacks field {index}")
             value = default()
         values.append(value)
+    if len(types) == len(checks) + 1 and len(passed) < _MAX_PASSED:
+        passed.add(types)
     return cls(*values)
 
 
--- a/sycamoreproxy/streams.py
+++ b/sycamoreproxy/streams.py
@@ -6,17 +6,22 @@
 import socket
 import ssl
 import struct
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
 from sycamoreproxy.messages import MAX_FRAME_BYTES, MessageError, decode_message, encode_message
 
 _LENGTH = struct.Struct(">I")
+#: Bytes read at once at most.
+_READ_BYTES = 64 * 1024
+#: Parts (two a message) that wait for the end of the event loop's turn at most.
+_MAX_UNSENT_PARTS = 512
 #: Bytes that may wait for a slow peer before the stream is closed.
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 #: Time to establish a connection, in seconds.
@@ -58,11 +63,20 @@
 class MessageStream:
     """Reads and writes messages on one connection.
 
+    Frames that arrived together are decoded together, and messages sent within one turn of the
+    event loop leave in one write: a token's message costs a fraction of a system call.
+
     :param stream: the connected tornado stream.
     """
 
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
+        self._received: deque[Any] = deque()
+        self._partial = b""
+        #: Bytes that the last, partial frame still lacks; 0 if its length is not known.
+        self._missing = 0
+        self._unsent: list[bytes] = []
+        self._loop = asyncio.get_running_loop()
         self.bytes_in = 0
         self.bytes_out = 0
         if stream.socket is not None and stream.socket.family != socket.AF_UNIX:
@@ -79,21 +93,52 @@
         :param timeout_s: longest wait in seconds; without it the caller bounds the wait.
         :raises StreamLostError: on close, timeout or a broken frame; the stream is closed then.
         """
+        received = self._received
+        if received:
+            return self._take_received()
         try:
             # asyncio.wait_for of Python 3.11 loses a cancellation that comes with the result.
             async with asyncio.timeout(timeout_s):
-                return await self._read()
-        except (StreamClosedError, TimeoutError, MessageError) as error:
+                while not received:
+                    missing = self._missing
+                    data = await self._stream.read_bytes(
+                        missing or _READ_BYTES, partial=not missing
+                    )
+                    self.bytes_in += len(data)
+                    self._take_frames(data)
+        except (StreamClosedError, TimeoutError) as error:
             self.close()
             raise StreamLostError(f"{type(error).__name__}: {error}") from error
-
-    async def _read(self) -> Any:
-        (length,) = _LENGTH.unpack(await self._stream.read_bytes(_LENGTH.size))
-        if length > MAX_FRAME_BYTES:
-            raise MessageError(f"frame of {length} bytes")
-        data = await self._stream.read_bytes(length)
-        self.bytes_in += length + _LENGTH.size
-        return decode_message(data)
+        return self._take_received()
+
+    def _take_frames(self, data: bytes) -> None:
+        """Decode the whole frames of the data; a broken one ends what is received."""
+        if self._partial:
+            data = self._partial + data
+        position = 0
+        end = len(data)
+        self._missing = 0
+        try:
+            while end - position >= _LENGTH.size:
+                (length,) = _LENGTH.unpack_from(data, position)
+                if length > MAX_FRAME_BYTES:
+                    raise MessageError(f"frame of {length} bytes")
+                start = position + _LENGTH.size
+                if end - start < length:
+                    self._missing = length - (end - start)
+                    break
+                position = start + length
+                self._received.append(decode_message(data[start:position]))
+        except MessageError as error:
+            self._received.append(error)
+        self._partial = data[position:]
+
+    def _take_received(self) -> Any:
+        message = self._received.popleft()
+        if isinstance(message, MessageError):
+            self.close()
+            raise StreamLostError(f"MessageError: {message}") from message
+        return message
 
     def send(self, message: object) -> None:
         """Queue a message without waiting for the peer.
@@ -101,15 +146,32 @@
         :raises StreamLostError: if the stream is closed or the peer is too slow.
         """
         data = encode_message(message)
-        try:
-            future = self._stream.write(_LENGTH.pack(len(data)) + data)
-        except (StreamClosedError, OSError) as error:
-            raise StreamLostError(str(error)) from error
-        except Exception as error:  # StreamBufferFullError has no common base with the above
-            self.close()
-            raise StreamLostError("the peer reads too slowly") from error
-        future.add_done_callback(_ignore_result)
+        if self._stream.closed():
+            raise StreamLostError("the stream is closed")
+        unsent = self._unsent
+        if not unsent:
+            self._loop.call_soon(self._flush)
+        unsent.append(_LENGTH.pack(len(data)))
+        unsent.append(data)
         self.bytes_out += len(data) + _LENGTH.size
+        if len(unsent) >= _MAX_UNSENT_PARTS:
+            self._flush()
+            if self._stream.closed():
+                raise StreamLostError("the peer reads too slowly")
+
+    def _flush(self) -> None:
+        unsent = self._unsent
+        if not unsent:
+            return
+        data = b"".join(unsent)
+        unsent.clear()
+        try:
+            self._stream.write(data).add_done_callback(_ignore_result)
+        except (StreamClosedError, OSError):
+            self._stream.close()
+        except StreamBufferFullError:
+            # The peer reads too slowly.
+            self._stream.close()
 
     async def write(self, message: object, *, timeout_s: float = 10.0) -> None:
         """Write a message and wait until the socket took it.
@@ -117,6 +179,7 @@
         :raises StreamLostError: on close or timeout.
         """
         data = encode_message(message)
+        self._flush()
         try:
             await asyncio.wait_for(
                 _await(self._stream.write(_LENGTH.pack(len(data)) + data)), timeout_s
@@ -127,7 +190,8 @@
         self.bytes_out += len(data) + _LENGTH.size
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection after what was sent before."""
+        self._flush()
         self._stream.close()
 
 
