--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -232,6 +232,8 @@
         self._is_refused = False
         self.is_started = False
         self._is_event_stream = False
+        self._is_chunked = False
+        self._has_body = True
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -305,12 +307,21 @@
         self.is_started = True
         fields = _make_headers(headers, version)
         self._is_event_stream = fields.get("Content-Type", "").startswith("text/event-stream")
+        line = self._start_line
+        self._has_body = line.method != "HEAD" and status not in (204, 304)
+        self._is_chunked = line.version == "HTTP/1.1"
         self._write_head(status, fields, None)
 
     def write(self, data: bytes) -> None:
-        """Send a part of the body."""
+        """Send a part of the body.
+
+        Each token passes here, so the chunk goes to the stream without the futures that
+        ``HTTP1Connection.write`` adds; the connection itself ends the body.
+        """
+        if not data or not self._has_body:
+            return
         try:
-            self._connection.write(data).add_done_callback(_ignore_result)
+            self._stream.write(b"%x\r\n%b\r\n" % (len(data), data) if self._is_chunked else data)
         except StreamBufferFullError:
             self._stream.close()
         except StreamClosedError:
