Keep a retry reserve for failures and bound held bodies

Repeats for want of capacity leave three extra attempts to repeats after failures. Bodies held for all callers are bounded; the time to the first output is recorded. Routing, membership and retries get tests.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -54,6 +54,9 @@
 #: Bytes that may wait for a caller that reads slowly before its connection is closed.
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
 
+#: Bytes of request bodies that are held at once for all callers.
+MAX_HELD_BYTES = 256 * 1024 * 1024
+
 #: Headers that end at this host (RFC 9110, section 7.6.1) or that this host sets.
 _DROPPED_HEADERS = frozenset(
     {
@@ -152,6 +155,8 @@
         self.accounts = Accounts(accounts)
         self.limits = limits
         self.is_leaving = False
+        #: Bytes of request bodies held for all callers.
+        self.held_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self._server = _BoundedServer(
             self,
@@ -226,6 +231,7 @@
         self._stream = connection.stream
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._held_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._account: ClientAccountSettings | None = None
@@ -268,8 +274,11 @@
             # The rest is read for a while so that the caller sees the refusal, not a reset.
             if self._body_bytes > 4 * self._server.limits.max_body_bytes:
                 self._stream.close()
+        elif self._server.held_bytes + len(chunk) > MAX_HELD_BYTES:
+            self._refuse_early(
+                Refusal(codes.TOO_MANY_CONNECTIONS, Executed.NO, "Too many bodies are held.")
+            )
         elif self._body_bytes > self._server.limits.max_body_bytes:
-            self._body.clear()
             self._refuse_early(
                 Refusal(
                     codes.BODY_TOO_LARGE,
@@ -279,6 +288,8 @@
             )
         else:
             self._body.append(chunk)
+            self._server.held_bytes += len(chunk)
+            self._held_bytes += len(chunk)
 
     def finish(self) -> None:
         """Take the whole request on."""
@@ -298,7 +309,7 @@
         """Cancel the request of a caller that is gone."""
         if self._timer is not None:
             self._timer.cancel()
-        self._body.clear()
+        self._release_body()
         if self._task is not None:
             self._task.cancel()
 
@@ -356,9 +367,14 @@
             number = codes.CALLER_GONE.number
             raise
         finally:
-            self._body.clear()
+            self._release_body()
             REQUESTS.inc({"kind": kind, "rank": rank, "code": str(number)})
 
+    def _release_body(self) -> None:
+        self._server.held_bytes -= self._held_bytes
+        self._held_bytes = 0
+        self._body.clear()
+
     def _find_account(self) -> ClientAccountSettings:
         scheme, _, key = self._headers.get("Authorization", "").partition(" ")
         key = key.strip()
@@ -557,6 +573,7 @@
         """Answer before the whole request arrived; the connection ends with this answer."""
         self._is_refused = True
         self.is_started = True
+        self._release_body()
         REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
         try:
             self._write_json(refusal.code.http_status, refusal.as_body(), refusal, close=True)
--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -16,9 +16,9 @@
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.membership import UpstreamState
 from sycamoreproxy.messages import MessageError, Pairs, Submit
-from sycamoreproxy.metrics import ATTEMPTS
+from sycamoreproxy.metrics import ATTEMPTS, FIRST_OUTPUT_SECONDS
 from sycamoreproxy.result_codes import Executed, Refusal
-from sycamoreproxy.retries import MAX_ATTEMPTS, RetryBudget, may_repeat
+from sycamoreproxy.retries import MAX_ATTEMPTS, UPSTREAM_FAULTS, RetryBudget, may_repeat
 from sycamoreproxy.routing import Router
 from sycamoreproxy.upstream_links import Attempt, UpstreamLinks, Whole
 
@@ -27,8 +27,9 @@
 #: After the deadline the upstream's own refusal is awaited for this time, because it knows
 #: whether the request was run, in seconds.
 DEADLINE_GRACE_S = 0.25
-#: Time to the first output of a request that the engine already works on, in seconds.
-STARTED_LIMIT_S = 120.0
+#: Time to the first output of a request that the engine already works on, in seconds; above the
+#: 120 s after which the upstream process itself refuses a plain answer.
+STARTED_LIMIT_S = 150.0
 #: Longest silence within an answer, in seconds.
 OUTPUT_LIMIT_S = 30.0
 #: An attempt that has not started is given up when its upstream misses a heartbeat, which
@@ -164,6 +165,7 @@
     """Collects one attempt: keeps a plain answer, passes events of a stream on.
 
     :param request: the request; its writer gets what is passed on.
+    :param started_at: when the request was taken on, by the event loop's clock.
     :param deadline: end of the time to the first output, by the event loop's clock.
     """
 
@@ -174,6 +176,7 @@
         "_limit",
         "_loop",
         "_request",
+        "_started_at",
         "_timer",
         "attempt",
         "end",
@@ -184,7 +187,8 @@
         "version",
     )
 
-    def __init__(self, *, request: CallerRequest, deadline: float) -> None:
+    def __init__(self, *, request: CallerRequest, started_at: float, deadline: float) -> None:
+        self._started_at = started_at
         self._loop = asyncio.get_running_loop()
         self._request = request
         self._limit = deadline + DEADLINE_GRACE_S
@@ -219,7 +223,11 @@
 
     def on_output(self, data: bytes, tokens: int) -> None:
         """Take a part of the body; a whole event is passed on at once."""
-        self._limit = self._loop.time() + OUTPUT_LIMIT_S
+        now = self._loop.time()
+        self._limit = now + OUTPUT_LIMIT_S
+        if self._started_at:
+            FIRST_OUTPUT_SECONDS.observe({"rank": self._request.rank}, now - self._started_at)
+            self._started_at = 0.0
         kept = self._kept
         if self._is_kept:
             kept += data
@@ -453,6 +461,7 @@
         self, request: CallerRequest, deadline: float
     ) -> Result[Answer, Refusal]:
         loop = asyncio.get_running_loop()
+        started_at = loop.time()
         self._budget.count_request()
         excluded: set[str] = set()
         may_have_run = False
@@ -474,14 +483,16 @@
             if state is None:
                 refusal = refusal or Refusal(codes.NO_UPSTREAM, Executed.NO, "", 1000)
                 break
-            if number > 1 and not self._budget.take():
+            if refusal is not None and not self._budget.take(
+                keep_reserve=refusal.code not in UPSTREAM_FAULTS
+            ):
                 break
             check_invariant(
                 "non_idempotent_runs_once",
                 request.idempotent or not may_have_run,
                 target=request.name,
             )
-            run = _AttemptRun(request=request, deadline=deadline)
+            run = _AttemptRun(request=request, started_at=started_at, deadline=deadline)
             end = await self._run_attempt(request, state, run, int(time_left_ms))
             if isinstance(end, Whole):
                 return Success(run.make_answer(end))
--- a/sycamoreproxy/membership.py
+++ b/sycamoreproxy/membership.py
@@ -8,6 +8,7 @@
 import hashlib
 from collections.abc import Iterable
 from dataclasses import replace
+from functools import lru_cache
 
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.host_list import HostRecord
@@ -29,6 +30,7 @@
 WATCHERS = 2
 
 
+@lru_cache(maxsize=16_384)
 def hash_rendezvous(first: str, second: str) -> int:
     """Return the weight of a pair; the lowest weights are chosen."""
     digest = hashlib.blake2b(f"{first}|{second}".encode(), digest_size=8).digest()
--- a/sycamoreproxy/retries.py
+++ b/sycamoreproxy/retries.py
@@ -10,9 +10,10 @@
 MAX_ATTEMPTS = 3
 #: Extra attempts as a part of the requests.
 RETRY_FRACTION = 0.1
-#: Extra attempts that a host with little traffic may make.
+#: Extra attempts that a host with little traffic may make, after failures and for want of
+#: capacity; the latter leave this many to the former, or a flood would use all of them up.
 RETRY_RESERVE = 3.0
-#: Time to refill the reserve, in seconds.
+#: Time to refill both, in seconds.
 RESERVE_PERIOD_S = 10.0
 #: Extra attempts that can be saved up; bounds the burst when many upstreams fail at once.
 MAX_SAVED_RETRIES = 50.0
@@ -63,21 +64,24 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._tokens = RETRY_RESERVE
+        self._tokens = 2 * RETRY_RESERVE
         self._refilled_at = clock.monotonic()
 
     def count_request(self) -> None:
         """Count a first attempt."""
         self._tokens = min(MAX_SAVED_RETRIES, self._tokens + RETRY_FRACTION)
 
-    def take(self) -> bool:
-        """Return whether an extra attempt may be made, and count it."""
+    def take(self, *, keep_reserve: bool) -> bool:
+        """Return whether an extra attempt may be made, and count it.
+
+        :param keep_reserve: whether the repeat is for want of capacity.
+        """
         now = self._clock.monotonic()
-        if self._tokens < RETRY_RESERVE:
-            refill = (now - self._refilled_at) * RETRY_RESERVE / RESERVE_PERIOD_S
-            self._tokens = min(RETRY_RESERVE, self._tokens + refill)
+        if self._tokens < 2 * RETRY_RESERVE:
+            refill = (now - self._refilled_at) * 2 * RETRY_RESERVE / RESERVE_PERIOD_S
+            self._tokens = min(2 * RETRY_RESERVE, self._tokens + refill)
         self._refilled_at = now
-        if self._tokens < 1.0:
+        if self._tokens < (1.0 + RETRY_RESERVE if keep_reserve else 1.0):
             return False
         self._tokens -= 1.0
         return True
--- a/sycamoreproxy/routing.py
+++ b/sycamoreproxy/routing.py
@@ -26,6 +26,9 @@
 PLACED_MS = 20.0
 #: Weight of the engine's use among upstreams without waiting work, in milliseconds.
 USE_MS = 10.0
+#: Upstreams compared for one attempt; more are sampled, because the best of a few random ones
+#: is nearly the best of all and the cost of a comparison is paid for each request.
+MAX_COMPARED = 8
 #: Upstreams within this wait of the best count as equal, in milliseconds; a random choice among
 #: equals keeps entry hosts with the same reports from choosing the same upstream.
 EQUAL_MS = 1.0
@@ -132,6 +135,10 @@
             return states[0], _predict_wait_ms(states[0], rank)
         eligible = [s for s in states if self._passes_slow_start(s, now)] or states
         holder = self._hosts_by_prefix.get(prefix_key) if prefix_key else None
+        if len(eligible) > MAX_COMPARED:
+            sample = self._rng.sample(eligible, MAX_COMPARED)
+            sample += [s for s in eligible if s.host == holder and s not in sample]
+            eligible = sample
         load_bound = 0.0
         if prefix_key:
             load_bound = PREFIX_LOAD_BOUND * sum(map(_get_load, eligible)) / len(eligible) + 1.0
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,213 @@
+"""Guards against work for leaving hosts, one overloaded upstream, and retries without bound."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from sycamoreproxy import membership as module
+from sycamoreproxy import result_codes as codes
+from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.host_list import HostRecord
+from sycamoreproxy.membership import Membership
+from sycamoreproxy.messages import PeerStatus, Status
+from sycamoreproxy.result_codes import Executed, Refusal
+from sycamoreproxy.retries import BREAKER_FAILURES, RetryBudget, may_repeat
+from sycamoreproxy.routing import SLOW_START_S, Router
+from sycamoreproxy.streams import Address
+
+FAILURE = Refusal(codes.UPSTREAM_FAILED, Executed.UNKNOWN)
+
+
+def _record(host: str, zone: str, role: str = "upstream", state: str = "live") -> HostRecord:
+    port = 2000 + int(host[1:]) + (1000 if role == "entry" else 0)
+    name = "m" if role == "upstream" else ""
+    return HostRecord(
+        host,
+        role,
+        zone,
+        "r",
+        Address("127.0.0.1", port),
+        Address("127.0.0.1", 1),
+        state,
+        "engine",
+        name,
+    )
+
+
+class World:
+    """Upstreams with given availability zones, as an entry host of z1 sees them."""
+
+    def __init__(self, *zones: str) -> None:
+        self.clock = ManualClock(start=100.0)
+        self.membership = Membership(host="e0", availability_zone="z1", clock=self.clock)
+        self.records = [_record(f"u{number:02}", zone) for number, zone in enumerate(zones)]
+        self.membership.replace_hosts(self.records)
+        self.router = Router(
+            membership=self.membership,
+            availability_zone="z1",
+            clock=self.clock,
+            rng=random.Random(5),
+        )
+        self.peers = {
+            record.host: SimpleNamespace(hello=SimpleNamespace(host=record.host), is_closed=False)
+            for record in self.records
+        }
+        self.beat()
+        self.advance(SLOW_START_S)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass with a heartbeat of every upstream each second."""
+        for _ in range(int(seconds)):
+            self.clock.advance(1.0)
+            self.beat()
+
+    def beat(self, *hosts: str, state: str = "ready", **fields: Any) -> None:
+        for host in hosts or self.peers:
+            status = Status(state, "engine", "m", "v", window=8, **fields)
+            self.membership.take_status(self.peers[host], status)  # type: ignore[arg-type]
+
+    def choose(self, **options: Any) -> str | None:
+        fields = {"kind": "engine", "name": "m", "rank": "urgent", "time_left_ms": 1000.0}
+        end = options.pop("end", None)
+        state = self.router.choose(**{**fields, **options})
+        if state is None:
+            return None
+        self.router.begin_attempt(state, prefix_key=options.get("prefix_key", ""))
+        self.router.end_attempt(state, end)
+        return state.host
+
+    def count(self, times: int, **options: Any) -> Counter[str | None]:
+        return Counter(self.choose(**options) for _ in range(times))
+
+
+def test_leaving_silent_and_closed_upstreams_get_no_work() -> None:
+    world = World("z1", "z1", "z1", "z1", "z1")
+    world.beat("u00", state="leaving")
+    world.peers["u01"].is_closed = True
+    world.records[2] = _record("u02", "z1", state="leaving")
+    world.membership.replace_hosts(world.records)
+    world.clock.advance(2.9)
+    world.beat("u04", "u02", "u01")
+    world.clock.advance(0.2)
+    assert world.count(20).keys() == {"u04"}
+    world.membership.remove_peer(world.peers["u04"])  # type: ignore[arg-type]
+    assert world.choose() is None
+
+
+def test_least_predicted_wait_of_the_own_zone_first() -> None:
+    world = World("z1", "z1", "z2")
+    world.beat("u00", wait_ms_by_rank={"urgent": 300}, waiting_by_rank={"urgent": 3}, running=8)
+    assert world.choose() == "u01"
+    world.beat("u01", wait_ms_by_rank={"urgent": 900}, waiting_by_rank={"urgent": 9}, running=8)
+    assert world.choose() == "u00"
+    assert world.choose(time_left_ms=200.0) == "u02"
+    assert world.choose(time_left_ms=200.0, excluded={"u02"}) == "u00"
+    assert world.choose(time_left_ms=200.0, excluded={"u02"}, only_in_time=True) is None
+
+
+def test_hot_prefix_stays_on_its_upstream_up_to_the_bound() -> None:
+    world = World(*["z1"] * 4)
+    first = world.choose(prefix_key="p")
+    assert first is not None
+    world.beat()
+    assert world.choose(prefix_key="p") == first
+    spread = world.count(400, prefix_key="p")
+    assert spread[first] <= 1.25 * 100 + 2
+    assert min(spread.values()) >= 80
+
+
+def test_prefix_report_attracts_work() -> None:
+    world = World(*["z1"] * 4)
+    world.beat("u02", prefixes=("p",))
+    assert world.choose(prefix_key="p") == "u02"
+
+
+def test_returning_upstream_starts_slowly() -> None:
+    world = World(*["z1"] * 4)
+    world.beat("u00", state="starting")
+    world.beat("u00")
+    shares = []
+    for _ in range(3):
+        taken = 0
+        for _ in range(100):
+            world.beat()
+            taken += world.choose() == "u00"
+        shares.append(taken)
+        world.advance(5.0)
+    assert shares[0] <= 6 < shares[1] < shares[2]
+
+
+def test_breaker_opens_lets_one_trial_through_and_closes() -> None:
+    world = World("z1", "z1")
+    world.count(BREAKER_FAILURES, end=FAILURE, excluded={"u01"})
+    assert world.count(20).keys() == {"u01"}
+    assert world.choose(excluded={"u01"}) is None
+    world.clock.advance(1.1)
+    world.beat()
+    assert world.choose(excluded={"u01"}, end=FAILURE) == "u00"
+    assert world.choose(excluded={"u01"}) is None
+    world.clock.advance(2.1)
+    world.beat()
+    assert world.choose(excluded={"u01"}) == "u00"
+    assert world.choose(excluded={"u01"}) == "u00"
+
+
+@pytest.mark.parametrize("executed", list(Executed))
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_only_harmless_repeats(executed: Executed, idempotent: bool) -> None:
+    refusal = Refusal(codes.UPSTREAM_LOST, executed)
+    allowed = idempotent or executed is Executed.NO
+    assert may_repeat(refusal, idempotent=idempotent, sent_to_caller=False) == allowed
+    assert not may_repeat(refusal, idempotent=idempotent, sent_to_caller=True)
+    invalid = Refusal(codes.INVALID_FIELD, executed)
+    assert not may_repeat(invalid, idempotent=idempotent, sent_to_caller=False)
+
+
+def test_budget_bounds_repeats_and_keeps_a_reserve_for_failures() -> None:
+    budget = RetryBudget(clock=ManualClock())
+    taken = 0
+    for _ in range(1000):
+        budget.count_request()
+        taken += budget.take(keep_reserve=True)
+    assert taken <= 103
+    assert [budget.take(keep_reserve=False) for _ in range(4)] == [True, True, True, False]
+
+
+def test_subset_neighbours_and_watchers() -> None:
+    clock = ManualClock()
+    upstreams = [_record(f"u{number:02}", f"z{number % 3}") for number in range(99)]
+    entries = [_record(f"e{number}", f"z{number % 3}", "entry") for number in range(27)]
+    views = []
+    for entry in entries:
+        view = Membership(host=entry.host, availability_zone=entry.availability_zone, clock=clock)
+        view.replace_hosts(upstreams + entries)
+        views.append(view)
+        targets = view.choose_targets()
+        chosen = [r for r in upstreams if r.peer in targets]
+        assert len(chosen) == module.SUBSET_SIZE
+        local = [r for r in chosen if r.availability_zone == entry.availability_zone]
+        assert len(local) == module.SUBSET_LOCAL
+        zones = Counter(r.availability_zone for r in entries if r.peer in targets)
+        assert zones.pop(entry.availability_zone) == 3
+        assert set(zones.values()) == {1}
+    assert sum(view.is_watcher() for view in views) == 6
+    first = next(number for number in range(0, 27, 3) if views[number].is_watcher())
+    peer: Any = SimpleNamespace(hello=SimpleNamespace(host=entries[first].host, role="entry"))
+    for view in views[::3]:
+        view.take_peer_status(peer, PeerStatus("leaving", 0, ""))
+    assert sum(view.is_watcher() for view in views[::3]) >= 2
+
+
+def test_dropped_host_keeps_its_stream_until_it_closes() -> None:
+    world = World("z1", "z1")
+    world.membership.replace_hosts(world.records[:1])
+    assert world.records[1].peer in world.membership.choose_targets()
+    assert world.count(10).keys() == {"u00"}
+    world.peers["u01"].is_closed = True
+    world.membership.replace_hosts(world.records[:1])
+    assert world.records[1].peer not in world.membership.choose_targets()
