Answer slow heads with a code and test the listener with broken input

Idle connections stay open for 75 s. Random bytes, broken framing, slow readers and connections above the limit are tested.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -54,6 +54,8 @@
 #: Bytes that may wait for a caller that reads slowly before its connection is closed.
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
 
+#: An idle connection is closed after this time, in seconds; balancers keep connections for 60 s.
+KEEP_ALIVE_S = 75.0
 #: Bytes of request bodies that are held at once for all callers.
 MAX_HELD_BYTES = 256 * 1024 * 1024
 
@@ -158,6 +160,7 @@
         #: Bytes of request bodies held for all callers.
         self.held_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self._used_connections: set[object] = set()
         self._server = _BoundedServer(
             self,
             ssl_options=tls,
@@ -165,7 +168,8 @@
             max_body_size=1 << 40,
             max_buffer_size=max(4 * limits.max_header_bytes, 1 << 18),
             max_header_size=4 * limits.max_header_bytes,
-            idle_connection_timeout=limits.receive_timeout_s,
+            # _Exchange ends a slow head before this.
+            idle_connection_timeout=KEEP_ALIVE_S + limits.receive_timeout_s,
         )
         self._server.max_connections = limits.max_connections
 
@@ -181,7 +185,13 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the delegate of the next request on a connection."""
-        return _Exchange(server=self, connection=request_conn)
+        is_first = server_conn not in self._used_connections
+        self._used_connections.add(server_conn)
+        return _Exchange(server=self, connection=request_conn, is_first=is_first)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        self._used_connections.discard(server_conn)
 
     def leave(self) -> None:
         """Refuse new requests; those in progress go on."""
@@ -211,12 +221,7 @@
         stream.max_write_buffer_size = MAX_UNREAD_BYTES
         if len(self._connections) >= self.max_connections:
             refusal = Refusal(codes.TOO_MANY_CONNECTIONS, Executed.NO)
-            body = json.dumps(refusal.as_body()).encode()
-            stream.write(
-                b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
-                b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
-                % (len(body), body)
-            ).add_done_callback(lambda future: _close_after(future, stream))
+            _refuse_stream(stream, refusal)
             return
         super().handle_stream(stream, address)
 
@@ -224,7 +229,7 @@
 class _Exchange(HTTPMessageDelegate):
     """One request and its answer; the :class:`dispatch.AnswerWriter` of its request."""
 
-    def __init__(self, *, server: CallerServer, connection: HTTPConnection) -> None:
+    def __init__(self, *, server: CallerServer, connection: HTTPConnection, is_first: bool) -> None:
         assert isinstance(connection, HTTP1Connection)
         self._server = server
         self._connection = connection
@@ -232,7 +237,10 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._held_bytes = 0
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = asyncio.get_running_loop().call_later(
+            server.limits.receive_timeout_s if is_first else KEEP_ALIVE_S,
+            self._end_slow_head if is_first else self._stream.close,
+        )
         self._task: asyncio.Task[None] | None = None
         self._account: ClientAccountSettings | None = None
         self._is_refused = False
@@ -249,6 +257,7 @@
         self._start_line = start_line
         self._headers = headers
         limits = self._server.limits
+        self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(
             limits.receive_timeout_s, self._end_slow_sender
         )
@@ -293,8 +302,7 @@
 
     def finish(self) -> None:
         """Take the whole request on."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         if self._is_refused:
             self._finish_and_close()
             return
@@ -307,8 +315,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that is gone."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         self._release_body()
         if self._task is not None:
             self._task.cancel()
@@ -589,6 +596,10 @@
         if not stream.closed():
             stream.write(b"").add_done_callback(lambda future: _close_after(future, stream))
 
+    def _end_slow_head(self) -> None:
+        if not self._stream.closed():
+            _refuse_stream(self._stream, Refusal(codes.SLOW_SENDER, Executed.NO))
+
     def _end_slow_sender(self) -> None:
         if not self._is_refused:
             self._refuse_early(Refusal(codes.SLOW_SENDER, Executed.NO))
@@ -664,6 +675,19 @@
         future.exception()
 
 
+def _refuse_stream(stream: IOStream, refusal: Refusal) -> None:
+    """Refuse a connection on which no request was read, and close it."""
+    status = refusal.code.http_status
+    body = json.dumps(refusal.as_body()).encode()
+    head = (
+        f"HTTP/1.1 {status} {responses[status]}\r\nConnection: close\r\nRetry-After: 1\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    stream.write(head.encode() + body).add_done_callback(
+        lambda future: _close_after(future, stream)
+    )
+
+
 def _close_after(future: asyncio.Future[None], stream: IOStream) -> None:
     _ignore_result(future)
     stream.close()
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import random
 from typing import Any
 
 import pytest
 
-from sycamoreproxy.messages import Refuse
+from sycamoreproxy.messages import Output, Refuse, ResponseHead
+from sycamoreproxy.settings import CallerLimits
 from tests._entry import (
     EVENTS,
     MODEL,
@@ -103,8 +106,6 @@
 def test_bad_requests_get_a_code(
     path: str, options: dict[str, Any], status: int, name: str
 ) -> None:
-    from sycamoreproxy.settings import CallerLimits
-
     async def action(entry: Entry) -> None:
         await entry.add(kind="service", name="ledger")
         chosen = {"method": "POST", "body": _chat(), **options}
@@ -176,3 +177,122 @@
 
     # The deadline is out of reach, so that only the closed connection can cancel.
     run_with_entry(action, deadline_ms=3_600_000)
+
+
+async def _talk(entry: Entry, *parts: bytes) -> bytes:
+    """Send bytes on a fresh connection and return everything until it is closed."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    with contextlib.suppress(ConnectionError):
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        if not parts or parts[-1]:
+            writer.write_eof()
+    answer = b""
+    with contextlib.suppress(ConnectionError):
+        answer = await reader.read()
+    writer.close()
+    return answer
+
+
+HEAD = b"POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer k1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("parts", "status"),
+    [
+        ([HEAD + b"Content-Length: 10\r\n\r\n{", b""], b"408"),
+        ([b"POST /v1/compl", b""], b"408"),
+        ([HEAD + b"Content-Length: 5000\r\n\r\n", b"x" * 5000], b"413"),
+        (
+            [HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1388\r\n" + b"x" * 5000 + b"\r\n"],
+            b"413",
+        ),
+        ([HEAD + b"Content-Length: 5000\r\nExpect: 100-continue\r\n\r\n", b""], b"413"),
+        ([HEAD + b"Content-Length: -1\r\n\r\n"], b"400"),
+        ([HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n{}"], b"400"),
+        ([HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}"], b"400"),
+        ([HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"], b"400"),
+        ([HEAD + b"Bad header\r\n\r\n"], b"400"),
+        ([b"GET /v1/models HTTP/9\r\n\r\n"], b"400"),
+        ([b"GET /v1/models HTTP/1.1\r\nX: " + b"y" * 4000 + b"\r\n\r\n"], b"431"),
+        ([b"GET /v1/models HTTP/1.0\r\nAuthorization: Bearer k1\r\n\r\n"], b"200"),
+        ([b"\x16\x03\x01\x02\x00\x01"], b""),
+        ([b"\x00" * 30_000], b""),
+    ],
+)
+def test_broken_http_gets_a_status_and_harms_no_other(parts: list[bytes], status: bytes) -> None:
+    async def action(entry: Entry) -> None:
+        await entry.add()
+        answer = await _talk(entry, *parts)
+        assert answer.partition(b" ")[2][:3] == status
+        assert answer.count(b"HTTP/1.1") == bool(status)
+        assert (await entry.fetch("/v1/models")).code == 200
+        assert entry.server.held_bytes == 0
+
+    limits = CallerLimits(max_body_bytes=4096, max_header_bytes=2048, receive_timeout_s=0.3)
+    run_with_entry(action, limits=limits)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_random_bytes_never_stop_the_listener(seed: int) -> None:
+    rng = random.Random(seed)
+    body = _chat()
+    valid = HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    def mutate() -> bytes:
+        data = bytearray(valid)
+        for _ in range(rng.randint(1, 8)):
+            position = rng.randrange(len(data))
+            data[position : position + rng.randint(0, 3)] = rng.randbytes(rng.randint(0, 3))
+        return bytes(data)
+
+    async def action(entry: Entry) -> None:
+        await entry.add()
+        await asyncio.gather(*[_talk(entry, mutate()) for _ in range(60)])
+        await asyncio.gather(*[_talk(entry, rng.randbytes(300)) for _ in range(20)])
+        answer = await entry.fetch("/v1/chat/completions", method="POST", body=body)
+        assert answer.code == 200
+        assert entry.links.open_attempts == entry.server.held_bytes == 0
+
+    run_with_entry(action, limits=CallerLimits(receive_timeout_s=0.5))
+
+
+def test_connections_above_the_limit_are_refused() -> None:
+    async def action(entry: Entry) -> None:
+        idle = [await asyncio.open_connection("127.0.0.1", entry.port) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        assert b"too_many_connections" in await _talk(entry)
+        idle[0][1].close()
+        await asyncio.sleep(0.05)
+        assert (await entry.fetch("/v1/models")).code == 200
+        for _, writer in idle:
+            writer.close()
+
+    run_with_entry(action, limits=CallerLimits(max_connections=3))
+
+
+def test_slow_reader_is_cut_and_its_attempt_cancelled() -> None:
+    async def flood(peer: Any, attempt_id: str) -> None:
+        peer.send(ResponseHead(attempt_id, 200, (("Content-Type", "text/event-stream"),), ""))
+        for number in range(400):
+            peer.send(Output(attempt_id, number, b"data: " + b"x" * 60_000 + b"\n\n", 1))
+            await asyncio.sleep(0)
+
+    tasks: list[Any] = []
+
+    def script(upstream: ScriptedUpstream, peer: Any, submit: Any) -> None:
+        tasks.append(asyncio.ensure_future(flood(peer, submit.attempt_id)))
+
+    async def action(entry: Entry) -> None:
+        (upstream,) = await entry.add(script)
+        _, writer = await asyncio.open_connection("127.0.0.1", entry.port, limit=1024)
+        body = _chat(stream=True)
+        path = HEAD.replace(b"/v1/", b"/v1/chat/")
+        writer.write(path + b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+        while not upstream.cancels:
+            await asyncio.sleep(0.01)
+        writer.close()
+
+    run_with_entry(action, deadline_ms=3_600_000)
