Pass on origin duties at once and bound take-overs

Cause: a host that avoids the origin after a corrupt chunk kept its chunks until the take-over time-out, and take-overs were not counted against the copies of the origin. Change: ChunkHave says whether its host fetches from the origin; duties move incrementally; chunks taken over count against the host's allowance; the take-over time follows the own origin requests.

--- a/bench/chunks.py
+++ b/bench/chunks.py
@@ -88,7 +88,7 @@
     uploads: deque[tuple[str, str]] = field(default_factory=deque)
     in_free_at: float = 0.0
     announced_at: float = -1.0
-    announced: tuple[int, int] = (-1, -1)
+    announced: tuple[int, int, bool] = (-1, -1, False)
     alive: bool = True
     done_at: float = -1.0
     wake_at: float = -1.0
@@ -258,7 +258,7 @@
             peers=len(self._peers_by_host[name]),
             bytes_per_s=self.scenario.bytes_per_s,
         )
-        news = (host.plan.held, host.plan.uploaded)
+        news = (host.plan.held, host.plan.uploaded, host.plan.fetches_from_origin)
         if not host.alive:
             return
         if now - host.announced_at < gap_s or news == host.announced:
@@ -273,8 +273,10 @@
                 peer = self.hosts[peer_name]
                 if peer.alive and host.alive:
                     same = peer.plan.manifest.version == version
-                    bitmap, uploaded = news if same else (0, 0)
-                    peer.plan.note_have(name, bitmap=bitmap, uploaded=uploaded, closed=not same)
+                    bitmap, uploaded, fetches = news if same else (0, 0, news[2])
+                    peer.plan.note_have(
+                        name, bitmap=bitmap, uploaded=uploaded, closed=not same, fetches=fetches
+                    )
                     if not peer.plan.is_done:
                         self._wake(peer_name)
 
@@ -333,7 +335,7 @@
             other = self.hosts[peer]
             if other.alive and other.plan.manifest is host.plan.manifest:
                 host.plan.note_have(peer, bitmap=other.plan.held, uploaded=0, closed=False)
-        host.announced = (-1, -1)
+        host.announced = (-1, -1, False)
         self._announce(name)
         self._wake(name)
 
--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -22,6 +22,9 @@
 #: Time between two looks for requests and hosts without progress, in seconds.
 _EXPIRE_PERIOD_S = 0.2
 
+#: Hexadecimal digits of a chunk digest by which chunks are grouped for the assignment.
+_BUCKET_DIGITS = 3
+
 _MASK = (1 << 64) - 1
 
 
@@ -37,6 +40,8 @@
     :param in_flight_per_source: of these, at one peer.
     :param in_flight_at_origin: of these, at the origin; more would only queue at its link.
     :param upload_queue: accepted uploads that wait for the link.
+    :param source_spread: sources whose uploads differ by less than this many chunks are chosen at
+        random: all hosts see the same figures and would ask the same source.
     :param take_over_s: shortest time without progress after which the next host in hash order
         fetches a chunk from the origin.
     :param request_s: longest wait for the data of one request.
@@ -54,6 +59,7 @@
     in_flight_per_source: int = 2
     in_flight_at_origin: int = 1
     upload_queue: int = 3
+    source_spread: float = 4.0
     take_over_s: float = 5.0
     request_s: float = 15.0
     avoid_corrupt_s: float = 60.0
@@ -99,11 +105,19 @@
 
 @dataclass(slots=True)
 class _PeerState:
+    """What is known of a peer.
+
+    :param fetches: whether it fetches its chunks from the origin.
+    :param is_spent: whether it declined because its upload budget is spent.
+    """
+
     bitmap: int = 0
     uploaded: int = 0
     closed: bool = False
+    fetches: bool = True
     in_flight: int = 0
     busy_until: float = 0.0
+    is_spent: bool = False
 
 
 def hash_name(name: str) -> int:
@@ -122,17 +136,47 @@
     return value ^ (value >> 31)
 
 
-def assign_chunks(manifest: Manifest, hosts: Iterable[str]) -> dict[str, int]:
-    """Return the chunks that each host fetches from the origin, by rendezvous hash."""
-    keys = [(hash_name(host), host) for host in sorted(hosts)]
-    chunks_by_host = {host: 0 for _, host in keys}
-    if not keys:
-        return chunks_by_host
-    for digest, indexes in manifest.indexes_by_digest.items():
-        chunk_key = int(digest[:16], 16)
-        host = max(keys, key=lambda item: score_chunk(chunk_key, item[0]))[1]
-        chunks_by_host[host] |= 1 << indexes[0]
-    return chunks_by_host
+class OriginDuties:
+    """Assigns each chunk to the host that fetches it from the origin, by rendezvous hash.
+
+    Chunks whose digests start with the same 12 bits go together, which bounds the work of an
+    assignment for large versions. A host that leaves passes on only its own chunks.
+    """
+
+    def __init__(self, manifest: Manifest) -> None:
+        self._chunks_by_bucket: dict[int, int] = {}
+        for digest, indexes in manifest.indexes_by_digest.items():
+            bucket = int(digest[:_BUCKET_DIGITS], 16)
+            self._chunks_by_bucket[bucket] = self._chunks_by_bucket.get(bucket, 0) | 1 << indexes[0]
+        self._keys_by_host: dict[str, int] = {}
+        self._owners_by_bucket: dict[int, tuple[int, str]] = {}
+        self._chunks_by_host: dict[str, int] = {}
+
+    def assign(self, hosts: set[str]) -> None:
+        """Assign all chunks to these hosts."""
+        if hosts == self._keys_by_host.keys():
+            return
+        gone = self._keys_by_host.keys() - hosts
+        new = {host: hash_name(host) for host in sorted(hosts - self._keys_by_host.keys())}
+        self._keys_by_host = {
+            host: key for host, key in self._keys_by_host.items() if host not in gone
+        } | new
+        for bucket in self._chunks_by_bucket:
+            score, owner = self._owners_by_bucket.get(bucket, (-1, ""))
+            keys = new
+            if owner in gone or score < 0:
+                score, owner, keys = -1, "", self._keys_by_host
+            for host, key in keys.items():
+                score, owner = max((score, owner), (score_chunk(bucket, key), host))
+            self._owners_by_bucket[bucket] = (score, owner)
+        self._chunks_by_host = dict.fromkeys(self._keys_by_host, 0)
+        for bucket, (_, owner) in self._owners_by_bucket.items():
+            if owner:
+                self._chunks_by_host[owner] |= self._chunks_by_bucket[bucket]
+
+    def chunks_of(self, host: str) -> int:
+        """Return the bitmap of a host's chunks."""
+        return self._chunks_by_host.get(host, 0)
 
 
 def encode_bitmap(bitmap: int, chunks: int) -> bytes:
@@ -189,13 +233,16 @@
         self._held = sum(1 << self._first_index_by_digest[digest] for digest in set(held))
         self._peers_by_host: dict[str, _PeerState] = {}
         self._neighbours_by_host: dict[str, HostRecord] = {}
-        self._chunks_by_host: dict[str, int] = {host: self._planned}
+        self._duties = OriginDuties(manifest)
+        self._duties.assign({host})
+        self._first_duties = OriginDuties(manifest)
+        self._first_duties.assign({host})
         self._region_size = 1
-        self._zone_size = 1
         self._zones = 1
         self._regions = 1
         self._progress_at_by_host: dict[str, float] = {}
         self._stalled: set[str] = set()
+        self._lost: set[str] = set()
         self._in_flight_by_index: dict[int, tuple[str, float]] = {}
         self._avoided_until_by_source: dict[str, float] = {}
         self._counts: list[int] = [0] * len(manifest.chunks)
@@ -225,6 +272,11 @@
         """Bitmap of the chunks held, duplicates included as their first index."""
         return self._held
 
+    @property
+    def fetches_from_origin(self) -> bool:
+        """Whether this host fetches its chunks from the origin now."""
+        return self._avoided_until_by_source.get(ORIGIN, 0.0) <= self._clock.monotonic()
+
     def list_avoided(self) -> list[str]:
         """Return the sources that are avoided now."""
         now = self._clock.monotonic()
@@ -252,27 +304,39 @@
         for host in records_by_host:
             self._progress_at_by_host.setdefault(host, now)
         self._region_size = len(records_by_host) + 1
+        self._first_duties.assign({*records_by_host, self._host})
         self._assign()
 
-    def note_have(self, host: str, *, bitmap: int, uploaded: int, closed: bool) -> None:
-        """Take a peer's announcement of what it holds of this version."""
+    def note_have(
+        self, host: str, *, bitmap: int, uploaded: int, closed: bool, fetches: bool = True
+    ) -> None:
+        """Take a peer's announcement of what it holds of this version.
+
+        :param fetches: whether the peer fetches its chunks from the origin now.
+        """
         peer = self._peers_by_host.setdefault(host, _PeerState())
         bitmap &= self._planned
         gained = bitmap & ~peer.bitmap
-        if gained & self._chunks_by_host.get(host, 0):
+        active = host not in self._lost and host not in self._stalled and peer.fetches
+        self._lost.discard(host)
+        if gained & self._duties.chunks_of(host):
             self._progress_at_by_host[host] = self._clock.monotonic()
-            if host in self._stalled:
-                self._stalled.discard(host)
-                self._assign()
+            self._stalled.discard(host)
         self._count(gained, 1)
         self._count(peer.bitmap & ~bitmap, -1)
-        peer.bitmap, peer.uploaded, peer.closed = bitmap, uploaded, closed
+        if uploaded < peer.uploaded:
+            peer.is_spent = False
+        peer.bitmap, peer.uploaded, peer.closed, peer.fetches = bitmap, uploaded, closed, fetches
+        if active != (host not in self._stalled and fetches):
+            self._assign()
 
     def note_lost(self, host: str) -> None:
         """Forget a peer whose stream closed; its requests become free."""
         peer = self._peers_by_host.pop(host, None)
         if peer is not None:
             self._count(peer.bitmap, -1)
+            self._lost.add(host)
+            self._assign()
         for index, (source, _) in list(self._in_flight_by_index.items()):
             if source == host:
                 del self._in_flight_by_index[index]
@@ -324,7 +388,7 @@
             peer.bitmap &= ~(1 << index)
         pause = self.manifest.chunk_bytes / self._limits.bytes_per_s
         if reason == "budget":
-            pause = self._limits.quiet_s / 4
+            pause, peer.is_spent = self._limits.quiet_s / 4, True
         peer.busy_until = self._clock.monotonic() + pause
 
     # Decisions
@@ -377,7 +441,7 @@
     @property
     def upload_budget(self) -> float:
         """Bytes that may be uploaded in one rollout; corrupt bytes received count against it."""
-        return self._limits.upload_copies * self._unique_bytes - self._wasted_bytes
+        return self._copy_budget - self._wasted_bytes
 
     # Private parts
 
@@ -399,9 +463,13 @@
         available = 0
         for _, peer in sources:
             available |= peer.bitmap
-        duty = wanted & self._chunks_by_host.get(self._host, 0) & self._masks_by_count.get(0, 0)
-        if duty and self._may_ask_origin(now):
-            return self._make_fetch(self._pick_bit(duty), ORIGIN)
+        if self._may_ask_origin():
+            absent = wanted & self._masks_by_count.get(0, 0) & self._duties.chunks_of(self._host)
+            duty = absent & self._first_duties.chunks_of(self._host)
+            if duty:
+                return self._make_fetch(self._pick_bit(duty), ORIGIN)
+            if absent and self._spend_allowance(self._pick_bit(absent), now):
+                return self._make_fetch(self._pick_bit(absent), ORIGIN)
         candidates = wanted & available
         for count in sorted(self._masks_by_count):
             rarest = candidates & self._masks_by_count[count]
@@ -412,47 +480,60 @@
 
     def _choose_fallback(self, wanted: int, now: float) -> Fetch | None:
         """Ask the origin for chunks whose holders all refuse, within this host's allowance."""
-        if self._in_flight_by_index or not self._may_ask_origin(now):
+        if self._in_flight_by_index or not self._may_ask_origin():
             return None
-        held_by_spent = 0
-        held_by_others = 0
-        for peer in self._peers_by_host.values():
-            if peer.closed or peer.uploaded + self.manifest.chunk_bytes > self.upload_budget:
-                held_by_spent |= peer.bitmap
+        refusing = 0
+        offering = 0
+        for host, peer in self._peers_by_host.items():
+            spent = peer.is_spent or peer.uploaded + self.manifest.chunk_bytes > self._copy_budget
+            if peer.closed or spent or self._avoided_until_by_source.get(host, 0.0) > now:
+                refusing |= peer.bitmap
             else:
-                held_by_others |= peer.bitmap
-        refused = wanted & held_by_spent & ~held_by_others
+                offering |= peer.bitmap
+        refused = wanted & refusing & ~offering
         if not refused:
             return None
+        index = self._pick_bit(refused)
+        return self._make_fetch(index, ORIGIN) if self._spend_allowance(index, now) else None
+
+    def _spend_allowance(self, index: int, now: float) -> bool:
+        """Count a chunk against the bytes that this host may take beyond the region's copy.
+
+        A host that no peer is connected to has no other source and is not bounded.
+        """
         if now - self._last_fallback_at > self._limits.quiet_s:
             self._fallback_bytes = 0
-        index = self._pick_bit(refused)
         size = self.manifest.size_of(index)
-        if self._fallback_bytes + size > self._fallback_allowance():
-            return None
+        if self._peers_by_host and self._fallback_bytes + size > self._fallback_allowance():
+            return False
         self._fallback_bytes += size
         self._last_fallback_at = now
-        return self._make_fetch(index, ORIGIN)
+        return True
 
     def _fallback_allowance(self) -> float:
-        """Bytes beyond the first copy of the region that this host may take from the origin."""
         spare_of_all = self._limits.origin_copies - self._regions
         spare_per_zone = min(
             self._limits.origin_copies_per_zone - 1, max(0.0, spare_of_all) / self._zones
         )
         zones_here = max(1.0, self._zones / self._regions)
-        return spare_per_zone * zones_here * self._unique_bytes / self._region_size
+        share = spare_per_zone * zones_here * self._unique_bytes / self._region_size
+        return max(share, self.manifest.chunk_bytes)
+
+    @property
+    def _copy_budget(self) -> float:
+        return self._limits.upload_copies * self._unique_bytes
 
     def _usable_sources(self, now: float) -> list[tuple[str, _PeerState]]:
         limit = self._limits.in_flight_per_source
         room = self.manifest.chunk_bytes
-        budget = self._limits.upload_copies * self._unique_bytes
+        budget = self._copy_budget
         return [
             (host, peer)
             for host, peer in self._peers_by_host.items()
             if peer.bitmap
             and not peer.closed
             and peer.in_flight < limit
+            and not peer.is_spent
             and peer.busy_until <= now
             and peer.uploaded + room <= budget
             and self._avoided_until_by_source.get(host, 0.0) <= now
@@ -461,13 +542,17 @@
     def _pick_source(self, index: int, sources: list[tuple[str, _PeerState]]) -> str:
         bit = 1 << index
         chunk = self.manifest.chunk_bytes
+        spread = self._limits.source_spread * chunk
         return min(
             (
-                (peer.uploaded + peer.in_flight * chunk, self._random.random(), host)
+                (
+                    peer.uploaded + peer.in_flight * chunk + spread * self._random.random(),
+                    host,
+                )
                 for host, peer in sources
                 if peer.bitmap & bit
             )
-        )[2]
+        )[1]
 
     def _pick_bit(self, bitmap: int) -> int:
         """Return a set bit near a random position, in time independent of the bitmap's density."""
@@ -480,12 +565,9 @@
     def _make_fetch(self, index: int, source: str) -> Fetch:
         return Fetch(index, self.manifest.chunks[index], source)
 
-    def _may_ask_origin(self, now: float) -> bool:
+    def _may_ask_origin(self) -> bool:
         asked = sum(1 for source, _ in self._in_flight_by_index.values() if source == ORIGIN)
-        return (
-            asked < self._limits.in_flight_at_origin
-            and self._avoided_until_by_source.get(ORIGIN, 0.0) <= now
-        )
+        return asked < self._limits.in_flight_at_origin and self.fetches_from_origin
 
     def _expire(self) -> None:
         """Give up requests without an answer, and pass on the duty of hosts without progress."""
@@ -499,18 +581,26 @@
                 limit = max(limit, 4 * self._origin_s)
             if now - sent_at > limit:
                 self.note_failed(self.manifest.chunks[index], source)
-        patience = max(self._limits.take_over_s, 4 * self._origin_s)
+        # The own requests tell how slow the origin is; a slow origin stalls no host.
+        waiting = [now - at for source, at in self._in_flight_by_index.values() if source == ORIGIN]
+        patience = max(self._limits.take_over_s, 4 * max([self._origin_s, *waiting]))
+        stalled = len(self._stalled)
         for host in self._neighbours_by_host:
             if host in self._stalled or now - self._progress_at_by_host[host] <= patience:
                 continue
             peer = self._peers_by_host.get(host)
-            if self._chunks_by_host.get(host, 0) & ~(peer.bitmap if peer else 0):
+            if self._duties.chunks_of(host) & ~(peer.bitmap if peer else 0):
                 self._stalled.add(host)
-                self._assign()
+        if len(self._stalled) != stalled:
+            self._assign()
 
     def _assign(self) -> None:
-        active = [host for host in self._neighbours_by_host if host not in self._stalled]
-        self._chunks_by_host = assign_chunks(self.manifest, [*active, self._host])
+        active = {self._host} | {
+            host
+            for host in self._neighbours_by_host.keys() - self._stalled - self._lost
+            if host not in self._peers_by_host or self._peers_by_host[host].fetches
+        }
+        self._duties.assign(active)
 
     def _finish_request(self, index: int, source: str) -> float | None:
         """Return when the request was sent, or None if it was not in flight."""
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -329,12 +329,15 @@
 
     :param bitmap: bit i, least significant first, tells whether chunk i is held.
     :param uploaded: bytes of this version sent to peers so far.
+    :param closed: whether the host takes no requests for chunks.
+    :param fetches: whether the host fetches its share of the chunks from the origin now.
     """
 
     version: str
     bitmap: bytes
     uploaded: int = 0
     closed: bool = False
+    fetches: bool = True
 
 
 @message(31)
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -352,6 +352,7 @@
         except CorruptChunkError as error:
             _log.warning("corrupt chunk dropped", source=source or "origin", error=str(error))
             plan.note_corrupt(digest, source)
+            self._announce_due = True
             return
         plan.note_arrived(digest, source)
         self._announce_due = True
@@ -390,6 +391,7 @@
             bitmap=int.from_bytes(have.bitmap, "little") if same else 0,
             uploaded=have.uploaded if same else 0,
             closed=have.closed or not same,
+            fetches=have.fetches,
         )
         self._wake.set()
 
@@ -466,5 +468,8 @@
         if plan is None or manifest is None:
             return ChunkHave("", b"")
         return ChunkHave(
-            manifest.version, encode_bitmap(plan.held, len(manifest.chunks)), plan.uploaded
+            manifest.version,
+            encode_bitmap(plan.held, len(manifest.chunks)),
+            plan.uploaded,
+            fetches=plan.fetches_from_origin,
         )
