--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -19,6 +19,8 @@
 #: Name of the origin as a source; no host has an empty name.
 ORIGIN = ""
 
+#: Part of the bytes still to be received that is expected to arrive corrupt or twice.
+_EXPECTED_WASTE = 0.01
 #: Time between two looks for requests and hosts without progress, in seconds.
 _EXPIRE_PERIOD_S = 0.2
 
@@ -40,6 +42,9 @@
     :param in_flight_per_source: of these, at one peer.
     :param in_flight_at_origin: of these, at the origin; more would only queue at its link.
     :param upload_queue: accepted uploads that wait for the link.
+    :param seed_copies: peers that must hold a chunk before a host that uploaded more than its part
+        leaves the chunk to them.
+    :param upload_ahead: chunks that a host may upload beyond its part so far.
     :param source_spread: sources whose uploads differ by less than this many chunks are chosen at
         random: all hosts see the same figures and would ask the same source.
     :param take_over_s: shortest time without progress after which the next host in hash order
@@ -59,6 +64,8 @@
     in_flight_per_source: int = 2
     in_flight_at_origin: int = 1
     upload_queue: int = 3
+    seed_copies: int = 2
+    upload_ahead: float = 4.0
     source_spread: float = 4.0
     take_over_s: float = 5.0
     request_s: float = 15.0
@@ -219,6 +226,7 @@
         self.uploaded = 0
         self.from_peers = 0
         self.from_origin = 0
+        self.asked_of_origin = 0
         self._host = host
         self._limits = limits
         self._clock = clock
@@ -251,11 +259,11 @@
             clock=clock, bytes_per_s=limits.bytes_per_s, burst_bytes=2 * manifest.chunk_bytes
         )
         self._expire_at = 0.0
-        self._fallback_bytes = 0
+        self._origin_bytes_by_host: dict[str, int] = {}
         self._wasted_bytes = 0
         self._origin_s = 0.0
         self._last_upload_at = clock.monotonic()
-        self._last_fallback_at = clock.monotonic()
+        self._last_origin_at = clock.monotonic()
         self._uploaded_by_digest: Counter[str] = Counter()
         if previous is not None:
             self._take_over(previous)
@@ -308,11 +316,20 @@
         self._assign()
 
     def note_have(
-        self, host: str, *, bitmap: int, uploaded: int, closed: bool, fetches: bool = True
+        self,
+        host: str,
+        *,
+        bitmap: int,
+        uploaded: int,
+        closed: bool,
+        fetches: bool = True,
+        from_origin: int = 0,
     ) -> None:
         """Take a peer's announcement of what it holds of this version.
 
-        :param fetches: whether the peer fetches its chunks from the origin now.
+        :param uploaded: bytes that it sent to peers.
+        :param fetches: whether it fetches its chunks from the origin now.
+        :param from_origin: bytes that it asked of the origin.
         """
         peer = self._peers_by_host.setdefault(host, _PeerState())
         bitmap &= self._planned
@@ -327,6 +344,7 @@
         if uploaded < peer.uploaded:
             peer.is_spent = False
         peer.bitmap, peer.uploaded, peer.closed, peer.fetches = bitmap, uploaded, closed, fetches
+        self._origin_bytes_by_host[host] = from_origin
         if active != (host not in self._stalled and fetches):
             self._assign()
 
@@ -402,7 +420,10 @@
             if fetch is None:
                 break
             self._in_flight_by_index[fetch.index] = (fetch.source, self._clock.monotonic())
-            if fetch.source != ORIGIN:
+            if fetch.source == ORIGIN:
+                self.asked_of_origin += self.manifest.size_of(fetch.index)
+                self._last_origin_at = self._clock.monotonic()
+            else:
                 self._peers_by_host[fetch.source].in_flight += 1
             self._pacer.take(self.manifest.size_of(fetch.index))
             fetches.append(fetch)
@@ -431,17 +452,37 @@
         size = self.manifest.size_of(index)
         if self.uploaded + size > self.upload_budget:
             return "budget"
-        if queued >= self._limits.upload_queue:
+        if queued >= self._limits.upload_queue or self._is_ahead(index):
             return "busy"
         self.uploaded += size
         self._uploaded_by_digest[digest] += size
         self._last_upload_at = now
         return ""
 
+    def _is_ahead(self, index: int) -> bool:
+        """Whether this host uploaded more than its part so far of a chunk that others hold too.
+
+        Hosts that fetch many chunks from the origin would spend their budget early, and with it
+        the last hosts' sources.
+        """
+        if self._counts[index] < self._limits.seed_copies or not self._peers_by_host:
+            return False
+        bitmaps = [peer.bitmap.bit_count() for peer in self._peers_by_host.values()]
+        progress = sum(bitmaps) / len(bitmaps) / self._planned.bit_count()
+        ahead = self.uploaded - progress * self._copy_budget
+        return ahead > self._limits.upload_ahead * self.manifest.chunk_bytes
+
     @property
     def upload_budget(self) -> float:
-        """Bytes that may be uploaded in one rollout; corrupt bytes received count against it."""
-        return self._copy_budget - self._wasted_bytes
+        """Bytes that may be uploaded in one rollout.
+
+        Bytes received in vain count against it, those seen and those still to be expected.
+        """
+        missing = (self._planned & ~self._held).bit_count() * self.manifest.chunk_bytes
+        received = self._unique_bytes - missing + self._wasted_bytes
+        rate = max(_EXPECTED_WASTE, self._wasted_bytes / max(1, received))
+        reserve = missing * rate + (self.manifest.chunk_bytes if missing else 0)
+        return self._copy_budget - self._wasted_bytes - reserve
 
     # Private parts
 
@@ -451,6 +492,14 @@
             if digest in self._first_index_by_digest:
                 self._uploaded_by_digest[digest] = size
                 self.uploaded += size
+        for index, (source, sent_at) in previous._in_flight_by_index.items():
+            shared = self._first_index_by_digest.get(previous.manifest.chunks[index])
+            if shared is None:
+                continue
+            self._in_flight_by_index[shared] = (source, sent_at)
+            if source != ORIGIN:
+                peer = self._peers_by_host.setdefault(source, _PeerState(closed=True))
+                peer.in_flight += 1
 
     def _choose(self) -> Fetch | None:
         wanted = self._planned & ~self._held
@@ -468,7 +517,7 @@
             duty = absent & self._first_duties.chunks_of(self._host)
             if duty:
                 return self._make_fetch(self._pick_bit(duty), ORIGIN)
-            if absent and self._spend_allowance(self._pick_bit(absent), now):
+            if absent and self._may_exceed_duty(self._pick_bit(absent), now):
                 return self._make_fetch(self._pick_bit(absent), ORIGIN)
         candidates = wanted & available
         for count in sorted(self._masks_by_count):
@@ -494,30 +543,46 @@
         if not refused:
             return None
         index = self._pick_bit(refused)
-        return self._make_fetch(index, ORIGIN) if self._spend_allowance(index, now) else None
+        return self._make_fetch(index, ORIGIN) if self._may_exceed_duty(index, now) else None
 
-    def _spend_allowance(self, index: int, now: float) -> bool:
-        """Count a chunk against the bytes that this host may take beyond the region's copy.
+    def _may_exceed_duty(self, index: int, now: float) -> bool:
+        """Decide whether a chunk that is not this host's own to fetch may be asked of the origin.
 
         A host that no peer is connected to has no other source and is not bounded.
+
+        :returns: whether the chunk may be asked of the origin.
         """
-        if now - self._last_fallback_at > self._limits.quiet_s:
-            self._fallback_bytes = 0
         size = self.manifest.size_of(index)
-        if self._peers_by_host and self._fallback_bytes + size > self._fallback_allowance():
-            return False
-        self._fallback_bytes += size
-        self._last_fallback_at = now
-        return True
-
-    def _fallback_allowance(self) -> float:
+        if not self._peers_by_host:
+            return True
+        if now - self._last_origin_at > self._limits.quiet_s:
+            # Nothing more is coming by the plan; one chunk each time keeps the transfer alive.
+            return True
+        return size <= self._origin_allowance()
+
+    def _origin_allowance(self) -> float:
+        """Return the bytes that this host may take from the origin beyond its own chunks.
+
+        What the region may take in all, less what was asked for and what still has to be fetched
+        once, is divided among the hosts that are not done. The figures of peers are announced
+        ones, so the sum may be exceeded by what was asked for since.
+        """
         spare_of_all = self._limits.origin_copies - self._regions
         spare_per_zone = min(
             self._limits.origin_copies_per_zone - 1, max(0.0, spare_of_all) / self._zones
         )
         zones_here = max(1.0, self._zones / self._regions)
-        share = spare_per_zone * zones_here * self._unique_bytes / self._region_size
-        return max(share, self.manifest.chunk_bytes)
+        limit = (1 + spare_per_zone * zones_here) * self._unique_bytes
+        known = len(self._origin_bytes_by_host) + 1
+        asked = self.asked_of_origin + sum(self._origin_bytes_by_host.values())
+        # Hosts without a stream to this one are taken to be like the others.
+        asked = asked * max(1.0, self._region_size / known)
+        absent = (self._masks_by_count.get(0, 0) & ~self._held).bit_count()
+        unfinished = 1 + sum(
+            1 for peer in self._peers_by_host.values() if peer.bitmap != self._planned
+        )
+        left = limit - asked - absent * self.manifest.chunk_bytes
+        return left / unfinished
 
     @property
     def _copy_budget(self) -> float:
