--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -344,12 +344,17 @@
 
     :param bitmap: bit i, least significant first, tells whether chunk i is held.
     :param uploaded: bytes of this version sent to peers so far.
+    :param closed: whether the host takes no requests for chunks.
+    :param fetches: whether the host fetches its share of the chunks from the origin now.
+    :param from_origin: bytes of this version asked of the origin so far.
     """
 
     version: str
     bitmap: bytes
     uploaded: int = 0
     closed: bool = False
+    fetches: bool = True
+    from_origin: int = 0
 
 
 @message(31)
