--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,11 +10,10 @@
 from pathlib import Path
 from typing import Any
 
+from bench.load import Caller
 from tools.launch import Deployment, ManagedProcess, UpstreamSpec, VersionSpec, digest_key
 from tools.launch import example_key as key_of
 
-from bench.load import Caller
-
 MODEL = "assistant"
 VERSION = "v1"
 ACCOUNTS = tuple(f"office-{number}" for number in range(1, 11))
--- a/bench/floods.py
+++ b/bench/floods.py
@@ -10,8 +10,6 @@
 import random
 from dataclasses import dataclass, replace
 
-from tools.launch import Deployment
-
 from bench.fleet import (
     ACCOUNTS,
     DEADLINE_S_BY_RANK,
@@ -26,6 +24,7 @@
 from bench.load import Arrival, Sample, percentile, poisson_arrivals
 from bench.rows import Recorder
 from bench.scenarios import scenarios
+from tools.launch import Deployment
 
 ENGINES = 3
 TOKENS = 24
--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -163,7 +163,7 @@
     from sycamoreproxy.caller_http import CallerServer
     from sycamoreproxy.dispatch import Dispatcher
     from sycamoreproxy.entry_role import EntryProcess
-    from sycamoreproxy.limits import Neighbours, FleetLimits
+    from sycamoreproxy.limits import FleetLimits, Neighbours
     from sycamoreproxy.membership import Membership
     from sycamoreproxy.retries import RetryBudget
     from sycamoreproxy.routing import Router
