Report an unknown outcome of a table change as unknown

Cause: the API answered 1504 with executed "no" although the change could still take effect, and a failed query of the store carried the code of a commit. Change: executed is "unknown" for 1504 and for an internal error of a POST; the client resolves every answer that does not say "no"; result code 1507 store_unavailable for queries.

--- a/sycamoreproxy/_admin_client.py
+++ b/sycamoreproxy/_admin_client.py
@@ -111,7 +111,7 @@
             return self._resolve(change_id)
         if status == 200:
             return dict(body)
-        if _error_code(body) == _OUTCOME_UNKNOWN or status in (502, 504):
+        if not _error_code(body) or body["error"].get("executed") != "no":
             return self._resolve(change_id)
         raise _refusal_error(status, body)
 
--- a/sycamoreproxy/admin_commands.py
+++ b/sycamoreproxy/admin_commands.py
@@ -9,12 +9,20 @@
 from returns.result import Failure, Result
 
 from sycamoreproxy.admin_queries import refuse
-from sycamoreproxy.result_codes import INVALID_FIELD, TABLE_OUTCOME_UNKNOWN
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.result_codes import (
+    INTERNAL,
+    INVALID_FIELD,
+    TABLE_OUTCOME_UNKNOWN,
+    Executed,
+    Refusal,
+)
 from sycamoreproxy.table_commands import MAX_EDITS, Accepted, CellEdit, EditFailure
 
 #: Longest wait for the store before the outcome is reported as unknown, in seconds.
 COMMIT_TIMEOUT_S = 15.0
 
+_log = get_logger("admin_commands")
 _REQUIRED = ("model", "client_account", "rank", "cell", "value")
 
 
@@ -61,8 +69,14 @@
             # Cancelling the commit half-way would hide whether the store took it.
             return await asyncio.wait_for(asyncio.shield(commit), self._timeout_s)
         except TimeoutError:
-            refusal = refuse(TABLE_OUTCOME_UNKNOWN, f"Ask for change {change_id}.")
+            refusal = Refusal(
+                TABLE_OUTCOME_UNKNOWN, Executed.UNKNOWN, f"Ask for change {change_id}."
+            )
             return Failure(EditFailure(refusal, ()))
+        except Exception:
+            # A fault of the program can strike before or after the store took the change.
+            _log.exception("commit failed", change_id=change_id, operator=operator)
+            return Failure(EditFailure(Refusal(INTERNAL, Executed.UNKNOWN), ()))
 
 
 def parse_edits(body: Any) -> tuple[str, tuple[CellEdit, ...]]:
--- a/sycamoreproxy/admin_http.py
+++ b/sycamoreproxy/admin_http.py
@@ -26,6 +26,7 @@
     MISSING_KEY,
     UNKNOWN_OPERATOR,
     UNKNOWN_PATH,
+    Executed,
     Refusal,
 )
 from sycamoreproxy.settings import OperatorSettings
@@ -129,7 +130,9 @@
             self.write_refusal(refuse(INVALID_FIELD))
         else:
             _log.error("administration request failed", path=self.request.path, error=repr(error))
-            self.write_refusal(refuse(INTERNAL))
+            # Only a GET certainly changed nothing.
+            executed = Executed.NO if self.request.method == "GET" else Executed.UNKNOWN
+            self.write_refusal(Refusal(INTERNAL, executed))
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Leave errors to :meth:`write_error`."""
--- a/sycamoreproxy/admin_queries.py
+++ b/sycamoreproxy/admin_queries.py
@@ -11,11 +11,12 @@
 from sycamoreproxy.census import Census
 from sycamoreproxy.result_codes import (
     INVALID_FIELD,
-    TABLE_OUTCOME_UNKNOWN,
+    STORE_UNAVAILABLE,
     UNKNOWN_CHANGE,
     UNKNOWN_REVISION,
     Executed,
     Refusal,
+    ResultCode,
 )
 from sycamoreproxy.settings import RANKS, Settings
 from sycamoreproxy.store import StoreAnswerLostError, StoreUnavailableError
@@ -53,8 +54,8 @@
         """Return the revision of an accepted change, None if there is none."""
 
 
-def refuse(code: Any, detail: str = "", *, retry_after_ms: int = 0) -> Refusal:
-    """Return a refusal of an operator's request, which no upstream ever runs."""
+def refuse(code: ResultCode, detail: str = "", *, retry_after_ms: int = 0) -> Refusal:
+    """Return a refusal of an operator's request that certainly changed nothing."""
     return Refusal(code, Executed.NO, detail, retry_after_ms)
 
 
@@ -184,7 +185,7 @@
 
 
 def _store_refusal(error: Exception) -> Refusal:
-    return refuse(TABLE_OUTCOME_UNKNOWN, f"The store gave no answer: {error}", retry_after_ms=1000)
+    return refuse(STORE_UNAVAILABLE, str(error), retry_after_ms=1000)
 
 
 class DumpQuery:
--- a/sycamoreproxy/result_codes.py
+++ b/sycamoreproxy/result_codes.py
@@ -131,6 +131,9 @@
 )
 UNKNOWN_REVISION = _define(1505, "unknown_revision", 404, "No such revision is held.")
 UNKNOWN_CHANGE = _define(1506, "unknown_change", 404, "No such change was accepted.")
+STORE_UNAVAILABLE = _define(
+    1507, "store_unavailable", 503, "The store did not answer the query.", retry_helps=True
+)
 
 # 16xx: weights and engine orders.
 ORDER_REFUSED = _define(1601, "order_refused", 502, "The engine refused the order.")
