--- a/sycamoreproxy/table_commands.py
+++ b/sycamoreproxy/table_commands.py
@@ -261,7 +261,10 @@
             new_rows,
             # A row (*, *, rank) gives its share to every model.
             models=None if ANY in models else models,
-            known_versions=self._known_versions,
+            # An old version that has left the origin must not block other edits.
+            known_versions=(
+                self._known_versions if any(c.cell == "version" for c in changes) else None
+            ),
         )
         if problems:
             return _refuse(TABLE_INVALID, " ".join(problems))
