--- a/tests/_fake_store.py
+++ b/tests/_fake_store.py
@@ -50,7 +50,7 @@
 
     async def _call_late(self, path: str, body: dict[str, Any]) -> None:
         for _ in range(self._random.randrange(1, 40)):
-            await asyncio.sleep(0.0002)
+            await asyncio.sleep(0.01)
         try:
             self.core.call(path, body)
         except StoreError:
--- a/tests/test_table_commands.py
+++ b/tests/test_table_commands.py
@@ -13,27 +13,23 @@
 from standins.store import MemoryStore
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy import table_commands
-from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.result_codes import Executed
 from sycamoreproxy.table import EMPTY_SNAPSHOT, Root, RowKey, apply_cells
 from sycamoreproxy.table_commands import Accepted, CellEdit, TableEditor, load_snapshot
 from sycamoreproxy.table_queries import TableKeys, TableReader
 from tests._fake_store import FakeStore
+from tests._virtual_time import LoopClock
+from tests._virtual_time import run as virtual_run
 
 KEYS = TableKeys("/t")
 
 
-@pytest.fixture(autouse=True)
-def _short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(table_commands, "RETRY_MIN_S", 0.0002)
-    monkeypatch.setattr(table_commands, "RETRY_MAX_S", 0.002)
-
-
 def make_editor(core: MemoryStore, *, seed: int = 1, **options: Any) -> TableEditor:
     faults = {
         name: options.pop(name) for name in ("unavailable", "lost", "late") if name in options
     }
-    return TableEditor(store=FakeStore(core, seed=seed, **faults), prefix="/t", **options)
+    store = FakeStore(core, seed=seed, **faults)
+    return TableEditor(store=store, prefix="/t", clock=LoopClock(), **options)
 
 
 def edit(base: str, value: str, *, account: str = "a", cell: str = "weight") -> CellEdit:
@@ -75,7 +71,7 @@
         assert refusal_of(result) == (codes.TABLE_INVALID, Executed.NO)
         assert await read_rows(core) == {}
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_conflict_shows_both_values_and_applies_nothing() -> None:
@@ -95,7 +91,7 @@
         rebased = await second.commit([edit("2.00", "3")], operator="p", change_id="3")
         assert rebased == Success(Accepted(2, "3"))
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_repeated_change_id_is_accepted_once_and_not_for_another_change() -> None:
@@ -111,7 +107,7 @@
         assert await reader.find_change("same") == 1
         assert await reader.find_change("other") is None
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 @pytest.mark.parametrize(
@@ -126,12 +122,12 @@
 ) -> None:
     async def run() -> None:
         core = MemoryStore()
-        editor = make_editor(core, timeout_s=0.01, **faults)
+        editor = make_editor(core, **faults)
         result = await editor.commit([edit("", "2")], operator="o", change_id="c")
         assert refusal_of(result) == (code, executed)
         assert await read_rows(core) == {}
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_write_without_answer_is_unknown_and_its_change_id_tells_later() -> None:
@@ -140,7 +136,7 @@
     async def run() -> None:
         core = MemoryStore()
         store = FakeStore(core)
-        editor = TableEditor(store=store, prefix="/t", timeout_s=0.02)
+        editor = TableEditor(store=store, prefix="/t", clock=LoopClock())
         original = store._call
 
         async def fail_from_write(verb: str, path: str, body: dict[str, Any]) -> dict[str, Any]:
@@ -159,7 +155,7 @@
         repeat = await make_editor(core).commit([edit("", "2")], operator="o", change_id="c")
         assert repeat == Success(Accepted(1, "c"))
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_store_older_than_the_table_in_force_takes_no_change() -> None:
@@ -169,22 +165,21 @@
         result = await editor.commit([edit("", "2")], operator="o", change_id="c")
         assert refusal_of(result) == (codes.TABLE_NOT_ACCEPTED, Executed.NO)
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_expired_change_lease_is_replaced() -> None:
     async def run() -> None:
-        clock = ManualClock()
-        core = MemoryStore(now=clock.monotonic)
+        core = MemoryStore(now=LoopClock().monotonic)
         editor = make_editor(core)
         await editor.commit([edit("", "1")], operator="o", change_id="c1")
-        clock.advance(table_commands.CHANGE_TTL_S + 3_601)
+        await asyncio.sleep(table_commands.CHANGE_TTL_S + 3_601)
         result = await editor.commit([edit("1", "2")], operator="o", change_id="c2")
         assert result == Success(Accepted(2, "c2"))
         reader = TableReader(store=FakeStore(core), prefix="/t")
         assert await reader.find_change("c1") is None
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_history_and_pages_stay_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -203,7 +198,7 @@
         assert len(await store.list_entries("/t/table/page/")) == 1
         assert len(await store.list_entries("/t/table/history/")) == 5
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 async def _race(
@@ -267,7 +262,7 @@
         assert entry is not None
         assert sorted(accepted) == list(range(1, Root.parse(entry.value.decode()).revision + 1))
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 _EDITS = st.lists(
@@ -324,4 +319,4 @@
             replayed = apply_cells(replayed, {(c.key, c.cell): c.after for c in item.changes})
         assert replayed == await read_rows(core)
 
-    asyncio.run(run())
+    virtual_run(run())
--- a/tests/test_table_sync.py
+++ b/tests/test_table_sync.py
@@ -25,6 +25,7 @@
 from sycamoreproxy.table_sync import TableReplica
 from tests._fake_hub import FakeHub, FakeNetwork
 from tests._fake_store import FakeStore
+from tests._virtual_time import run as virtual_run
 from tests.test_table import make_snapshot
 
 
@@ -33,7 +34,7 @@
     for _ in range(20_000):
         if condition():
             return
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
     raise AssertionError("the condition did not come true")
 
 
@@ -97,7 +98,7 @@
         assert network.sent_by_type["TablePages"] == 39
         assert network.bytes < first_bytes * 2
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_table_larger_than_a_message_is_fetched_in_parts(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -111,7 +112,7 @@
         assert nodes[1].replica.view.digest == make_revision(1, rows=100).digest
         assert network.sent_by_type["TablePages"] > 3
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -156,7 +157,7 @@
         assert {node.replica.view.digest for node in nodes} == {make_revision(newest).digest}
         assert all(node.revisions == sorted(set(node.revisions)) for node in nodes)
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_peer_that_does_not_answer_a_fetch_is_passed_over() -> None:
@@ -176,7 +177,7 @@
         network.deliver()
         assert node.replica.view.revision == 3
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 @pytest.mark.parametrize(
@@ -203,7 +204,7 @@
         network.deliver()
         assert node.replica.view.digest == make_revision(2, rows=3).digest
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_one_revision_with_two_digests_is_counted_once_and_not_adopted() -> None:
@@ -221,7 +222,7 @@
         assert violations_by_name["table_revision_has_one_digest"] == before + 1
         assert node.replica.view.digest == make_revision(2).digest
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_listener_that_fails_does_not_stop_the_others() -> None:
@@ -231,12 +232,10 @@
         assert node.replica.adopt(make_revision(1))
         assert node.revisions == [1]
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
-def test_only_a_watcher_follows_the_store(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(table_sync, "RETRY_MIN_S", 0.001)
-
+def test_only_a_watcher_follows_the_store() -> None:
     async def run() -> None:
         core = MemoryStore()
         watcher, idle = Node(FakeStore(core)), Node(FakeStore(core))
@@ -261,16 +260,11 @@
         for node in (watcher, idle):
             await node.replica.close()
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_watcher_gets_every_accepted_edit_from_a_faulty_store(
-    seed: int, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    for name, value in (("RETRY_MIN_S", 0.0005), ("RETRY_MAX_S", 0.005), ("POLL_PERIOD_S", 0.01)):
-        monkeypatch.setattr(table_sync, name, value)
-
+def test_watcher_gets_every_accepted_edit_from_a_faulty_store(seed: int) -> None:
     async def run() -> None:
         core = MemoryStore()
         node = Node(FakeStore(core, seed=seed, unavailable=0.3, lost=0.2))
@@ -284,7 +278,7 @@
         assert node.revisions == sorted(set(node.revisions))
         await node.replica.close()
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_start_ends_with_whichever_answers() -> None:
@@ -292,7 +286,7 @@
         down = FakeStore(MemoryStore(), unavailable=1.0)
         node, peer = Node(down), Node()
         node.replica.start()
-        assert not await node.replica.wait_ready(0.01)
+        assert not await node.replica.wait_ready(30.0)
         peer.replica.adopt(make_revision(4))
         network = FakeNetwork(seed=6)
         network.link(node.hub, peer.hub)
@@ -300,7 +294,7 @@
         assert node.replica.is_ready and node.replica.view.revision == 4
         await node.replica.close()
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_broken_root_in_the_store_leaves_the_table_in_force() -> None:
@@ -310,11 +304,11 @@
         node = Node(FakeStore(core))
         node.replica.adopt(make_revision(2))
         node.replica.set_watching(True)
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(60)
         assert node.replica.view.revision == 2 and node.replica.is_watching
         await node.replica.close()
 
-    asyncio.run(run())
+    virtual_run(run())
 
 
 def test_edit_reaches_a_watcher_and_a_peer_without_store_over_sockets() -> None:
