--- a/bench/floods.py
+++ b/bench/floods.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from bench.fleet import (
@@ -21,7 +22,7 @@
     start_fleet,
     tokens_per_second,
 )
-from bench.load import Arrival, Sample, percentile, poisson_arrivals
+from bench.load import Arrival, Sample, percentile, poisson_arrivals, run_in_workers
 from bench.rows import Recorder
 from bench.scenarios import scenarios
 from tools.launch import Deployment
@@ -71,12 +72,23 @@
 
 def run_system(deployment: Deployment, arrivals: list[Arrival]) -> list[Sample]:
     """Send the requests to the entry hosts."""
-    return asyncio.run(make_caller(deployment.list_processes("entry"), "caller").run(arrivals))
+    caller = make_caller(deployment.list_processes("entry"), "caller")
+    return run_in_workers(caller, _split(arrivals))
 
 
 def run_direct(deployment: Deployment, arrivals: list[Arrival]) -> list[Sample]:
     """Send the requests to the engines without the system."""
-    return asyncio.run(make_caller(deployment.list_processes("engine"), "http").run(arrivals))
+    caller = make_caller(deployment.list_processes("engine"), "http")
+    return run_in_workers(caller, _split(arrivals))
+
+
+def _split(arrivals: list[Arrival]) -> list[list[Arrival]]:
+    """Return groups for the workers: the one that floods apart from the others, in two parts."""
+    counts = Counter(item.rank for item in arrivals)
+    flooding, _ = counts.most_common(1)[0]
+    flood = [item for item in arrivals if item.rank == flooding]
+    rest = [item for item in arrivals if item.rank != flooding]
+    return [group for group in (rest, flood[::2], flood[1::2]) if group]
 
 
 def judged(samples: list[Sample], *, until: float = 1e9) -> list[Sample]:
--- a/bench/load.py
+++ b/bench/load.py
@@ -5,9 +5,11 @@
 import asyncio
 import hashlib
 import json
+import multiprocessing
 import random
 import time
 from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -80,25 +82,36 @@
     samples: list[Sample] = field(default_factory=list)
     _next: int = 0
 
-    async def run(self, arrivals: Iterable[Arrival], *, connections: int = 2_000) -> list[Sample]:
-        """Send every request at its time and return the samples in order of arrival."""
+    async def run(
+        self,
+        arrivals: Iterable[Arrival],
+        *,
+        start: float | None = None,
+        connections: int = 2_000,
+    ) -> list[Sample]:
+        """Send every request at its time and return the samples in order of arrival.
+
+        :param start: reading of the monotonic clock from which arrivals count; now if None.
+        """
         slots = asyncio.Semaphore(connections)
-        start = time.monotonic()
+        start = time.monotonic() if start is None else start
         tasks = []
         for number, arrival in enumerate(sorted(arrivals, key=lambda item: item.at)):
             delay = start + arrival.at - time.monotonic()
             if delay > 0:
                 await asyncio.sleep(delay)
-            tasks.append(asyncio.create_task(self._send_bounded(arrival, number, slots)))
+            tasks.append(
+                asyncio.create_task(self._send_bounded(arrival, f"{arrival.rank}{number}", slots))
+            )
         samples = list(await asyncio.gather(*tasks))
         self.samples.extend(samples)
         return samples
 
     async def _send_bounded(
-        self, arrival: Arrival, number: int, slots: asyncio.Semaphore
+        self, arrival: Arrival, request_id: str, slots: asyncio.Semaphore
     ) -> Sample:
         async with slots:
-            return await self.send(arrival, f"r{number}")
+            return await self.send(arrival, request_id)
 
     async def send(self, arrival: Arrival, request_id: str) -> Sample:
         """Send one request and read its answer to the end."""
@@ -214,6 +227,26 @@
         yield rest
 
 
+def run_in_workers(caller: Caller, groups: list[list[Arrival]]) -> list[Sample]:
+    """Send each group of requests from a process of its own, all from the same start.
+
+    A generator that shares its event loop with a flood would add its own delay to what it
+    measures.
+
+    :returns: the samples of all groups in order of arrival.
+    """
+    start = time.monotonic() + 1.0
+    context = multiprocessing.get_context("fork")
+    with ProcessPoolExecutor(max_workers=len(groups), mp_context=context) as pool:
+        parts = list(pool.map(_run_group, [(caller, group, start) for group in groups]))
+    return sorted((s for part in parts for s in part), key=lambda item: item.arrival.at)
+
+
+def _run_group(job: tuple[Caller, list[Arrival], float]) -> list[Sample]:
+    caller, group, start = job
+    return asyncio.run(caller.run(group, start=start))
+
+
 def poisson_arrivals(
     rng: random.Random, *, rate: float, seconds: float, start: float = 0.0, **values: Any
 ) -> list[Arrival]:
