--- a/sycamoreproxy/engine_window.py
+++ b/sycamoreproxy/engine_window.py
@@ -13,6 +13,11 @@
 #: Largest relative shrinking and growth of one adjustment.
 MAX_SHRINK = 0.2
 MAX_GROWTH = 0.25
+#: The target is at least this multiple of the gap below which a smaller size does not help. An
+#: engine whose shortest gap is above the configured target would else get one request at a time.
+BASE_MARGIN = 1.1
+#: A size reduced to this part with a gap of still this part has shown that shrinking is no help.
+PROBE_SIZE, PROBE_GAP = 0.8, 0.97
 #: Part of the size that may be exceeded for work below its entitlement.
 RESERVE_FRACTION = 0.5
 
@@ -40,6 +45,8 @@
         self._running_at = self._adjusted_at
         self._report_gap_s = 0.0
         self._engine_waits = False
+        self._base_gap_s = 0.0
+        self._probe: tuple[float, float] | None = None
         self.gap_s = 0.0
 
     @property
@@ -98,13 +105,29 @@
         self._running_seconds = 0.0
         self.gap_s = gap_s
         before = self.size
-        ratio = self._target_gap_s / gap_s if gap_s > 0 else 1.0
+        self._learn_base(gap_s)
+        target_s = max(self._target_gap_s, BASE_MARGIN * self._base_gap_s)
+        ratio = target_s / gap_s if gap_s > 0 else 1.0
         excess = max(1.0, mean_running / self._size)
         if ratio * excess < 1.0 - DEAD_BAND:
             # A gap that is long because entitled work exceeds the window says nothing about the
             # window, as long as growth in proportion to the excess explains it.
+            self._probe = self._probe or (self._size, gap_s)
             self._size *= max(1.0 - MAX_SHRINK, 1.0 - (1.0 - ratio * excess) * 0.5)
         elif ratio > 1.0 + DEAD_BAND and was_full and not self._engine_waits:
+            self._probe = None
             self._size += max(0.5, self._size * min(MAX_GROWTH, ratio - 1.0))
         self._size = min(max(1.0, self._size), float(self._maximum))
         return self.size != before
+
+    def _learn_base(self, gap_s: float) -> None:
+        """Learn the gap below which a smaller size does not help."""
+        if gap_s < self._base_gap_s:
+            self._base_gap_s = gap_s
+        if self._probe is None:
+            return
+        size, gap_before_s = self._probe
+        if self._size <= PROBE_SIZE * size:
+            if gap_s >= PROBE_GAP * gap_before_s:
+                self._base_gap_s = gap_s
+            self._probe = None
