Give up a silent upstream early enough for another to answer

Change: an upstream that reported a short wait and sends nothing at all for 30% of the time left is given up and gets no new work until its next status.

--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import hashlib
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Protocol, TypeAlias
 
 from returns.result import Failure, Result, Success
@@ -32,9 +34,14 @@
 STARTED_LIMIT_S = 150.0
 #: Longest silence within an answer, in seconds.
 OUTPUT_LIMIT_S = 30.0
-#: An attempt that has not started is given up when its upstream misses a heartbeat, which
-#: comes each second, by this much, in seconds.
-OVERDUE_S = 1.5
+#: An upstream from which nothing was heard since the attempt was sent, not even a heartbeat,
+#: which comes each second, is given up after this time, in seconds.
+SILENT_S = 1.5
+#: The same where it should have started the attempt at once, because it reported a wait below
+#: :data:`SOON_MS`: a part of the time left, so that the rest is enough for another upstream.
+SILENT_SOON_PART = 0.3
+SILENT_SOON_MIN_S = 0.25
+SOON_MS = 100.0
 #: Longest time of one attempt, in seconds; borrowed concurrency in ``limits`` relies on it.
 ATTEMPT_LIMIT_S = 300.0
 #: How often a waiting attempt is checked, in seconds.
@@ -167,6 +174,8 @@
     :param request: the request; its writer gets what is passed on.
     :param started_at: when the request was taken on, by the event loop's clock.
     :param deadline: end of the time to the first output, by the event loop's clock.
+    :param silent_s: when an upstream that sent nothing is given up, in seconds from now.
+    :param on_silent: called when that happens.
     """
 
     __slots__ = (
@@ -175,8 +184,11 @@
         "_last_limit",
         "_limit",
         "_loop",
+        "_on_silent",
         "_request",
+        "_silent_at",
         "_started_at",
+        "_submitted_at",
         "_timer",
         "attempt",
         "end",
@@ -187,7 +199,16 @@
         "version",
     )
 
-    def __init__(self, *, request: CallerRequest, started_at: float, deadline: float) -> None:
+    def __init__(
+        self,
+        *,
+        request: CallerRequest,
+        started_at: float,
+        deadline: float,
+        silent_s: float,
+        on_silent: Callable[[], None],
+    ) -> None:
+        self._on_silent = on_silent
         self._started_at = started_at
         self._loop = asyncio.get_running_loop()
         self._request = request
@@ -202,7 +223,9 @@
         self.status = 0
         self.headers: Pairs = ()
         self.version = ""
-        self._timer = self._loop.call_later(CHECK_PERIOD_S, self._check)
+        self._submitted_at = self._loop.time()
+        self._silent_at = self._submitted_at + silent_s
+        self._timer = self._loop.call_at(min(self._silent_at, self._limit), self._check)
 
     def on_started(self) -> None:
         """Extend the limit of an engine's work; a service must answer within the deadline."""
@@ -283,16 +306,17 @@
         attempt = self.attempt
         if now >= self._limit or now >= self._last_limit:
             self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN))
-        elif (
-            not self.has_started
-            and self._request.idempotent
-            and attempt is not None
-            and now - attempt.peer.last_message_at > OVERDUE_S
-        ):
-            self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "No heartbeat."))
-        else:
-            wait_s = min(CHECK_PERIOD_S, self._limit - now)
-            self._timer = self._loop.call_later(wait_s, self._check)
+            return
+        if now >= self._silent_at:
+            self._silent_at = math.inf
+            if attempt is not None and attempt.peer.last_message_at < self._submitted_at:
+                self._on_silent()
+                if self._request.idempotent:
+                    self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "It is silent."))
+                    return
+        self._timer = self._loop.call_at(
+            min(self._silent_at, self._limit, now + CHECK_PERIOD_S), self._check
+        )
 
 
 def _find_done(data: bytearray) -> int:
@@ -492,7 +516,13 @@
                 request.idempotent or not may_have_run,
                 target=request.name,
             )
-            run = _AttemptRun(request=request, started_at=started_at, deadline=deadline)
+            run = _AttemptRun(
+                request=request,
+                started_at=started_at,
+                deadline=deadline,
+                silent_s=self._choose_silent_s(state, request.rank, time_left_ms),
+                on_silent=partial(self._router.suspect, state),
+            )
             end = await self._run_attempt(request, state, run, int(time_left_ms))
             if isinstance(end, Whole):
                 return Success(run.make_answer(end))
@@ -508,6 +538,11 @@
             refusal = replace(refusal, executed=Executed.UNKNOWN)
         return Failure(refusal)
 
+    def _choose_silent_s(self, state: UpstreamState, rank: str, time_left_ms: float) -> float:
+        if self._router.predict_wait_ms(state, rank) >= SOON_MS:
+            return SILENT_S
+        return min(SILENT_S, max(SILENT_SOON_MIN_S, SILENT_SOON_PART * time_left_ms / 1000))
+
     async def _run_attempt(
         self, request: CallerRequest, state: UpstreamState, run: _AttemptRun, time_left_ms: int
     ) -> Whole | Refusal:
--- a/sycamoreproxy/membership.py
+++ b/sycamoreproxy/membership.py
@@ -52,6 +52,7 @@
         "record",
         "status",
         "status_at",
+        "suspected_at",
     )
 
     def __init__(self, *, record: HostRecord) -> None:
@@ -60,6 +61,8 @@
         self.status: Status | None = None
         #: Reading of the monotonic clock at the last status, in seconds.
         self.status_at = float("-inf")
+        #: When an attempt found it silent; it gets no new work until it is heard again.
+        self.suspected_at = float("-inf")
         #: When the upstream became ready for work, in seconds; the slow start counts from it.
         self.available_since = 0.0
         #: Attempts of this entry host in progress.
@@ -89,6 +92,7 @@
             status is not None
             and status.state == "ready"
             and now - self.status_at < HEARTBEAT_LIMIT_S
+            and self.status_at >= self.suspected_at
             and self.record.state == "live"
             and self.peer is not None
             and not self.peer.is_closed
--- a/sycamoreproxy/routing.py
+++ b/sycamoreproxy/routing.py
@@ -127,6 +127,14 @@
             breaker.count_success()
             del self._breakers_by_host[state.host]
 
+    def suspect(self, state: UpstreamState) -> None:
+        """Give an upstream no new work until its next status."""
+        state.suspected_at = self._clock.monotonic()
+
+    def predict_wait_ms(self, state: UpstreamState, rank: str) -> float:
+        """Return the wait that a new request of a rank would have, in milliseconds."""
+        return _predict_wait_ms(state, rank)
+
     def _choose_among(
         self, states: list[UpstreamState], rank: str, prefix_key: str, now: float
     ) -> tuple[UpstreamState, float]:
--- a/tests/_entry.py
+++ b/tests/_entry.py
@@ -79,6 +79,7 @@
     def __init__(self, host: str, *, kind: str, name: str, zone: str, script: Script) -> None:
         self.host = host
         self.script = script
+        self.is_frozen = False
         self.submits: list[Submit] = []
         self.cancels: list[str] = []
         self.status = Status("ready", kind, name, "v1", window=8)
@@ -224,7 +225,8 @@
             while True:
                 entry.hub.broadcast(PeerStatus("ready", 0, ""))
                 for upstream in entry.upstreams:
-                    upstream.beat()
+                    if not upstream.is_frozen:
+                        upstream.beat()
                 await asyncio.sleep(0.5)
 
         task = asyncio.create_task(beat())
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -206,6 +206,25 @@
     run_with_entry(action)
 
 
+def test_frozen_upstream_is_given_up_in_time_and_avoided() -> None:
+    submits: list[ScriptedUpstream] = []
+
+    def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
+        submits.append(upstream)
+        upstream.is_frozen = upstream is submits[0]
+        if not upstream.is_frozen:
+            answer_plain(upstream, peer, submit)
+
+    async def action(entry: Entry) -> None:
+        await entry.add(script, count=2)
+        for _ in range(5):
+            answer = await entry.fetch("/v1/chat/completions", method="POST", body=PLAIN)
+            assert answer.code == 200
+        assert submits.count(submits[0]) == 1
+
+    run_with_entry(action)
+
+
 class Book:
     """A claim book in memory."""
 
