--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -56,7 +56,7 @@
 
 def test_service_gets_path_query_and_body() -> None:
     async def action(entry: Entry) -> None:
-        await entry.add(kind="service", name="ledger")
+        await entry.add(service="ledger")
         answer = await entry.fetch("/services/ledger/deposits?x=1", method="POST", body=b"5 lv")
         assert answer.body == b"u0 /deposits?x=1 5 lv"
         submit = entry.upstreams[0].submits[0]
@@ -107,7 +107,7 @@
     path: str, options: dict[str, Any], status: int, name: str
 ) -> None:
     async def action(entry: Entry) -> None:
-        await entry.add(kind="service", name="ledger")
+        await entry.add(service="ledger")
         chosen = {"method": "POST", "body": _chat(), **options}
         if chosen["method"] == "GET":
             chosen["body"] = None
@@ -150,7 +150,7 @@
     script: Any, method: str, runs: int, executed: str
 ) -> None:
     async def action(entry: Entry) -> None:
-        await entry.add(script, kind="service", name="ledger", count=2)
+        await entry.add(script, service="ledger", count=2)
         answer = await entry.fetch("/services/ledger/d", method=method, body=b"5")
         assert json.loads(answer.body)["error"]["executed"] == executed
         assert sum(len(upstream.submits) for upstream in entry.upstreams) == runs
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
 from collections.abc import Callable
 from typing import Any
@@ -14,10 +13,11 @@
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.dispatch import RecordedOutcome
-from sycamoreproxy.messages import Finish, Output, Refuse, ResponseHead, Started, Submit
+from sycamoreproxy.messages import Finish, Output, Refuse, ResponseHead, Submit
 from sycamoreproxy.peers import Peer
 from sycamoreproxy.result_codes import Executed, Refusal
 from tests._entry import (
+    DONE,
     EVENT_STREAM,
     EVENTS,
     MODEL,
@@ -25,6 +25,7 @@
     ScriptedUpstream,
     answer_plain,
     answer_stream,
+    make_answer,
     run_with_entry,
     send_answer,
 )
@@ -33,22 +34,10 @@
     {"model": MODEL, "stream": True, "messages": [{"role": "user", "content": "?"}]}
 ).encode()
 PLAIN = STREAM.replace(b"true", b"false")
-DONE = b"data: [DONE]\n\n"
 
 PHASES: dict[str, int] = {"submit": 0, "started": 1, "head": 2, "outputs": 4, "all outputs": 6}
 
 
-def _steps(attempt_id: str, headers: Any = EVENT_STREAM) -> list[Any]:
-    parts = [*EVENTS, DONE]
-    digest = hashlib.sha256(b"".join(parts)).hexdigest()
-    return [
-        Started(attempt_id),
-        ResponseHead(attempt_id, 200, headers, "v1"),
-        *[Output(attempt_id, number, part, 1) for number, part in enumerate(parts)],
-        Finish(attempt_id, len(parts), digest, 5, 4, "v1"),
-    ]
-
-
 def _fail_once(phase: int, fail: Callable[[Peer, str], None]) -> Any:
     """Return a script that fails the first attempt in a phase and answers the others."""
     failed: list[str] = []
@@ -58,7 +47,7 @@
             answer_stream(upstream, peer, submit)
             return
         failed.append(submit.attempt_id)
-        for step in _steps(submit.attempt_id)[:phase]:
+        for step in make_answer(submit.attempt_id, [*EVENTS, DONE], EVENT_STREAM)[:phase]:
             peer.send(step)
         fail(peer, submit.attempt_id)
 
@@ -108,15 +97,13 @@
 
 @pytest.mark.parametrize("fault", FAULTS)
 def test_plain_answer_that_is_cut_never_reaches_the_caller(fault: str) -> None:
-    plain = (("Content-Type", "application/json"),)
-
     def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
-        for step in _steps(submit.attempt_id, plain)[:-1]:
+        for step in make_answer(submit.attempt_id, [*EVENTS, DONE])[:-1]:
             peer.send(step)
         FAULTS[fault](peer, submit.attempt_id)
 
     async def action(entry: Entry) -> None:
-        await entry.add(script, kind="service", name="ledger")
+        await entry.add(script, service="ledger")
         answer = await entry.fetch("/services/ledger/x", method="POST", body=b"")
         assert answer.code >= 500
         assert json.loads(answer.body)["error"]["executed"] == "unknown"
@@ -135,12 +122,12 @@
         for own, sent in submits:
             for other, stray in submits:
                 if other is not own:
-                    send_answer(own, stray.attempt_id, [b"crossed"], ())
-            send_answer(own, sent.attempt_id, [b"for " + sent.body], ())
-            send_answer(own, sent.attempt_id, [b"late"], ())
+                    send_answer(own, stray.attempt_id, [b"crossed"])
+            send_answer(own, sent.attempt_id, [b"for " + sent.body])
+            send_answer(own, sent.attempt_id, [b"late"])
 
     async def action(entry: Entry) -> None:
-        await entry.add(script, kind="service", name="ledger", count=3)
+        await entry.add(script, service="ledger", count=3)
         bodies = [b"%d" % number for number in range(6)]
         answers = await asyncio.gather(
             *[entry.fetch("/services/ledger/x", method="POST", body=body) for body in bodies]
@@ -173,7 +160,7 @@
 
     def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
         if not cut:
-            send_answer(peer, submit.attempt_id, parts, ())
+            send_answer(peer, submit.attempt_id, parts)
             return
         peer.send(ResponseHead(submit.attempt_id, 200, (), ""))
         for number, part in enumerate(parts):
@@ -181,7 +168,7 @@
         peer.send(Refuse(submit.attempt_id, codes.UPSTREAM_LOST.number, "unknown"))
 
     async def action(entry: Entry) -> None:
-        await entry.add(script, kind="service", name="ledger")
+        await entry.add(script, service="ledger")
         if cut:
             with pytest.raises(HTTPStreamClosedError):
                 await entry.fetch("/services/ledger/x", method="GET")
@@ -194,7 +181,7 @@
 
 def test_silent_upstream_ends_with_the_deadline() -> None:
     async def action(entry: Entry) -> None:
-        (upstream,) = await entry.add(lambda *message: None, kind="service", name="ledger")
+        (upstream,) = await entry.add(lambda *message: None, service="ledger")
         answer = await entry.fetch(
             "/services/ledger/x", method="POST", body=b"", headers={"X-Deadline-Ms": "50"}
         )
@@ -264,7 +251,7 @@
     book = Book()
 
     async def action(entry: Entry) -> None:
-        (upstream,) = await entry.add(answer_plain, kind="service", name="ledger")
+        (upstream,) = await entry.add(answer_plain, service="ledger")
         first, second = await _post(entry), await _post(entry)
         assert (first.code, first.body) == (second.code, second.body) == (200, b"u0 /x 5")
         assert (await _post(entry, b"6")).code == 422
@@ -284,7 +271,7 @@
         peer.send(Refuse(submit.attempt_id, codes.QUEUE_FULL.number, executed))
 
     async def action(entry: Entry) -> None:
-        await entry.add(script, kind="service", name="ledger")
+        await entry.add(script, service="ledger")
         await _post(entry, b"no", "a")
         await _post(entry, b"unknown", "b")
         assert list(book.states) == ["b"]
@@ -299,8 +286,7 @@
     async def action(entry: Entry) -> None:
         (upstream,) = await entry.add(
             lambda upstream, peer, submit: held.append((peer, submit)),
-            kind="service",
-            name="ledger",
+            service="ledger",
         )
         _, writer = await asyncio.open_connection("127.0.0.1", entry.port)
         writer.write(
