Share the origin's spare copies, and keep uploads for scarce chunks

Cause: hosts of one region spent their upload budgets while a chunk was held by one of them only; then all waited 30 s for renewed budgets. Refusals for a spent budget were remembered for ever, so even budgets that were free again were not used. Change: the copies beyond the first of a region are divided by what the hosts announce they asked of the origin; a host ahead of its part leaves chunks to other holders, and keeps part of its budget for chunks that nobody else can pass on; budgets are renewed without being asked; requests in flight and accepted uploads outlive a change of version.

--- a/bench/chunks.py
+++ b/bench/chunks.py
@@ -88,7 +88,7 @@
     uploads: deque[tuple[str, str]] = field(default_factory=deque)
     in_free_at: float = 0.0
     announced_at: float = -1.0
-    announced: tuple[int, int, bool] = (-1, -1, False)
+    announced: tuple[int, int, bool, int] = (-1, -1, False, 0)
     alive: bool = True
     done_at: float = -1.0
     wake_at: float = -1.0
@@ -258,7 +258,12 @@
             peers=len(self._peers_by_host[name]),
             bytes_per_s=self.scenario.bytes_per_s,
         )
-        news = (host.plan.held, host.plan.uploaded, host.plan.fetches_from_origin)
+        news = (
+            host.plan.held,
+            host.plan.uploaded,
+            host.plan.fetches_from_origin,
+            host.plan.asked_of_origin,
+        )
         if not host.alive:
             return
         if now - host.announced_at < gap_s or news == host.announced:
@@ -273,9 +278,14 @@
                 peer = self.hosts[peer_name]
                 if peer.alive and host.alive:
                     same = peer.plan.manifest.version == version
-                    bitmap, uploaded, fetches = news if same else (0, 0, news[2])
+                    bitmap, uploaded, fetches, asked = news if same else (0, 0, news[2], 0)
                     peer.plan.note_have(
-                        name, bitmap=bitmap, uploaded=uploaded, closed=not same, fetches=fetches
+                        name,
+                        bitmap=bitmap,
+                        uploaded=uploaded,
+                        closed=not same,
+                        fetches=fetches,
+                        from_origin=asked,
                     )
                     if not peer.plan.is_done:
                         self._wake(peer_name)
@@ -328,14 +338,13 @@
             return
         before = host.plan
         host.plan = self._make_plan(host.record, previous=before)
-        host.uploads.clear()
         host.done_at = -1.0
         self._set_neighbours(host)
         for peer in self._peers_by_host[name]:
             other = self.hosts[peer]
             if other.alive and other.plan.manifest is host.plan.manifest:
                 host.plan.note_have(peer, bitmap=other.plan.held, uploaded=0, closed=False)
-        host.announced = (-1, -1, False)
+        host.announced = (-1, -1, False, 0)
         self._announce(name)
         self._wake(name)
 
--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -19,6 +19,10 @@
 #: Name of the origin as a source; no host has an empty name.
 ORIGIN = ""
 
+#: Part of the bytes still to be received that is expected to arrive corrupt or twice.
+_EXPECTED_WASTE = 0.01
+#: Longest pause after refusals for lack of room, in times of one chunk.
+_MAX_BUSY_FACTOR = 4
 #: Time between two looks for requests and hosts without progress, in seconds.
 _EXPIRE_PERIOD_S = 0.2
 
@@ -40,6 +44,9 @@
     :param in_flight_per_source: of these, at one peer.
     :param in_flight_at_origin: of these, at the origin; more would only queue at its link.
     :param upload_queue: accepted uploads that wait for the link.
+    :param seed_copies: peers that must hold a chunk before a host that uploaded more than its part
+        leaves the chunk to them.
+    :param upload_ahead: chunks that a host may upload beyond its part so far.
     :param source_spread: sources whose uploads differ by less than this many chunks are chosen at
         random: all hosts see the same figures and would ask the same source.
     :param take_over_s: shortest time without progress after which the next host in hash order
@@ -59,6 +66,8 @@
     in_flight_per_source: int = 2
     in_flight_at_origin: int = 1
     upload_queue: int = 3
+    seed_copies: int = 2
+    upload_ahead: float = 4.0
     source_spread: float = 4.0
     take_over_s: float = 5.0
     request_s: float = 15.0
@@ -108,7 +117,7 @@
     """What is known of a peer.
 
     :param fetches: whether it fetches its chunks from the origin.
-    :param is_spent: whether it declined because its upload budget is spent.
+    :param spent_until: until when it is not asked because its upload budget is spent.
     """
 
     bitmap: int = 0
@@ -117,7 +126,8 @@
     fetches: bool = True
     in_flight: int = 0
     busy_until: float = 0.0
-    is_spent: bool = False
+    busy_answers: int = 0
+    spent_until: float = 0.0
 
 
 def hash_name(name: str) -> int:
@@ -219,6 +229,7 @@
         self.uploaded = 0
         self.from_peers = 0
         self.from_origin = 0
+        self.asked_of_origin = 0
         self._host = host
         self._limits = limits
         self._clock = clock
@@ -251,11 +262,11 @@
             clock=clock, bytes_per_s=limits.bytes_per_s, burst_bytes=2 * manifest.chunk_bytes
         )
         self._expire_at = 0.0
-        self._fallback_bytes = 0
+        self._origin_bytes_by_host: dict[str, int] = {}
         self._wasted_bytes = 0
         self._origin_s = 0.0
         self._last_upload_at = clock.monotonic()
-        self._last_fallback_at = clock.monotonic()
+        self._last_origin_at = clock.monotonic()
         self._uploaded_by_digest: Counter[str] = Counter()
         if previous is not None:
             self._take_over(previous)
@@ -308,11 +319,20 @@
         self._assign()
 
     def note_have(
-        self, host: str, *, bitmap: int, uploaded: int, closed: bool, fetches: bool = True
+        self,
+        host: str,
+        *,
+        bitmap: int,
+        uploaded: int,
+        closed: bool,
+        fetches: bool = True,
+        from_origin: int = 0,
     ) -> None:
         """Take a peer's announcement of what it holds of this version.
 
-        :param fetches: whether the peer fetches its chunks from the origin now.
+        :param uploaded: bytes that it sent to peers.
+        :param fetches: whether it fetches its chunks from the origin now.
+        :param from_origin: bytes that it asked of the origin.
         """
         peer = self._peers_by_host.setdefault(host, _PeerState())
         bitmap &= self._planned
@@ -325,8 +345,9 @@
         self._count(gained, 1)
         self._count(peer.bitmap & ~bitmap, -1)
         if uploaded < peer.uploaded:
-            peer.is_spent = False
+            peer.spent_until = 0.0
         peer.bitmap, peer.uploaded, peer.closed, peer.fetches = bitmap, uploaded, closed, fetches
+        self._origin_bytes_by_host[host] = from_origin
         if active != (host not in self._stalled and fetches):
             self._assign()
 
@@ -359,6 +380,8 @@
                 self._origin_s = took if not self._origin_s else 0.7 * self._origin_s + 0.3 * took
         else:
             self.from_peers += self.manifest.size_of(index)
+            if source in self._peers_by_host:
+                self._peers_by_host[source].busy_answers = 0
 
     def note_corrupt(self, digest: str, source: str) -> None:
         """Avoid a source whose bytes did not match the digest."""
@@ -386,9 +409,11 @@
         if reason == "absent" and index is not None:
             self._count(peer.bitmap & (1 << index), -1)
             peer.bitmap &= ~(1 << index)
+        peer.busy_answers = min(peer.busy_answers + 1, _MAX_BUSY_FACTOR)
         pause = self.manifest.chunk_bytes / self._limits.bytes_per_s
+        pause *= peer.busy_answers * (0.5 + self._random.random())
         if reason == "budget":
-            pause, peer.is_spent = self._limits.quiet_s / 4, True
+            peer.spent_until = self._clock.monotonic() + self._limits.quiet_s / 4
         peer.busy_until = self._clock.monotonic() + pause
 
     # Decisions
@@ -402,7 +427,10 @@
             if fetch is None:
                 break
             self._in_flight_by_index[fetch.index] = (fetch.source, self._clock.monotonic())
-            if fetch.source != ORIGIN:
+            if fetch.source == ORIGIN:
+                self.asked_of_origin += self.manifest.size_of(fetch.index)
+                self._last_origin_at = self._clock.monotonic()
+            else:
                 self._peers_by_host[fetch.source].in_flight += 1
             self._pacer.take(self.manifest.size_of(fetch.index))
             fetches.append(fetch)
@@ -424,24 +452,68 @@
         index = self._first_index_by_digest.get(digest)
         if index is None or not self._held >> index & 1:
             return "absent"
-        now = self._clock.monotonic()
-        if now - self._last_upload_at > self._limits.quiet_s:
-            self.uploaded = 0
-            self._uploaded_by_digest.clear()
+        self.renew_budget()
         size = self.manifest.size_of(index)
-        if self.uploaded + size > self.upload_budget:
+        if self.uploaded + size > self._copy_budget - self._wasted_bytes:
             return "budget"
-        if queued >= self._limits.upload_queue:
+        is_scarce = self._counts[index] < self._limits.seed_copies
+        if queued >= self._limits.upload_queue or self.uploaded + size > self.upload_budget:
+            return "busy"
+        if not is_scarce and (self._is_ahead() or self._must_reserve(size)):
             return "busy"
         self.uploaded += size
         self._uploaded_by_digest[digest] += size
-        self._last_upload_at = now
+        self._last_upload_at = self._clock.monotonic()
         return ""
 
+    def renew_budget(self) -> None:
+        """Begin a new upload budget if the rollout ended, which is after a time without uploads."""
+        if self._clock.monotonic() - self._last_upload_at > self._limits.quiet_s:
+            self.uploaded = 0
+            self._wasted_bytes = 0
+            self._uploaded_by_digest.clear()
+
+    def cancel_upload(self, digest: str) -> None:
+        """Return the bytes of an accepted upload that was not sent."""
+        size = self.manifest.size_of(self._first_index_by_digest.get(digest, 0))
+        if self._uploaded_by_digest[digest] >= size:
+            self._uploaded_by_digest[digest] -= size
+            self.uploaded -= size
+
+    def _is_ahead(self) -> bool:
+        """Whether this host uploaded more than its part so far.
+
+        It then leaves chunks that others hold too to them. Hosts that fetch many chunks from the
+        origin would spend their budget early, and with it the last hosts' sources.
+        """
+        if not self._peers_by_host:
+            return False
+        held = sum(peer.bitmap.bit_count() for peer in self._peers_by_host.values())
+        progress = held / len(self._peers_by_host) / self._planned.bit_count()
+        ahead = self.uploaded - progress * self._copy_budget
+        return ahead > self._limits.upload_ahead * self.manifest.chunk_bytes
+
+    def _must_reserve(self, size: int) -> bool:
+        """Whether the rest of the budget is needed for chunks that no other host can pass on."""
+        scarce = 0
+        for count, mask in self._masks_by_count.items():
+            if count < self._limits.seed_copies:
+                scarce |= mask
+        scarce &= self._duties.chunks_of(self._host)
+        needed = scarce.bit_count() * self._limits.seed_copies * self.manifest.chunk_bytes
+        return self.uploaded + size + needed > self.upload_budget
+
     @property
     def upload_budget(self) -> float:
-        """Bytes that may be uploaded in one rollout; corrupt bytes received count against it."""
-        return self._copy_budget - self._wasted_bytes
+        """Bytes that may be uploaded in one rollout.
+
+        Bytes received in vain count against it, those seen and those still to be expected.
+        """
+        missing = (self._planned & ~self._held).bit_count() * self.manifest.chunk_bytes
+        received = self._unique_bytes - missing + self._wasted_bytes
+        rate = max(_EXPECTED_WASTE, self._wasted_bytes / max(1, received))
+        reserve = missing * rate + (self.manifest.chunk_bytes if missing else 0)
+        return self._copy_budget - self._wasted_bytes - reserve
 
     # Private parts
 
@@ -451,6 +523,14 @@
             if digest in self._first_index_by_digest:
                 self._uploaded_by_digest[digest] = size
                 self.uploaded += size
+        for index, (source, sent_at) in previous._in_flight_by_index.items():
+            shared = self._first_index_by_digest.get(previous.manifest.chunks[index])
+            if shared is None:
+                continue
+            self._in_flight_by_index[shared] = (source, sent_at)
+            if source != ORIGIN:
+                peer = self._peers_by_host.setdefault(source, _PeerState(closed=True))
+                peer.in_flight += 1
 
     def _choose(self) -> Fetch | None:
         wanted = self._planned & ~self._held
@@ -468,7 +548,7 @@
             duty = absent & self._first_duties.chunks_of(self._host)
             if duty:
                 return self._make_fetch(self._pick_bit(duty), ORIGIN)
-            if absent and self._spend_allowance(self._pick_bit(absent), now):
+            if absent and self._may_exceed_duty(self._pick_bit(absent), now):
                 return self._make_fetch(self._pick_bit(absent), ORIGIN)
         candidates = wanted & available
         for count in sorted(self._masks_by_count):
@@ -485,7 +565,10 @@
         refusing = 0
         offering = 0
         for host, peer in self._peers_by_host.items():
-            spent = peer.is_spent or peer.uploaded + self.manifest.chunk_bytes > self._copy_budget
+            spent = (
+                peer.spent_until > now
+                or peer.uploaded + self.manifest.chunk_bytes > self._copy_budget
+            )
             if peer.closed or spent or self._avoided_until_by_source.get(host, 0.0) > now:
                 refusing |= peer.bitmap
             else:
@@ -494,30 +577,46 @@
         if not refused:
             return None
         index = self._pick_bit(refused)
-        return self._make_fetch(index, ORIGIN) if self._spend_allowance(index, now) else None
+        return self._make_fetch(index, ORIGIN) if self._may_exceed_duty(index, now) else None
 
-    def _spend_allowance(self, index: int, now: float) -> bool:
-        """Count a chunk against the bytes that this host may take beyond the region's copy.
+    def _may_exceed_duty(self, index: int, now: float) -> bool:
+        """Decide whether a chunk that is not this host's own to fetch may be asked of the origin.
 
         A host that no peer is connected to has no other source and is not bounded.
+
+        :returns: whether the chunk may be asked of the origin.
         """
-        if now - self._last_fallback_at > self._limits.quiet_s:
-            self._fallback_bytes = 0
         size = self.manifest.size_of(index)
-        if self._peers_by_host and self._fallback_bytes + size > self._fallback_allowance():
-            return False
-        self._fallback_bytes += size
-        self._last_fallback_at = now
-        return True
-
-    def _fallback_allowance(self) -> float:
+        if not self._peers_by_host:
+            return True
+        if now - self._last_origin_at > self._limits.quiet_s:
+            # Nothing more is coming by the plan; one chunk each time keeps the transfer alive.
+            return True
+        return size <= self._origin_allowance()
+
+    def _origin_allowance(self) -> float:
+        """Return the bytes that this host may take from the origin beyond its own chunks.
+
+        What the region may take in all, less what was asked for and what still has to be fetched
+        once, is divided among the hosts that are not done. The figures of peers are announced
+        ones, so the sum may be exceeded by what was asked for since.
+        """
         spare_of_all = self._limits.origin_copies - self._regions
         spare_per_zone = min(
             self._limits.origin_copies_per_zone - 1, max(0.0, spare_of_all) / self._zones
         )
         zones_here = max(1.0, self._zones / self._regions)
-        share = spare_per_zone * zones_here * self._unique_bytes / self._region_size
-        return max(share, self.manifest.chunk_bytes)
+        limit = (1 + spare_per_zone * zones_here) * self._unique_bytes
+        known = len(self._origin_bytes_by_host) + 1
+        asked = self.asked_of_origin + sum(self._origin_bytes_by_host.values())
+        # Hosts without a stream to this one are taken to be like the others.
+        estimate = asked * max(1.0, self._region_size / known)
+        absent = (self._masks_by_count.get(0, 0) & ~self._held).bit_count()
+        unfinished = 1 + sum(
+            1 for peer in self._peers_by_host.values() if peer.bitmap != self._planned
+        )
+        left = limit - estimate - absent * self.manifest.chunk_bytes
+        return left / unfinished
 
     @property
     def _copy_budget(self) -> float:
@@ -533,7 +632,7 @@
             if peer.bitmap
             and not peer.closed
             and peer.in_flight < limit
-            and not peer.is_spent
+            and peer.spent_until <= now
             and peer.busy_until <= now
             and peer.uploaded + room <= budget
             and self._avoided_until_by_source.get(host, 0.0) <= now
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -331,6 +331,7 @@
     :param uploaded: bytes of this version sent to peers so far.
     :param closed: whether the host takes no requests for chunks.
     :param fetches: whether the host fetches its share of the chunks from the origin now.
+    :param from_origin: bytes of this version asked of the origin so far.
     """
 
     version: str
@@ -338,6 +339,7 @@
     uploaded: int = 0
     closed: bool = False
     fetches: bool = True
+    from_origin: int = 0
 
 
 @message(31)
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -118,7 +118,7 @@
         self._neighbours: tuple[HostRecord, ...] = ()
         self._peers_by_host: dict[str, Peer] = {}
         self._haves_by_host: dict[str, ChunkHave] = {}
-        self._uploads: deque[tuple[Peer, str, str]] = deque()
+        self._uploads: deque[tuple[Peer, str]] = deque()
         self._upload_pacer = Pacer(
             clock=clock, bytes_per_s=limits.bytes_per_s, burst_bytes=MAX_CHUNK_BYTES
         )
@@ -157,7 +157,6 @@
         self._wanted, self._served = version, served
         self._manifest, self._plan = None, None
         self._reason = "the manifest was not read yet"
-        self._uploads.clear()
         self._wake.set()
 
     @property
@@ -334,7 +333,8 @@
             data = await self._origin.read_chunk(plan.manifest, fetch.index)
         except OriginError as error:
             _log.warning("chunk not read from the origin", error=str(error))
-            plan.note_failed(fetch.digest, ORIGIN)
+            if self._plan is not None:
+                self._plan.note_failed(fetch.digest, ORIGIN)
             self._wake.set()
             return
         self._store(fetch.digest, data, ORIGIN)
@@ -372,7 +372,9 @@
         self._haves_by_host.pop(host, None)
         if self._plan is not None:
             self._plan.note_lost(host)
-        self._uploads = deque(item for item in self._uploads if item[0] is not peer)
+        for item in [item for item in self._uploads if item[0] is peer]:
+            self._uploads.remove(item)
+            self._cancel_upload(item[1])
         self._wake.set()
 
     def _handle_have(self, peer: Peer, have: ChunkHave) -> None:
@@ -392,14 +394,16 @@
             uploaded=have.uploaded if same else 0,
             closed=have.closed or not same,
             fetches=have.fetches,
+            from_origin=have.from_origin if same else 0,
         )
         self._wake.set()
 
     def _handle_request(self, peer: Peer, request: ChunkRequest) -> None:
         plan = self._plan
-        if plan is None or plan.manifest.version != request.version:
+        if plan is None or not (request.digest or plan.manifest.version == request.version):
             peer.send(ChunkDecline(request.digest, "absent"))
             return
+        # Chunks are the same in every version that has them, so the version does not matter.
         if not request.digest:
             peer.send(ChunkData("", plan.manifest.encode()))
             return
@@ -407,7 +411,7 @@
         if reason:
             peer.send(ChunkDecline(request.digest, reason))
             return
-        self._uploads.append((peer, request.version, request.digest))
+        self._uploads.append((peer, request.digest))
         self._upload_wake.set()
 
     def _handle_data(self, peer: Peer, answer: ChunkData) -> None:
@@ -437,20 +441,27 @@
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
                 continue
-            peer, _, digest = self._uploads.popleft()
+            peer, digest = self._uploads.popleft()
             data = self._chunks.get(digest)
             if data is None:
+                self._cancel_upload(digest)
                 peer.send(ChunkDecline(digest, "absent"))
             elif peer.send(ChunkData(digest, data)):
                 self._upload_pacer.take(len(data))
                 WEIGHT_BYTES.add({"direction": "out", "kind": "peer"}, len(data))
 
+    def _cancel_upload(self, digest: str) -> None:
+        if self._plan is not None:
+            self._plan.cancel_upload(digest)
+
     async def _keep_announcing(self) -> None:
         while True:
             await asyncio.sleep(ANNOUNCE_MIN_S)
             since = self._clock.monotonic() - self._announced_at
             if since < HEARTBEAT_S and not (self._announce_due and since >= self._announce_gap_s()):
                 continue
+            if self._plan is not None:
+                self._plan.renew_budget()
             have = self._make_have()
             self._announced_at, self._announce_due = self._clock.monotonic(), False
             for peer in list(self._peers_by_host.values()):
@@ -472,4 +483,5 @@
             encode_bitmap(plan.held, len(manifest.chunks)),
             plan.uploaded,
             fetches=plan.fetches_from_origin,
+            from_origin=plan.asked_of_origin,
         )
