--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import random
 from collections import Counter
@@ -21,6 +22,11 @@
 
 #: Part of the bytes still to be received that is expected to arrive corrupt or twice.
 _EXPECTED_WASTE = 0.01
+#: Chunks of the upload budget that are kept while chunks are missing. With one, hosts whose last
+#: chunks arrived corrupt exceeded two copies on their link in the bench.
+_RESERVED_CHUNKS = 2
+#: Shortest time without an arrival after which the origin is asked for a chunk that peers hold.
+_FALLBACK_PAUSE_S = 0.5
 #: Longest pause after refusals for lack of room, in times of one chunk.
 _MAX_BUSY_FACTOR = 4
 #: Time between two looks for requests and hosts without progress, in seconds.
@@ -130,6 +136,7 @@
     spent_until: float = 0.0
 
 
+@functools.lru_cache(maxsize=4_096)
 def hash_name(name: str) -> int:
     """Return a 64-bit hash of a host name that is equal in every process."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
@@ -267,6 +274,8 @@
         self._origin_s = 0.0
         self._last_upload_at = clock.monotonic()
         self._last_origin_at = clock.monotonic()
+        self._last_arrival_at = clock.monotonic()
+        self._wasted_by_digest: Counter[str] = Counter()
         self._uploaded_by_digest: Counter[str] = Counter()
         if previous is not None:
             self._take_over(previous)
@@ -369,8 +378,9 @@
         if index is None:
             return
         sent_at = self._finish_request(index, source)
+        self._last_arrival_at = self._clock.monotonic()
         if self._held >> index & 1:
-            self._wasted_bytes += self.manifest.size_of(index)
+            self._count_waste(digest)
             return
         self._held |= 1 << index
         if source == ORIGIN:
@@ -388,7 +398,7 @@
         index = self._first_index_by_digest.get(digest)
         if index is not None:
             self._finish_request(index, source)
-            self._wasted_bytes += self.manifest.size_of(index)
+            self._count_waste(digest)
         self._avoid(source, self._limits.avoid_corrupt_s)
 
     def note_failed(self, digest: str, source: str) -> None:
@@ -454,10 +464,10 @@
             return "absent"
         self.renew_budget()
         size = self.manifest.size_of(index)
-        if self.uploaded + size > self._copy_budget - self._wasted_bytes:
+        if self.uploaded + size > self._hard_budget:
             return "budget"
         is_scarce = self._counts[index] < self._limits.seed_copies
-        if queued >= self._limits.upload_queue or self.uploaded + size > self.upload_budget:
+        if queued >= self._limits.upload_queue:
             return "busy"
         if not is_scarce and (self._is_ahead() or self._must_reserve(size)):
             return "busy"
@@ -472,6 +482,7 @@
             self.uploaded = 0
             self._wasted_bytes = 0
             self._uploaded_by_digest.clear()
+            self._wasted_by_digest.clear()
 
     def cancel_upload(self, digest: str) -> None:
         """Return the bytes of an accepted upload that was not sent."""
@@ -505,14 +516,20 @@
 
     @property
     def upload_budget(self) -> float:
-        """Bytes that may be uploaded in one rollout.
+        """Bytes that may be uploaded in one rollout of chunks that other hosts hold too.
 
         Bytes received in vain count against it, those seen and those still to be expected.
         """
         missing = (self._planned & ~self._held).bit_count() * self.manifest.chunk_bytes
         received = self._unique_bytes - missing + self._wasted_bytes
         rate = max(_EXPECTED_WASTE, self._wasted_bytes / max(1, received))
-        reserve = missing * rate + (self.manifest.chunk_bytes if missing else 0)
+        return self._hard_budget - missing * rate
+
+    @property
+    def _hard_budget(self) -> float:
+        """The budget for any chunk: the last chunks to arrive may still arrive corrupt."""
+        missing = (self._planned & ~self._held).bit_count()
+        reserve = min(missing, _RESERVED_CHUNKS) * self.manifest.chunk_bytes
         return self._copy_budget - self._wasted_bytes - reserve
 
     # Private parts
@@ -523,6 +540,10 @@
             if digest in self._first_index_by_digest:
                 self._uploaded_by_digest[digest] = size
                 self.uploaded += size
+        for digest, size in previous._wasted_by_digest.items():
+            if digest in self._first_index_by_digest:
+                self._wasted_by_digest[digest] = size
+                self._wasted_bytes += size
         for index, (source, sent_at) in previous._in_flight_by_index.items():
             shared = self._first_index_by_digest.get(previous.manifest.chunks[index])
             if shared is None:
@@ -532,6 +553,11 @@
                 peer = self._peers_by_host.setdefault(source, _PeerState(closed=True))
                 peer.in_flight += 1
 
+    def _count_waste(self, digest: str) -> None:
+        size = self.manifest.size_of(self._first_index_by_digest[digest])
+        self._wasted_by_digest[digest] += size
+        self._wasted_bytes += size
+
     def _choose(self) -> Fetch | None:
         wanted = self._planned & ~self._held
         for index in self._in_flight_by_index:
@@ -559,26 +585,46 @@
         return self._choose_fallback(wanted, now)
 
     def _choose_fallback(self, wanted: int, now: float) -> Fetch | None:
-        """Ask the origin for chunks whose holders all refuse, within this host's allowance."""
-        if self._in_flight_by_index or not self._may_ask_origin():
+        """Ask the origin for a chunk whose holders all refuse, if this host waits for nothing else.
+
+        Of the hosts that miss the chunk and can pass it on, two ask first, chosen by rendezvous
+        hash; the others wait for them to pass it on.
+        """
+        idle_s = now - self._last_arrival_at
+        pause = max(_FALLBACK_PAUSE_S, 5 * self.manifest.chunk_bytes / self._limits.bytes_per_s)
+        if self._in_flight_by_index or idle_s < pause or not self._may_ask_origin():
             return None
-        refusing = 0
         offering = 0
         for host, peer in self._peers_by_host.items():
-            spent = (
-                peer.spent_until > now
-                or peer.uploaded + self.manifest.chunk_bytes > self._copy_budget
+            spent = peer.spent_until > now or peer.uploaded + self.manifest.chunk_bytes > (
+                self._copy_budget
             )
-            if peer.closed or spent or self._avoided_until_by_source.get(host, 0.0) > now:
-                refusing |= peer.bitmap
-            else:
+            avoided = self._avoided_until_by_source.get(host, 0.0) > now
+            refusing = peer.busy_answers >= _MAX_BUSY_FACTOR
+            if not (peer.closed or spent or avoided or refusing):
                 offering |= peer.bitmap
-        refused = wanted & refusing & ~offering
+        refused = wanted & ~offering & ~self._masks_by_count.get(0, 0)
+        if idle_s < 4 * pause:
+            for index in list_bits(refused):
+                if not self._is_reseeder(index):
+                    refused &= ~(1 << index)
         if not refused:
             return None
         index = self._pick_bit(refused)
         return self._make_fetch(index, ORIGIN) if self._may_exceed_duty(index, now) else None
 
+    def _is_reseeder(self, index: int) -> bool:
+        """Whether this host is among the first two that fetch a chunk once more."""
+        chunk_key = int(self.manifest.chunks[index][:_BUCKET_DIGITS], 16)
+        own = score_chunk(chunk_key, hash_name(self._host))
+        budget = self._copy_budget * 0.9
+        before = 0
+        for host, peer in self._peers_by_host.items():
+            can_pass_on = not peer.bitmap >> index & 1 and peer.uploaded < budget and peer.fetches
+            if can_pass_on and score_chunk(chunk_key, hash_name(host)) > own:
+                before += 1
+        return before < 2
+
     def _may_exceed_duty(self, index: int, now: float) -> bool:
         """Decide whether a chunk that is not this host's own to fetch may be asked of the origin.
 
