--- a/sycamoreproxy/result_codes.py
+++ b/sycamoreproxy/result_codes.py
@@ -60,6 +60,9 @@
 INVALID_IDEMPOTENCY_KEY = _define(
     1012, "invalid_idempotency_key", 400, "The idempotency key is empty or too long."
 )
+TOO_MANY_CONNECTIONS = _define(
+    1013, "too_many_connections", 503, "Too many connections are open.", retry_helps=True
+)
 
 # 11xx: identity and permission.
 MISSING_KEY = _define(1101, "missing_key", 401, "No bearer key was given.")
@@ -128,6 +131,9 @@
 )
 UNKNOWN_REVISION = _define(1505, "unknown_revision", 404, "No such revision is held.")
 UNKNOWN_CHANGE = _define(1506, "unknown_change", 404, "No such change was accepted.")
+STORE_UNAVAILABLE = _define(
+    1507, "store_unavailable", 503, "The store did not answer the query.", retry_helps=True
+)
 
 # 16xx: weights and engine orders.
 ORDER_REFUSED = _define(1601, "order_refused", 502, "The engine refused the order.")
--- /dev/null
+++ b/tests/test_census.py
@@ -0,0 +1,117 @@
+"""Guards against a census that counts a process that it did not hear from, or hides why."""
+
+import asyncio
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+import pytest
+from tornado.testing import bind_unused_port
+
+from sycamoreproxy.census import Census, CensusReport, CensusResponder
+from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.host_list import HostRecord
+from sycamoreproxy.messages import Hello
+from sycamoreproxy.peers import PeerHub
+from sycamoreproxy.streams import Address, MessageServer
+
+VIEW = SimpleNamespace(
+    revision=7, models=lambda: ("lm",), target=lambda model: SimpleNamespace(replicas=3)
+)
+
+
+@dataclass(frozen=True)
+class _Case:
+    """One other process beside the one that takes the census."""
+
+    revision: int = 7
+    state: str = "live"
+    listed_as: str = "other"
+    is_stopped: bool = False
+    is_linked: bool = False
+    unmet: str = ""
+
+
+class _Process:
+    def __init__(self, host: str, revision: int, unmet: str = "") -> None:
+        self.hub = PeerHub(hello=Hello(host, host, "upstream", "zone", "region"), client_tls=None)
+        self.responder = CensusResponder(
+            hub=self.hub, revision=lambda: revision, unmet=lambda: [unmet] if unmet else []
+        )
+        socket, port = bind_unused_port()
+        self.address = Address("127.0.0.1", port)
+        self.server = MessageServer(handle=self.hub.serve, tls=None)
+        self.server.add_socket(socket)
+
+    def record(self, name: str, state: str = "live") -> HostRecord:
+        here = self.address
+        return HostRecord(name, "upstream", "zone", "region", here, here, state, "engine", "lm")
+
+    async def close(self) -> None:
+        self.server.stop()
+        await self.hub.close()
+
+
+async def _take(case: _Case) -> CensusReport:
+    own, other = _Process("own", 7), _Process("other", case.revision, case.unmet)
+    census = Census(
+        hub=own.hub,
+        responder=own.responder,
+        hosts=lambda: [own.record("own"), other.record(case.listed_as, case.state)],
+        view=lambda: VIEW,
+        client_tls=None,
+        clock=ManualClock(start=60),
+        timeout_s=1.0,
+    )
+    try:
+        if case.is_linked:
+            opened, closed = asyncio.Event(), asyncio.Event()
+            own.hub.on_open(lambda peer: opened.set())
+            own.hub.on_close(lambda peer: closed.set())
+            own.hub.set_targets({other.address})
+            await asyncio.wait_for(opened.wait(), 10)
+        if case.is_stopped:
+            await other.close()
+        if case.is_linked:
+            await asyncio.wait_for(closed.wait(), 10)
+        return await census.take(7)
+    finally:
+        await own.close()
+        await other.close()
+
+
+SILENT = "no answer since this process started at 1970-01-01 00:01:00 UTC"
+
+
+@pytest.mark.parametrize(
+    ("case", "in_force", "expected", "reasons"),
+    [
+        (_Case(revision=8), 2, 2, []),
+        (_Case(revision=6), 1, 2, ["revision 6 is in force there"]),
+        (_Case(state="leaving"), 2, 2, []),
+        (_Case(is_stopped=True), 1, 2, [SILENT]),
+        (_Case(is_stopped=True, state="leaving"), 1, 1, []),
+        # Another host took over the address since the list was read.
+        (_Case(listed_as="gone"), 1, 2, [SILENT]),
+        (
+            _Case(is_linked=True, is_stopped=True),
+            1,
+            2,
+            ["cut off since 1970-01-01 00:01:00 UTC"],
+        ),
+    ],
+)
+def test_counts_only_processes_that_answered(
+    case: _Case, in_force: int, expected: int, reasons: list[str]
+) -> None:
+    report = asyncio.run(_take(case))
+    assert (report.in_force, report.expected) == (in_force, expected)
+    assert [item.reason for item in report.missing] == reasons
+    assert report.newest == max(7, case.revision if case.listed_as == "other" else 0)
+
+
+def test_unmet_wishes_and_short_models_are_named() -> None:
+    report = asyncio.run(_take(_Case(state="leaving", unmet="the engine refused lm-2 (422)")))
+    assert [(item.host, item.reason) for item in report.unmet] == [
+        ("other", "the engine refused lm-2 (422)"),
+        ("", "not enough hosts: lm wants 3 replicas, 1 are live"),
+    ]
