Group unmet wishes by reason and wait for a rollout

Cause: a trial of the night's failures printed one line a host and named each host twice; a shortage of hosts was reported by the hosts and again by the census; nothing waited for a rollout.

--- a/sycamoreproxy/census.py
+++ b/sycamoreproxy/census.py
@@ -6,7 +6,6 @@
 import contextlib
 import ssl
 import uuid
-from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -26,7 +25,7 @@
 
 class _Target(Protocol):
     @property
-    def replicas(self) -> int: ...
+    def version(self) -> str: ...
 
 
 class TargetView(Protocol):
@@ -40,7 +39,7 @@
         """Return the models that have rows."""
 
     def target(self, model: str) -> _Target:
-        """Return the version and replicas wanted of a model."""
+        """Return what is wanted of a model; an empty version wants nothing."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -231,7 +230,8 @@
                     reason=self._explain(record, reply),
                 )
             )
-        unmet.extend(self._find_short_models([record for record, _ in pairs]))
+        answered = {record.name for record, reply in pairs if reply is not None}
+        unmet.extend(self._find_silent_models(answered))
         return CensusReport(
             revision=revision,
             newest=newest,
@@ -252,19 +252,13 @@
             return f"no answer; it last answered at {_format_time(answered_at)}"
         return f"no answer since this process started at {_format_time(self._started_at)}"
 
-    def _find_short_models(self, records: list[HostRecord]) -> list[UnmetWish]:
-        live = Counter(
-            record.name for record in records if record.kind == "engine" and record.state == "live"
-        )
+    def _find_silent_models(self, answered: set[str]) -> list[UnmetWish]:
+        """Return the models wanted of which no host could report what it lacks."""
         view = self._view()
-        wanted = {model: view.target(model).replicas for model in view.models()}
         return [
-            UnmetWish(
-                host="",
-                reason=f"not enough hosts: {model} wants {count} replicas, {live[model]} are live",
-            )
-            for model, count in wanted.items()
-            if count > live[model]
+            UnmetWish(host="", reason=f"not enough hosts: no host of {model} answers")
+            for model in view.models()
+            if view.target(model).version and model not in answered
         ]
 
     def _note_open(self, peer: Peer) -> None:
--- a/sycamoreproxy/ctl.py
+++ b/sycamoreproxy/ctl.py
@@ -85,6 +85,8 @@
     float, Parameter(help="Seconds to wait until the revision is in force everywhere.")
 ]
 _DEFAULT = Connection()
+#: Hosts named in one line of a status.
+_MAX_NAMED = 8
 
 
 def _console() -> Console:
@@ -352,6 +354,7 @@
 def status(
     revision: int = 0,
     *,
+    met: bool = False,
     wait: Wait = 0.0,
     json: Json = False,
     connection: Connection = _DEFAULT,
@@ -361,19 +364,21 @@
     ```console
     $ sycamorectl table status
     $ sycamorectl table status 41 --wait 20
+    $ sycamorectl table status --met --wait 600
     ```
 
     Ends with status 5 if the revision is not in force everywhere.
 
     :param revision: the revision; the newest one in force at the asked process if not given.
+    :param met: also require that every wish is met, such as a rollout that is still going on.
     """
     with connection.open() as client:
-        report = _wait_in_force(client, revision, wait)
+        report = _wait_in_force(client, revision, wait, met=met)
     if json:
         _print_json(report)
     else:
         _print_status(report)
-    return _status_of(report)
+    return _status_of(report, met=met)
 
 
 @table.command
@@ -473,7 +478,9 @@
     return _status_of(report)
 
 
-def _wait_in_force(client: AdminClient, revision: int, wait_s: float) -> dict[str, Any]:
+def _wait_in_force(
+    client: AdminClient, revision: int, wait_s: float, *, met: bool = False
+) -> dict[str, Any]:
     """Return the last census; asks again until the revision is in force or time is up."""
     end = time.monotonic() + wait_s
     path = f"/v1/table/status/{revision or 'latest'}"
@@ -486,14 +493,14 @@
             if time.monotonic() + _WAIT_PAUSE_S > end:
                 raise
         if report is not None and (
-            report["in_force"] == report["expected"] or time.monotonic() + _WAIT_PAUSE_S > end
+            _status_of(report, met=met) == ExitStatus.DONE or time.monotonic() + _WAIT_PAUSE_S > end
         ):
             return report
         time.sleep(_WAIT_PAUSE_S)
 
 
-def _status_of(report: dict[str, Any]) -> int:
-    whole = report["in_force"] == report["expected"]
+def _status_of(report: dict[str, Any], *, met: bool = False) -> int:
+    whole = report["in_force"] == report["expected"] and not (met and report["unmet"])
     return ExitStatus.DONE if whole else ExitStatus.NOT_IN_FORCE
 
 
@@ -504,8 +511,16 @@
     )
     for item in report["missing"]:
         print(f"  {item['host']} ({item['role']}, {item['availability_zone']}): {item['reason']}")
+    hosts_by_reason: dict[str, list[str]] = {}
     for item in report["unmet"]:
-        print(f"  not met: {item['host'] + ': ' if item['host'] else ''}{item['reason']}")
+        # Processes name themselves; without the name, equal reasons share a line.
+        reason = item["reason"].removeprefix(item["host"]).strip()
+        hosts_by_reason.setdefault(reason, []).append(item["host"])
+    for reason, hosts in hosts_by_reason.items():
+        named = [host for host in hosts if host]
+        more = f" and {len(named) - _MAX_NAMED} more" if len(named) > _MAX_NAMED else ""
+        where = f" at {', '.join(named[:_MAX_NAMED])}{more}" if named else ""
+        print(f"  not met{where}: {reason}")
 
 
 def _print_failure(error: CommandError, *, as_json: bool) -> None:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -128,3 +128,14 @@
     # structlog imports rich by itself where it is installed, so only cyclopts tells.
     script = "import sys, sycamoreproxy.admin_http; sys.exit('cyclopts' in sys.modules)"
     assert subprocess.run([sys.executable, "-c", script], timeout=60).returncode == 0
+
+
+def test_status_groups_hosts_by_reason(capsys: pytest.CaptureFixture[str]) -> None:
+    unmet = [{"host": f"h{n}", "reason": f"h{n} does not serve lm-2"} for n in range(10)]
+    unmet.append({"host": "", "reason": "not enough hosts"})
+    report = {"revision": 3, "in_force": 10, "expected": 10, "missing": [], "unmet": unmet}
+    ctl._print_status(report)
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[1].endswith("h6, h7 and 2 more: does not serve lm-2")
+    assert lines[2:] == ["  not met: not enough hosts"]
+    assert (ctl._status_of(report), ctl._status_of(report, met=True)) == (0, 5)
