Wire claims of non-idempotent requests into the entry host

Cause: requests with an Idempotency-Key were sent without a claim; a repeat through another entry host ran twice. Change: the composition root gives the claim book to the dispatcher.

--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -161,6 +161,7 @@
 def build_entry(parts: CommonParts) -> Process:
     """Build the process of an entry host."""
     from sycamoreproxy.caller_http import CallerServer
+    from sycamoreproxy.claims import ClaimBook
     from sycamoreproxy.dispatch import Dispatcher
     from sycamoreproxy.entry_role import EntryProcess
     from sycamoreproxy.limits import FleetLimits, Neighbours
@@ -185,6 +186,12 @@
         start_quiet_s=settings.limits.start_quiet_s,
     )
     neighbours.connect(limits)
+    claims = ClaimBook(
+        store=parts.store,
+        prefix=settings.store.prefix,
+        owner=f"{parts.hello.host}/{parts.hello.process_id}",
+        clock=parts.clock,
+    )
     dispatcher = Dispatcher(
         links=links,
         router=Router(
@@ -193,6 +200,7 @@
         budget=RetryBudget(clock=parts.clock),
         get_view=lambda: parts.replica.view,
         limits=limits,
+        claims=claims,
     )
     callers = CallerServer(
         dispatcher=dispatcher,
@@ -216,6 +224,7 @@
         limits=limits,
         replica=parts.replica,
         callers=callers,
+        claims=claims,
         admin=admin,
         store=parts.store,
         tasks=parts.tasks,
--- a/sycamoreproxy/entry_role.py
+++ b/sycamoreproxy/entry_role.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from sycamoreproxy.admin_http import AdminServer
     from sycamoreproxy.caller_http import CallerServer
+    from sycamoreproxy.claims import ClaimBook
     from sycamoreproxy.host_poller import HostPoller
     from sycamoreproxy.limits import FleetLimits
     from sycamoreproxy.membership import Membership
@@ -58,6 +59,7 @@
         limits: FleetLimits,
         replica: TableReplica,
         callers: CallerServer,
+        claims: ClaimBook,
         admin: AdminServer,
         store: Store,
         tasks: BackgroundTasks,
@@ -70,6 +72,7 @@
         self._limits = limits
         self._replica = replica
         self._callers = callers
+        self._claims = claims
         self._admin = admin
         self._store = store
         self._tasks = tasks
@@ -112,6 +115,7 @@
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
         await self._callers.close()
+        await self._claims.close()
         await self._tasks.close()
         await self._replica.close()
         self._peer_server.stop()
