--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -34,11 +34,13 @@
 
     :param engines: engines of the one model.
     :param services: plain services named ``ledger``.
+    :param ignore_fencing: further engines of the model that ignore fencing tokens.
     """
 
     engines: int = 3
     entries: int = 2
     services: int = 0
+    ignore_fencing: int = 0
     settings: dict[str, dict[str, Any]] | None = None
     extra_rows: tuple[str, ...] = ()
 
@@ -72,24 +74,9 @@
         directory.mkdir(parents=True, exist_ok=True)
         table = directory / "table.csv"
         table.write_text(render_table(spec.extra_rows), encoding="utf-8")
-        upstreams = [
-            UpstreamSpec(
-                kind="engine",
-                name=MODEL,
-                count=spec.engines,
-                options=(
-                    "--slots",
-                    str(SLOTS),
-                    "--token-ms",
-                    str(TOKEN_MS),
-                    "--prefill-ms-per-1k",
-                    str(PREFILL_MS_PER_1K),
-                    "--batch-cost",
-                    str(BATCH_COST),
-                ),
-                settings={"window": SLOTS, "target_gap_ms": TARGET_GAP_MS},
-            )
-        ]
+        upstreams = [_make_engines(spec.engines)]
+        if spec.ignore_fencing:
+            upstreams.append(_make_engines(spec.ignore_fencing, ignore_fencing=True))
         if spec.services:
             upstreams.append(UpstreamSpec(kind="service", name="ledger", count=spec.services))
         deployment = Deployment(
@@ -108,6 +95,28 @@
             yield deployment
 
 
+def _make_engines(count: int, *, ignore_fencing: bool = False) -> UpstreamSpec:
+    options = {
+        "--slots": SLOTS,
+        "--token-ms": TOKEN_MS,
+        "--prefill-ms-per-1k": PREFILL_MS_PER_1K,
+        "--batch-cost": BATCH_COST,
+        "--fencing": "ignore" if ignore_fencing else "refuse",
+    }
+    return UpstreamSpec(
+        kind="engine",
+        name=MODEL,
+        count=count,
+        options=tuple(str(part) for pair in options.items() for part in pair),
+        settings={
+            "window": SLOTS,
+            "target_gap_ms": TARGET_GAP_MS,
+            "checks_fencing": not ignore_fencing,
+            "order_timeout_s": 5.0,
+        },
+    )
+
+
 def make_caller(processes: list[ManagedProcess], listener: str) -> Caller:
     """Return a caller that sends to one listener of these processes in turn."""
     return Caller(
--- a/bench/load.py
+++ b/bench/load.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from standins.engine import digest_request
+
 #: Time after its deadline that a caller waits for the end of an answer, in seconds.
 ANSWER_GRACE_S = 30.0
 
@@ -57,6 +59,8 @@
     code: int = 0
     executed: str = ""
     versions: frozenset[str] = frozenset()
+    content: str = ""
+    expected: str = ""
     body: bytes = b""
 
     @property
@@ -122,7 +126,7 @@
             self._next += 1
             ip, port = self.entries[self._next % len(self.entries)]
             reader, writer = await asyncio.open_connection(ip, port)
-            writer.write(self._make_request(arrival, request_id))
+            writer.write(self._make_request(arrival, sample))
             limit = arrival.deadline_s + ANSWER_GRACE_S
             await asyncio.wait_for(self._read_answer(reader, sample, start), limit)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
@@ -133,18 +137,19 @@
         sample.total_s = time.monotonic() - start
         return sample
 
-    def _make_request(self, arrival: Arrival, request_id: str) -> bytes:
+    def _make_request(self, arrival: Arrival, sample: Sample) -> bytes:
         key = self.keys_by_account[arrival.client_account]
         # The engine's answer depends on the prompt only, so each prompt names its request.
-        prompt = f"{request_id} " + "word " * arrival.prompt_words
-        body = json.dumps(
-            {
-                "model": arrival.model,
-                "messages": [{"role": "user", "content": prompt}],
-                "max_tokens": arrival.max_tokens,
-                "stream": arrival.stream,
-            }
-        ).encode()
+        prompt = f"{sample.request_id} " + "word " * arrival.prompt_words
+        request = {
+            "model": arrival.model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": arrival.max_tokens,
+            "stream": arrival.stream,
+        }
+        # The engine stand-in answers with the start of its request's digest.
+        sample.expected = digest_request(request)[:16]
+        body = json.dumps(request).encode()
         path = arrival.path or "/v1/chat/completions"
         head = (
             f"POST {path} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {key}\r\n"
@@ -186,7 +191,7 @@
                 continue
             data = line[6:].strip()
             if data == b"[DONE]":
-                sample.result = "whole"
+                sample.result = _judge(sample)
                 continue
             event = json.loads(data)
             if "error" in event:
@@ -198,12 +203,21 @@
                 sample.first_s = time.monotonic() - start
             if event.get("system_fingerprint"):
                 versions.add(event["system_fingerprint"])
-            sample.tokens += sum(
-                1 for choice in event.get("choices", ()) if choice.get("delta", {}).get("content")
-            )
+            for choice in event.get("choices", ()):
+                text = choice.get("delta", {}).get("content")
+                if text:
+                    sample.tokens += 1
+                    sample.content = sample.content or text
         sample.versions = frozenset(versions)
 
 
+def _judge(sample: Sample) -> str:
+    """Return ``whole`` only for every token of the answer to this very request."""
+    if sample.content != sample.expected:
+        return "crossed"
+    return "whole" if sample.tokens == sample.arrival.max_tokens else "cut"
+
+
 async def _body_parts(reader: asyncio.StreamReader, headers: dict[str, str]) -> Any:
     if headers.get("transfer-encoding", "").lower() == "chunked":
         while True:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -57,6 +57,7 @@
     include_usage: bool
     prompt_tokens: int
     tokens: int
+    received_at: float
     done: asyncio.Future[str]
     emitted: int = 0
 
@@ -129,6 +130,8 @@
             stream=bool(body.get("stream")),
             include_usage=bool(options.get("include_usage")),
             prompt_tokens=max(1, len(text) // LETTERS_PER_TOKEN),
+            # The monotonic clock is one for all processes of a machine.
+            received_at=time.monotonic(),
             tokens=int(body.get("max_tokens") or body.get("max_completion_tokens") or 16),
             done=asyncio.get_running_loop().create_future(),
         )
@@ -276,6 +279,7 @@
                 "request_sha256": answer.request_sha256,
                 "tokens": answer.emitted,
                 "outcome": outcome,
+                "received_at": answer.received_at,
             }
         )
 
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -22,6 +22,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -346,9 +347,13 @@
         for zone in self.zones:
             for number in range(1, self._entries + 1):
                 self._add_entry(zone, f"{zone.name}-entry-{number}")
+            numbers: Counter[str] = Counter()
             for spec in self.upstreams:
-                for number in range(1, spec.count + 1):
-                    self._add_upstream(zone, spec, f"{zone.name}-{spec.name}-{number}")
+                # Two specs may serve one name with other options.
+                for _ in range(spec.count):
+                    numbers[spec.name] += 1
+                    name = f"{zone.name}-{spec.name}-{numbers[spec.name]}"
+                    self._add_upstream(zone, spec, name)
         return self.processes_by_name
 
     def start_standins(self) -> None:
