Keep what a refusing rank is owed and size the reserve by the spread of bursts

Cause: a rank whose short queue was empty for a moment lost its guaranteed share although it refused work; small windows had too small a reserve; estimates far from the truth distorted an account's lead. Change: what is owed stays while the rank refuses work; the reserve is 2.2 standard deviations of a Poisson number of running requests; the lead is converted by the observed ratio of true to estimated cost; predictions are trusted for at least 0.35 of the time left.

--- a/sycamoreproxy/admission.py
+++ b/sycamoreproxy/admission.py
@@ -37,12 +37,15 @@
 _ACTIVE_S = 3.0 * _ARRIVAL_S
 #: Part of the time left that a prediction may fill, learned per rank: bounds, first value, the
 #: step down after a late request, and the fraction of late ones at which it stays.
-_MIN_TRUST, _MAX_TRUST, _FIRST_TRUST = 0.3, 1.0, 0.8
+_MIN_TRUST, _MAX_TRUST, _FIRST_TRUST = 0.35, 1.0, 0.8
 _TRUST_STEP = 0.05
 _DISTRUST_PERIOD_S = 0.5
 _LATE_TARGET = 0.02
 #: A request is served before others of its rank when it would be late after so many more starts.
 _RESCUE_STARTS = 3.0
+#: A rank without waiting work that refused some within this time keeps what it is owed, in seconds:
+#: it has demand, and only the limits of its queue keep that from waiting.
+_DEMAND_S = 2.0
 #: Credit is earned at this part of the entitled rate, so that work that always uses its whole
 #: part has none.
 _EARNED_PART = 0.9
@@ -232,10 +235,12 @@
         self.earned_per_weight = 0.0
         self.mean_cost = _Average()
         self.finished_cost = _Average()
+        self.finished_true = _Average()
         self.finished_s = _Average()
         self.first_token = _Average()
         self.trust = _FIRST_TRUST
         self.distrusted_at = -1e9
+        self.refused_at = -1e9
         self.rate = _Rate()
         self.waiting_since = 0.0
 
@@ -324,6 +329,7 @@
         time_left = ticket.deadline_at - now - rank.first_token.faded(now)
         wait_s = self._predict(rank, account, now)
         if wait_s > rank.trust * time_left or time_left <= 0.0:
+            rank.refused_at = now
             needed = ticket.deadline_at - now - time_left + wait_s / rank.trust
             retry_ms = max(1, int(1000 * (wait_s / rank.trust - max(0.0, time_left))))
             return self._refuse(DEADLINE_UNREACHABLE, needed, retry_ms), []
@@ -337,7 +343,6 @@
         ticket.arrived_at = now
         ticket.predicted_s = wait_s
         if not rank.waiting:
-            rank.lag = min(rank.lag, 0.0)
             rank.waiting_since = now
         rank.rate.advance(now, is_waiting=rank.waiting > 0)
         account.tickets.append(ticket)
@@ -428,6 +433,7 @@
         taken_s = now - ticket.started_at
         if cost is not None:
             rank.finished_cost.add(ticket.cost, now)
+            rank.finished_true.add(cost, now)
             rank.finished_s.add(taken_s, now)
             self._finished_cost.add(ticket.cost, now)
             self._finished_s.add(taken_s, now)
@@ -553,6 +559,12 @@
             return self._finished_s.mean / self._finished_cost.mean
         return _FIRST_SECONDS_PER_COST
 
+    def _read_true_part(self, rank: _Rank) -> float:
+        """Return the true cost of a rank's requests relative to their estimates."""
+        if not rank.finished_cost.count:
+            return 1.0
+        return max(0.1, rank.finished_true.mean / rank.finished_cost.mean)
+
     def _read_mean_s(self, rank: _Rank) -> float:
         """Return the mean engine time of a rank's requests in seconds."""
         return self._read_mean_cost(rank) * self._read_seconds_per_cost(rank)
@@ -613,9 +625,10 @@
         ticket.charged += cost
         ticket.charged_s += seconds
         rank = self._ranks_by_name[ticket.rank]
+        now = self._clock.monotonic()
         for other in self._ranks:
             other.lag += other.share * seconds
-            if not other.waiting and other.lag > 0.0:
+            if other.lag > 0.0 and not other.waiting and now - other.refused_at > _DEMAND_S:
                 other.lag = 0.0
         # What was borrowed while others were idle is not held against the borrower for long.
         floor = -2.0 * self._read_mean_s(rank)
@@ -653,6 +666,8 @@
         if account is None or self._has_credit(rank, account):
             return cost / rate
         lead = max(0.0, account.finish - rank.virtual_time)
+        # The lead is true cost; queues and rates are in estimated cost.
+        lead /= self._read_true_part(rank)
         own = lead + account.queued_cost / account.weight
         return max(cost, own * self._sum_weights(rank, account, rate, now)) / rate
 
--- a/sycamoreproxy/engine_window.py
+++ b/sycamoreproxy/engine_window.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from sycamoreproxy.clock import Clock
 
 #: Time between adjustments in seconds: several gaps at the target of 59 ms.
@@ -18,8 +20,9 @@
 BASE_MARGIN = 1.1
 #: A size reduced to this part with a gap of still this part has shown that shrinking is no help.
 PROBE_SIZE, PROBE_GAP = 0.8, 0.97
-#: Part of the size that may be exceeded for work below its entitlement.
-RESERVE_FRACTION = 0.5
+#: The size may be exceeded for work below its entitlement by this many standard deviations of a
+#: number of running requests that is Poisson distributed with the size as its mean.
+RESERVE_DEVIATIONS = 2.2
 
 
 class EngineWindow:
@@ -57,7 +60,7 @@
     @property
     def reserve(self) -> int:
         """Requests above :attr:`size` that may start for work below its entitlement."""
-        return max(1, int(self._size * RESERVE_FRACTION))
+        return max(1, int(RESERVE_DEVIATIONS * math.sqrt(self._size)))
 
     def add_gap(self, seconds: float, tokens: int) -> None:
         """Note that ``tokens`` followed an earlier token of their answer within ``seconds``."""
