--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -372,7 +372,9 @@
         self._haves_by_host.pop(host, None)
         if self._plan is not None:
             self._plan.note_lost(host)
-        self._uploads = deque(item for item in self._uploads if item[0] is not peer)
+        for item in [item for item in self._uploads if item[0] is peer]:
+            self._uploads.remove(item)
+            self._cancel_upload(item[1])
         self._wake.set()
 
     def _handle_have(self, peer: Peer, have: ChunkHave) -> None:
@@ -442,17 +444,24 @@
             peer, digest = self._uploads.popleft()
             data = self._chunks.get(digest)
             if data is None:
+                self._cancel_upload(digest)
                 peer.send(ChunkDecline(digest, "absent"))
             elif peer.send(ChunkData(digest, data)):
                 self._upload_pacer.take(len(data))
                 WEIGHT_BYTES.add({"direction": "out", "kind": "peer"}, len(data))
 
+    def _cancel_upload(self, digest: str) -> None:
+        if self._plan is not None:
+            self._plan.cancel_upload(digest)
+
     async def _keep_announcing(self) -> None:
         while True:
             await asyncio.sleep(ANNOUNCE_MIN_S)
             since = self._clock.monotonic() - self._announced_at
             if since < HEARTBEAT_S and not (self._announce_due and since >= self._announce_gap_s()):
                 continue
+            if self._plan is not None:
+                self._plan.renew_budget()
             have = self._make_have()
             self._announced_at, self._announce_due = self._clock.monotonic(), False
             for peer in list(self._peers_by_host.values()):
