--- a/tests/_upstream.py
+++ b/tests/_upstream.py
@@ -19,14 +19,23 @@
 from standins._server import Faults
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.engines import OpenAiEngine
-from sycamoreproxy.messages import Finish, Hello, Output, Refuse, Submit
+from sycamoreproxy.messages import (
+    Finish,
+    Hello,
+    Output,
+    Refuse,
+    ResponseHead,
+    Started,
+    Status,
+    Submit,
+)
 from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.services import HttpService
 from sycamoreproxy.settings import UpstreamSettings
 from sycamoreproxy.streams import Address, MessageServer
 from sycamoreproxy.upstream_role import UpstreamRole
 
-MESSAGES = (Finish, Output, Refuse)
+MESSAGES = (Finish, Output, Refuse, ResponseHead, Started)
 
 
 @dataclass(frozen=True)
@@ -37,6 +46,17 @@
     share: float = 0.0
 
 
+class ShiftedClock(SystemClock):
+    """The system's clock with a shift that a test sets."""
+
+    def __init__(self) -> None:
+        self.shift_s = 0.0
+
+    def monotonic(self) -> float:
+        """Return the shifted time in seconds."""
+        return super().monotonic() + self.shift_s
+
+
 class FixedView:
     """A table view with fixed rows."""
 
@@ -63,9 +83,11 @@
         self.role = role
         self.entry = entry
         self.engine: Any = None
+        self.clock = ShiftedClock()
         self.runs: Counter[Any] = Counter()
         self.address: Address | None = None
         self.received: dict[str, list[Any]] = {}
+        self.statuses: list[Status] = []
         self._ends: dict[str, asyncio.Event] = {}
 
     def record(self, peer: Peer, message: Any) -> None:
@@ -149,11 +171,12 @@
         tornado.web.Application(routes, log_function=lambda handler: None)
     )
     http.add_socket(socket)
+    clock = ShiftedClock()
     hub = PeerHub(hello=Hello("u", "1", "upstream", "z", "r"), client_tls=None)
     address = f"http://127.0.0.1:{port}"
     role = UpstreamRole(
         hub=hub,
-        clock=SystemClock(),
+        clock=clock,
         settings=UpstreamSettings(kind=kind, name="m", address=address, window=window),
         view=FixedView,
         engine=OpenAiEngine(address, 2.0) if kind == "engine" else None,
@@ -165,11 +188,10 @@
     server.add_socket(peer_socket)
     entry = PeerHub(hello=Hello("e", "2", "entry", "z", "r"), client_tls=None)
     deployment = Deployment(port=port, faults=faults, role=role, entry=entry)
-    deployment.engine, deployment.runs = engine, runs
+    deployment.engine, deployment.runs, deployment.clock = engine, runs, clock
     deployment.address = Address("127.0.0.1", peer_port)
-    from sycamoreproxy.messages import ResponseHead, Started
-
-    for message_type in (*MESSAGES, ResponseHead, Started):
+    entry.on(Status, lambda peer, status: deployment.statuses.append(status))
+    for message_type in MESSAGES:
         entry.on(message_type, deployment.record)
     entry.set_targets({deployment.address})
     role.start()
--- a/tests/test_upstream_role.py
+++ b/tests/test_upstream_role.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sycamoreproxy.messages import Cancel, Finish, Refuse, ResponseHead, Started
+from sycamoreproxy.upstream_role import SILENCE_LIMIT_S
 from tests._upstream import Deployment, run_deployment, wait_until
 
 STREAM = b'{"prompt":"hello","max_tokens":5,"stream":true}'
@@ -141,6 +142,56 @@
     _run(action)
 
 
+def test_a_stalled_engine_is_refused_and_its_slot_freed() -> None:
+    async def action(deployment: Deployment) -> None:
+        deployment.submit("a", LONG)
+        await wait_until(lambda: len(deployment.received.get("a", ())) > 3)
+        deployment.faults.replace({"stall": True})
+
+        def has_ended() -> bool:
+            # An output that was under way when the engine stalled may arrive after a shift.
+            deployment.clock.shift_s += SILENCE_LIMIT_S + 1
+            return isinstance(deployment.received["a"][-1], Refuse)
+
+        await wait_until(has_ended)
+        end = deployment.received["a"][-1]
+        assert isinstance(end, Refuse)
+        assert (end.code, end.executed) == (1303, "unknown")
+        await wait_until(lambda: not deployment.engine._answers_by_id)
+        assert deployment.role.make_status().running == 0
+
+    _run(action)
+
+
+def test_waiting_work_that_became_late_is_refused_as_not_run() -> None:
+    async def action(deployment: Deployment) -> None:
+        for number in range(8):
+            deployment.submit(f"long{number}", LONG, rank="batch")
+        await wait_until(lambda: deployment.role.make_status().running >= 2)
+        deployment.submit("a", LONG, rank="batch", time_left_ms=30_000)
+        await wait_until(lambda: deployment.role.open_attempts == 9)
+        deployment.clock.shift_s = 31.0
+        end = await deployment.wait_end("a")
+        assert isinstance(end, Refuse)
+        assert (end.code, end.executed) == (1204, "no")
+
+    _run(action)
+
+
+def test_entry_hosts_hear_of_the_state_at_once() -> None:
+    async def action(deployment: Deployment) -> None:
+        await wait_until(lambda: deployment.statuses)
+        first = deployment.statuses[0]
+        assert (first.state, first.version, first.table_digest) == ("ready", "v1", "d")
+        deployment.submit("a", STREAM, prefix_key="p")
+        await deployment.wait_end("a")
+        await deployment.role.leave()
+        await wait_until(lambda: deployment.statuses[-1].state == "leaving")
+        assert deployment.statuses[-1].prefixes == ("p",)
+
+    _run(action)
+
+
 def test_leaving_finishes_its_work_and_refuses_more() -> None:
     async def action(deployment: Deployment) -> None:
         for number in range(4):
