Wait at a stop for bodies in transit and unread answers

A request whose body was still arriving was not counted at a stop, and an answer that its caller had not read yet was cut when the sockets closed. Answers sent while leaving close their connection, as their head says. Invariants on placement, wholeness, refusals and loans are asserted.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -56,6 +56,9 @@
 
 #: An idle connection is closed after this time, in seconds; balancers keep connections for 60 s.
 KEEP_ALIVE_S = 75.0
+#: Longest wait at a stop for callers that have not read their answers, and its steps, in seconds.
+FLUSH_LIMIT_S = 30.0
+POLL_S = 0.02
 #: Bytes of request bodies that are held at once for all callers.
 MAX_HELD_BYTES = 256 * 1024 * 1024
 
@@ -160,6 +163,8 @@
         #: Bytes of request bodies held for all callers.
         self.held_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        #: Requests that are accepted and not yet received whole.
+        self.receiving: set[HTTPMessageDelegate] = set()
         self._used_connections: set[object] = set()
         self._server = _BoundedServer(
             self,
@@ -198,10 +203,16 @@
         self.is_leaving = True
 
     async def wait_idle(self) -> None:
-        """Wait until every request in progress is answered."""
-        while self.tasks:
-            await asyncio.wait(self.tasks)
+        """Wait until every request in progress is answered and its caller has the answer."""
+        while self.tasks or self.receiving:
+            if self.tasks:
+                await asyncio.wait(self.tasks)
+            else:
+                await asyncio.sleep(POLL_S)
         await self.dispatcher.wait_idle()
+        give_up_at = time.monotonic() + FLUSH_LIMIT_S
+        while self._server.is_writing() and time.monotonic() < give_up_at:
+            await asyncio.sleep(POLL_S)
 
     async def close(self) -> None:
         """Stop listening, cancel what is in progress and close every connection."""
@@ -217,6 +228,10 @@
 
     max_connections = 0
 
+    def is_writing(self) -> bool:
+        """Return whether a connection has data that its caller has not read."""
+        return any(connection.stream.writing() for connection in self._connections)
+
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         stream.max_write_buffer_size = MAX_UNREAD_BYTES
         if len(self._connections) >= self.max_connections:
@@ -244,6 +259,7 @@
         self._task: asyncio.Task[None] | None = None
         self._account: ClientAccountSettings | None = None
         self._is_refused = False
+        self._is_last = False
         self.is_started = False
         self._is_event_stream = False
         self._is_chunked = False
@@ -273,6 +289,7 @@
             if self._server.is_leaving:
                 raise _Refused(Refusal(codes.LEAVING, Executed.NO, "", 1000))
             self._account = self._find_account()
+            self._server.receiving.add(self)
         except _Refused as error:
             self._refuse_early(error.refusal)
 
@@ -303,6 +320,7 @@
     def finish(self) -> None:
         """Take the whole request on."""
         self._timer.cancel()
+        self._server.receiving.discard(self)
         if self._is_refused:
             self._finish_and_close()
             return
@@ -316,6 +334,7 @@
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that is gone."""
         self._timer.cancel()
+        self._server.receiving.discard(self)
         self._release_body()
         if self._task is not None:
             self._task.cancel()
@@ -528,14 +547,14 @@
         if self.is_started:
             if answer.body:
                 self.write(answer.body)
-            self._connection.finish()
+            self._finish()
             return
         fields = _make_headers(answer.headers, answer.version)
         has_body = answer.status not in (204, 304) and self._start_line.method != "HEAD"
         if has_body:
             fields["Content-Length"] = str(len(answer.body))
         self._write_head(answer.status, fields, answer.body if has_body else None)
-        self._connection.finish()
+        self._finish()
 
     def _send_refusal(self, refusal: Refusal) -> None:
         REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
@@ -544,14 +563,14 @@
         elif self._is_event_stream:
             # Without [DONE], so that no client takes the stream for a whole answer.
             self.write(b"data: %b\n\n" % json.dumps(refusal.as_body()).encode())
-            self._connection.finish()
+            self._finish()
         else:
             # A chunked body without its last chunk is recognised as cut by every client.
             self._stream.close()
 
     def _send_json(self, status: int, value: object, refusal: Refusal | None = None) -> None:
         self._write_json(status, value, refusal)
-        self._connection.finish()
+        self._finish()
 
     def _write_json(
         self, status: int, value: object, refusal: Refusal | None = None, *, close: bool = False
@@ -571,6 +590,7 @@
     def _write_head(self, status: int, fields: HTTPHeaders, body: bytes | None) -> None:
         fields["Date"] = _format_date()
         if self._server.is_leaving:
+            self._is_last = True
             fields["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         future = self._connection.write_headers(line, fields, body)
@@ -580,6 +600,7 @@
         """Answer before the whole request arrived; the connection ends with this answer."""
         self._is_refused = True
         self.is_started = True
+        self._server.receiving.discard(self)
         self._release_body()
         REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
         try:
@@ -590,6 +611,13 @@
         except (StreamClosedError, StreamBufferFullError):
             self._stream.close()
 
+    def _finish(self) -> None:
+        """End the answer; the connection too, if its head says so."""
+        if self._is_last:
+            self._finish_and_close()
+        else:
+            self._connection.finish()
+
     def _finish_and_close(self) -> None:
         stream = self._stream
         self._connection.finish()
--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -525,6 +525,7 @@
             )
             end = await self._run_attempt(request, state, run, int(time_left_ms))
             if isinstance(end, Whole):
+                check_invariant("answer_has_head", run.status > 0, target=request.name)
                 return Success(run.make_answer(end))
             refusal = end
             may_have_run = may_have_run or end.executed is not Executed.NO
@@ -536,6 +537,11 @@
         assert refusal is not None
         if may_have_run and refusal.executed is Executed.NO:
             refusal = replace(refusal, executed=Executed.UNKNOWN)
+        check_invariant(
+            "not_run_is_true",
+            not (refusal.executed is Executed.NO and request.writer.is_started),
+            target=request.name,
+        )
         return Failure(refusal)
 
     def _choose_silent_s(self, state: UpstreamState, rank: str, time_left_ms: float) -> float:
@@ -547,7 +553,7 @@
         self, request: CallerRequest, state: UpstreamState, run: _AttemptRun, time_left_ms: int
     ) -> Whole | Refusal:
         peer = state.peer
-        check_invariant("work_only_to_ready", peer is not None, host=state.host)
+        check_invariant("work_only_to_ready", self._router.may_take(state), host=state.host)
         assert peer is not None
         submit = Submit(
             attempt_id=self._links.make_id(),
--- a/sycamoreproxy/limits.py
+++ b/sycamoreproxy/limits.py
@@ -23,6 +23,7 @@
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.clock import Clock
+from sycamoreproxy.invariants import check_invariant
 from sycamoreproxy.messages import AllowanceAsk, AllowanceGrant
 from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.result_codes import Executed, Refusal, ResultCode
@@ -622,6 +623,11 @@
         amount = min(message.amount, free)
         if amount <= _EPSILON:
             return 0.0
+        check_invariant(
+            "loan_within_share",
+            amount <= pool.get_free_own(self.get_share(is_rate=pool.is_rate)) + _EPSILON,
+            limit=pool.key,
+        )
         self._record_loan(pool, (host, message.number), amount, now)
         return amount
 
--- a/sycamoreproxy/routing.py
+++ b/sycamoreproxy/routing.py
@@ -127,6 +127,10 @@
             breaker.count_success()
             del self._breakers_by_host[state.host]
 
+    def may_take(self, state: UpstreamState) -> bool:
+        """Return whether an upstream may be sent new work."""
+        return state.takes_work(self._clock.monotonic())
+
     def suspect(self, state: UpstreamState) -> None:
         """Give an upstream no new work until its next status."""
         state.suspected_at = self._clock.monotonic()
--- a/tests/_entry.py
+++ b/tests/_entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import inspect
 import random
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
@@ -141,6 +142,7 @@
             limits=limits or CallerLimits(),
             tls=None,
         )
+        self.claims = claims
         self.port = self.server.listen(Address("127.0.0.1", 0))
         self.upstreams: list[ScriptedUpstream] = []
         self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=500)
@@ -183,20 +185,34 @@
         for upstream in self.upstreams:
             await upstream.close()
         await self.hub.close()
+        if self.claims is not None:
+            await self.claims.close()
         self.client.close()
 
 
-def run_with_entry(action: Callable[[Entry], Awaitable[None]], **options: Any) -> None:
-    """Run an action with a fresh entry host."""
+def with_entry(**options: Any) -> Callable[[Callable[..., Awaitable[None]]], Callable[..., None]]:
+    """Run a test with a fresh entry host as its first argument.
 
-    async def run() -> None:
-        entry = Entry(**options)
-        beat = asyncio.create_task(entry.beat())
-        try:
-            # Only ends a run that hangs.
-            await asyncio.wait_for(action(entry), 60)
-        finally:
-            beat.cancel()
-            await entry.close()
+    :param options: arguments of :class:`Entry`; a callable is called for its value.
+    """
 
-    asyncio.run(run())
+    def decorate(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+        async def run(**arguments: Any) -> None:
+            entry = Entry(**{name: v() if callable(v) else v for name, v in options.items()})
+            beat = asyncio.create_task(entry.beat())
+            try:
+                # Only ends a run that hangs.
+                await asyncio.wait_for(test(entry, **arguments), 60)
+            finally:
+                beat.cancel()
+                await entry.close()
+
+        def run_test(**arguments: Any) -> None:
+            asyncio.run(run(**arguments))
+
+        run_test.__name__ = test.__name__
+        parameters = list(inspect.signature(test).parameters.values())[1:]
+        run_test.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
+        return run_test
+
+    return decorate
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -1,4 +1,4 @@
-"""Guards against wrong answers, refusals without a code and requests that run twice."""
+"""Guards against wrong answers, refusals without a code and listeners that broken input stops."""
 
 from __future__ import annotations
 
@@ -13,121 +13,113 @@
 from sycamoreproxy.messages import Output, Refuse, ResponseHead
 from sycamoreproxy.settings import CallerLimits
 from tests._entry import (
+    DONE,
+    EVENT_STREAM,
     EVENTS,
     MODEL,
     Entry,
     ScriptedUpstream,
     answer_plain,
     answer_stream,
-    run_with_entry,
+    with_entry,
 )
 
-CHAT = {"model": MODEL, "messages": [{"role": "user", "content": "Колко е левът?"}]}
+CHAT = "/v1/chat/completions"
+HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer k1\r\n"
+SMALL = CallerLimits(max_body_bytes=4096, max_header_bytes=2048, receive_timeout_s=0.3)
 
 
 def _chat(**changes: Any) -> bytes:
-    return json.dumps({**CHAT, **changes}).encode()
+    messages = [{"role": "user", "content": "Колко е левът?"}]
+    return json.dumps({"model": MODEL, "messages": messages, **changes}).encode()
 
 
-def test_plain_answers_belong_to_their_requests() -> None:
-    async def action(entry: Entry) -> None:
-        await entry.add(answer_plain, count=3)
-        bodies = [_chat(user=str(number)) for number in range(40)]
-        answers = await asyncio.gather(
-            *[entry.fetch("/v1/chat/completions", method="POST", body=body) for body in bodies]
-        )
-        for body, answer in zip(bodies, answers, strict=True):
-            assert answer.code == 200
-            assert answer.body.partition(b" ")[2] == b"/v1/chat/completions " + body
-            assert answer.headers["X-Model-Version"] == "v1"
-
-    run_with_entry(action)
-
+def _with_length(body: bytes) -> bytes:
+    return HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
 
-def test_stream_ends_with_done_once() -> None:
-    async def action(entry: Entry) -> None:
-        await entry.add(answer_stream)
-        answer = await entry.fetch("/v1/chat/completions", method="POST", body=_chat(stream=True))
-        assert answer.body == b"".join(EVENTS) + b"data: [DONE]\n\n"
-        assert answer.headers["Content-Type"] == "text/event-stream"
 
-    run_with_entry(action)
+@with_entry()
+async def test_plain_answers_belong_to_their_requests(entry: Entry) -> None:
+    await entry.add(answer_plain, count=3)
+    bodies = [_chat(user=str(number)) for number in range(40)]
+    answers = await asyncio.gather(
+        *[entry.fetch(CHAT, method="POST", body=body) for body in bodies]
+    )
+    for body, answer in zip(bodies, answers, strict=True):
+        assert answer.code == 200
+        assert answer.body.partition(b" ")[2] == CHAT.encode() + b" " + body
+        assert answer.headers["X-Model-Version"] == "v1"
 
 
-def test_service_gets_path_query_and_body() -> None:
-    async def action(entry: Entry) -> None:
-        await entry.add(service="ledger")
-        answer = await entry.fetch("/services/ledger/deposits?x=1", method="POST", body=b"5 lv")
-        assert answer.body == b"u0 /deposits?x=1 5 lv"
-        submit = entry.upstreams[0].submits[0]
-        assert not submit.idempotent
-        assert "authorization" not in {name.lower() for name, _ in submit.headers}
+@with_entry()
+async def test_stream_ends_with_done_once(entry: Entry) -> None:
+    await entry.add(answer_stream)
+    answer = await entry.fetch(CHAT, method="POST", body=_chat(stream=True))
+    assert answer.body == b"".join(EVENTS) + DONE
+    assert answer.headers["Content-Type"] == "text/event-stream"
 
-    run_with_entry(action)
 
+@with_entry()
+async def test_service_gets_path_query_and_body(entry: Entry) -> None:
+    (upstream,) = await entry.add(service="ledger")
+    answer = await entry.fetch("/services/ledger/deposits?x=1", method="POST", body=b"5 lv")
+    assert answer.body == b"u0 /deposits?x=1 5 lv"
+    assert not upstream.submits[0].idempotent
+    assert "authorization" not in {name.lower() for name, _ in upstream.submits[0].headers}
+    assert (await entry.fetch("/services/ledger/d", method="HEAD")).body == b""
 
-def test_models_are_listed() -> None:
-    async def action(entry: Entry) -> None:
-        answer = await entry.fetch("/v1/models")
-        assert [item["id"] for item in json.loads(answer.body)["data"]] == [MODEL]
 
-    run_with_entry(action)
+@with_entry()
+async def test_models_are_listed(entry: Entry) -> None:
+    answer = await entry.fetch("/v1/models")
+    assert [item["id"] for item in json.loads(answer.body)["data"]] == [MODEL]
 
 
 @pytest.mark.parametrize(
     ("path", "options", "status", "name"),
     [
-        ("/v1/chat/completions", {"body": b"{"}, 400, "malformed_body"),
-        ("/v1/chat/completions", {"body": b"[" * 100_000}, 400, "malformed_body"),
-        ("/v1/chat/completions", {"body": b"[]"}, 400, "invalid_field"),
-        ("/v1/chat/completions", {"body": _chat(model=1)}, 400, "invalid_field"),
-        ("/v1/chat/completions", {"body": _chat(messages="x")}, 400, "invalid_field"),
-        ("/v1/chat/completions", {"body": _chat(messages=[1])}, 400, "invalid_field"),
-        ("/v1/chat/completions", {"body": _chat(stream="yes")}, 400, "invalid_field"),
-        ("/v1/chat/completions", {"body": _chat(max_tokens=-1)}, 400, "invalid_field"),
+        (CHAT, {"body": b"{"}, 400, "malformed_body"),
+        (CHAT, {"body": b"[" * 4000}, 400, "malformed_body"),
+        (CHAT, {"body": b"[]"}, 400, "invalid_field"),
+        (CHAT, {"body": _chat(model=1)}, 400, "invalid_field"),
+        (CHAT, {"body": _chat(messages="x")}, 400, "invalid_field"),
+        (CHAT, {"body": _chat(messages=[1])}, 400, "invalid_field"),
+        (CHAT, {"body": _chat(stream="yes")}, 400, "invalid_field"),
+        (CHAT, {"body": _chat(max_tokens=-1)}, 400, "invalid_field"),
         ("/v1/completions", {"body": _chat(prompt={})}, 400, "invalid_field"),
-        ("/v1/chat/completions", {"body": _chat(model="rose")}, 404, "unknown_model"),
+        (CHAT, {"body": _chat(model="rose")}, 404, "unknown_model"),
         ("/services/rose/", {"body": b""}, 404, "unknown_service"),
         ("/v2", {"body": b""}, 404, "unknown_path"),
-        ("/v1/chat/completions", {"method": "GET"}, 405, "method_not_allowed"),
+        (CHAT, {"method": "GET"}, 405, "method_not_allowed"),
         ("/services/ledger/", {"method": "SING"}, 405, "method_not_allowed"),
         ("/v1/completions", {"body": b"x" * 5000}, 413, "body_too_large"),
         ("/v1/models", {"method": "GET", "headers": {"X": "y" * 3000}}, 431, "headers_too_large"),
         ("/v1/models", {"method": "GET", "key": ""}, 401, "missing_key"),
         ("/v1/models", {"method": "GET", "key": "k3"}, 401, "unknown_key"),
-        ("/v1/chat/completions", {"headers": {"X-Rank": "vip"}}, 400, "unknown_rank"),
-        ("/v1/chat/completions", {"headers": {"X-Rank": "urgent"}, "key": "k2"}, 403, "rank_not"),
-        ("/v1/chat/completions", {"headers": {"X-Deadline-Ms": "-1"}}, 400, "invalid_deadline"),
-        ("/v1/chat/completions", {"headers": {"X-Deadline-Ms": "²"}}, 400, "invalid_deadline"),
-        ("/services/ledger/", {"headers": {"Idempotency-Key": ""}}, 400, "invalid_idempotency"),
-        ("/v1/chat/completions", {}, 503, "no_upstream"),
+        (CHAT, {"headers": {"X-Rank": "vip"}}, 400, "unknown_rank"),
+        (CHAT, {"headers": {"X-Rank": "urgent"}, "key": "k2"}, 403, "rank_not_allowed"),
+        (CHAT, {"headers": {"X-Deadline-Ms": "-1"}}, 400, "invalid_deadline"),
+        (CHAT, {"headers": {"X-Deadline-Ms": "²"}}, 400, "invalid_deadline"),
+        ("/services/ledger/", {"headers": {"Idempotency-Key": ""}}, 400, "invalid_idempotency_key"),
+        (CHAT, {}, 503, "no_upstream"),
     ],
 )
-def test_bad_requests_get_a_code(
-    path: str, options: dict[str, Any], status: int, name: str
+@with_entry(limits=SMALL)
+async def test_bad_requests_get_a_code(
+    entry: Entry, path: str, options: dict[str, Any], status: int, name: str
 ) -> None:
-    async def action(entry: Entry) -> None:
-        await entry.add(service="ledger")
-        chosen = {"method": "POST", "body": _chat(), **options}
-        if chosen["method"] == "GET":
-            chosen["body"] = None
-        answer = await entry.fetch(path, **chosen)
-        error = json.loads(answer.body)["error"]
-        assert (answer.code, error["executed"]) == (status, "no")
-        assert error["name"].startswith(name)
-        assert ("Retry-After" in answer.headers) == (status == 503)
-
-    limits = CallerLimits(max_body_bytes=4096, max_header_bytes=2048)
-    if options.get("body") == b"[" * 100_000:
-        limits = CallerLimits()
-    run_with_entry(action, limits=limits)
+    await entry.add(service="ledger")
+    options = {"method": "POST", "body": _chat(), **options}
+    if options["method"] == "GET":
+        options["body"] = None
+    answer = await entry.fetch(path, **options)
+    error = json.loads(answer.body)["error"]
+    assert (answer.code, error["name"], error["executed"]) == (status, name, "no")
+    assert ("Retry-After" in answer.headers) == (status == 503)
 
 
 def _refuse(code: int, executed: str) -> Any:
-    def script(upstream: ScriptedUpstream, peer: Any, submit: Any) -> None:
-        peer.send(Refuse(submit.attempt_id, code, executed))
-
-    return script
+    return lambda upstream, peer, submit: peer.send(Refuse(submit.attempt_id, code, executed))
 
 
 def _hang_up(upstream: ScriptedUpstream, peer: Any, submit: Any) -> None:
@@ -146,69 +138,74 @@
         (_refuse(9999, "perhaps"), "POST", 1, "unknown"),
     ],
 )
-def test_only_harmless_attempts_are_repeated(
-    script: Any, method: str, runs: int, executed: str
+@with_entry()
+async def test_only_harmless_attempts_are_repeated(
+    entry: Entry, script: Any, method: str, runs: int, executed: str
 ) -> None:
-    async def action(entry: Entry) -> None:
-        await entry.add(script, service="ledger", count=2)
-        answer = await entry.fetch("/services/ledger/d", method=method, body=b"5")
-        assert json.loads(answer.body)["error"]["executed"] == executed
-        assert sum(len(upstream.submits) for upstream in entry.upstreams) == runs
-
-    run_with_entry(action)
-
-
-def test_caller_that_leaves_cancels_upstream() -> None:
-    async def action(entry: Entry) -> None:
-        (upstream,) = await entry.add(lambda *message: None)
-        body = _chat(stream=True)
-        _, writer = await asyncio.open_connection("127.0.0.1", entry.port)
-        writer.write(
-            b"POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer k1\r\n"
-            b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
-        )
-        while not upstream.submits:
-            await asyncio.sleep(0.005)
-        writer.close()
-        while not upstream.cancels:
-            await asyncio.sleep(0.005)
-        assert upstream.cancels == [upstream.submits[0].attempt_id]
-        assert entry.links.open_attempts == 0
+    await entry.add(script, service="ledger", count=2)
+    answer = await entry.fetch("/services/ledger/d", method=method, body=b"5")
+    assert json.loads(answer.body)["error"]["executed"] == executed
+    assert sum(len(upstream.submits) for upstream in entry.upstreams) == runs
+
+
+# The deadline is out of reach, so that only the closed connection can cancel.
+@with_entry(deadline_ms=3_600_000)
+async def test_caller_that_leaves_cancels_upstream(entry: Entry) -> None:
+    (upstream,) = await entry.add(lambda *message: None)
+    _, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    writer.write(_with_length(_chat(stream=True)))
+    while not upstream.submits:
+        await asyncio.sleep(0.005)
+    writer.close()
+    while not upstream.cancels:
+        await asyncio.sleep(0.005)
+    assert upstream.cancels == [upstream.submits[0].attempt_id]
+    assert entry.links.open_attempts == 0
+
+
+@with_entry(deadline_ms=3_600_000)
+async def test_slow_reader_is_cut_and_its_attempt_cancelled(entry: Entry) -> None:
+    async def flood(peer: Any, attempt_id: str) -> None:
+        peer.send(ResponseHead(attempt_id, 200, EVENT_STREAM, ""))
+        for number in range(400):
+            peer.send(Output(attempt_id, number, b"data: " + b"x" * 60_000 + b"\n\n", 1))
+            await asyncio.sleep(0)
 
-    # The deadline is out of reach, so that only the closed connection can cancel.
-    run_with_entry(action, deadline_ms=3_600_000)
+    tasks: list[Any] = []
+    (upstream,) = await entry.add(
+        lambda upstream, peer, submit: tasks.append(
+            asyncio.ensure_future(flood(peer, submit.attempt_id))
+        )
+    )
+    _, writer = await asyncio.open_connection("127.0.0.1", entry.port, limit=1024)
+    writer.write(_with_length(_chat(stream=True)))
+    while not upstream.cancels:
+        await asyncio.sleep(0.01)
+    writer.close()
 
 
 async def _talk(entry: Entry, *parts: bytes) -> bytes:
     """Send bytes on a fresh connection and return everything until it is closed."""
     reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    answer = b""
     with contextlib.suppress(ConnectionError):
         for part in parts:
             writer.write(part)
-            await writer.drain()
             await asyncio.sleep(0.01)
         if not parts or parts[-1]:
             writer.write_eof()
-    answer = b""
-    with contextlib.suppress(ConnectionError):
         answer = await reader.read()
     writer.close()
     return answer
 
 
-HEAD = b"POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer k1\r\n"
-
-
 @pytest.mark.parametrize(
     ("parts", "status"),
     [
         ([HEAD + b"Content-Length: 10\r\n\r\n{", b""], b"408"),
         ([b"POST /v1/compl", b""], b"408"),
         ([HEAD + b"Content-Length: 5000\r\n\r\n", b"x" * 5000], b"413"),
-        (
-            [HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1388\r\n" + b"x" * 5000 + b"\r\n"],
-            b"413",
-        ),
+        ([HEAD + b"Transfer-Encoding: chunked\r\n\r\n1388\r\n" + b"x" * 5000 + b"\r\n"], b"413"),
         ([HEAD + b"Content-Length: 5000\r\nExpect: 100-continue\r\n\r\n", b""], b"413"),
         ([HEAD + b"Content-Length: -1\r\n\r\n"], b"400"),
         ([HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n{}"], b"400"),
@@ -222,77 +219,67 @@
         ([b"\x00" * 30_000], b""),
     ],
 )
-def test_broken_http_gets_a_status_and_harms_no_other(parts: list[bytes], status: bytes) -> None:
-    async def action(entry: Entry) -> None:
-        await entry.add()
-        answer = await _talk(entry, *parts)
-        assert answer.partition(b" ")[2][:3] == status
-        assert answer.count(b"HTTP/1.1") == bool(status)
-        assert (await entry.fetch("/v1/models")).code == 200
-        assert entry.server.held_bytes == 0
-
-    limits = CallerLimits(max_body_bytes=4096, max_header_bytes=2048, receive_timeout_s=0.3)
-    run_with_entry(action, limits=limits)
+@with_entry(limits=SMALL)
+async def test_broken_http_gets_a_status_and_harms_no_other(
+    entry: Entry, parts: list[bytes], status: bytes
+) -> None:
+    answer = await _talk(entry, *parts)
+    assert answer.partition(b" ")[2][:3] == status
+    assert answer.count(b"HTTP/1.1") == bool(status)
+    assert (await entry.fetch("/v1/models")).code == 200
+    assert entry.server.held_bytes == 0
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_random_bytes_never_stop_the_listener(seed: int) -> None:
+@with_entry(limits=CallerLimits(receive_timeout_s=0.5))
+async def test_random_bytes_never_stop_the_listener(entry: Entry, seed: int) -> None:
     rng = random.Random(seed)
-    body = _chat()
-    valid = HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
 
     def mutate() -> bytes:
-        data = bytearray(valid)
+        data = bytearray(_with_length(_chat()))
         for _ in range(rng.randint(1, 8)):
             position = rng.randrange(len(data))
             data[position : position + rng.randint(0, 3)] = rng.randbytes(rng.randint(0, 3))
         return bytes(data)
 
-    async def action(entry: Entry) -> None:
-        await entry.add()
-        await asyncio.gather(*[_talk(entry, mutate()) for _ in range(60)])
-        await asyncio.gather(*[_talk(entry, rng.randbytes(300)) for _ in range(20)])
-        answer = await entry.fetch("/v1/chat/completions", method="POST", body=body)
-        assert answer.code == 200
-        assert entry.links.open_attempts == entry.server.held_bytes == 0
-
-    run_with_entry(action, limits=CallerLimits(receive_timeout_s=0.5))
-
-
-def test_connections_above_the_limit_are_refused() -> None:
-    async def action(entry: Entry) -> None:
-        idle = [await asyncio.open_connection("127.0.0.1", entry.port) for _ in range(3)]
-        await asyncio.sleep(0.05)
-        assert b"too_many_connections" in await _talk(entry)
-        idle[0][1].close()
-        await asyncio.sleep(0.05)
-        assert (await entry.fetch("/v1/models")).code == 200
-        for _, writer in idle:
-            writer.close()
-
-    run_with_entry(action, limits=CallerLimits(max_connections=3))
-
-
-def test_slow_reader_is_cut_and_its_attempt_cancelled() -> None:
-    async def flood(peer: Any, attempt_id: str) -> None:
-        peer.send(ResponseHead(attempt_id, 200, (("Content-Type", "text/event-stream"),), ""))
-        for number in range(400):
-            peer.send(Output(attempt_id, number, b"data: " + b"x" * 60_000 + b"\n\n", 1))
-            await asyncio.sleep(0)
-
-    tasks: list[Any] = []
-
-    def script(upstream: ScriptedUpstream, peer: Any, submit: Any) -> None:
-        tasks.append(asyncio.ensure_future(flood(peer, submit.attempt_id)))
-
-    async def action(entry: Entry) -> None:
-        (upstream,) = await entry.add(script)
-        _, writer = await asyncio.open_connection("127.0.0.1", entry.port, limit=1024)
-        body = _chat(stream=True)
-        path = HEAD.replace(b"/v1/", b"/v1/chat/")
-        writer.write(path + b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
-        while not upstream.cancels:
-            await asyncio.sleep(0.01)
+    await entry.add()
+    await asyncio.gather(*[_talk(entry, mutate()) for _ in range(60)])
+    await asyncio.gather(*[_talk(entry, rng.randbytes(300)) for _ in range(20)])
+    assert (await entry.fetch(CHAT, method="POST", body=_chat())).code == 200
+    assert entry.links.open_attempts == entry.server.held_bytes == 0
+
+
+@with_entry(limits=CallerLimits(max_connections=3))
+async def test_connections_above_the_limit_are_refused(entry: Entry) -> None:
+    idle = [await asyncio.open_connection("127.0.0.1", entry.port) for _ in range(3)]
+    while len(entry.server._server._connections) < 3:
+        await asyncio.sleep(0.005)
+    assert b"too_many_connections" in await _talk(entry)
+    idle[0][1].close()
+    while len(entry.server._server._connections) == 3:
+        await asyncio.sleep(0.005)
+    assert (await entry.fetch("/v1/models")).code == 200
+    for _, writer in idle:
         writer.close()
 
-    run_with_entry(action, deadline_ms=3_600_000)
+
+@with_entry()
+async def test_stop_waits_for_requests_that_are_being_received_and_answered(entry: Entry) -> None:
+    held: list[Any] = []
+    await entry.add(lambda *message: held.append(message))
+    reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    data = _with_length(_chat())
+    writer.write(data[:-5])
+    while not entry.server.receiving:
+        await asyncio.sleep(0.005)
+    entry.server.leave()
+    assert (await entry.fetch("/v1/models")).code == 503
+    idle = asyncio.create_task(entry.server.wait_idle())
+    writer.write(data[-5:])
+    while not held:
+        await asyncio.sleep(0.005)
+    assert not idle.done()
+    answer_plain(*held[0])
+    await idle
+    assert b"200 OK" in await reader.read()
+    writer.close()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,14 +8,13 @@
 from typing import Any
 
 import pytest
-from returns.result import Failure, Result, Success
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from standins.store import MemoryStore
 from sycamoreproxy import result_codes as codes
-from sycamoreproxy.dispatch import RecordedOutcome
-from sycamoreproxy.messages import Finish, Output, Refuse, ResponseHead, Submit
+from sycamoreproxy.claims import ClaimBook
+from sycamoreproxy.messages import Finish, Output, Refuse, Submit
 from sycamoreproxy.peers import Peer
-from sycamoreproxy.result_codes import Executed, Refusal
 from tests._entry import (
     DONE,
     EVENT_STREAM,
@@ -26,20 +25,40 @@
     answer_plain,
     answer_stream,
     make_answer,
-    run_with_entry,
     send_answer,
+    with_entry,
 )
+from tests._fake_store import FakeStore
 
 STREAM = json.dumps(
     {"model": MODEL, "stream": True, "messages": [{"role": "user", "content": "?"}]}
 ).encode()
 PLAIN = STREAM.replace(b"true", b"false")
+CHAT = "/v1/chat/completions"
+LEDGER = "/services/ledger/x"
+#: How many messages of an answer precede the fault.
+PHASES = {"submit": 0, "started": 1, "head": 2, "outputs": 4, "all outputs": 6}
 
-PHASES: dict[str, int] = {"submit": 0, "started": 1, "head": 2, "outputs": 4, "all outputs": 6}
+
+def _close(peer: Peer, attempt_id: str) -> None:
+    # What was sent must leave first.
+    asyncio.get_running_loop().call_later(0.02, peer.close)
 
 
-def _fail_once(phase: int, fail: Callable[[Peer, str], None]) -> Any:
-    """Return a script that fails the first attempt in a phase and answers the others."""
+FAULTS: dict[str, Callable[[Peer, str], Any]] = {
+    "close": _close,
+    "digest": lambda peer, attempt_id: peer.send(Finish(attempt_id, 99, "00", 5, 4, "v1")),
+    "gap": lambda peer, attempt_id: peer.send(Output(attempt_id, 77, b"data: {}\n\n", 1)),
+    "refuse": lambda peer, attempt_id: peer.send(Refuse(attempt_id, 1301, "unknown")),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("phase", PHASES)
+@with_entry()
+async def test_cut_stream_is_repeated_or_ends_with_an_error_event(
+    entry: Entry, phase: str, fault: str
+) -> None:
     failed: list[str] = []
 
     def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
@@ -47,71 +66,37 @@
             answer_stream(upstream, peer, submit)
             return
         failed.append(submit.attempt_id)
-        for step in make_answer(submit.attempt_id, [*EVENTS, DONE], EVENT_STREAM)[:phase]:
+        for step in make_answer(failed[0], [*EVENTS, DONE], EVENT_STREAM)[: PHASES[phase]]:
             peer.send(step)
-        fail(peer, submit.attempt_id)
-
-    return script
-
-
-def _close(peer: Peer, attempt_id: str) -> None:
-    # What was sent must leave first.
-    asyncio.get_running_loop().call_later(0.02, peer.close)
-
-
-def _bad_digest(peer: Peer, attempt_id: str) -> None:
-    peer.send(Finish(attempt_id, 99, "00", 5, 4, "v1"))
-
-
-def _gap(peer: Peer, attempt_id: str) -> None:
-    peer.send(Output(attempt_id, 77, b"data: {}\n\n", 1))
-
-
-def _refuse(peer: Peer, attempt_id: str) -> None:
-    peer.send(Refuse(attempt_id, codes.UPSTREAM_FAILED.number, "unknown"))
+        FAULTS[fault](peer, failed[0])
 
-
-FAULTS = {"close": _close, "digest": _bad_digest, "gap": _gap, "refuse": _refuse}
-
-
-@pytest.mark.parametrize("fault", FAULTS)
-@pytest.mark.parametrize("phase", PHASES)
-def test_cut_stream_is_repeated_or_ends_with_an_error_event(phase: str, fault: str) -> None:
-    async def action(entry: Entry) -> None:
-        await entry.add(_fail_once(PHASES[phase], FAULTS[fault]), count=2)
-        answer = await entry.fetch("/v1/chat/completions", method="POST", body=STREAM)
-        if PHASES[phase] <= 2:
-            assert answer.body == b"".join(EVENTS) + DONE
-        else:
-            *whole, last = answer.body.removesuffix(b"\n\n").split(b"\n\n")
-            assert (
-                b"\n\n".join(whole) + b"\n\n"
-                == b"".join(EVENTS)[: len(answer.body)][: sum(map(len, EVENTS[: len(whole)]))]
-            )
-            assert json.loads(last.removeprefix(b"data: "))["error"]["executed"] == "unknown"
-            assert b"[DONE]" not in answer.body
-        assert entry.links.open_attempts == 0
-
-    run_with_entry(action)
+    await entry.add(script, count=2)
+    answer = await entry.fetch(CHAT, method="POST", body=STREAM)
+    if PHASES[phase] <= 2:
+        assert answer.body == b"".join(EVENTS) + DONE
+    else:
+        *whole, last = answer.body.removesuffix(b"\n\n").split(b"\n\n")
+        assert [event + b"\n\n" for event in whole] == EVENTS[: len(whole)]
+        assert json.loads(last.removeprefix(b"data: "))["error"]["executed"] == "unknown"
+    assert entry.links.open_attempts == 0
 
 
 @pytest.mark.parametrize("fault", FAULTS)
-def test_plain_answer_that_is_cut_never_reaches_the_caller(fault: str) -> None:
+@with_entry()
+async def test_plain_answer_that_is_cut_never_reaches_the_caller(entry: Entry, fault: str) -> None:
     def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
         for step in make_answer(submit.attempt_id, [*EVENTS, DONE])[:-1]:
             peer.send(step)
         FAULTS[fault](peer, submit.attempt_id)
 
-    async def action(entry: Entry) -> None:
-        await entry.add(script, service="ledger")
-        answer = await entry.fetch("/services/ledger/x", method="POST", body=b"")
-        assert answer.code >= 500
-        assert json.loads(answer.body)["error"]["executed"] == "unknown"
-
-    run_with_entry(action)
+    await entry.add(script, service="ledger")
+    answer = await entry.fetch(LEDGER, method="POST", body=b"")
+    assert answer.code >= 500
+    assert json.loads(answer.body)["error"]["executed"] == "unknown"
 
 
-def test_crossed_and_late_answers_reach_no_other_caller() -> None:
+@with_entry()
+async def test_crossed_and_late_answers_reach_no_other_caller(entry: Entry) -> None:
     submits: list[tuple[Peer, Submit]] = []
 
     def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
@@ -126,74 +111,60 @@
             send_answer(own, sent.attempt_id, [b"for " + sent.body])
             send_answer(own, sent.attempt_id, [b"late"])
 
-    async def action(entry: Entry) -> None:
-        await entry.add(script, service="ledger", count=3)
-        bodies = [b"%d" % number for number in range(6)]
-        answers = await asyncio.gather(
-            *[entry.fetch("/services/ledger/x", method="POST", body=body) for body in bodies]
-        )
-        assert [answer.body for answer in answers] == [b"for " + body for body in bodies]
-        assert entry.links.strays["crossed"] > 0
-
-    run_with_entry(action)
+    await entry.add(script, service="ledger", count=3)
+    bodies = [b"%d" % number for number in range(6)]
+    answers = await asyncio.gather(
+        *[entry.fetch(LEDGER, method="POST", body=body) for body in bodies]
+    )
+    assert [answer.body for answer in answers] == [b"for " + body for body in bodies]
+    assert entry.links.strays["crossed"] > 0
 
 
 @pytest.mark.parametrize("size", [1, 3, 7])
-def test_events_in_pieces_stay_whole_and_done_waits_for_the_end(size: int) -> None:
+@with_entry()
+async def test_events_in_pieces_stay_whole_and_done_waits_for_the_end(
+    entry: Entry, size: int
+) -> None:
     whole = b"".join([*EVENTS, b'data: {"text": "[DONE]"}\n\n', DONE])
-
-    def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
-        parts = [whole[index : index + size] for index in range(0, len(whole), size)]
-        send_answer(peer, submit.attempt_id, parts, EVENT_STREAM)
-
-    async def action(entry: Entry) -> None:
-        await entry.add(script)
-        answer = await entry.fetch("/v1/chat/completions", method="POST", body=STREAM)
-        assert answer.body == whole
-
-    run_with_entry(action)
+    parts = [whole[index : index + size] for index in range(0, len(whole), size)]
+    await entry.add(
+        lambda upstream, peer, submit: send_answer(peer, submit.attempt_id, parts, EVENT_STREAM)
+    )
+    assert (await entry.fetch(CHAT, method="POST", body=STREAM)).body == whole
 
 
 @pytest.mark.parametrize("cut", [False, True])
-def test_large_plain_answer_is_passed_on_and_its_cut_is_visible(cut: bool) -> None:
+@with_entry()
+async def test_large_plain_answer_is_passed_on_and_its_cut_is_visible(
+    entry: Entry, cut: bool
+) -> None:
     parts = [bytes([number]) * 300_000 for number in range(6)]
 
     def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
-        if not cut:
-            send_answer(peer, submit.attempt_id, parts)
-            return
-        peer.send(ResponseHead(submit.attempt_id, 200, (), ""))
-        for number, part in enumerate(parts):
-            peer.send(Output(submit.attempt_id, number, part))
-        peer.send(Refuse(submit.attempt_id, codes.UPSTREAM_LOST.number, "unknown"))
-
-    async def action(entry: Entry) -> None:
-        await entry.add(script, service="ledger")
-        if cut:
-            with pytest.raises(HTTPStreamClosedError):
-                await entry.fetch("/services/ledger/x", method="GET")
-        else:
-            answer = await entry.fetch("/services/ledger/x", method="GET")
-            assert answer.body == b"".join(parts)
-
-    run_with_entry(action)
-
-
-def test_silent_upstream_ends_with_the_deadline() -> None:
-    async def action(entry: Entry) -> None:
-        (upstream,) = await entry.add(lambda *message: None, service="ledger")
-        answer = await entry.fetch(
-            "/services/ledger/x", method="POST", body=b"", headers={"X-Deadline-Ms": "50"}
-        )
-        error = json.loads(answer.body)["error"]
-        assert (error["name"], error["executed"]) == ("upstream_timeout", "unknown")
-        while not upstream.cancels:
-            await asyncio.sleep(0.005)
-
-    run_with_entry(action)
-
-
-def test_frozen_upstream_is_given_up_in_time_and_avoided() -> None:
+        *begin, finish = make_answer(submit.attempt_id, parts)
+        for message in [*begin, Refuse(submit.attempt_id, 1302, "unknown") if cut else finish]:
+            peer.send(message)
+
+    await entry.add(script, service="ledger")
+    if cut:
+        with pytest.raises(HTTPStreamClosedError):
+            await entry.fetch(LEDGER)
+    else:
+        assert (await entry.fetch(LEDGER)).body == b"".join(parts)
+
+
+@with_entry()
+async def test_silent_upstream_ends_with_the_deadline(entry: Entry) -> None:
+    (upstream,) = await entry.add(lambda *message: None, service="ledger")
+    answer = await entry.fetch(LEDGER, method="POST", body=b"", headers={"X-Deadline-Ms": "50"})
+    error = json.loads(answer.body)["error"]
+    assert (error["name"], error["executed"]) == ("upstream_timeout", "unknown")
+    while not upstream.cancels:
+        await asyncio.sleep(0.005)
+
+
+@with_entry()
+async def test_frozen_upstream_is_given_up_in_time_and_avoided(entry: Entry) -> None:
     submits: list[ScriptedUpstream] = []
 
     def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
@@ -202,106 +173,71 @@
         if not upstream.is_frozen:
             answer_plain(upstream, peer, submit)
 
-    async def action(entry: Entry) -> None:
-        await entry.add(script, count=2)
-        for _ in range(5):
-            answer = await entry.fetch("/v1/chat/completions", method="POST", body=PLAIN)
-            assert answer.code == 200
-        assert submits.count(submits[0]) == 1
-
-    run_with_entry(action)
-
-
-class Book:
-    """A claim book in memory."""
-
-    def __init__(self) -> None:
-        self.states: dict[str, Any] = {}
-        self.is_down = False
-
-    async def begin(
-        self, client_account: str, service: str, key: str, fingerprint: str, *, timeout_s: float
-    ) -> Result[object, Refusal]:
-        if self.is_down:
-            return Failure(Refusal(codes.CLAIM_STORE_UNAVAILABLE, Executed.NO))
-        state = self.states.get(key)
-        if state is None:
-            self.states[key] = (fingerprint, None)
-            return Success(key)
-        if state[0] != fingerprint:
-            return Failure(Refusal(codes.CLAIM_MISMATCH, Executed.NO))
-        if state[1] is None:
-            return Failure(Refusal(codes.CLAIM_IN_PROGRESS, Executed.UNKNOWN))
-        return Success(state[1])
+    await entry.add(script, count=2)
+    for _ in range(5):
+        assert (await entry.fetch(CHAT, method="POST", body=PLAIN)).code == 200
+    assert submits.count(submits[0]) == 1
 
-    async def finish(self, claim: Any, outcome: RecordedOutcome) -> None:
-        self.states[claim] = (self.states[claim][0], outcome)
 
-    async def release(self, claim: Any) -> None:
-        del self.states[claim]
+def _make_book(**faults: float) -> ClaimBook:
+    return ClaimBook(store=FakeStore(MemoryStore(), **faults), prefix="/t", owner="e1")
 
 
 async def _post(entry: Entry, body: bytes = b"5", key: str = "a") -> Any:
-    return await entry.fetch(
-        "/services/ledger/x", method="POST", body=body, headers={"Idempotency-Key": key}
+    headers = {"Idempotency-Key": key, "X-Deadline-Ms": "300"}
+    return await entry.fetch(LEDGER, method="POST", body=body, headers=headers)
+
+
+@with_entry(claims=_make_book)
+async def test_claimed_request_runs_once_and_repeats_its_outcome(entry: Entry) -> None:
+    (upstream,) = await entry.add(service="ledger")
+    for _ in range(2):
+        answer = await _post(entry)
+        assert (answer.code, answer.body) == (200, b"u0 /x 5")
+    assert (await _post(entry, b"6")).code == 422
+    assert len(upstream.submits) == 1
+
+
+@with_entry(claims=lambda: _make_book(unavailable=1.0))
+async def test_without_the_store_a_claimed_request_is_not_sent(entry: Entry) -> None:
+    (upstream,) = await entry.add(service="ledger")
+    error = json.loads((await _post(entry)).body)["error"]
+    assert (error["name"], error["executed"]) == ("claim_store_unavailable", "no")
+    assert not upstream.submits
+
+
+@with_entry(claims=_make_book)
+async def test_claim_is_released_only_if_the_request_was_not_run(entry: Entry) -> None:
+    (upstream,) = await entry.add(
+        lambda upstream, peer, submit: peer.send(
+            Refuse(submit.attempt_id, codes.QUEUE_FULL.number, submit.body.decode())
+        ),
+        service="ledger",
     )
+    for body in (b"no", b"unknown"):
+        for _ in range(2):
+            await _post(entry, body, key=body.decode())
+    assert [submit.body for submit in upstream.submits] == [b"no", b"no", b"unknown"]
 
 
-def test_claimed_request_runs_once_and_repeats_its_outcome() -> None:
-    book = Book()
-
-    async def action(entry: Entry) -> None:
-        (upstream,) = await entry.add(answer_plain, service="ledger")
-        first, second = await _post(entry), await _post(entry)
-        assert (first.code, first.body) == (second.code, second.body) == (200, b"u0 /x 5")
-        assert (await _post(entry, b"6")).code == 422
-        book.is_down = True
-        down = await _post(entry, key="b")
-        assert json.loads(down.body)["error"]["executed"] == "no"
-        assert len(upstream.submits) == 1
-
-    run_with_entry(action, claims=book)
-
-
-def test_claim_is_released_only_if_the_request_was_not_run() -> None:
-    book = Book()
-
-    def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
-        executed = submit.body.decode()
-        peer.send(Refuse(submit.attempt_id, codes.QUEUE_FULL.number, executed))
-
-    async def action(entry: Entry) -> None:
-        await entry.add(script, service="ledger")
-        await _post(entry, b"no", "a")
-        await _post(entry, b"unknown", "b")
-        assert list(book.states) == ["b"]
-
-    run_with_entry(action, claims=book)
-
-
-def test_claimed_request_outlives_its_caller() -> None:
-    book = Book()
+@with_entry(claims=_make_book, deadline_ms=3_600_000)
+async def test_claimed_request_outlives_its_caller(entry: Entry) -> None:
     held: list[tuple[Peer, Submit]] = []
-
-    async def action(entry: Entry) -> None:
-        (upstream,) = await entry.add(
-            lambda upstream, peer, submit: held.append((peer, submit)),
-            service="ledger",
-        )
-        _, writer = await asyncio.open_connection("127.0.0.1", entry.port)
-        writer.write(
-            b"POST /services/ledger/x HTTP/1.1\r\nAuthorization: Bearer k1\r\n"
-            b"Idempotency-Key: a\r\nContent-Length: 1\r\n\r\n5"
-        )
-        while not held:
-            await asyncio.sleep(0.005)
-        writer.close()
-        while entry.server.tasks:
-            await asyncio.sleep(0.005)
-        answer_plain(upstream, *held[0])
-        await entry.server.wait_idle()
-        assert upstream.cancels == []
-        assert (await _post(entry)).body == b"u0 /x 5"
-        assert len(held) == 1
-
-    run_with_entry(action, claims=book, deadline_ms=3_600_000)
+    (upstream,) = await entry.add(
+        lambda upstream, peer, submit: held.append((peer, submit)), service="ledger"
+    )
+    _, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    writer.write(
+        b"POST /services/ledger/x HTTP/1.1\r\nAuthorization: Bearer k1\r\n"
+        b"Idempotency-Key: a\r\nContent-Length: 1\r\n\r\n5"
+    )
+    while not held:
+        await asyncio.sleep(0.005)
+    writer.close()
+    while entry.server.tasks:
+        await asyncio.sleep(0.005)
+    answer_plain(upstream, *held[0])
+    await entry.server.wait_idle()
+    assert upstream.cancels == []
+    assert (await _post(entry)).body == b"u0 /x 5"
+    assert len(held) == 1
