Send a token's chunk to its caller's socket directly

IOStream.write copies each chunk through a buffer and makes a future with a callback for it. While the caller keeps up, the chunk now goes to the socket; otherwise, and with TLS, IOStream.write takes it.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -25,7 +25,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import IOStream, SSLIOStream, StreamBufferFullError, StreamClosedError
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.dispatch import Answer, CallerRequest, PolicyView
@@ -263,6 +263,7 @@
         self.is_started = False
         self._is_event_stream = False
         self._is_chunked = False
+        self._is_plain = not isinstance(self._stream, SSLIOStream)
         self._has_body = True
 
     def headers_received(
@@ -352,15 +353,29 @@
     def write(self, data: bytes) -> None:
         """Send a part of the body.
 
-        Each token passes here, so the chunk goes to the stream without the futures that
-        ``HTTP1Connection.write`` adds; the connection itself ends the body.
+        Each token passes here. While nothing waits for the socket the chunk goes to it directly,
+        because the buffer and futures of ``IOStream.write`` cost more than the system call.
         """
         if not data or not self._has_body:
             return
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        stream = self._stream
+        try:
+            if self._is_plain and not stream.writing() and not stream.closed():
+                sent = stream.socket.send(data)
+                if sent == len(data):
+                    return
+                data = data[sent:]
+        except BlockingIOError:
+            pass
+        except OSError:
+            stream.close()
+            return
         try:
-            self._stream.write(b"%x\r\n%b\r\n" % (len(data), data) if self._is_chunked else data)
+            stream.write(data)
         except StreamBufferFullError:
-            self._stream.close()
+            stream.close()
         except StreamClosedError:
             pass
 
