--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import random
 from collections import Counter
@@ -21,6 +22,13 @@
 
 #: Part of the bytes still to be received that is expected to arrive corrupt or twice.
 _EXPECTED_WASTE = 0.01
+#: Chunks of the upload budget that are kept while chunks are missing. With one, hosts whose last
+#: chunks arrived corrupt exceeded two copies on their link in the bench.
+_RESERVED_CHUNKS = 2
+#: Shortest time without an arrival after which the origin is asked for a chunk that peers hold.
+_FALLBACK_PAUSE_S = 0.5
+#: Longest pause after refusals for lack of room, in times of one chunk.
+_MAX_BUSY_FACTOR = 4
 #: Time between two looks for requests and hosts without progress, in seconds.
 _EXPIRE_PERIOD_S = 0.2
 
@@ -115,7 +123,7 @@
     """What is known of a peer.
 
     :param fetches: whether it fetches its chunks from the origin.
-    :param is_spent: whether it declined because its upload budget is spent.
+    :param spent_until: until when it is not asked because its upload budget is spent.
     """
 
     bitmap: int = 0
@@ -124,9 +132,11 @@
     fetches: bool = True
     in_flight: int = 0
     busy_until: float = 0.0
-    is_spent: bool = False
+    busy_answers: int = 0
+    spent_until: float = 0.0
 
 
+@functools.lru_cache(maxsize=4_096)
 def hash_name(name: str) -> int:
     """Return a 64-bit hash of a host name that is equal in every process."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
@@ -264,6 +274,8 @@
         self._origin_s = 0.0
         self._last_upload_at = clock.monotonic()
         self._last_origin_at = clock.monotonic()
+        self._last_arrival_at = clock.monotonic()
+        self._wasted_by_digest: Counter[str] = Counter()
         self._uploaded_by_digest: Counter[str] = Counter()
         if previous is not None:
             self._take_over(previous)
@@ -342,7 +354,7 @@
         self._count(gained, 1)
         self._count(peer.bitmap & ~bitmap, -1)
         if uploaded < peer.uploaded:
-            peer.is_spent = False
+            peer.spent_until = 0.0
         peer.bitmap, peer.uploaded, peer.closed, peer.fetches = bitmap, uploaded, closed, fetches
         self._origin_bytes_by_host[host] = from_origin
         if active != (host not in self._stalled and fetches):
@@ -366,8 +378,9 @@
         if index is None:
             return
         sent_at = self._finish_request(index, source)
+        self._last_arrival_at = self._clock.monotonic()
         if self._held >> index & 1:
-            self._wasted_bytes += self.manifest.size_of(index)
+            self._count_waste(digest)
             return
         self._held |= 1 << index
         if source == ORIGIN:
@@ -377,13 +390,15 @@
                 self._origin_s = took if not self._origin_s else 0.7 * self._origin_s + 0.3 * took
         else:
             self.from_peers += self.manifest.size_of(index)
+            if source in self._peers_by_host:
+                self._peers_by_host[source].busy_answers = 0
 
     def note_corrupt(self, digest: str, source: str) -> None:
         """Avoid a source whose bytes did not match the digest."""
         index = self._first_index_by_digest.get(digest)
         if index is not None:
             self._finish_request(index, source)
-            self._wasted_bytes += self.manifest.size_of(index)
+            self._count_waste(digest)
         self._avoid(source, self._limits.avoid_corrupt_s)
 
     def note_failed(self, digest: str, source: str) -> None:
@@ -404,9 +419,11 @@
         if reason == "absent" and index is not None:
             self._count(peer.bitmap & (1 << index), -1)
             peer.bitmap &= ~(1 << index)
+        peer.busy_answers = min(peer.busy_answers + 1, _MAX_BUSY_FACTOR)
         pause = self.manifest.chunk_bytes / self._limits.bytes_per_s
+        pause *= peer.busy_answers * (0.5 + self._random.random())
         if reason == "budget":
-            pause, peer.is_spent = self._limits.quiet_s / 4, True
+            peer.spent_until = self._clock.monotonic() + self._limits.quiet_s / 4
         peer.busy_until = self._clock.monotonic() + pause
 
     # Decisions
@@ -445,43 +462,74 @@
         index = self._first_index_by_digest.get(digest)
         if index is None or not self._held >> index & 1:
             return "absent"
-        now = self._clock.monotonic()
-        if now - self._last_upload_at > self._limits.quiet_s:
-            self.uploaded = 0
-            self._uploaded_by_digest.clear()
+        self.renew_budget()
         size = self.manifest.size_of(index)
-        if self.uploaded + size > self.upload_budget:
+        if self.uploaded + size > self._hard_budget:
             return "budget"
-        if queued >= self._limits.upload_queue or self._is_ahead(index):
+        is_scarce = self._counts[index] < self._limits.seed_copies
+        if queued >= self._limits.upload_queue:
+            return "busy"
+        if not is_scarce and (self._is_ahead() or self._must_reserve(size)):
             return "busy"
         self.uploaded += size
         self._uploaded_by_digest[digest] += size
-        self._last_upload_at = now
+        self._last_upload_at = self._clock.monotonic()
         return ""
 
-    def _is_ahead(self, index: int) -> bool:
-        """Whether this host uploaded more than its part so far of a chunk that others hold too.
+    def renew_budget(self) -> None:
+        """Begin a new upload budget if the rollout ended, which is after a time without uploads."""
+        if self._clock.monotonic() - self._last_upload_at > self._limits.quiet_s:
+            self.uploaded = 0
+            self._wasted_bytes = 0
+            self._uploaded_by_digest.clear()
+            self._wasted_by_digest.clear()
 
-        Hosts that fetch many chunks from the origin would spend their budget early, and with it
-        the last hosts' sources.
+    def cancel_upload(self, digest: str) -> None:
+        """Return the bytes of an accepted upload that was not sent."""
+        size = self.manifest.size_of(self._first_index_by_digest.get(digest, 0))
+        if self._uploaded_by_digest[digest] >= size:
+            self._uploaded_by_digest[digest] -= size
+            self.uploaded -= size
+
+    def _is_ahead(self) -> bool:
+        """Whether this host uploaded more than its part so far.
+
+        It then leaves chunks that others hold too to them. Hosts that fetch many chunks from the
+        origin would spend their budget early, and with it the last hosts' sources.
         """
-        if self._counts[index] < self._limits.seed_copies or not self._peers_by_host:
+        if not self._peers_by_host:
             return False
-        bitmaps = [peer.bitmap.bit_count() for peer in self._peers_by_host.values()]
-        progress = sum(bitmaps) / len(bitmaps) / self._planned.bit_count()
+        held = sum(peer.bitmap.bit_count() for peer in self._peers_by_host.values())
+        progress = held / len(self._peers_by_host) / self._planned.bit_count()
         ahead = self.uploaded - progress * self._copy_budget
         return ahead > self._limits.upload_ahead * self.manifest.chunk_bytes
 
+    def _must_reserve(self, size: int) -> bool:
+        """Whether the rest of the budget is needed for chunks that no other host can pass on."""
+        scarce = 0
+        for count, mask in self._masks_by_count.items():
+            if count < self._limits.seed_copies:
+                scarce |= mask
+        scarce &= self._duties.chunks_of(self._host)
+        needed = scarce.bit_count() * self._limits.seed_copies * self.manifest.chunk_bytes
+        return self.uploaded + size + needed > self.upload_budget
+
     @property
     def upload_budget(self) -> float:
-        """Bytes that may be uploaded in one rollout.
+        """Bytes that may be uploaded in one rollout of chunks that other hosts hold too.
 
         Bytes received in vain count against it, those seen and those still to be expected.
         """
         missing = (self._planned & ~self._held).bit_count() * self.manifest.chunk_bytes
         received = self._unique_bytes - missing + self._wasted_bytes
         rate = max(_EXPECTED_WASTE, self._wasted_bytes / max(1, received))
-        reserve = missing * rate + (self.manifest.chunk_bytes if missing else 0)
+        return self._hard_budget - missing * rate
+
+    @property
+    def _hard_budget(self) -> float:
+        """The budget for any chunk: the last chunks to arrive may still arrive corrupt."""
+        missing = (self._planned & ~self._held).bit_count()
+        reserve = min(missing, _RESERVED_CHUNKS) * self.manifest.chunk_bytes
         return self._copy_budget - self._wasted_bytes - reserve
 
     # Private parts
@@ -492,6 +540,10 @@
             if digest in self._first_index_by_digest:
                 self._uploaded_by_digest[digest] = size
                 self.uploaded += size
+        for digest, size in previous._wasted_by_digest.items():
+            if digest in self._first_index_by_digest:
+                self._wasted_by_digest[digest] = size
+                self._wasted_bytes += size
         for index, (source, sent_at) in previous._in_flight_by_index.items():
             shared = self._first_index_by_digest.get(previous.manifest.chunks[index])
             if shared is None:
@@ -501,6 +553,11 @@
                 peer = self._peers_by_host.setdefault(source, _PeerState(closed=True))
                 peer.in_flight += 1
 
+    def _count_waste(self, digest: str) -> None:
+        size = self.manifest.size_of(self._first_index_by_digest[digest])
+        self._wasted_by_digest[digest] += size
+        self._wasted_bytes += size
+
     def _choose(self) -> Fetch | None:
         wanted = self._planned & ~self._held
         for index in self._in_flight_by_index:
@@ -528,23 +585,46 @@
         return self._choose_fallback(wanted, now)
 
     def _choose_fallback(self, wanted: int, now: float) -> Fetch | None:
-        """Ask the origin for chunks whose holders all refuse, within this host's allowance."""
-        if self._in_flight_by_index or not self._may_ask_origin():
+        """Ask the origin for a chunk whose holders all refuse, if this host waits for nothing else.
+
+        Of the hosts that miss the chunk and can pass it on, two ask first, chosen by rendezvous
+        hash; the others wait for them to pass it on.
+        """
+        idle_s = now - self._last_arrival_at
+        pause = max(_FALLBACK_PAUSE_S, 5 * self.manifest.chunk_bytes / self._limits.bytes_per_s)
+        if self._in_flight_by_index or idle_s < pause or not self._may_ask_origin():
             return None
-        refusing = 0
         offering = 0
         for host, peer in self._peers_by_host.items():
-            spent = peer.is_spent or peer.uploaded + self.manifest.chunk_bytes > self._copy_budget
-            if peer.closed or spent or self._avoided_until_by_source.get(host, 0.0) > now:
-                refusing |= peer.bitmap
-            else:
+            spent = peer.spent_until > now or peer.uploaded + self.manifest.chunk_bytes > (
+                self._copy_budget
+            )
+            avoided = self._avoided_until_by_source.get(host, 0.0) > now
+            refusing = peer.busy_answers >= _MAX_BUSY_FACTOR
+            if not (peer.closed or spent or avoided or refusing):
                 offering |= peer.bitmap
-        refused = wanted & refusing & ~offering
+        refused = wanted & ~offering & ~self._masks_by_count.get(0, 0)
+        if idle_s < 4 * pause:
+            for index in list_bits(refused):
+                if not self._is_reseeder(index):
+                    refused &= ~(1 << index)
         if not refused:
             return None
         index = self._pick_bit(refused)
         return self._make_fetch(index, ORIGIN) if self._may_exceed_duty(index, now) else None
 
+    def _is_reseeder(self, index: int) -> bool:
+        """Whether this host is among the first two that fetch a chunk once more."""
+        chunk_key = int(self.manifest.chunks[index][:_BUCKET_DIGITS], 16)
+        own = score_chunk(chunk_key, hash_name(self._host))
+        budget = self._copy_budget * 0.9
+        before = 0
+        for host, peer in self._peers_by_host.items():
+            can_pass_on = not peer.bitmap >> index & 1 and peer.uploaded < budget and peer.fetches
+            if can_pass_on and score_chunk(chunk_key, hash_name(host)) > own:
+                before += 1
+        return before < 2
+
     def _may_exceed_duty(self, index: int, now: float) -> bool:
         """Decide whether a chunk that is not this host's own to fetch may be asked of the origin.
 
@@ -576,12 +656,12 @@
         known = len(self._origin_bytes_by_host) + 1
         asked = self.asked_of_origin + sum(self._origin_bytes_by_host.values())
         # Hosts without a stream to this one are taken to be like the others.
-        asked = asked * max(1.0, self._region_size / known)
+        estimate = asked * max(1.0, self._region_size / known)
         absent = (self._masks_by_count.get(0, 0) & ~self._held).bit_count()
         unfinished = 1 + sum(
             1 for peer in self._peers_by_host.values() if peer.bitmap != self._planned
         )
-        left = limit - asked - absent * self.manifest.chunk_bytes
+        left = limit - estimate - absent * self.manifest.chunk_bytes
         return left / unfinished
 
     @property
@@ -598,7 +678,7 @@
             if peer.bitmap
             and not peer.closed
             and peer.in_flight < limit
-            and not peer.is_spent
+            and peer.spent_until <= now
             and peer.busy_until <= now
             and peer.uploaded + room <= budget
             and self._avoided_until_by_source.get(host, 0.0) <= now
