Count what other entry hosts place between two reports

Cause: entry hosts that see the same report all choose the least loaded upstream until its next report a second later. Change: each placement since a report counts once for every entry host of the availability zone that places work on the same upstream.

--- a/sycamoreproxy/membership.py
+++ b/sycamoreproxy/membership.py
@@ -116,6 +116,7 @@
         self._upstreams_by_host: dict[str, UpstreamState] = {}
         self._upstreams_by_key: dict[tuple[str, str], list[UpstreamState]] = {}
         self._leaving_entries: set[str] = set()
+        self._local_entries = 0
 
     @property
     def has_list(self) -> bool:
@@ -127,6 +128,14 @@
         """Entry hosts of the list, this one included; at least 1."""
         return max(1, len(self._entries_by_host.keys() | {self._host}))
 
+    def count_rivals(self, kind: str, name: str) -> float:
+        """Return how many entry hosts place work on one upstream, this one included.
+
+        Those of the own availability zone, as far as their subsets cover all upstreams.
+        """
+        covered = min(1.0, SUBSET_SIZE / max(1, len(self.upstreams(kind, name))))
+        return max(1.0, self._local_entries * covered)
+
     def upstreams(self, kind: str, name: str) -> list[UpstreamState]:
         """Return the candidates for a model or service; callers must not change the list.
 
@@ -162,6 +171,12 @@
                 upstreams[host] = state
         self._has_list = True
         self._entries_by_host = entries
+        zone = self._availability_zone
+        self._local_entries = sum(
+            1
+            for record in entries.values()
+            if record.availability_zone == zone and record.state == "live"
+        )
         self._leaving_entries &= entries.keys()
         self._upstreams_by_host = upstreams
         by_key: dict[tuple[str, str], list[UpstreamState]] = {}
--- a/sycamoreproxy/routing.py
+++ b/sycamoreproxy/routing.py
@@ -87,13 +87,14 @@
         if not open_states:
             return None
         local = [s for s in open_states if s.availability_zone == self._availability_zone]
+        rivals = self._membership.count_rivals(kind, name)
         if local:
-            chosen, wait_ms = self._choose_among(local, rank, prefix_key, now)
+            chosen, wait_ms = self._choose_among(local, rank, prefix_key, now, rivals)
             if wait_ms < time_left_ms:
                 return chosen
             if len(local) == len(open_states):
                 return None if only_in_time else chosen
-        chosen, wait_ms = self._choose_among(open_states, rank, prefix_key, now)
+        chosen, wait_ms = self._choose_among(open_states, rank, prefix_key, now, rivals)
         return None if only_in_time and wait_ms >= time_left_ms else chosen
 
     def begin_attempt(self, state: UpstreamState, *, prefix_key: str = "") -> None:
@@ -140,9 +141,18 @@
         return _predict_wait_ms(state, rank)
 
     def _choose_among(
-        self, states: list[UpstreamState], rank: str, prefix_key: str, now: float
+        self,
+        states: list[UpstreamState],
+        rank: str,
+        prefix_key: str,
+        now: float,
+        rivals: float,
     ) -> tuple[UpstreamState, float]:
-        """Return the chosen one of at least one upstream and its predicted wait in ms."""
+        """Return the chosen one of at least one upstream and its predicted wait in ms.
+
+        :param rivals: entry hosts that see the same reports. Between two reports each of them is
+            taken to place as much as this one; else all would fill up the least loaded upstream.
+        """
         if len(states) == 1:
             return states[0], _predict_wait_ms(states[0], rank)
         eligible = [s for s in states if self._passes_slow_start(s, now)] or states
@@ -153,18 +163,22 @@
             eligible = sample
         load_bound = 0.0
         if prefix_key:
-            load_bound = PREFIX_LOAD_BOUND * sum(map(_get_load, eligible)) / len(eligible) + 1.0
+            load_bound = (
+                PREFIX_LOAD_BOUND
+                * (sum(_get_load(state, rivals) for state in eligible) / len(eligible))
+                + 1.0
+            )
         best: list[UpstreamState] = []
         best_score = float("inf")
         for state in eligible:
             status = state.status
-            score = _predict_wait_ms(state, rank)
+            score = _predict_wait_ms(state, rank, rivals)
             if status is not None and status.window:
-                score += USE_MS * _get_load(state) / status.window
+                score += USE_MS * _get_load(state, rivals) / status.window
             if (
                 prefix_key
                 and (state.host == holder or prefix_key in state.prefixes)
-                and _get_load(state) <= load_bound
+                and _get_load(state, rivals) <= load_bound
             ):
                 score -= PREFIX_WORTH_MS
             if score < best_score - EQUAL_MS:
@@ -184,24 +198,25 @@
         return self._rng.random() < part
 
 
-def _get_load(state: UpstreamState) -> int:
+def _get_load(state: UpstreamState, rivals: float) -> float:
     """Return the requests that the upstream holds, with those its status cannot know of."""
     status = state.status
+    placed = state.placed_since_status * rivals
     if status is None:
-        return state.placed_since_status
-    return status.running + sum(status.waiting_by_rank.values()) + state.placed_since_status
+        return placed
+    return status.running + sum(status.waiting_by_rank.values()) + placed
 
 
-def _predict_wait_ms(state: UpstreamState, rank: str) -> float:
+def _predict_wait_ms(state: UpstreamState, rank: str, rivals: float = 1.0) -> float:
     """Return the wait that a new request of a rank would have, in milliseconds."""
     status = state.status
     if status is None:
         return 0.0
     wait_ms = float(status.wait_ms_by_rank.get(rank, 0))
-    placed = state.placed_since_status
+    placed = state.placed_since_status * rivals
     if placed == 0:
         return wait_ms
     waiting = sum(status.waiting_by_rank.values())
-    over = placed if waiting else max(0, status.running + placed - status.window)
+    over = placed if waiting else max(0.0, status.running + placed - status.window)
     each_ms = wait_ms / waiting if waiting and wait_ms else PLACED_MS
     return wait_ms + over * each_ms
