--- a/sycamoreproxy/_engine_control.py
+++ b/sycamoreproxy/_engine_control.py
@@ -34,12 +34,14 @@
     :param digest: digest that the engine computed over the chunks of the version.
     :param fence: fencing token of the last order that it accepted.
     :param loading: whether a load is in progress.
+    :param adapters: adapters loaded with it, or None if the engine does not tell.
     """
 
     version: str
     digest: str
     fence: int
     loading: bool
+    adapters: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +100,7 @@
                 digest=str(data["digest"]),
                 fence=int(data["fence"]),
                 loading=bool(data["loading"]),
+                adapters=tuple(data["adapters"]) if "adapters" in data else None,
             )
         except (KeyError, TypeError, ValueError) as error:
             raise EngineAnswerLostError(f"malformed state: {error!r}") from error
--- a/sycamoreproxy/engine_orders.py
+++ b/sycamoreproxy/engine_orders.py
@@ -39,10 +39,15 @@
 LEASE_MARGIN_FRACTION = 0.2
 #: Renewals in one lease time.
 RENEWALS_PER_TTL = 3
-#: Time between two looks at the engine, in seconds.
+#: Time between two looks at the engine while chunks are put into it, in seconds.
 STATE_PERIOD_S = 1.0
-#: Pause after a failed step, in seconds.
+#: Pause between two steps, in seconds.
 RETRY_S = 0.5
+#: Age of the engine's last confirmation after which it does not count any more, in seconds. A
+#: process that was paused may have been replaced, and its successor may have switched the engine.
+CONFIRMATION_MAX_AGE_S = 5.0
+#: Time between two questions for the manifest of a version that only the engine holds, in seconds.
+MANIFEST_PERIOD_S = 5.0
 
 _log = get_logger("engine_orders")
 
@@ -93,6 +98,13 @@
     def want(self, version: str, *, served: Manifest | None = None) -> None:
         """Fetch this version."""
 
+    async def find_manifest(self, version: str) -> Manifest | None:
+        """Return the manifest of any version, or None if it can't be read now."""
+
+
+def _name(manifest: Manifest) -> Served:
+    return Served(manifest.version, manifest.digest)
+
 
 class OwnershipLease:
     """The store lease under which one process may order an engine.
@@ -285,6 +297,10 @@
         self._served: Served | None = None
         self._served_manifest: Manifest | None = None
         self._adapters: tuple[str, ...] | None = None
+        self._chunks_in_engine: set[str] | None = None
+        self._confirmed_at = 0.0
+        self._manifest_asked_at = -MANIFEST_PERIOD_S
+        self._slot_refused_until = 0.0
         self._settled_fence = 0
         self._settled_at = 0.0
         self._reasons_by_topic: dict[str, str] = {}
@@ -295,7 +311,8 @@
     @property
     def served(self) -> Served | None:
         """The version that answers may come from, or None."""
-        return self._served
+        age_s = self._clock.monotonic() - self._confirmed_at
+        return self._served if age_s <= CONFIRMATION_MAX_AGE_S else None
 
     @property
     def is_owner(self) -> bool:
@@ -308,7 +325,7 @@
         target = self._target
         if target is None or not target.version or not self._is_chosen():
             return self._describe_shortage()
-        version = self._served.version if self._served is not None else ""
+        version = self.served.version if self.served is not None else ""
         if version == target.version and self._adapters_match(target):
             return self._describe_shortage()
         reasons = "; ".join(reason for reason in self._reasons_by_topic.values() if reason)
@@ -368,18 +385,24 @@
         """Do what brings the engine closer to the target now; each failure ends the step."""
         try:
             await self._step()
+            return
         except LeaseNotProvedError:
             self._reasons_by_topic["order"] = "the lease is not proved"
-        except (EngineUnreachableError, EngineAnswerLostError) as error:
-            self._reasons_by_topic["order"] = f"the engine did not answer ({error})"
+        except EngineUnreachableError as error:
+            self._forget_engine(f"the engine is not reachable ({error})")
             self._set_served(None)
+        except EngineAnswerLostError as error:
+            self._forget_engine(f"the engine did not answer ({error})")
         except OrderRefusedError as error:
             _log.warning("order refused", status=error.status, error=str(error))
-            self._reasons_by_topic["order"] = f"the engine refused the order ({error})"
+            self._forget_engine(f"the engine refused the order ({error})")
+            await self._give_up_slot()
         except (StoreUnavailableError, StoreAnswerLostError) as error:
             self._reasons_by_topic["order"] = f"the store is not reachable ({error})"
         except InvariantViolationError as error:
-            self._reasons_by_topic["order"] = str(error)
+            _log.error("order stopped", error=str(error))
+            self._forget_engine(str(error))
+            await self._give_up_slot()
 
     # Private parts
 
@@ -394,40 +417,67 @@
         chosen = target is not None and bool(target.version) and self._is_chosen()
         version = target.version if target is not None and chosen else ""
         self._transfer.want(version, served=self._served_manifest)
-        state = await self._engine.read_state()
-        self._confirm(state)
+        state = await self._read_state()
         if target is None or not version:
             return
         manifest = self._transfer.manifest
-        if manifest is None or not self._transfer.is_done:
+        if manifest is None:
             self._reasons_by_topic["transfer"] = self._transfer.reason
             return
-        self._reasons_by_topic["transfer"] = ""
-        served = Served(manifest.version, manifest.digest)
-        if self._served == served and self._adapters_match(target):
-            self._reasons_by_topic["order"] = ""
-            if self._slot.is_held:
-                await self._slot.release()
+        if self._served == _name(manifest) and self._adapters_match(target):
+            self._reasons_by_topic.update(order="", transfer="")
+            await self._slot.release()
+            return
+        # Chunks are named by their content, so putting them needs no ownership.
+        await self._put_chunks(manifest, target)
+        if self._target is not target or not self._transfer.is_done:
+            self._reasons_by_topic["transfer"] = self._transfer.reason
             return
-        await self._put_chunks(manifest)
+        self._reasons_by_topic["transfer"] = ""
+        if not self._lease.is_proved:
+            raise LeaseNotProvedError
         if not self._is_settled():
             self._reasons_by_topic["order"] = "an order of the predecessor may still take effect"
             return
-        if not await self._take_turn(state):
+        if state.loading:
+            self._reasons_by_topic["order"] = "the engine is loading"
+            return
+        if not await self._take_turn():
             self._reasons_by_topic["order"] = "other replicas switch first"
             return
         await self._load(manifest, target.adapters)
 
-    def _confirm(self, state: EngineState) -> None:
-        """Set ``served`` by what the engine reports of itself."""
-        known = [m for m in (self._transfer.manifest, self._served_manifest) if m is not None]
-        matching = [m for m in known if (m.version, m.digest) == (state.version, state.digest)]
-        if state.loading or not matching or not self._is_settled(reading=True):
-            if not state.loading and self._served is not None and not matching:
+    async def _read_state(self) -> EngineState:
+        """Read what the engine reports of itself and set ``served`` by it."""
+        asked_at = self._clock.monotonic()
+        state = await self._engine.read_state()
+        if state.adapters is not None:
+            self._adapters = state.adapters
+        manifest = await self._find_confirmed(state)
+        if state.loading or manifest is None or not self._is_settled(reading=True):
+            if self._served is not None and not state.loading and manifest is None:
                 _log.warning("engine holds another version", version=state.version)
+                self._chunks_in_engine = None
             self._set_served(None)
-            return
-        self._set_served(matching[0])
+        else:
+            self._confirmed_at = asked_at
+            self._set_served(manifest)
+        return state
+
+    async def _find_confirmed(self, state: EngineState) -> Manifest | None:
+        """Return the manifest whose version and digest the engine reports, if any."""
+        for manifest in (self._transfer.manifest, self._served_manifest):
+            if manifest is not None and _name(manifest) == Served(state.version, state.digest):
+                return manifest
+        now = self._clock.monotonic()
+        if not state.version or now - self._manifest_asked_at < MANIFEST_PERIOD_S:
+            return None
+        # A new process finds an engine that serves the version before the one wanted now.
+        self._manifest_asked_at = now
+        manifest = await self._transfer.find_manifest(state.version)
+        if manifest is not None and _name(manifest) == Served(state.version, state.digest):
+            return manifest
+        return None
 
     def _is_settled(self, *, reading: bool = False) -> bool:
         """Whether no order of a predecessor can take effect any more.
@@ -447,24 +497,41 @@
             self._settled_at = self._clock.monotonic() + wait_s
         return self._clock.monotonic() >= self._settled_at
 
-    async def _put_chunks(self, manifest: Manifest) -> None:
-        held = await self._engine.list_chunks()
+    async def _put_chunks(self, manifest: Manifest, target: ModelTargetLike) -> None:
+        """Put every chunk into the engine that is held here and not there."""
+        if self._chunks_in_engine is None:
+            self._chunks_in_engine = set(await self._engine.list_chunks())
+        looked_at = self._clock.monotonic()
         for digest in manifest.indexes_by_digest:
-            if digest in held:
-                continue
-            data = self._chunks.get(digest)
+            data = None if digest in self._chunks_in_engine else self._chunks.get(digest)
             if data is None:
-                raise InvariantViolationError("chunk_held", {"digest": digest})
+                continue
+            if self._target is not target:
+                return
             await self._engine.put_chunk(digest, data)
+            self._chunks_in_engine.add(digest)
+            if self._clock.monotonic() - looked_at >= STATE_PERIOD_S:
+                looked_at = self._clock.monotonic()
+                await self._read_state()
 
-    async def _take_turn(self, state: EngineState) -> bool:
+    async def _take_turn(self) -> bool:
         """Take a switch slot, unless the engine serves nothing and has nothing to lose."""
-        if not self._lease.is_proved:
-            raise LeaseNotProvedError
-        if not state.version or self._slot.is_held:
+        if self._served is None or self._slot.is_held:
             return True
-        replicas = sum(1 for record in self._hosts() if record.availability_zone == self._zone)
-        return await self._slot.take(slots=max(1, replicas // 4), lease=self._lease.lease)
+        if self._clock.monotonic() < self._slot_refused_until:
+            return False
+        here = [r for r in self._hosts() if r.availability_zone == self._zone]
+        return await self._slot.take(slots=max(1, len(here) // 4), lease=self._lease.lease)
+
+    async def _give_up_slot(self) -> None:
+        """Let other replicas switch after an order failed, and try again after them."""
+        self._slot_refused_until = self._clock.monotonic() + self._order_timeout_s
+        with contextlib.suppress(StoreUnavailableError, StoreAnswerLostError):
+            await self._slot.release()
+
+    def _forget_engine(self, reason: str) -> None:
+        self._reasons_by_topic["order"] = reason
+        self._chunks_in_engine = None
 
     async def _load(self, manifest: Manifest, adapters: tuple[str, ...]) -> None:
         order = LoadOrder(
@@ -473,6 +540,7 @@
         check_invariant(
             "whole_version_ordered", self._chunks.is_complete(manifest), version=manifest.version
         )
+        # The last check stands directly before the order: putting chunks and taking a slot wait.
         if not self._lease.is_proved:
             raise LeaseNotProvedError
         # From here on the engine may answer from either version until it confirms one.
@@ -486,13 +554,13 @@
             confirmed=digest,
         )
         self._adapters = adapters
-        self._confirm(await self._engine.read_state())
+        await self._read_state()
         if self._served is not None:
             self._reasons_by_topic["order"] = ""
         await self._slot.release()
 
     def _set_served(self, manifest: Manifest | None) -> None:
-        served = None if manifest is None else Served(manifest.version, manifest.digest)
+        served = None if manifest is None else _name(manifest)
         if manifest is not None:
             self._served_manifest = manifest
         if served == self._served:
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -191,6 +191,18 @@
             reason="" if plan.is_done else plan.describe_missing(),
         )
 
+    async def find_manifest(self, version: str) -> Manifest | None:
+        """Return the manifest of any version, such as one that the engine already holds.
+
+        :returns: None if the origin does not tell; it is asked again at the next call.
+        """
+        if self._manifest is not None and self._manifest.version == version:
+            return self._manifest
+        try:
+            return await self._origin.read_manifest(version)
+        except OriginError:
+            return None
+
     async def wait_done(self, version: str) -> Manifest | None:
         """Wait until every chunk of a version is held.
 
--- a/tests/_weight_fakes.py
+++ b/tests/_weight_fakes.py
@@ -1,4 +1,4 @@
-"""In-memory store, engine and origin for the tests of weights."""
+"""In-memory engine and origin for the tests of weights."""
 
 from __future__ import annotations
 
@@ -9,23 +9,12 @@
 from sycamoreproxy._engine_control import (
     EngineAnswerLostError,
     EngineState,
+    EngineUnreachableError,
     LoadOrder,
     OrderRefusedError,
 )
-from sycamoreproxy.clock import Clock
 from sycamoreproxy.host_list import HostRecord
 from sycamoreproxy.origins import OriginError, VersionUnknownError
-from sycamoreproxy.store import (
-    Compare,
-    Delete,
-    Entry,
-    Get,
-    Put,
-    StoreAnswerLostError,
-    StoreUnavailableError,
-    Txn,
-    TxnResult,
-)
 from sycamoreproxy.streams import Address
 from sycamoreproxy.weights import Manifest, compute_chunk_digest, compute_version_digest
 
@@ -42,98 +31,6 @@
     return Manifest(version, "m", compute_version_digest(digests), chunk_bytes, size, digests)
 
 
-class FakeStore:
-    """A store whose leases expire by a clock that the test moves."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self.entries: dict[str, Entry] = {}
-        self.revision = 0
-        self.down = False
-        self.lose_answers = False
-        self._leases: dict[int, tuple[int, float]] = {}
-
-    async def get(self, key: str) -> Entry | None:
-        self._enter()
-        return self.entries.get(key)
-
-    async def list_entries(self, prefix: str, *, limit: int = 1000) -> list[Entry]:
-        self._enter()
-        return [e for k, e in sorted(self.entries.items()) if k.startswith(prefix)][:limit]
-
-    async def transact(self, txn: Txn) -> TxnResult:
-        self._enter()
-        result = self._run(txn)
-        self._leave()
-        return result
-
-    async def grant_lease(self, ttl_s: int) -> int:
-        self._enter()
-        self.revision += 1
-        self._leases[self.revision] = (ttl_s, self._clock.monotonic() + ttl_s)
-        return self.revision
-
-    async def renew_lease(self, lease: int) -> bool:
-        self._enter()
-        if lease not in self._leases:
-            return False
-        ttl_s, _ = self._leases[lease]
-        self._leases[lease] = (ttl_s, self._clock.monotonic() + ttl_s)
-        self._leave()
-        return True
-
-    async def revoke_lease(self, lease: int) -> None:
-        self._enter()
-        self._end(lease)
-
-    def watch(self, prefix: str, *, from_revision: int):  # type: ignore[no-untyped-def]
-        raise NotImplementedError
-
-    def close(self) -> None:
-        pass
-
-    def _enter(self) -> None:
-        if self.down:
-            raise StoreUnavailableError("down")
-        now = self._clock.monotonic()
-        for lease, (_, until) in list(self._leases.items()):
-            if until <= now:
-                self._end(lease)
-
-    def _leave(self) -> None:
-        if self.lose_answers:
-            raise StoreAnswerLostError("lost")
-
-    def _end(self, lease: int) -> None:
-        self._leases.pop(lease, None)
-        self.entries = {k: e for k, e in self.entries.items() if e.lease != lease}
-
-    def _run(self, txn: Txn) -> TxnResult:
-        def holds(compare: Compare) -> bool:
-            entry = self.entries.get(compare.key)
-            return (entry.mod_revision if entry else 0) == compare.mod_revision
-
-        succeeded = all(holds(compare) for compare in txn.compares)
-        self.revision += 1
-        results: list[Entry | TxnResult | None] = []
-        for step in txn.then if succeeded else txn.otherwise:
-            if isinstance(step, Put):
-                old = self.entries.get(step.key)
-                created = old.create_revision if old else self.revision
-                self.entries[step.key] = Entry(
-                    step.key, step.value, created, self.revision, step.lease
-                )
-                results.append(None)
-            elif isinstance(step, Delete):
-                self.entries.pop(step.key, None)
-                results.append(None)
-            elif isinstance(step, Get):
-                results.append(self.entries.get(step.key))
-            else:
-                results.append(self._run(step))
-        return TxnResult(succeeded, self.revision, tuple(results))
-
-
 class FakeEngine:
     """An engine that loads at once."""
 
@@ -143,9 +40,12 @@
         self.orders: list[LoadOrder] = []
         self.lose_answers = False
         self.wrong_digest = False
+        self.unreachable = False
         self._checks_fencing = checks_fencing
 
     async def read_state(self) -> EngineState:
+        if self.unreachable:
+            raise EngineUnreachableError("refused")
         return self.state
 
     async def list_chunks(self) -> frozenset[str]:
--- a/tests/test_weight_transfer.py
+++ b/tests/test_weight_transfer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 
 from standins._server import Faults
 from standins.origin import OriginState, generate_version, make_routes
+from standins.store import MemoryStore
 from sycamoreproxy.chunk_plan import PlanLimits
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.engine_orders import EngineOwner, Served
@@ -23,7 +25,8 @@
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.weight_transfer import WeightTransfer
 from sycamoreproxy.weights import ChunkStore, Manifest, parse_manifest
-from tests._weight_fakes import FakeEngine, FakeOrigin, FakeStore, make_record
+from tests._fake_store import FakeStore
+from tests._weight_fakes import FakeEngine, FakeOrigin, make_record
 
 _FAST = PlanLimits(bytes_per_s=1e9, take_over_s=0.3, request_s=0.5, avoid_failed_s=0.2)
 
@@ -137,7 +140,7 @@
                 model="m",
                 prefix="/p",
                 process_id="one",
-                store=FakeStore(clock),
+                store=FakeStore(MemoryStore()),
                 engine=engine,
                 chunks=node.chunks,
                 transfer=node.transfer,
@@ -154,7 +157,7 @@
                 await asyncio.sleep(0.01)
             task.cancel()
             manifest = parse_manifest(
-                _to_json(state.versions_by_name["v1"].as_manifest()), version="v1"
+                json.dumps(state.versions_by_name["v1"].as_manifest()).encode(), version="v1"
             )
             assert owner.served == Served("v1", manifest.digest)
             assert owner.unmet == ()
@@ -170,9 +173,3 @@
     version: str
     adapters: tuple[str, ...] = ()
     replicas: int = 0
-
-
-def _to_json(value: object) -> bytes:
-    import json
-
-    return json.dumps(value).encode()
