Test the chunk plan by properties and read manifests beside a slow origin

Cause: a version change waited for the answer of the origin to the manifest before; the bench counted hosts as done that had finished the older version. Change: the manifest is read in a task of its own and asked of peers at the same time; heartbeats of weights every 3 s, since other messages keep the streams open; property tests over simulated fleets. Conclusion: 25 examples of small fleets with deaths, corruption and a version change end whole.

--- a/bench/chunks.py
+++ b/bench/chunks.py
@@ -23,7 +23,7 @@
 from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.host_list import HostRecord
 from sycamoreproxy.streams import Address
-from sycamoreproxy.weight_transfer import HEARTBEAT_S, compute_announce_gap_s
+from sycamoreproxy.weight_transfer import compute_announce_gap_s
 from sycamoreproxy.weights import Manifest, compute_version_digest
 
 
@@ -42,6 +42,7 @@
     :param changed: fraction of the new version's chunks that differ.
     :param death_notice_s: time until the stream of a dead host is closed by silence.
     :param list_lag_s: time until the host list drops a dead host.
+    :param table_s: longest time until the table's revision with the new version is in force.
     :param limit_factor: largest time to the last host, in lower bounds.
     """
 
@@ -59,6 +60,7 @@
     changed: float = 0.5
     death_notice_s: float = 5.0
     list_lag_s: float = 30.0
+    table_s: float = 1.0
     limit_factor: float = 1.5
 
 
@@ -242,9 +244,7 @@
                     host.plan.note_corrupt(digest, source)
                 else:
                     host.plan.note_arrived(digest, source)
-            if host.plan.is_done and host.done_at < 0:
-                host.done_at = self.clock.monotonic()
-                self._note_finished(name)
+            self._check_finished(name)
             self._announce(name)
             self._wake(name)
 
@@ -292,9 +292,13 @@
 
         self.at(now + self.scenario.latency_s, arrive)
 
-    def _note_finished(self, name: str) -> None:
+    def _check_finished(self, name: str) -> None:
+        """Take note of a host that holds the whole final version."""
+        host = self.hosts[name]
         pending = self.scenario.switch_at and self.manifest.version == "v1"
-        if not pending:
+        if host.plan.is_done and host.done_at < 0:
+            host.done_at = self.clock.monotonic()
+        if host.plan.is_done and host.plan.manifest is self.manifest and not pending:
             self._unfinished.discard(name)
 
     # Faults
@@ -317,7 +321,7 @@
         self.at(now + self.scenario.list_lag_s, drop_from_list)
 
     def _switch(self) -> None:
-        """Want a new version at every living host, up to one heartbeat apart."""
+        """Want a new version at every living host, as the table's revision reaches them."""
         old = self.manifest
         digests = [
             _name_digest(f"{digest}|2") if self.random.random() < self.scenario.changed else digest
@@ -329,7 +333,7 @@
         missing = [len(new - _list_held(host.plan)) for host in self.hosts.values() if host.alive]
         self.lower_bound_s = self._compute_lower_bound(missing, new)
         for name in sorted(self.hosts):
-            delay = self.random.random() * HEARTBEAT_S
+            delay = self.random.random() * self.scenario.table_s
             self.at(self.started_at + delay, lambda name=name: self._adopt(name))
 
     def _adopt(self, name: str) -> None:
@@ -345,6 +349,7 @@
             if other.alive and other.plan.manifest is host.plan.manifest:
                 host.plan.note_have(peer, bitmap=other.plan.held, uploaded=0, closed=False)
         host.announced = (-1, -1, False, 0)
+        self._check_finished(name)
         self._announce(name)
         self._wake(name)
 
--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -270,6 +270,7 @@
         )
         self._expire_at = 0.0
         self._origin_bytes_by_host: dict[str, int] = {}
+        self._origin_bytes_before = 0
         self._wasted_bytes = 0
         self._origin_s = 0.0
         self._last_upload_at = clock.monotonic()
@@ -356,6 +357,9 @@
         if uploaded < peer.uploaded:
             peer.spent_until = 0.0
         peer.bitmap, peer.uploaded, peer.closed, peer.fetches = bitmap, uploaded, closed, fetches
+        if from_origin < self._origin_bytes_by_host.get(host, 0):
+            # The process was replaced and counts from 0 again.
+            self._origin_bytes_before += self._origin_bytes_by_host[host]
         self._origin_bytes_by_host[host] = from_origin
         if active != (host not in self._stalled and fetches):
             self._assign()
@@ -656,7 +660,7 @@
         known = len(self._origin_bytes_by_host) + 1
         asked = self.asked_of_origin + sum(self._origin_bytes_by_host.values())
         # Hosts without a stream to this one are taken to be like the others.
-        estimate = asked * max(1.0, self._region_size / known)
+        estimate = asked * max(1.0, self._region_size / known) + self._origin_bytes_before
         absent = (self._masks_by_count.get(0, 0) & ~self._held).bit_count()
         unfinished = 1 + sum(
             1 for peer in self._peers_by_host.values() if peer.bitmap != self._planned
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -23,7 +23,7 @@
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import ChunkData, ChunkDecline, ChunkHave, ChunkRequest
 from sycamoreproxy.metrics import WEIGHT_BYTES
-from sycamoreproxy.origins import Origin, OriginError, VersionUnknownError
+from sycamoreproxy.origins import Origin, OriginError
 from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.weights import (
     MAX_CHUNK_BYTES,
@@ -34,8 +34,8 @@
     parse_manifest,
 )
 
-#: Heartbeat to other upstream processes, in seconds; a stream is closed after 5 s of silence.
-HEARTBEAT_S = 1.0
+#: Longest time between two announcements, in seconds; a stream is closed after 5 s of silence.
+HEARTBEAT_S = 3.0
 #: Shortest time between two announcements of new chunks, in seconds.
 ANNOUNCE_MIN_S = 0.05
 #: Part of the link that announcements may take; bitmaps of large versions are sent less often.
@@ -114,6 +114,7 @@
         self._served: Manifest | None = None
         self._manifest: Manifest | None = None
         self._plan: ChunkPlan | None = None
+        self._reading = ""
         self._reason = ""
         self._neighbours: tuple[HostRecord, ...] = ()
         self._peers_by_host: dict[str, Peer] = {}
@@ -226,10 +227,9 @@
             while True:
                 self._wake.clear()
                 self._update_neighbours()
-                if self._wanted and self._manifest is None:
-                    await self._notify()
-                    await self._read_manifest(self._wanted)
-                    continue
+                if self._wanted and self._manifest is None and self._reading != self._wanted:
+                    self._reading = self._wanted
+                    self._start(self._read_manifest(self._wanted))
                 if self._plan is not None and not self._plan.is_done:
                     for fetch in self._plan.choose_fetches():
                         self._send_request(self._plan, fetch)
@@ -257,9 +257,6 @@
     async def _sleep_until_woken(self) -> None:
         idle = self._plan is None or self._plan.is_done
         wait_s = HEARTBEAT_S if idle or self._plan is None else self._plan.next_wake_s()
-        await self._sleep(wait_s)
-
-    async def _sleep(self, wait_s: float) -> None:
         # asyncio.wait_for of Python 3.11 loses a cancellation that comes with the wake-up.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
@@ -282,25 +279,23 @@
             )
 
     async def _read_manifest(self, version: str) -> None:
+        """Ask the origin, and peers that have the version, until the manifest is there."""
         pause = MANIFEST_RETRY_MIN_S
-        while self._wanted == version:
+        while self._wanted == version and self._manifest is None:
+            self._ask_peers_for_manifest(version)
             try:
                 manifest = await self._origin.read_manifest(version)
             except OriginError as error:
-                self._reason = str(error)
-                unknown = isinstance(error, VersionUnknownError)
-                _log.warning(
-                    "manifest not read", version=version, unknown=unknown, error=str(error)
-                )
+                if self._wanted == version:
+                    self._reason = str(error)
+                _log.warning("manifest not read", version=version, error=str(error))
             else:
                 self._begin(manifest)
-                return
-            self._ask_peers_for_manifest(version)
-            await self._sleep(pause * (0.5 + self._random.random()))
-            if self._manifest is not None:
-                return
-            self._wake.clear()
+                break
+            await asyncio.sleep(pause * (0.5 + self._random.random()))
             pause = min(2 * pause, MANIFEST_RETRY_MAX_S)
+        if self._reading == version:
+            self._reading = ""
 
     def _ask_peers_for_manifest(self, version: str) -> None:
         """Ask a host that has the version; an empty digest stands for the manifest."""
--- /dev/null
+++ b/tests/test_chunk_plan.py
@@ -0,0 +1,255 @@
+"""Guards against plans that stop, exceed their budgets, or ask the origin for more than allowed."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from bench.chunks import SCENARIOS, Scenario, Simulation, make_manifest
+from sycamoreproxy.chunk_plan import (
+    ORIGIN,
+    ChunkPlan,
+    Fetch,
+    OriginDuties,
+    Pacer,
+    PlanLimits,
+    encode_bitmap,
+    list_bits,
+)
+from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.weights import compute_chunk_digest
+from tests._weight_fakes import make_record
+
+_DIGESTS = [compute_chunk_digest(str(number).encode()) for number in range(32)]
+_MANIFEST = make_manifest("v1", _DIGESTS, 1_000)
+_ALL = (1 << len(_DIGESTS)) - 1
+
+
+class _Planned:
+    """A plan of host h0 with peers h1, h2, …"""
+
+    def __init__(self, peers: int = 2, *, held: int = 0, **limits: float) -> None:
+        self.clock = ManualClock()
+        self.plan = ChunkPlan(
+            host="h0",
+            manifest=_MANIFEST,
+            held=[_DIGESTS[index] for index in list_bits(held)],
+            limits=PlanLimits(**{"bytes_per_s": 1e9, **limits}),  # type: ignore[arg-type]
+            clock=self.clock,
+            random_source=random.Random(1),
+        )
+        self.records = [make_record(f"h{number + 1}") for number in range(peers)]
+        self.plan.set_neighbours(self.records, zones=1, regions=1)
+
+    def choose(self) -> list[Fetch]:
+        """Return all requests that are sent within a few chunk times."""
+        fetches = []
+        while more := self.plan.choose_fetches():
+            fetches += more
+            self.clock.advance(1e-5)
+        return fetches
+
+    def have(self, host: str, bitmap: int, *, uploaded: int = 0, fetches: bool = True) -> None:
+        self.plan.note_have(host, bitmap=bitmap, uploaded=uploaded, closed=False, fetches=fetches)
+
+
+def _small(name: str, **changes: float | int) -> Scenario:
+    return dataclasses.replace(SCENARIOS[name], **{"hosts": 12, "chunks": 32, **changes})
+
+
+@settings(max_examples=25, deadline=None, database=None)
+@seed(7)
+@given(
+    number=st.integers(0, 10_000),
+    hosts=st.integers(2, 14),
+    chunks=st.integers(1, 48),
+    corrupt=st.sampled_from([0.0, 0.01, 0.1]),
+    dying=st.sampled_from([0.0, 0.1, 0.3]),
+    switch_at=st.sampled_from([0.0, 0.2, 0.9]),
+    origin_bytes_per_s=st.sampled_from([3e6, 30e6, 300e6]),
+)
+def test_every_living_host_ends_with_the_whole_final_version(
+    number: int,
+    hosts: int,
+    chunks: int,
+    corrupt: float,
+    dying: float,
+    switch_at: float,
+    origin_bytes_per_s: float,
+) -> None:
+    scenario = Scenario(
+        name="any",
+        hosts=hosts,
+        regions=1 + number % 2,
+        chunks=chunks,
+        corrupt=corrupt,
+        dying=dying,
+        switch_at=switch_at,
+        origin_bytes_per_s=origin_bytes_per_s,
+    )
+    simulation = Simulation(scenario, seed=number)
+    simulation.run(limit_s=3_600)
+    for host in simulation.hosts.values():
+        assert not host.alive or host.plan.is_done
+        if host.alive:
+            assert host.plan.manifest is simulation.manifest
+
+
+@pytest.mark.parametrize("number", [1, 2])
+def test_limits_hold_without_faults(number: int) -> None:
+    scenario = _small("rollout", hosts=30, chunks=64)
+    simulation = Simulation(scenario, seed=number)
+    simulation.run(limit_s=3_600)
+    size = simulation.manifest.total_bytes
+    origin = sum(sum(h.origin_by_digest.values()) for h in simulation.hosts.values())
+    assert origin <= 4 * size
+    for host in simulation.hosts.values():
+        assert host.plan.is_done
+        link = sum(host.in_by_digest.values()) + sum(host.out_by_digest.values())
+        assert link <= 2 * size
+
+
+@given(hosts=st.sets(st.sampled_from("abcdefgh"), min_size=2), seed_=st.integers(0, 99))
+@settings(max_examples=30, deadline=None, database=None)
+@seed(3)
+def test_a_leaving_host_passes_on_only_its_own_chunks(hosts: set[str], seed_: int) -> None:
+    gone = random.Random(seed_).choice(sorted(hosts))
+    duties, fresh = OriginDuties(_MANIFEST), OriginDuties(_MANIFEST)
+    duties.assign(hosts)
+    before = {host: duties.chunks_of(host) for host in hosts}
+    duties.assign(hosts - {gone})
+    fresh.assign(hosts - {gone})
+    together = 0
+    for host in hosts - {gone}:
+        assert duties.chunks_of(host) == fresh.chunks_of(host)
+        assert before[host] & ~duties.chunks_of(host) == 0
+        together |= duties.chunks_of(host)
+    assert together == _ALL
+
+
+def test_origin_is_asked_only_for_own_chunks() -> None:
+    planned = _Planned(in_flight=99, in_flight_at_origin=99)
+    duties = OriginDuties(_MANIFEST)
+    duties.assign({"h0", "h1", "h2"})
+    fetches = planned.choose()
+    assert {fetch.source for fetch in fetches} == {ORIGIN}
+    assert sum(1 << fetch.index for fetch in fetches) == duties.chunks_of("h0")
+
+
+@pytest.mark.parametrize("sign", ["lost", "no progress", "avoids the origin"])
+def test_next_host_takes_over(sign: str) -> None:
+    planned = _Planned(peers=1, in_flight=99, in_flight_at_origin=99)
+    planned.have("h1", 0)
+    own = {fetch.index for fetch in planned.choose()}
+    for index in own:
+        planned.plan.note_arrived(_DIGESTS[index], ORIGIN)
+    if sign == "lost":
+        planned.plan.note_lost("h1")
+    elif sign == "avoids the origin":
+        planned.have("h1", 0, fetches=False)
+    else:
+        assert planned.choose() == []
+        planned.clock.advance(6)
+    taken = planned.choose()
+    assert taken and {fetch.source for fetch in taken} == {ORIGIN}
+    assert not own & {fetch.index for fetch in taken}
+
+
+def test_rarest_chunk_and_least_used_source_come_first() -> None:
+    planned = _Planned(peers=3, in_flight=1, source_spread=0, in_flight_at_origin=0)
+    planned.have("h1", _ALL, uploaded=9_000)
+    planned.have("h2", _ALL & ~1, uploaded=5_000)
+    planned.have("h3", _ALL & ~1, uploaded=7_000)
+    first = planned.choose()[0]
+    assert (first.index, first.source) == (0, "h1")
+    planned.plan.note_arrived(first.digest, "h1")
+    assert planned.choose()[0].source == "h2"
+
+
+def test_source_of_a_corrupt_chunk_is_avoided_for_a_minute() -> None:
+    planned = _Planned(peers=1, in_flight=1, in_flight_at_origin=0)
+    planned.have("h1", _ALL)
+    fetch = planned.choose()[0]
+    planned.plan.note_corrupt(fetch.digest, "h1")
+    planned.clock.advance(59)
+    assert planned.choose() == []
+    planned.clock.advance(2)
+    assert planned.choose()[0].source == "h1"
+
+
+def test_silent_source_is_replaced() -> None:
+    planned = _Planned(peers=2, in_flight=1, source_spread=0, in_flight_at_origin=0)
+    planned.have("h1", 1)
+    planned.have("h2", 1, uploaded=9_000)
+    assert planned.choose()[0].source == "h1"
+    planned.clock.advance(16)
+    assert planned.choose()[0].source == "h2"
+
+
+def test_at_most_one_copy_is_uploaded_until_the_rollout_is_quiet() -> None:
+    planned = _Planned(held=_ALL)
+    answers = [planned.plan.decide_upload(d, queued=0) for d in [*_DIGESTS, _DIGESTS[0]]]
+    assert answers == [""] * 32 + ["budget"]
+    planned.clock.advance(31)
+    assert planned.plan.decide_upload(_DIGESTS[0], queued=0) == ""
+
+
+def test_missing_and_queued_chunks_are_declined() -> None:
+    planned = _Planned(held=1)
+    assert planned.plan.decide_upload(_DIGESTS[1], queued=0) == "absent"
+    assert planned.plan.decide_upload("0" * 64, queued=0) == "absent"
+    assert planned.plan.decide_upload(_DIGESTS[0], queued=3) == "busy"
+
+
+def test_new_version_keeps_shared_chunks_and_their_uploads() -> None:
+    planned = _Planned(held=_ALL)
+    for digest in _DIGESTS[:4]:
+        assert planned.plan.decide_upload(digest, queued=0) == ""
+    manifest = make_manifest("v2", [*_DIGESTS[:2], *(d[::-1] for d in _DIGESTS[2:])], 1_000)
+    after = ChunkPlan(
+        host="h0",
+        manifest=manifest,
+        held=_DIGESTS[:2],
+        limits=PlanLimits(bytes_per_s=1e9),
+        clock=planned.clock,
+        random_source=random.Random(1),
+        previous=planned.plan,
+    )
+    assert (after.held, after.uploaded) == (3, 2_000)
+
+
+def test_equal_chunks_are_fetched_once() -> None:
+    manifest = make_manifest("v1", [_DIGESTS[0]] * 5, 1_000)
+    plan = ChunkPlan(
+        host="h0",
+        manifest=manifest,
+        held=[],
+        limits=PlanLimits(bytes_per_s=1e9),
+        clock=ManualClock(),
+        random_source=random.Random(1),
+    )
+    assert len(plan.choose_fetches()) == 1
+    plan.note_arrived(_DIGESTS[0], ORIGIN)
+    assert plan.is_done
+
+
+@given(sizes=st.lists(st.integers(1, 3_000), max_size=40))
+@settings(max_examples=50, deadline=None, database=None)
+@seed(5)
+def test_pacer_never_exceeds_rate_and_burst(sizes: list[int]) -> None:
+    clock = ManualClock()
+    pacer = Pacer(clock=clock, bytes_per_s=1_000, burst_bytes=2_000)
+    sent = 0
+    for size in sizes:
+        clock.advance(pacer.wait_s())
+        pacer.take(size)
+        sent += size
+        assert sent <= 1_000 * clock.monotonic() + 2_000 + 3_000
+
+
+def test_bitmap_bytes_are_least_significant_first() -> None:
+    assert encode_bitmap(0b1_0000_0001, 9) == b"\x01\x01"
