Count the runs of a claimed request in the deployment test

Cause: the test compared answers only and passed although no claim was made: the service ran twice. The launcher's start probe counted as a run of the service. Change: the test demands one run by key over all services; the launcher probes a path that no service counts.

--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -93,9 +93,9 @@
     assert status == 200
     again = _call(deployment, "/services/ledger/deposits", {"sum": 1}, **{"Idempotency-Key": "k1"})
     assert again == (200, first)
-    ledger = deployment.list_urls("service", "http")[0]
-    runs = request_json("GET", f"{ledger}/standin/runs")[1]
-    assert "k1" in json.dumps(runs) and '"runs": 2' not in json.dumps(runs)
+    ledgers = deployment.list_urls("service", "http")
+    runs = [run for url in ledgers for run in request_json("GET", f"{url}/standin/runs")[1]["runs"]]
+    assert [(run["key"], run["count"]) for run in runs] == [("k1", 1)]
 
 
 def test_edit_is_in_force_everywhere(deployment: Deployment) -> None:
--- a/tests/test_launch.py
+++ b/tests/test_launch.py
@@ -22,7 +22,7 @@
 
     def start_standins(self) -> None:
         super()._spawn(self.prepare()["host_list"])
-        self._wait_for(self.processes_by_name["host_list"], "/")
+        self._wait_for(self.processes_by_name["host_list"], "/standin/faults")
         self.send_hosts()
 
 
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -40,6 +40,8 @@
 #: Time that a process has to end after SIGTERM before it gets SIGKILL, in seconds.
 STOP_TIMEOUT_S = 20.0
 
+#: Answered by every stand-in with status 405; a service would count a request to another path.
+_STANDIN_PATH = "/standin/faults"
 _KEY_COLUMNS = ("model", "client_account", "rank")
 
 
@@ -358,7 +360,7 @@
         for process in standins:
             self._spawn(process)
         for process in standins:
-            self._wait_for(process, "/")
+            self._wait_for(process, _STANDIN_PATH)
         self.send_hosts()
         for version in self.versions:
             self.create_version(version)
@@ -460,7 +462,7 @@
         self._spawn(process)
         if wait:
             daemon = process.kind in ("entry", "upstream")
-            self._wait_for(process, "/health/live" if daemon else "/")
+            self._wait_for(process, "/health/live" if daemon else _STANDIN_PATH)
         return process
 
     def stop(self, *, timeout_s: float = STOP_TIMEOUT_S) -> None:
