Keep a released claim for some minutes instead of deleting it

Change: a released claim becomes a marker on a lease of 5 minutes, and the clean-up after a refused begin also replaces another's marker. Leases share one class with the change ids.

--- a/sycamoreproxy/claims.py
+++ b/sycamoreproxy/claims.py
@@ -3,7 +3,8 @@
 A claim is a key that is created by compare-and-swap before the request is sent. Its value is a
 JSON document with a random token, by which a process recognizes its own write when the answer was
 lost. States: ``started``, ``done`` with the outcome, and ``released`` where the request was not
-run but a late copy of a write might still arrive.
+run. A released claim is kept for some minutes, because a write whose answer was lost may still be
+under way and would find no key and start the claim again.
 """
 
 from __future__ import annotations
@@ -15,13 +16,12 @@
 import secrets
 from base64 import b64decode, b64encode
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from returns.result import Failure, Result, Success
 
-from sycamoreproxy._hourly_lease import LEASE_WINDOW_S, HourlyLease
+from sycamoreproxy._shared_lease import SharedLease
 from sycamoreproxy.clock import Clock, SystemClock
 from sycamoreproxy.dispatch import RecordedOutcome
 from sycamoreproxy.invariants import InvariantViolationError, check_invariant
@@ -37,7 +37,6 @@
 )
 from sycamoreproxy.store import (
     Compare,
-    Delete,
     Entry,
     Get,
     LeaseNotFoundError,
@@ -51,6 +50,11 @@
 
 #: How long an outcome is kept at least, in seconds.
 CLAIM_TTL_S = 24 * 3600
+#: How long a released claim is kept at least, in seconds: longer than a write is under way.
+RELEASED_TTL_S = 300
+#: How long one lease takes new claims and released claims, in seconds.
+CLAIM_WINDOW_S = 3_600
+RELEASED_WINDOW_S = 60
 #: Claims in one store write; 32 outcomes of the largest size stay below the store's 1.5 MB.
 MAX_BATCH = 32
 #: Writes that may wait; further ones are refused.
@@ -80,14 +84,12 @@
     :param key: key in the store.
     :param token: tells this claim from any other of the same key.
     :param mod_revision: store revision at which it was written.
-    :param may_reappear: whether a late copy of the write may still arrive.
     """
 
     key: str
     token: str
     fingerprint: str
     mod_revision: int
-    may_reappear: bool
 
 
 class _NotWrittenError(Exception):
@@ -95,28 +97,39 @@
 
 
 class _Operation:
-    """One nested transaction that waits for its batch.
+    """One nested transaction that waits for its batch: a write if the key is unchanged.
 
-    :param build: returns the transaction for a lease; must be safe to repeat.
-    :param needs_lease: whether it writes a value.
+    It is safe to repeat, and reads the key if it was changed.
+
+    :param expected: mod revision that the key must have, 0 for none.
+    :param value: new value of the key.
+    :param lease: lease of the new value.
     """
 
-    __slots__ = ("build", "future", "key", "may_have_effect", "needs_lease")
+    __slots__ = ("expected", "future", "key", "lease", "may_have_effect", "value")
 
-    def __init__(self, *, key: str, build: Callable[[int], Txn], needs_lease: bool = True) -> None:
+    def __init__(self, *, key: str, expected: int, value: bytes, lease: SharedLease) -> None:
         self.key = key
-        self.build = build
-        self.needs_lease = needs_lease
+        self.expected = expected
+        self.value = value
+        self.lease = lease
         self.future: asyncio.Future[TxnResult] = asyncio.get_running_loop().create_future()
         self.may_have_effect = False
 
+    def build(self, lease: int) -> Txn:
+        """Return the transaction for a lease id."""
+        return Txn(
+            compares=(Compare(self.key, self.expected),),
+            then=(Put(self.key, self.value, lease),),
+            otherwise=(Get(self.key),),
+        )
+
 
 class _BatchWriter:
     """Writes operations in batches, one store call at a time; operations collect meanwhile."""
 
-    def __init__(self, *, store: Store, lease: HourlyLease) -> None:
+    def __init__(self, *, store: Store) -> None:
         self._store = store
-        self._lease = lease
         self._waiting: deque[_Operation] = deque()
         self._task: asyncio.Task[None] | None = None
 
@@ -150,7 +163,8 @@
                 pause_s = RETRY_MIN_S
                 continue
             except LeaseNotFoundError:
-                self._lease.forget()
+                for operation in batch:
+                    operation.lease.forget()
             except (StoreUnavailableError, StoreAnswerLostError) as error:
                 _log.warning("claims not written", claims=len(batch), error=str(error))
             except Exception:
@@ -175,16 +189,16 @@
         return list(batch.values())
 
     async def _write(self, batch: list[_Operation]) -> None:
-        lease = 0
-        if any(operation.needs_lease for operation in batch):
-            lease = await self._lease.current()
+        ids_by_lease = {
+            lease: await lease.current() for lease in {operation.lease for operation in batch}
+        }
         # Set before the call: a waiter may give up while it is under way.
         before = [operation.may_have_effect for operation in batch]
         for operation in batch:
             operation.may_have_effect = True
         try:
             result = await self._store.transact(
-                Txn(then=tuple(operation.build(lease) for operation in batch))
+                Txn(then=tuple(item.build(ids_by_lease[item.lease]) for item in batch))
             )
         except StoreUnavailableError:
             for operation, earlier in zip(batch, before, strict=True):
@@ -210,8 +224,13 @@
         self._prefix = prefix
         self._owner = owner
         self._clock = clock or SystemClock()
-        lease = HourlyLease(store=store, clock=self._clock, ttl_s=CLAIM_TTL_S)
-        self._writer = _BatchWriter(store=store, lease=lease)
+        self._lease = SharedLease(
+            store=store, clock=self._clock, ttl_s=CLAIM_TTL_S, window_s=CLAIM_WINDOW_S
+        )
+        self._released_lease = SharedLease(
+            store=store, clock=self._clock, ttl_s=RELEASED_TTL_S, window_s=RELEASED_WINDOW_S
+        )
+        self._writer = _BatchWriter(store=store)
         #: Token and time of claims begun here and not yet closed, oldest first.
         self._open_by_key: dict[str, tuple[str, float]] = {}
         self._cleanups: set[asyncio.Task[None]] = set()
@@ -248,7 +267,7 @@
         except InvariantViolationError as error:
             return Failure(Refusal(INVARIANT_VIOLATED, Executed.NO, error.name))
         finally:
-            if attempt.may_reappear and not attempt.is_begun:
+            if attempt.may_have_effect and not attempt.is_begun:
                 self._clean_up(attempt)
         return result
 
@@ -259,7 +278,7 @@
             get an unknown outcome.
         """
         document = render_outcome(claim, outcome, owner=self._owner)
-        await self._close(claim, lambda lease: (Put(claim.key, document, lease),))
+        await self._close(claim, document, self._lease)
 
     async def release(self, claim: Claim) -> None:
         """Give up the claim of a request that was not run, so that a repeat may run it.
@@ -268,14 +287,7 @@
             unknown outcome.
         """
         released = _render(state="released", token=claim.token, owner=self._owner)
-
-        def write(lease: int) -> tuple[Put | Delete, ...]:
-            if claim.may_reappear:
-                # A late copy of the first write would find no key and start the claim again.
-                return (Put(claim.key, released, lease),)
-            return (Delete(claim.key),)
-
-        await self._close(claim, write)
+        await self._close(claim, released, self._released_lease)
 
     async def close(self) -> None:
         """Stop all tasks; claims that were not finished stay started."""
@@ -291,8 +303,8 @@
         pause_s = POLL_MIN_S
         seen: dict[str, Any] | None = None
         while True:
-            operation = _make_operation(
-                attempt.key, expected, lambda lease: (Put(attempt.key, attempt.document, lease),)
+            operation = _Operation(
+                key=attempt.key, expected=expected, value=attempt.document, lease=self._lease
             )
             try:
                 result = await self._writer.run(
@@ -301,10 +313,8 @@
             except _NotWrittenError as error:
                 return _refuse_unwritten(seen, str(error))
             finally:
-                attempt.may_reappear = attempt.may_reappear or operation.may_have_effect
+                attempt.may_have_effect = attempt.may_have_effect or operation.may_have_effect
             if result.succeeded:
-                # The claim that was released here may be due to reappear itself.
-                attempt.may_reappear = attempt.may_reappear or expected > 0
                 return Success(self._open(attempt, result.revision))
             entry = result.results[0] if result.results else None
             if not isinstance(entry, Entry):
@@ -336,7 +346,7 @@
         """
         now = self._clock.monotonic()
         for key, (_, begun_at) in list(self._open_by_key.items()):
-            if now - begun_at <= CLAIM_TTL_S + LEASE_WINDOW_S:
+            if now - begun_at <= CLAIM_TTL_S + CLAIM_WINDOW_S:
                 break
             # Its store entry has expired, so that the key may be claimed anew.
             del self._open_by_key[key]
@@ -351,15 +361,14 @@
             token=attempt.token,
             fingerprint=attempt.fingerprint,
             mod_revision=mod_revision,
-            may_reappear=attempt.may_reappear,
         )
 
-    async def _close(self, claim: Claim, write: Callable[[int], tuple[Put | Delete, ...]]) -> None:
+    async def _close(self, claim: Claim, value: bytes, lease: SharedLease) -> None:
         """Replace a claim that is still as it was begun."""
         # Forgotten first: another request may claim the key as soon as the write has its effect.
         if self._open_by_key.get(claim.key, ("", 0.0))[0] == claim.token:
             del self._open_by_key[claim.key]
-        operation = _make_operation(claim.key, claim.mod_revision, write)
+        operation = _Operation(key=claim.key, expected=claim.mod_revision, value=value, lease=lease)
         try:
             result = await self._writer.run(operation, timeout_s=CLOSE_TIMEOUT_S)
         except _NotWrittenError as error:
@@ -384,8 +393,8 @@
         released = _render(state="released", token=attempt.token, owner=self._owner)
         expected = 0
         while True:
-            operation = _make_operation(
-                attempt.key, expected, lambda lease: (Put(attempt.key, released, lease),)
+            operation = _Operation(
+                key=attempt.key, expected=expected, value=released, lease=self._released_lease
             )
             try:
                 result = await self._writer.run(
@@ -401,7 +410,10 @@
                 expected = 0
                 continue
             document = json.loads(entry.value)
-            if document["token"] != attempt.token or document["state"] != "started":
+            is_own = document["token"] == attempt.token
+            if document["state"] != ("started" if is_own else "released"):
+                # Own marker, or another request's claim or outcome, which replaced what a late
+                # copy compares. Over another's marker a late copy could still start the claim.
                 return
             expected = entry.mod_revision
 
@@ -419,7 +431,7 @@
 class _Attempt:
     """State of one call of ``begin``.
 
-    :param may_reappear: whether a copy of its write may still take effect.
+    :param may_have_effect: whether a write that was not confirmed may take effect.
     :param is_begun: whether the claim was handed out.
     """
 
@@ -427,7 +439,7 @@
     token: str
     fingerprint: str
     document: bytes
-    may_reappear: bool = False
+    may_have_effect: bool = False
     is_begun: bool = False
 
 
@@ -437,17 +449,6 @@
     return f"{prefix}/claim/{hashlib.sha256(text.encode()).hexdigest()}"
 
 
-def _make_operation(
-    key: str, expected: int, write: Callable[[int], tuple[Put | Delete, ...]]
-) -> _Operation:
-    """Return an operation that writes if the key has a mod revision, else reads the key."""
-
-    def build(lease: int) -> Txn:
-        return Txn(compares=(Compare(key, expected),), then=write(lease), otherwise=(Get(key),))
-
-    return _Operation(key=key, build=build)
-
-
 def _refuse_unwritten(
     seen: dict[str, Any] | None, detail: str
 ) -> Result[Claim | RecordedOutcome, Refusal]:
--- a/sycamoreproxy/table_commands.py
+++ b/sycamoreproxy/table_commands.py
@@ -14,7 +14,7 @@
 
 from returns.result import Failure, Result, Success
 
-from sycamoreproxy._hourly_lease import HourlyLease
+from sycamoreproxy._shared_lease import SharedLease
 from sycamoreproxy.clock import Clock, SystemClock
 from sycamoreproxy.result_codes import (
     TABLE_CONFLICT,
@@ -160,7 +160,7 @@
         self._known_versions = known_versions
         self._minimum_revision = minimum_revision
         self._timeout_s = timeout_s
-        self._lease = HourlyLease(store=store, clock=self._clock, ttl_s=CHANGE_TTL_S)
+        self._lease = SharedLease(store=store, clock=self._clock, ttl_s=CHANGE_TTL_S)
         self._snapshot = EMPTY_SNAPSHOT
 
     async def commit(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -118,7 +118,7 @@
         core = make_core()
         book = make_book(core)
         store: Any = book._writer._store
-        await book._writer._lease.current()
+        await book._lease.current()
         store.faults = {fault: 1.0}
         result = await begin(book, timeout_s=1.0)
         refusal = result.failure()
@@ -136,7 +136,7 @@
         core = make_core()
         book = make_book(core)
         store: Any = book._writer._store
-        await book._writer._lease.current()
+        await book._lease.current()
         store.faults = {fault: 1.0}
         beginning = asyncio.create_task(begin(book))
         while not store.calls_by_verb["txn"]:
@@ -146,11 +146,10 @@
             await asyncio.sleep(0)
         store.faults = {}
         claim = (await beginning).unwrap()
-        assert isinstance(claim, Claim) and claim.may_reappear
+        assert isinstance(claim, Claim)
         await book.release(claim)
         await settle(book)
-        again = (await begin(make_book(core, owner="e2"))).unwrap()
-        assert isinstance(again, Claim) and again.may_reappear
+        assert isinstance((await begin(make_book(core, owner="e2"))).unwrap(), Claim)
 
     virtual_run(run())
 
@@ -222,7 +221,7 @@
         core = make_core()
         book = make_book(core)
         await begin(book, "a")
-        core.revoke({"ID": str(await book._writer._lease.current())})
+        core.revoke({"ID": str(await book._lease.current())})
         assert isinstance((await begin(book, "b")).unwrap(), Claim)
 
     virtual_run(run())
@@ -236,7 +235,7 @@
         book = make_book(core)
         await begin(book)
         before = violations_by_name["claim_begun_once"]
-        core.revoke({"ID": str(await book._writer._lease.current())})
+        core.revoke({"ID": str(await book._lease.current())})
         result = await begin(book)
         assert result.failure().code is codes.INVARIANT_VIOLATED
         assert result.failure().executed is Executed.NO
@@ -278,9 +277,18 @@
     assert "secret" not in key and key != make_claim_key("/t", "ab", "c", "secret")
 
 
-@pytest.mark.parametrize("seed", range(4))
+# Seeds above 100 once left a claim that nobody ran, started by a late copy of a write.
+@pytest.mark.parametrize("seed", [0, 1, 101, 105, 106, 124, 125])
 @pytest.mark.parametrize(
-    "faults", [{}, {"unavailable": 0.2}, {"lost": 0.25}, {"late": 0.25, "lost": 0.1}], ids=str
+    "faults",
+    [
+        {},
+        {"unavailable": 0.2},
+        {"lost": 0.25},
+        {"late": 0.5},
+        {"late": 0.3, "lost": 0.2, "unavailable": 0.2},
+    ],
+    ids=str,
 )
 def test_no_request_runs_twice_whatever_the_store_does(faults: dict[str, float], seed: int) -> None:
     """Callers repeat each request over three entry hosts until they know its outcome."""
