--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import hashlib
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from typing import Protocol, TypeAlias
+from functools import partial
+from typing import Any, Protocol, TypeAlias
 
 from returns.result import Failure, Result, Success
 
@@ -16,9 +18,9 @@
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.membership import UpstreamState
 from sycamoreproxy.messages import MessageError, Pairs, Submit
-from sycamoreproxy.metrics import ATTEMPTS
+from sycamoreproxy.metrics import ATTEMPTS, FIRST_OUTPUT_SECONDS
 from sycamoreproxy.result_codes import Executed, Refusal
-from sycamoreproxy.retries import MAX_ATTEMPTS, RetryBudget, may_repeat
+from sycamoreproxy.retries import MAX_ATTEMPTS, UPSTREAM_FAULTS, RetryBudget, may_repeat
 from sycamoreproxy.routing import Router
 from sycamoreproxy.upstream_links import Attempt, UpstreamLinks, Whole
 
@@ -27,13 +29,19 @@
 #: After the deadline the upstream's own refusal is awaited for this time, because it knows
 #: whether the request was run, in seconds.
 DEADLINE_GRACE_S = 0.25
-#: Time to the first output of a request that the engine already works on, in seconds.
-STARTED_LIMIT_S = 120.0
+#: Time to the first output of a request that the engine already works on, in seconds; above the
+#: 120 s after which the upstream process itself refuses a plain answer.
+STARTED_LIMIT_S = 150.0
 #: Longest silence within an answer, in seconds.
 OUTPUT_LIMIT_S = 30.0
-#: An attempt that has not started is given up when its upstream misses a heartbeat, which
-#: comes each second, by this much, in seconds.
-OVERDUE_S = 1.5
+#: An upstream from which nothing was heard since the attempt was sent, not even a heartbeat,
+#: which comes each second, is given up after this time, in seconds.
+SILENT_S = 1.5
+#: The same where it should have started the attempt at once, because it reported a wait below
+#: :data:`SOON_MS`: a part of the time left, so that the rest is enough for another upstream.
+SILENT_SOON_PART = 0.3
+SILENT_SOON_MIN_S = 0.25
+SOON_MS = 100.0
 #: Longest time of one attempt, in seconds; borrowed concurrency in ``limits`` relies on it.
 ATTEMPT_LIMIT_S = 300.0
 #: How often a waiting attempt is checked, in seconds.
@@ -150,13 +158,13 @@
         fingerprint: str,
         *,
         timeout_s: float,
-    ) -> Result[object, Refusal]:
+    ) -> Result[Any, Refusal]:
         """Return a new claim, or the :class:`RecordedOutcome` of an earlier request."""
 
-    async def finish(self, claim: object, outcome: RecordedOutcome) -> None:
+    async def finish(self, claim: Any, outcome: RecordedOutcome) -> None:
         """Record the outcome."""
 
-    async def release(self, claim: object) -> None:
+    async def release(self, claim: Any) -> None:
         """Remove the claim of a request that was not run."""
 
 
@@ -164,7 +172,10 @@
     """Collects one attempt: keeps a plain answer, passes events of a stream on.
 
     :param request: the request; its writer gets what is passed on.
+    :param started_at: when the request was taken on, by the event loop's clock.
     :param deadline: end of the time to the first output, by the event loop's clock.
+    :param silent_s: when an upstream that sent nothing is given up, in seconds from now.
+    :param on_silent: called when that happens.
     """
 
     __slots__ = (
@@ -173,7 +184,11 @@
         "_last_limit",
         "_limit",
         "_loop",
+        "_on_silent",
         "_request",
+        "_silent_at",
+        "_started_at",
+        "_submitted_at",
         "_timer",
         "attempt",
         "end",
@@ -184,7 +199,17 @@
         "version",
     )
 
-    def __init__(self, *, request: CallerRequest, deadline: float) -> None:
+    def __init__(
+        self,
+        *,
+        request: CallerRequest,
+        started_at: float,
+        deadline: float,
+        silent_s: float,
+        on_silent: Callable[[], None],
+    ) -> None:
+        self._on_silent = on_silent
+        self._started_at = started_at
         self._loop = asyncio.get_running_loop()
         self._request = request
         self._limit = deadline + DEADLINE_GRACE_S
@@ -198,7 +223,9 @@
         self.status = 0
         self.headers: Pairs = ()
         self.version = ""
-        self._timer = self._loop.call_later(CHECK_PERIOD_S, self._check)
+        self._submitted_at = self._loop.time()
+        self._silent_at = self._submitted_at + silent_s
+        self._timer = self._loop.call_at(min(self._silent_at, self._limit), self._check)
 
     def on_started(self) -> None:
         """Extend the limit of an engine's work; a service must answer within the deadline."""
@@ -219,7 +246,11 @@
 
     def on_output(self, data: bytes, tokens: int) -> None:
         """Take a part of the body; a whole event is passed on at once."""
-        self._limit = self._loop.time() + OUTPUT_LIMIT_S
+        now = self._loop.time()
+        self._limit = now + OUTPUT_LIMIT_S
+        if self._started_at:
+            FIRST_OUTPUT_SECONDS.observe({"rank": self._request.rank}, now - self._started_at)
+            self._started_at = 0.0
         kept = self._kept
         if self._is_kept:
             kept += data
@@ -275,16 +306,17 @@
         attempt = self.attempt
         if now >= self._limit or now >= self._last_limit:
             self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN))
-        elif (
-            not self.has_started
-            and self._request.idempotent
-            and attempt is not None
-            and now - attempt.peer.last_message_at > OVERDUE_S
-        ):
-            self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "No heartbeat."))
-        else:
-            wait_s = min(CHECK_PERIOD_S, self._limit - now)
-            self._timer = self._loop.call_later(wait_s, self._check)
+            return
+        if now >= self._silent_at:
+            self._silent_at = math.inf
+            if attempt is not None and attempt.peer.last_message_at < self._submitted_at:
+                self._on_silent()
+                if self._request.idempotent:
+                    self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "It is silent."))
+                    return
+        self._timer = self._loop.call_at(
+            min(self._silent_at, self._limit, now + CHECK_PERIOD_S), self._check
+        )
 
 
 def _find_done(data: bytearray) -> int:
@@ -453,6 +485,7 @@
         self, request: CallerRequest, deadline: float
     ) -> Result[Answer, Refusal]:
         loop = asyncio.get_running_loop()
+        started_at = loop.time()
         self._budget.count_request()
         excluded: set[str] = set()
         may_have_run = False
@@ -474,14 +507,22 @@
             if state is None:
                 refusal = refusal or Refusal(codes.NO_UPSTREAM, Executed.NO, "", 1000)
                 break
-            if number > 1 and not self._budget.take():
+            if refusal is not None and not self._budget.take(
+                keep_reserve=refusal.code not in UPSTREAM_FAULTS
+            ):
                 break
             check_invariant(
                 "non_idempotent_runs_once",
                 request.idempotent or not may_have_run,
                 target=request.name,
             )
-            run = _AttemptRun(request=request, deadline=deadline)
+            run = _AttemptRun(
+                request=request,
+                started_at=started_at,
+                deadline=deadline,
+                silent_s=self._choose_silent_s(state, request.rank, time_left_ms),
+                on_silent=partial(self._router.suspect, state),
+            )
             end = await self._run_attempt(request, state, run, int(time_left_ms))
             if isinstance(end, Whole):
                 return Success(run.make_answer(end))
@@ -497,6 +538,11 @@
             refusal = replace(refusal, executed=Executed.UNKNOWN)
         return Failure(refusal)
 
+    def _choose_silent_s(self, state: UpstreamState, rank: str, time_left_ms: float) -> float:
+        if self._router.predict_wait_ms(state, rank) >= SOON_MS:
+            return SILENT_S
+        return min(SILENT_S, max(SILENT_SOON_MIN_S, SILENT_SOON_PART * time_left_ms / 1000))
+
     async def _run_attempt(
         self, request: CallerRequest, state: UpstreamState, run: _AttemptRun, time_left_ms: int
     ) -> Whole | Refusal:
