--- a/sycamoreproxy/table.py
+++ b/sycamoreproxy/table.py
@@ -13,6 +13,7 @@
 import re
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from sys import intern
 from typing import Any, NamedTuple
 
 from sycamoreproxy.settings import RANKS
@@ -218,19 +219,20 @@
     return problems
 
 
-def apply_cells(
-    rows: Rows, values: Mapping[tuple[RowKey, str], str]
-) -> dict[RowKey, dict[str, str]]:
-    """Return the rows with cells set to canonical texts; empty cells and rows are dropped."""
-    result = {key: dict(cells) for key, cells in rows.items()}
+def apply_cells(rows: Rows, values: Mapping[tuple[RowKey, str], str]) -> dict[RowKey, Cells]:
+    """Return the rows with cells set to canonical texts; empty cells and rows are dropped.
+
+    Rows that do not change are shared with the result.
+    """
+    result: dict[RowKey, Cells] = dict(rows)
     for (key, cell), text in values.items():
-        cells = result.setdefault(key, {})
-        if text:
-            cells[cell] = text
+        cells = {**result.get(key, {}), cell: text}
+        if not text:
+            del cells[cell]
+        if cells:
+            result[key] = cells
         else:
-            cells.pop(cell, None)
-        if not cells:
-            del result[key]
+            result.pop(key, None)
     return result
 
 
@@ -259,10 +261,10 @@
     try:
         rows = {}
         for model, client_account, rank, cells in json.loads(text):
-            if not all(isinstance(item, str) for item in (model, client_account, rank)):
-                raise TableError("a row key must be three texts")
-            rows[RowKey(model, client_account, rank)] = {
-                str(cell): str(value) for cell, value in cells.items()
+            # Names and values recur in many rows; interning them more than halves the memory.
+            # It raises TypeError for anything but a text.
+            rows[RowKey(intern(model), intern(client_account), intern(rank))] = {
+                intern(cell): intern(value) for cell, value in cells.items()
             }
     except (ValueError, TypeError, AttributeError) as error:
         raise TableError(f"malformed page: {error!r}") from error
@@ -337,47 +339,56 @@
 EMPTY_SNAPSHOT = Snapshot(root=EMPTY_ROOT, root_text="", pages_by_digest={}, rows={})
 
 
-def build_snapshot(root_text: str, pages_by_digest: Mapping[str, str]) -> Snapshot:
+def build_snapshot(
+    root_text: str, pages_by_digest: Mapping[str, str], *, held: Snapshot = EMPTY_SNAPSHOT
+) -> Snapshot:
     """Return the snapshot of a root whose pages are all given; others are left out.
 
+    :param held: another revision; only pages that differ from it are parsed.
     :raises TableError: if a page is absent or malformed, or holds a row of another page.
     """
     root = Root.parse(root_text)
+    old = held.root.digests_by_page
+    rows: dict[RowKey, Cells] = dict(held.rows)
+    for page, digest in old.items():
+        if root.digests_by_page.get(page) != digest:
+            for key in parse_page(held.pages_by_digest[digest]):
+                del rows[key]
     pages: dict[str, str] = {}
-    rows: dict[RowKey, dict[str, str]] = {}
     for page, digest in root.digests_by_page.items():
         text = pages_by_digest.get(digest)
         if text is None:
             raise TableError(f"page {page} is absent")
         pages[digest] = text
-        page_rows = parse_page(text)
-        if any(page_number(key) != page for key in page_rows):
-            raise TableError(f"page {page} holds a row of another page")
-        rows.update(page_rows)
+        if old.get(page) != digest:
+            page_rows = parse_page(text)
+            if any(page_number(key) != page for key in page_rows):
+                raise TableError(f"page {page} holds a row of another page")
+            rows.update(page_rows)
     return Snapshot(root=root, root_text=root_text, pages_by_digest=pages, rows=rows)
 
 
-def make_pages(rows: Rows, *, changed: Iterable[int], digests_by_page: Mapping[int, str]) -> tuple[
-    dict[int, str],
-    dict[str, str],
-]:
-    """Render the changed pages of a table.
+def make_pages(
+    rows: Rows, *, changed: Iterable[RowKey], held: Snapshot = EMPTY_SNAPSHOT
+) -> tuple[dict[int, str], dict[str, str]]:
+    """Render the pages of changed rows.
 
-    :param changed: numbers of the pages that may differ.
-    :param digests_by_page: the pages before the change.
+    :param rows: all rows after the change.
+    :param changed: rows that may differ from the held ones.
+    :param held: the table before the change.
     :returns: the new digests by page, and the texts of the rendered pages by digest.
     :raises TableError: if a page exceeds :data:`MAX_PAGE_BYTES`.
     """
-    numbers = set(changed)
-    rows_by_page: dict[int, dict[RowKey, Cells]] = {page: {} for page in numbers}
-    for key, cells in rows.items():
-        page = page_number(key)
-        if page in numbers:
-            rows_by_page[page][key] = cells
-    digests = dict(digests_by_page)
+    keys_by_page: dict[int, set[RowKey]] = {}
+    for key in changed:
+        keys_by_page.setdefault(page_number(key), set()).add(key)
+    digests = dict(held.root.digests_by_page)
     texts: dict[str, str] = {}
-    for page, page_rows in rows_by_page.items():
-        digests.pop(page, None)
+    for page, keys in keys_by_page.items():
+        digest = digests.pop(page, None)
+        if digest is not None:
+            keys.update(parse_page(held.pages_by_digest[digest]))
+        page_rows = {key: rows[key] for key in keys if key in rows}
         if not page_rows:
             continue
         text = render_page(page_rows)
--- a/sycamoreproxy/table_commands.py
+++ b/sycamoreproxy/table_commands.py
@@ -51,7 +51,6 @@
     check_key,
     make_pages,
     normalize_cell,
-    page_number,
     validate_rows,
 )
 from sycamoreproxy.table_queries import (
@@ -291,9 +290,7 @@
     ) -> _Pending:
         old = base.snapshot.root
         digests, texts = make_pages(
-            rows,
-            changed={page_number(change.key) for change in changes},
-            digests_by_page=old.digests_by_page,
+            rows, changed={change.key for change in changes}, held=base.snapshot
         )
         root = Root(
             revision=old.revision + 1,
@@ -378,7 +375,7 @@
         if page is None:
             return None
         pages[digest] = page.value.decode()
-    return build_snapshot(root_text, pages)
+    return build_snapshot(root_text, pages, held=held)
 
 
 def _check_edits(edits: Sequence[CellEdit]) -> dict[tuple[RowKey, str], str]:
--- a/sycamoreproxy/table_sync.py
+++ b/sycamoreproxy/table_sync.py
@@ -304,7 +304,8 @@
             if wanted <= pages.keys():
                 if is_answer:
                     self._fetch = None
-                self.adopt(build_snapshot(message.root, pages), source=peer)
+                snapshot = build_snapshot(message.root, pages, held=self._view.snapshot)
+                self.adopt(snapshot, source=peer)
                 self._fetch_newest()
             elif fetch is not None and is_answer and wanted & received.keys():
                 fetch.pages_by_digest = {d: pages[d] for d in wanted & pages.keys()}
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -9,6 +9,7 @@
     CELLS,
     Root,
     RowKey,
+    Rows,
     Snapshot,
     TableError,
     apply_cells,
@@ -17,7 +18,6 @@
     check_key,
     make_pages,
     normalize_cell,
-    page_number,
     validate_rows,
 )
 from sycamoreproxy.table_commands import parse_csv, plan_edits
@@ -43,8 +43,8 @@
 )
 
 
-def make_snapshot(rows: dict[RowKey, dict[str, str]], revision: int = 1) -> Snapshot:
-    digests, texts = make_pages(rows, changed=map(page_number, rows), digests_by_page={})
+def make_snapshot(rows: Rows, revision: int = 1) -> Snapshot:
+    digests, texts = make_pages(rows, changed=rows)
     return build_snapshot(Root(revision, "c", "o", 1.5, digests).render(), texts)
 
 
@@ -173,12 +173,12 @@
     assert before.rows == rows
     values = {(key, cell): text for key, cells in changes.items() for cell, text in cells.items()}
     after_rows = apply_cells(rows, values)
-    changed = {page_number(key) for key, _ in values}
-    digests, texts = make_pages(
-        after_rows, changed=changed, digests_by_page=before.root.digests_by_page
-    )
-    assert digests == make_snapshot(after_rows).root.digests_by_page
-    assert len(texts) <= len(changed)
+    digests, texts = make_pages(after_rows, changed=changes, held=before)
+    whole = make_snapshot(after_rows)
+    assert digests == whole.root.digests_by_page
+    assert len(texts) <= len(changes)
+    pages = {**before.pages_by_digest, **texts}
+    assert build_snapshot(whole.root_text, pages, held=before) == whole
 
 
 @seed(2)
