Keep upstreams in use when a host list loses most of them at once

Ruled out: a single SIGTERM without the lag refuses nothing. Change: a list that drops more than half of the connected upstreams does not end their use. Conclusion: direct heartbeats decide, as the design says.

--- a/sycamoreproxy/membership.py
+++ b/sycamoreproxy/membership.py
@@ -28,6 +28,9 @@
 REMOTE_ENTRIES = 1
 #: Entry hosts of an availability zone that watch the store.
 WATCHERS = 2
+#: A host list that drops a larger part of the connected upstreams at once is taken for a fault of
+#: the list: these upstreams stay in use for as long as their own heartbeats arrive.
+MAX_VANISHED_FRACTION = 0.5
 
 
 @lru_cache(maxsize=16_384)
@@ -164,11 +167,7 @@
                     state = UpstreamState(record=record)
                 state.record = record
                 upstreams[record.host] = state
-        for host, state in self._upstreams_by_host.items():
-            if host not in upstreams and state.peer is not None and not state.peer.is_closed:
-                # Its stream carries requests in progress; it is kept until the peer closes it.
-                state.record = replace(state.record, state="leaving")
-                upstreams[host] = state
+        upstreams.update(self._keep_vanished(upstreams))
         self._has_list = True
         self._entries_by_host = entries
         zone = self._availability_zone
@@ -184,6 +183,20 @@
             by_key.setdefault((state.record.kind, state.record.name), []).append(state)
         self._upstreams_by_key = by_key
 
+    def _keep_vanished(self, listed: dict[str, UpstreamState]) -> dict[str, UpstreamState]:
+        """Return the upstreams with an open stream that a new host list no longer names."""
+        connected = {
+            host: state
+            for host, state in self._upstreams_by_host.items()
+            if state.peer is not None and not state.peer.is_closed
+        }
+        vanished = {host: state for host, state in connected.items() if host not in listed}
+        if len(vanished) <= MAX_VANISHED_FRACTION * len(connected):
+            for state in vanished.values():
+                # Its stream carries requests in progress; it is kept until the peer closes it.
+                state.record = replace(state.record, state="leaving")
+        return vanished
+
     def take_status(self, peer: Peer, status: Status) -> None:
         """Record the heartbeat of an upstream."""
         state = self._upstreams_by_host.get(peer.hello.host)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -211,3 +211,14 @@
     world.peers["u01"].is_closed = True
     world.membership.replace_hosts(world.records[:1])
     assert world.records[1].peer not in world.membership.choose_targets()
+
+
+@pytest.mark.parametrize(
+    ("listed", "used"), [(0, 4), (1, 4), (2, 2), (4, 4)], ids=["empty", "one", "half", "all"]
+)
+def test_a_list_that_loses_most_upstreams_is_not_believed(listed: int, used: int) -> None:
+    """An empty or stale host list must not take the upstreams whose heartbeats arrive."""
+    world = World("z1", "z1", "z1", "z1")
+    world.membership.replace_hosts(world.records[:listed])
+    world.advance(1.0)
+    assert len(world.count(200)) == used
