--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -348,6 +348,8 @@
         line = self._start_line
         self._has_body = line.method != "HEAD" and status not in (204, 304)
         self._is_chunked = line.version == "HTTP/1.1"
+        # Without chunks only the end of the connection tells the end of the body.
+        self._is_last = not self._is_chunked
         self._write_head(status, fields, None)
 
     def write(self, data: bytes) -> None:
--- a/sycamoreproxy/limits.py
+++ b/sycamoreproxy/limits.py
@@ -327,7 +327,7 @@
             for rate, concurrent in self._held_by_host.values()
             if (rate if is_rate else concurrent) > now
         )
-        return 1.0 / max(1, len(self._listed.keys() | {self._host}) + held)
+        return 1.0 / max(1, len(self._listed) + (self._host not in self._listed) + held)
 
     async def acquire(
         self, *, model: str, client_account: str, rank: str, policy: LimitPolicy, tokens: int
--- a/sycamoreproxy/upstream_links.py
+++ b/sycamoreproxy/upstream_links.py
@@ -222,8 +222,8 @@
         self._end(attempt, Refusal(codes.ANSWER_INCOMPLETE, Executed.UNKNOWN, f"({detail})"))
 
     def _end(self, attempt: Attempt, end: Whole | Refusal) -> None:
-        del self._attempts_by_id[attempt.attempt_id]
-        attempt.listener.on_end(end)
+        if self._attempts_by_id.pop(attempt.attempt_id, None) is not None:
+            attempt.listener.on_end(end)
 
     def _end_attempts_of(self, peer: Peer) -> None:
         # A lost Started looks like one never sent, so each attempt counts as possibly run.
