--- a/sycamoreproxy/membership.py
+++ b/sycamoreproxy/membership.py
@@ -152,7 +152,11 @@
         return [self._entries_by_host[host] for host in sorted(self._entries_by_host)]
 
     def replace_hosts(self, records: Iterable[HostRecord]) -> None:
-        """Take a new host list; an upstream that stays keeps what is known of it."""
+        """Take a new host list; an upstream that stays keeps what is known of it.
+
+        An upstream that is no longer listed gets no new work, unless the list names no live one of
+        its model or service: then its heartbeats count, so that a broken list stops nothing.
+        """
         entries: dict[str, HostRecord] = {}
         upstreams: dict[str, UpstreamState] = {}
         for record in records:
@@ -164,10 +168,16 @@
                     state = UpstreamState(record=record)
                 state.record = record
                 upstreams[record.host] = state
+        served = {
+            (state.record.kind, state.record.name)
+            for state in upstreams.values()
+            if state.record.state == "live"
+        }
         for host, state in self._upstreams_by_host.items():
             if host not in upstreams and state.peer is not None and not state.peer.is_closed:
                 # Its stream carries requests in progress; it is kept until the peer closes it.
-                state.record = replace(state.record, state="leaving")
+                if (state.record.kind, state.record.name) in served:
+                    state.record = replace(state.record, state="leaving")
                 upstreams[host] = state
         self._has_list = True
         self._entries_by_host = entries
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -207,3 +207,12 @@
         world.membership.replace_hosts(world.records[:1])
         assert (world.records[1].peer in world.membership.choose_targets()) != is_closed
         assert world.count(10).keys() == {"u00"}
+
+
+def test_list_without_upstreams_stops_nothing() -> None:
+    world = World("z1", "z1")
+    for _ in range(2):
+        world.membership.replace_hosts([])
+        assert world.count(20).keys() == {"u00", "u01"}
+    world.beat("u00", state="leaving")
+    assert world.count(20).keys() == {"u01"}
