--- a/bench/load.py
+++ b/bench/load.py
@@ -5,12 +5,16 @@
 import asyncio
 import hashlib
 import json
+import multiprocessing
 import random
 import time
 from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any
 
+from standins.engine import digest_request
+
 #: Time after its deadline that a caller waits for the end of an answer, in seconds.
 ANSWER_GRACE_S = 30.0
 
@@ -55,6 +59,8 @@
     code: int = 0
     executed: str = ""
     versions: frozenset[str] = frozenset()
+    content: str = ""
+    expected: str = ""
     body: bytes = b""
 
     @property
@@ -80,25 +86,36 @@
     samples: list[Sample] = field(default_factory=list)
     _next: int = 0
 
-    async def run(self, arrivals: Iterable[Arrival], *, connections: int = 2_000) -> list[Sample]:
-        """Send every request at its time and return the samples in order of arrival."""
+    async def run(
+        self,
+        arrivals: Iterable[Arrival],
+        *,
+        start: float | None = None,
+        connections: int = 2_000,
+    ) -> list[Sample]:
+        """Send every request at its time and return the samples in order of arrival.
+
+        :param start: reading of the monotonic clock from which arrivals count; now if None.
+        """
         slots = asyncio.Semaphore(connections)
-        start = time.monotonic()
+        start = time.monotonic() if start is None else start
         tasks = []
         for number, arrival in enumerate(sorted(arrivals, key=lambda item: item.at)):
             delay = start + arrival.at - time.monotonic()
             if delay > 0:
                 await asyncio.sleep(delay)
-            tasks.append(asyncio.create_task(self._send_bounded(arrival, number, slots)))
+            tasks.append(
+                asyncio.create_task(self._send_bounded(arrival, f"{arrival.rank}{number}", slots))
+            )
         samples = list(await asyncio.gather(*tasks))
         self.samples.extend(samples)
         return samples
 
     async def _send_bounded(
-        self, arrival: Arrival, number: int, slots: asyncio.Semaphore
+        self, arrival: Arrival, request_id: str, slots: asyncio.Semaphore
     ) -> Sample:
         async with slots:
-            return await self.send(arrival, f"r{number}")
+            return await self.send(arrival, request_id)
 
     async def send(self, arrival: Arrival, request_id: str) -> Sample:
         """Send one request and read its answer to the end."""
@@ -109,7 +126,7 @@
             self._next += 1
             ip, port = self.entries[self._next % len(self.entries)]
             reader, writer = await asyncio.open_connection(ip, port)
-            writer.write(self._make_request(arrival, request_id))
+            writer.write(self._make_request(arrival, sample))
             limit = arrival.deadline_s + ANSWER_GRACE_S
             await asyncio.wait_for(self._read_answer(reader, sample, start), limit)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
@@ -120,18 +137,19 @@
         sample.total_s = time.monotonic() - start
         return sample
 
-    def _make_request(self, arrival: Arrival, request_id: str) -> bytes:
+    def _make_request(self, arrival: Arrival, sample: Sample) -> bytes:
         key = self.keys_by_account[arrival.client_account]
         # The engine's answer depends on the prompt only, so each prompt names its request.
-        prompt = f"{request_id} " + "word " * arrival.prompt_words
-        body = json.dumps(
-            {
-                "model": arrival.model,
-                "messages": [{"role": "user", "content": prompt}],
-                "max_tokens": arrival.max_tokens,
-                "stream": arrival.stream,
-            }
-        ).encode()
+        prompt = f"{sample.request_id} " + "word " * arrival.prompt_words
+        request = {
+            "model": arrival.model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": arrival.max_tokens,
+            "stream": arrival.stream,
+        }
+        # The engine stand-in answers with the start of its request's digest.
+        sample.expected = digest_request(request)[:16]
+        body = json.dumps(request).encode()
         path = arrival.path or "/v1/chat/completions"
         head = (
             f"POST {path} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {key}\r\n"
@@ -173,7 +191,7 @@
                 continue
             data = line[6:].strip()
             if data == b"[DONE]":
-                sample.result = "whole"
+                sample.result = _judge(sample)
                 continue
             event = json.loads(data)
             if "error" in event:
@@ -185,12 +203,21 @@
                 sample.first_s = time.monotonic() - start
             if event.get("system_fingerprint"):
                 versions.add(event["system_fingerprint"])
-            sample.tokens += sum(
-                1 for choice in event.get("choices", ()) if choice.get("delta", {}).get("content")
-            )
+            for choice in event.get("choices", ()):
+                text = choice.get("delta", {}).get("content")
+                if text:
+                    sample.tokens += 1
+                    sample.content = sample.content or text
         sample.versions = frozenset(versions)
 
 
+def _judge(sample: Sample) -> str:
+    """Return ``whole`` only for every token of the answer to this very request."""
+    if sample.content != sample.expected:
+        return "crossed"
+    return "whole" if sample.tokens == sample.arrival.max_tokens else "cut"
+
+
 async def _body_parts(reader: asyncio.StreamReader, headers: dict[str, str]) -> Any:
     if headers.get("transfer-encoding", "").lower() == "chunked":
         while True:
@@ -214,6 +241,26 @@
         yield rest
 
 
+def run_in_workers(caller: Caller, groups: list[list[Arrival]]) -> list[Sample]:
+    """Send each group of requests from a process of its own, all from the same start.
+
+    A generator that shares its event loop with a flood would add its own delay to what it
+    measures.
+
+    :returns: the samples of all groups in order of arrival.
+    """
+    start = time.monotonic() + 1.0
+    context = multiprocessing.get_context("fork")
+    with ProcessPoolExecutor(max_workers=len(groups), mp_context=context) as pool:
+        parts = list(pool.map(_run_group, [(caller, group, start) for group in groups]))
+    return sorted((s for part in parts for s in part), key=lambda item: item.arrival.at)
+
+
+def _run_group(job: tuple[Caller, list[Arrival], float]) -> list[Sample]:
+    caller, group, start = job
+    return asyncio.run(caller.run(group, start=start))
+
+
 def poisson_arrivals(
     rng: random.Random, *, rate: float, seconds: float, start: float = 0.0, **values: Any
 ) -> list[Arrival]:
