--- a/tools/launch.py
+++ b/tools/launch.py
@@ -37,6 +37,8 @@
 _LAST_PORT = 31_000
 #: Longest wait for a process to answer after its start, in seconds.
 START_TIMEOUT_S = 60.0
+#: Longest wait for a daemon to take work: 99 engines needed 50 s for their first version.
+READY_TIMEOUT_S = 180.0
 #: Time that a process has to end after SIGTERM before it gets SIGKILL, in seconds.
 STOP_TIMEOUT_S = 20.0
 
@@ -324,7 +326,7 @@
             if self._table is not None:
                 self.load_table(self._table)
             for process in self.list_processes("entry", "upstream"):
-                self._wait_for(process, "/health/ready")
+                self._wait_for(process, "/health/ready", timeout_s=READY_TIMEOUT_S)
         except BaseException:
             self.stop()
             raise
@@ -512,10 +514,12 @@
                 start_new_session=True,
             )
 
-    def _wait_for(self, process: ManagedProcess, path: str) -> None:
+    def _wait_for(
+        self, process: ManagedProcess, path: str, *, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
         """Wait for any HTTP answer of a stand-in, or status 200 of a daemon's health page."""
         listener = "http" if "http" in process.ports else "admin"
-        end = time.monotonic() + START_TIMEOUT_S
+        end = time.monotonic() + timeout_s
         status = 0
         while time.monotonic() < end and process.is_running:
             status, _ = request_json(
