--- a/sycamoreproxy/_admin_client.py
+++ b/sycamoreproxy/_admin_client.py
@@ -51,7 +51,7 @@
 class AdminClient:
     """Asks the first administration address that answers.
 
-    :param addresses: base URLs, tried in order.
+    :param addresses: base URLs or ``IP:PORT``, tried in order.
     :param token: operator token.
     :param authority: PEM file of the authority of the hosts' certificates.
     """
@@ -61,8 +61,9 @@
     ) -> None:
         from tornado.httpclient import HTTPClient
 
+        scheme = "http" if authority is None else "https"
         self._addresses = [
-            item if "://" in item else f"http://{item}"
+            item if "://" in item else f"{scheme}://{item}"
             for item in (part.strip().rstrip("/") for part in addresses)
             if item
         ]
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -62,7 +62,8 @@
 
 
 def _ctl(deployment: Deployment, *arguments: str) -> tuple[int, Any]:
-    addresses = ",".join(deployment.list_urls("entry", "admin"))
+    urls = deployment.list_urls("entry", "admin")
+    addresses = ",".join(url.partition("://")[2] for url in urls)
     command = [sys.executable, "-m", "sycamoreproxy.ctl", *arguments, "--json"]
     command += ["--admin", addresses]
     if deployment.authority is not None:
