--- a/tests/_fake_store.py
+++ b/standins/in_process_store.py
@@ -11,7 +11,7 @@
 from sycamoreproxy.store_etcd import EtcdJsonStore, _read_entry, _refusal
 
 
-class FakeStore(EtcdJsonStore):
+class InProcessStore(EtcdJsonStore):
     """Calls a :class:`MemoryStore` directly.
 
     :param core: the keys; several stores may share one.
