--- a/tools/launch.py
+++ b/tools/launch.py
@@ -22,6 +22,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -40,6 +41,8 @@
 #: Time that a process has to end after SIGTERM before it gets SIGKILL, in seconds.
 STOP_TIMEOUT_S = 20.0
 
+#: Answered by every stand-in with status 405; a service would count a request to another path.
+_STANDIN_PATH = "/standin/faults"
 _KEY_COLUMNS = ("model", "client_account", "rank")
 
 
@@ -346,9 +349,13 @@
         for zone in self.zones:
             for number in range(1, self._entries + 1):
                 self._add_entry(zone, f"{zone.name}-entry-{number}")
+            numbers: Counter[str] = Counter()
             for spec in self.upstreams:
-                for number in range(1, spec.count + 1):
-                    self._add_upstream(zone, spec, f"{zone.name}-{spec.name}-{number}")
+                # Two specs may serve one name with other options.
+                for _ in range(spec.count):
+                    numbers[spec.name] += 1
+                    name = f"{zone.name}-{spec.name}-{numbers[spec.name]}"
+                    self._add_upstream(zone, spec, name)
         return self.processes_by_name
 
     def start_standins(self) -> None:
@@ -358,7 +365,7 @@
         for process in standins:
             self._spawn(process)
         for process in standins:
-            self._wait_for(process, "/")
+            self._wait_for(process, _STANDIN_PATH)
         self.send_hosts()
         for version in self.versions:
             self.create_version(version)
@@ -460,7 +467,7 @@
         self._spawn(process)
         if wait:
             daemon = process.kind in ("entry", "upstream")
-            self._wait_for(process, "/health/live" if daemon else "/")
+            self._wait_for(process, "/health/live" if daemon else _STANDIN_PATH)
         return process
 
     def stop(self, *, timeout_s: float = STOP_TIMEOUT_S) -> None:
