Share the table in force with the editor and bound open claims

Change: TableEditor reads the held table from a callable, which the composition root binds to the replica; ClaimBook remembers at most 10,000 open claims. Conclusion: no state of either part grows without bound.

--- a/sycamoreproxy/claims.py
+++ b/sycamoreproxy/claims.py
@@ -71,6 +71,9 @@
 #: Pauses between looks at a claim that another request holds, in seconds.
 POLL_MIN_S = 0.02
 POLL_MAX_S = 0.5
+#: Claims begun here that are checked for a second begin; claims with an unknown outcome stay
+#: among them until they expire.
+MAX_OPEN = 10_000
 #: Abandoned claims that are cleaned up at the same time.
 MAX_CLEANUPS = 1_000
 
@@ -345,10 +348,12 @@
         :raises InvariantViolationError: if this process already runs a request under the key.
         """
         now = self._clock.monotonic()
-        for key, (_, begun_at) in list(self._open_by_key.items()):
-            if now - begun_at <= CLAIM_TTL_S + CLAIM_WINDOW_S:
+        while self._open_by_key:
+            key, (_, begun_at) = next(iter(self._open_by_key.items()))
+            is_expired = now - begun_at > CLAIM_TTL_S + CLAIM_WINDOW_S
+            if not is_expired and len(self._open_by_key) < MAX_OPEN:
                 break
-            # Its store entry has expired, so that the key may be claimed anew.
+            # The store entry of an expired claim is gone, so that the key may be claimed anew.
             del self._open_by_key[key]
         holder, _ = self._open_by_key.get(attempt.key, ("", 0.0))
         check_invariant(
--- a/sycamoreproxy/table_commands.py
+++ b/sycamoreproxy/table_commands.py
@@ -151,6 +151,7 @@
         clock: Clock | None = None,
         known_versions: Callable[[str], Iterable[str]] | None = None,
         minimum_revision: Callable[[], int] = lambda: 0,
+        held: Callable[[], Snapshot] = lambda: EMPTY_SNAPSHOT,
         timeout_s: float = COMMIT_TIMEOUT_S,
     ) -> None:
         self._store = store
@@ -160,7 +161,7 @@
         self._minimum_revision = minimum_revision
         self._timeout_s = timeout_s
         self._lease = SharedLease(store=store, clock=self._clock, ttl_s=CHANGE_TTL_S)
-        self._snapshot = EMPTY_SNAPSHOT
+        self._held = held
 
     async def commit(
         self, edits: Sequence[CellEdit], *, operator: str, change_id: str
@@ -224,8 +225,7 @@
                 commit.answer_lost = True
                 raise
             if result.succeeded:
-                self._snapshot = pending.snapshot
-                return Success(Accepted(pending.snapshot.root.revision, commit.change_id))
+                return Success(Accepted(pending.revision, commit.change_id))
             # The root moved on, so this transaction can no longer take effect, even if a copy of
             # it is still under way; the change key tells whether an earlier copy did.
             commit.pending = None
@@ -273,11 +273,10 @@
     async def _read_base(self, entry: Entry | None) -> _Base:
         if entry is None:
             return _Base(0, EMPTY_SNAPSHOT)
-        snapshot = await load_snapshot(self._store, self._keys, entry, self._snapshot)
+        snapshot = await load_snapshot(self._store, self._keys, entry, self._held())
         if snapshot is None:
             # A page was replaced between the two reads; the next attempt sees the new root.
             raise StoreUnavailableError("the table changed while it was read")
-        self._snapshot = snapshot
         return _Base(entry.mod_revision, snapshot)
 
     def _make_pending(
@@ -327,17 +326,15 @@
             ),
             otherwise=(Get(keys.root), Get(change_key)),
         )
-        pages = {**base.snapshot.pages_by_digest, **texts}
-        kept = {digest: pages[digest] for digest in digests.values()}
-        return _Pending(txn, Snapshot(root, root_text, kept, rows))
+        return _Pending(txn, root.revision)
 
 
 @dataclass(frozen=True, slots=True)
 class _Pending:
-    """A transaction that may have been sent, and the table that it makes."""
+    """A transaction that may have been sent, and the revision that it makes."""
 
     txn: Txn
-    snapshot: Snapshot
+    revision: int
 
 
 @dataclass(slots=True)
