Add the table scenario: 50 edits at 100 processes

The propagation target had no run with real processes. The scenario sends edits over the administration API to 8 entry hosts and 92 upstream processes that share two service stand-ins, with a store that delays calls by 150 ms and loses 10% of its answers, and kills one watcher in the middle. Times of force come from the processes' logs. The baseline is 100 pollers that read the root once a second from the same store.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,13 @@
 import argparse
 import sys
 
-from bench import floods, scenarios  # noqa: F401  floods registers its scenarios
+from bench import (
+    control,
+    floods,
+    rollouts,
+    scenarios,
+    tables,
+)  # noqa: F401  they register their scenarios
 from bench.rows import Recorder
 from bench.scenarios import scenarios as registry
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -108,6 +108,34 @@
             yield deployment
 
 
+@contextmanager
+def start_service_fleet(processes: int, *, seed: int) -> Iterator[Deployment]:
+    """Run this many daemons without engines: 8% entry hosts, at least 2, the rest upstreams.
+
+    The upstream processes share two service stand-ins, so that a run of 100 daemons has 105
+    processes.
+    """
+    entries = max(2, round(processes * 0.08))
+    with tempfile.TemporaryDirectory(prefix="sycamore-bench-") as temporary:
+        directory = Path(temporary)
+        table = directory / "table.csv"
+        table.write_text(render_table(), encoding="utf-8")
+        deployment = Deployment(
+            directory=directory,
+            upstreams=[
+                UpstreamSpec(kind="service", name="ledger", count=processes - entries, standins=2)
+            ],
+            entries=entries,
+            table=table,
+            client_accounts=[
+                {"name": name, "key_sha256": [digest_key(key_of(name))]} for name in ACCOUNTS
+            ],
+            seed=seed,
+        )
+        with deployment:
+            yield deployment
+
+
 def make_caller(processes: list[ManagedProcess], listener: str) -> Caller:
     """Return a caller that sends to one listener of these processes in turn."""
     return Caller(
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -56,6 +56,7 @@
     :param count: upstreams in each availability zone.
     :param options: options of the stand-in, such as ``("--slots", "8")``.
     :param settings: extra keys of the daemon's ``[upstream]`` table.
+    :param standins: stand-ins that the upstreams of a zone share in turn; 0 gives each its own.
     """
 
     kind: str
@@ -63,6 +64,7 @@
     count: int
     options: tuple[str, ...] = ()
     settings: dict[str, Any] = field(default_factory=dict)
+    standins: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -347,8 +349,18 @@
             for number in range(1, self._entries + 1):
                 self._add_entry(zone, f"{zone.name}-entry-{number}")
             for spec in self.upstreams:
+                shared = [
+                    self._add_upstream_standin(zone, spec, f"{zone.name}-{spec.name}-s{number}")
+                    for number in range(1, spec.standins + 1)
+                ]
                 for number in range(1, spec.count + 1):
-                    self._add_upstream(zone, spec, f"{zone.name}-{spec.name}-{number}")
+                    name = f"{zone.name}-{spec.name}-{number}"
+                    address = (
+                        shared[number % len(shared)]
+                        if shared
+                        else self._add_upstream_standin(zone, spec, name)
+                    )
+                    self._add_upstream(zone, spec, name, address)
         return self.processes_by_name
 
     def start_standins(self) -> None:
@@ -549,10 +561,12 @@
         ports = {key: self._ports.reserve() for key in ("caller", "peer", "admin")}
         self._add_daemon(zone, name, "entry", ports, {})
 
-    def _add_upstream(self, zone: ZoneSpec, spec: UpstreamSpec, name: str) -> None:
+    def _add_upstream_standin(self, zone: ZoneSpec, spec: UpstreamSpec, name: str) -> str:
         # The engine answers only to its model name.
         options = ("--name", spec.name, *spec.options) if spec.kind == "engine" else spec.options
-        address = self._add_standin(f"{name}-{spec.kind}", spec.kind, options, zone.name)
+        return self._add_standin(f"{name}-{spec.kind}", spec.kind, options, zone.name)
+
+    def _add_upstream(self, zone: ZoneSpec, spec: UpstreamSpec, name: str, address: str) -> None:
         upstream = {"kind": spec.kind, "name": spec.name, "address": address, **spec.settings}
         ports = {key: self._ports.reserve() for key in ("peer", "admin")}
         self._add_daemon(zone, name, "upstream", ports, {"upstream": upstream})
