Cover each upstream by two entry hosts' subsets

Cause: each entry host chose its 32 upstreams alone, so with 8 entry hosts and 92 upstreams some had no stream at all: no table revision and no work reached them. Change: the subset of an entry host starts with the upstreams of its availability zone for which it is one of the two entry hosts with the lowest hash; the size stays 32 unless these are more.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,13 +5,13 @@
 import argparse
 import sys
 
-from bench import (
+from bench import (  # noqa: F401  they register their scenarios
     control,
     floods,
     rollouts,
     scenarios,
     tables,
-)  # noqa: F401  they register their scenarios
+)
 from bench.rows import Recorder
 from bench.scenarios import scenarios as registry
 
--- a/sycamoreproxy/membership.py
+++ b/sycamoreproxy/membership.py
@@ -23,6 +23,10 @@
 #: Part of the subset filled from the own availability zone first, so that requests rarely
 #: leave it; the rest is for the time when it cannot answer.
 SUBSET_LOCAL = 24
+#: Entry hosts of its availability zone that include an upstream in their subsets in any case.
+#: Subsets chosen by each entry host alone left 3 of 92 upstreams without a stream beside 8 entry
+#: hosts: no work and no table reached them.
+COVERING_ENTRIES = 2
 #: Streams to entry hosts of the own availability zone, and to those of each other one.
 LOCAL_ENTRIES = 3
 REMOTE_ENTRIES = 1
@@ -116,6 +120,7 @@
         self._upstreams_by_host: dict[str, UpstreamState] = {}
         self._upstreams_by_key: dict[tuple[str, str], list[UpstreamState]] = {}
         self._leaving_entries: set[str] = set()
+        self._covered_hosts: frozenset[str] = frozenset()
 
     @property
     def has_list(self) -> bool:
@@ -168,6 +173,7 @@
         for state in upstreams.values():
             by_key.setdefault((state.record.kind, state.record.name), []).append(state)
         self._upstreams_by_key = by_key
+        self._covered_hosts = self._find_covered()
 
     def take_status(self, peer: Peer, status: Status) -> None:
         """Record the heartbeat of an upstream."""
@@ -229,6 +235,24 @@
         chosen = sorted(hosts, key=lambda host: hash_rendezvous(zone, host))[:WATCHERS]
         return self._host in chosen
 
+    def _find_covered(self) -> frozenset[str]:
+        """Return the upstreams of the availability zone that this host must hold a stream to."""
+        zone = self._availability_zone
+        entries = {
+            record.host
+            for record in self._entries_by_host.values()
+            if record.availability_zone == zone and record.state == "live"
+        }
+        entries.add(self._host)
+        covered = set()
+        for state in self._upstreams_by_host.values():
+            if state.availability_zone == zone and state.record.state == "live":
+                mine = hash_rendezvous(self._host, state.host)
+                before = sum(hash_rendezvous(entry, state.host) < mine for entry in entries)
+                if before < COVERING_ENTRIES:
+                    covered.add(state.host)
+        return frozenset(covered)
+
     def _choose_subset(self, states: list[UpstreamState]) -> list[UpstreamState]:
         def is_busy(state: UpstreamState) -> bool:
             open_stream = state.peer is not None and not state.peer.is_closed
@@ -237,9 +261,11 @@
         live = [state for state in states if state.record.state == "live"]
         # A leaving one keeps its stream for as long as it holds it open.
         kept = [state for state in states if is_busy(state)]
-        live.sort(key=lambda state: hash_rendezvous(self._host, state.host))
+        covered = self._covered_hosts
+        live.sort(key=lambda s: (s.host not in covered, hash_rendezvous(self._host, s.host)))
         local = [s for s in live if s.availability_zone == self._availability_zone]
         remote = [s for s in live if s.availability_zone != self._availability_zone]
-        local_count = max(SUBSET_LOCAL, SUBSET_SIZE - len(remote))
+        covered_count = sum(state.host in covered for state in local)
+        local_count = max(SUBSET_LOCAL, SUBSET_SIZE - len(remote), covered_count)
         chosen = local[:local_count]
         return chosen + remote[: SUBSET_SIZE - len(chosen)] + kept
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -203,6 +203,21 @@
     assert sum(view.is_watcher() for view in views[::3]) >= 2
 
 
+@pytest.mark.parametrize(("entry_count", "upstream_count"), [(2, 60), (8, 92), (20, 250)])
+def test_every_upstream_is_in_the_subset_of_two_entry_hosts(
+    entry_count: int, upstream_count: int
+) -> None:
+    """An upstream outside every subset would get neither work nor table revisions."""
+    upstreams = [_record(f"u{number:03}", "z1") for number in range(upstream_count)]
+    entries = [_record(f"e{number}", "z1", "entry") for number in range(entry_count)]
+    streams: Counter[Address] = Counter()
+    for entry in entries:
+        view = Membership(host=entry.host, availability_zone="z1", clock=ManualClock())
+        view.replace_hosts(upstreams + entries)
+        streams.update(view.choose_targets())
+    assert min(streams[record.peer] for record in upstreams) >= module.COVERING_ENTRIES
+
+
 def test_dropped_host_keeps_its_stream_until_it_closes() -> None:
     world = World("z1", "z1")
     world.membership.replace_hosts(world.records[:1])
