--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -89,6 +89,7 @@
         self.dump.add_section("tasks", self.tasks.list_names)
         self.dump.add_section("table", self._describe_table)
         self.dump.add_section("peers", self._describe_peers)
+        self.dump.add_section("streams", self._describe_streams)
         self.dump.add_section("invariant_violations", lambda: dict(violations_by_name))
         add_violation_listener(_report_violation)
 
@@ -136,6 +137,9 @@
             "models": view.models(),
         }
 
+    def _describe_streams(self) -> dict[str, int]:
+        return {"bytes_in": self.hub.bytes_in, "bytes_out": self.hub.bytes_out}
+
     def _describe_peers(self) -> list[dict[str, object]]:
         return [
             {"host": peer.hello.host, "role": peer.hello.role, "outbound": peer.outbound}
--- a/sycamoreproxy/peers.py
+++ b/sycamoreproxy/peers.py
@@ -44,6 +44,16 @@
         """Whether the stream is closed."""
         return self._stream.is_closed
 
+    @property
+    def bytes_in(self) -> int:
+        """Bytes received on this stream."""
+        return self._stream.bytes_in
+
+    @property
+    def bytes_out(self) -> int:
+        """Bytes sent on this stream."""
+        return self._stream.bytes_out
+
     def send(self, message: object) -> bool:
         """Queue a message; return False if the stream is lost.
 
@@ -81,8 +91,18 @@
         self._peers: set[Peer] = set()
         self._connectors_by_address: dict[Address, asyncio.Task[None]] = {}
         self._inbound = 0
-        self.bytes_in = 0
-        self.bytes_out = 0
+        self._closed_bytes_in = 0
+        self._closed_bytes_out = 0
+
+    @property
+    def bytes_in(self) -> int:
+        """Bytes received since the start on open and closed streams."""
+        return self._closed_bytes_in + sum(peer.bytes_in for peer in self._peers)
+
+    @property
+    def bytes_out(self) -> int:
+        """Bytes sent since the start on open and closed streams."""
+        return self._closed_bytes_out + sum(peer.bytes_out for peer in self._peers)
 
     @property
     def peers(self) -> frozenset[Peer]:
@@ -171,8 +191,8 @@
                 self._deliver(peer, message)
         finally:
             self._peers.discard(peer)
-            self.bytes_in += stream.bytes_in
-            self.bytes_out += stream.bytes_out
+            self._closed_bytes_in += stream.bytes_in
+            self._closed_bytes_out += stream.bytes_out
             stream.close()
             for listener in self._close_listeners:
                 listener(peer)
