--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,13 @@
 import argparse
 import sys
 
-from bench import floods, scenarios  # noqa: F401  floods registers its scenarios
+from bench import (  # noqa: F401  they register their scenarios
+    control,
+    floods,
+    rollouts,
+    scenarios,
+    tables,
+)
 from bench.rows import Recorder
 from bench.scenarios import scenarios as registry
 
