Bound the window and its reserve by the maximum; send again only after a stale connection

Cause: urgent work could exceed max_window, and a service its fixed concurrency; a request whose kept connection failed late was run a second time by the adapter, unseen by the entry's retry budget. Change: size and reserve stay within max_window together, services have no reserve, and a repeat on a fresh connection needs a failure within 0.25 s. Tests of the HTTP client.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import ssl
+import time
 from collections.abc import Callable
 from urllib.parse import urlsplit
 
@@ -23,6 +24,9 @@
 
 #: Time to establish a connection on the same host, in seconds.
 CONNECT_TIMEOUT_S = 2.0
+#: A kept connection that the server had closed before fails within this time, in seconds. A later
+#: failure is the server's, and a second run would only add to its load.
+STALE_LIMIT_S = 0.25
 #: Idle connections kept per client.
 MAX_IDLE_CONNECTIONS = 64
 
@@ -127,11 +131,12 @@
         stream = self._take_idle() if repeatable else None
         if stream is not None:
             delegate = _Delegate(on_head, on_data)
+            sent_at = time.monotonic()
             try:
                 await self._send(stream, delegate, method, path, headers, body)
                 return
             except AnswerLostError as error:
-                if error.received:
+                if error.received or time.monotonic() - sent_at > STALE_LIMIT_S:
                     raise
         await self._send(
             await self._connect(), _Delegate(on_head, on_data), method, path, headers, body
--- a/sycamoreproxy/engine_window.py
+++ b/sycamoreproxy/engine_window.py
@@ -29,7 +29,7 @@
     """Grows while full and the gap is below target, shrinks when the gap is above it.
 
     :param initial: size at start, at least 1.
-    :param maximum: largest size.
+    :param maximum: most requests, at least ``initial``.
     :param target_gap_s: mean gap between tokens that is steered to, in seconds; 0 keeps the
         initial size (services).
     """
@@ -59,8 +59,14 @@
 
     @property
     def reserve(self) -> int:
-        """Requests above :attr:`size` that may start for work below its entitlement."""
-        return max(1, int(RESERVE_DEVIATIONS * math.sqrt(self._size)))
+        """Requests above :attr:`size` that may start for work below its entitlement.
+
+        Size and reserve together stay within the maximum; a service has no reserve.
+        """
+        if self._target_gap_s <= 0:
+            return 0
+        reserve = max(1, int(RESERVE_DEVIATIONS * math.sqrt(self._size)))
+        return min(reserve, self._maximum - self.size)
 
     def add_gap(self, seconds: float, tokens: int) -> None:
         """Note that ``tokens`` followed an earlier token of their answer within ``seconds``."""
--- a/tests/test_engine_window.py
+++ b/tests/test_engine_window.py
@@ -75,6 +75,12 @@
     assert loop.run(100, extra=before // 2) == pytest.approx(before, abs=1)
 
 
+def test_the_maximum_bounds_size_and_reserve() -> None:
+    loop = Loop(timing=EngineTiming(slots=90, token_ms=30.0), target_gap_s=0.034, initial=50)
+    assert loop.window.reserve == 14
+    assert loop.run(400) + loop.window.reserve == 64
+
+
 def test_size_falls_to_what_runs_when_the_engine_itself_queues() -> None:
     loop = Loop(timing=TIMING, target_gap_s=0.034)
     loop.run(400)
@@ -100,4 +106,4 @@
     window.add_gap(9.0, 100)
     clock.advance(1.0)
     assert not window.adjust()
-    assert window.size == 8
+    assert (window.size, window.reserve) == (8, 0)
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,91 @@
+"""Guards what the HTTP client sends twice, and what it says of a request that failed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from tornado.httputil import HTTPHeaders
+from tornado.testing import bind_unused_port
+
+from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+async def _with_server(
+    answers: list[bytes], action: Callable[[HttpClient, list[bytes]], Awaitable[None]]
+) -> None:
+    """Run a server that gives one answer a request and closes after a cut or empty one."""
+    requests: list[bytes] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while answers:
+            requests.append(await reader.readuntil(b"\r\n\r\n"))
+            answer = answers.pop(0)
+            writer.write(answer)
+            if answer != WHOLE:
+                break
+        writer.close()
+
+    socket, port = bind_unused_port()
+    server = await asyncio.start_server(serve, sock=socket)
+    client = HttpClient(f"http://127.0.0.1:{port}", max_body_bytes=100)
+    try:
+        async with asyncio.timeout(8):
+            await action(client, requests)
+    finally:
+        client.close()
+        server.close()
+
+
+async def _exchange(client: HttpClient, *, repeatable: bool) -> bytes:
+    parts: list[bytes] = []
+    await client.exchange(
+        method="GET",
+        path="/",
+        headers=HTTPHeaders(),
+        body=b"",
+        on_head=lambda status, headers: None,
+        on_data=parts.append,
+        repeatable=repeatable,
+    )
+    return b"".join(parts)
+
+
+@pytest.mark.parametrize(
+    ("second", "repeatable", "sent"),
+    [(b"", True, 3), (b"", False, 2), (WHOLE[:-1], True, 2), (b"junk\r\n\r\n", True, 3)],
+)
+def test_only_a_repeatable_request_without_any_answer_is_sent_again(
+    second: bytes, repeatable: bool, sent: int
+) -> None:
+    async def action(client: HttpClient, requests: list[bytes]) -> None:
+        assert await _exchange(client, repeatable=True) == b"ok"
+        if sent == 3:
+            assert await _exchange(client, repeatable=repeatable) == b"ok"
+        else:
+            with pytest.raises(AnswerLostError):
+                await _exchange(client, repeatable=repeatable)
+        assert len(requests) == sent
+
+    asyncio.run(_with_server([WHOLE, second, WHOLE], action))
+
+
+def test_no_listener_means_that_nothing_was_sent() -> None:
+    socket, port = bind_unused_port()
+    socket.close()
+    client = HttpClient(f"http://127.0.0.1:{port}", max_body_bytes=100)
+    with pytest.raises(NotSentError):
+        asyncio.run(_exchange(client, repeatable=True))
+
+
+def test_an_answer_that_is_too_long_is_lost() -> None:
+    long = b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + b"x" * 101
+
+    async def action(client: HttpClient, requests: list[bytes]) -> None:
+        with pytest.raises(AnswerLostError):
+            await _exchange(client, repeatable=False)
+
+    asyncio.run(_with_server([long], action))
