Keep a flood of all ranks at the window

Cause: in a flood of all ranks each is owed service in turn, so all starts used the room above the window, the gap stayed 20% above its target, and the learned window was too small. Change: an owed rank exceeds the window only while it runs fewer than its share of it; the bench reports running requests above the best number.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -201,6 +201,7 @@
 
     requests: list[Request]
     running_seconds: float
+    excess_seconds: float = 0.0
     served_cost: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def select(self, test: Callable[[Request], bool]) -> list[Request]:
@@ -240,6 +241,11 @@
         )
         return used / min(guaranteed, asked)
 
+    @property
+    def excess(self) -> float:
+        """Return the mean number of running requests above ``BEST_RUNNING``."""
+        return self.excess_seconds / (DURATION_S - WARM_UP_S)
+
     @property
     def engine_use(self) -> float:
         """Return the mean of running requests, at most ``BEST_RUNNING``, as a fraction of it."""
@@ -328,7 +334,9 @@
         now = self._clock.monotonic()
         if at > WARM_UP_S:
             seconds = at - max(now, WARM_UP_S)
-            self._outcome.running_seconds += min(BEST_RUNNING, self._engine.running) * seconds
+            running = self._engine.running
+            self._outcome.running_seconds += min(BEST_RUNNING, running) * seconds
+            self._outcome.excess_seconds += max(0, running - BEST_RUNNING) * seconds
         self._clock.advance(max(0.0, at - now))
 
     def _arrive(self, request: Request) -> None:
@@ -483,6 +491,7 @@
         ),
         Line("urgent Jain index", "index", jain(served), jain(fifo_served)),
         Line("engine use", "fraction", fair.engine_use, fifo.engine_use),
+        Line("running above best", "requests", fair.excess, fifo.excess, 3.0, at_least=False),
     ]
 
 
--- a/sycamoreproxy/admission.py
+++ b/sycamoreproxy/admission.py
@@ -507,7 +507,7 @@
         first = self._ranks[0]
         if first.waiting and first.credit.level > 0.0:
             return first, self._pick_account(first)
-        owed = self._find_owed(window + 0.5 * reserve)
+        owed = self._find_owed(window, reserve)
         if owed is not None:
             return owed, self._pick_account(owed)
         rank = next((item for item in self._ranks if item.waiting or item.running), first)
@@ -524,11 +524,20 @@
             return None
         return rank, min(behind, key=lambda account: account.finish)
 
-    def _find_owed(self, limit: float) -> _Rank | None:
-        if self._running >= limit:
+    def _find_owed(self, window: int, reserve: int) -> _Rank | None:
+        """Return a rank that is owed a whole request and runs fewer than its share of the window.
+
+        The second condition keeps a flood of all ranks, which are owed in turn, at the window.
+        """
+        if self._running >= window + 0.5 * reserve:
             return None
         for rank in self._ranks:
-            if rank.waiting and rank.share > 0.0 and rank.lag > self._read_mean_s(rank):
+            if (
+                rank.waiting
+                and rank.lag > self._read_mean_s(rank)
+                and rank.running + 1 <= max(1.0, rank.share * window)
+                and rank.share > 0.0
+            ):
                 return rank
         return None
 
