Order a load only after every chunk was put into the engine

Cause: chunks that arrived while others were put were left out, the engine refused the order with 422, and the host then waited 30 s for a switch slot although it held none. Change: the order waits until the engine has every chunk; only a held slot is given up.

--- a/sycamoreproxy/engine_orders.py
+++ b/sycamoreproxy/engine_orders.py
@@ -433,6 +433,10 @@
         if self._target is not target or not self._transfer.is_done:
             self._reasons_by_topic["transfer"] = self._transfer.reason
             return
+        if not manifest.indexes_by_digest.keys() <= (self._chunks_in_engine or set()):
+            # The last chunks arrived while others were put.
+            self._wake.set()
+            return
         self._reasons_by_topic["transfer"] = ""
         if not self._lease.is_proved:
             raise LeaseNotProvedError
@@ -525,6 +529,8 @@
 
     async def _give_up_slot(self) -> None:
         """Let other replicas switch after an order failed, and try again after them."""
+        if not self._slot.is_held:
+            return
         self._slot_refused_until = self._clock.monotonic() + self._order_timeout_s
         with contextlib.suppress(StoreUnavailableError, StoreAnswerLostError):
             await self._slot.release()
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -119,6 +119,25 @@
     _run(action())
 
 
+def test_chunks_that_arrive_while_others_are_put_are_put_before_the_order() -> None:
+    async def action() -> None:
+        host = _Host(_World())
+        host.transfer.is_done = False
+        put = host.engine.put_chunk
+
+        async def finish_meanwhile(digest: str, data: bytes) -> None:
+            await put(digest, data)
+            host.transfer.is_done = True
+
+        host.engine.put_chunk = finish_meanwhile  # type: ignore[method-assign]
+        await host.bring("v1", steps=1)
+        assert not host.engine.orders and "refused" not in host.owner.unmet[0]
+        await host.bring("v1")
+        assert host.owner.served is not None and len(host.engine.orders) == 1
+
+    _run(action())
+
+
 def test_wrong_digest_is_never_served() -> None:
     async def action() -> None:
         host = _Host(_World())
