Do not leave the origin out for a minute after one corrupt chunk

A version of 4 chunks took 36 s to reach 6 hosts: the upload budget of one copy less two chunks left too few uploads, and a stalled transfer asked the origin only after 30 s. Ruled out: the store, fencing and slots; all logs show 'load ordered' right after the last chunk. Change: the origin is avoided for 0.5 s, a stall ends after 5 s, and what the link carries in 1 s may be uploaded of any version. Conclusion: budgets are for large versions.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -58,7 +58,12 @@
     :param take_over_s: shortest time without progress after which the next host in hash order
         fetches a chunk from the origin.
     :param request_s: longest wait for the data of one request.
-    :param avoid_corrupt_s: how long the source of a corrupt chunk is avoided.
+    :param min_upload_bytes: bytes that a host may upload however small the version is; of a few
+        chunks, one copy is too coarse a budget to reach every host.
+    :param avoid_corrupt_s: how long a peer that sent a corrupt chunk is avoided.
+    :param avoid_origin_s: the same for the origin.
+    :param stall_s: time without a chunk of the origin after which one more may be asked of it
+        whatever the budgets say.
     :param avoid_failed_s: how long a source is avoided that failed or did not answer.
     :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
         hosts replaced later need the chunks too.
@@ -77,7 +82,10 @@
     source_spread: float = 4.0
     take_over_s: float = 5.0
     request_s: float = 15.0
+    min_upload_bytes: float = 0.0
     avoid_corrupt_s: float = 60.0
+    avoid_origin_s: float = 0.5
+    stall_s: float = 5.0
     avoid_failed_s: float = 10.0
     quiet_s: float = 30.0
 
@@ -404,7 +412,10 @@
         if index is not None:
             self._finish_request(index, source)
             self._count_waste(digest)
-        self._avoid(source, self._limits.avoid_corrupt_s)
+        limits = self._limits
+        # There is no other origin; a peer can be done without.
+        is_origin = source == ORIGIN
+        self._avoid(source, limits.avoid_origin_s if is_origin else limits.avoid_corrupt_s)
 
     def note_failed(self, digest: str, source: str) -> None:
         """Avoid a source that failed or did not answer."""
@@ -640,7 +651,7 @@
         size = self.manifest.size_of(index)
         if not self._peers_by_host:
             return True
-        if now - self._last_origin_at > self._limits.quiet_s:
+        if now - self._last_origin_at > self._limits.stall_s:
             # Nothing more is coming by the plan; one chunk each time keeps the transfer alive.
             return True
         return size <= self._origin_allowance()
@@ -671,7 +682,8 @@
 
     @property
     def _copy_budget(self) -> float:
-        return self._limits.upload_copies * self._unique_bytes
+        budget = self._limits.upload_copies * self._unique_bytes
+        return max(budget, self._limits.min_upload_bytes)
 
     def _usable_sources(self, now: float) -> list[tuple[str, _PeerState]]:
         limit = self._limits.in_flight_per_source
--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -34,6 +34,9 @@
     from sycamoreproxy.engine_orders import EngineOwner
     from sycamoreproxy.weight_transfer import WeightTransfer
 
+#: What a host's link carries in this time, in seconds, may be uploaded of any version.
+SMALL_UPLOAD_S = 1.0
+
 _log = get_logger("composition")
 
 
@@ -314,13 +317,14 @@
     def list_engines() -> list[HostRecord]:
         return [r for r in parts.poller.records if r.kind == "engine" and r.name == model]
 
+    weight_rate = weights.link_bytes_per_s * (1.0 - weights.live_fraction)
     chunks = ChunkStore()
     transfer = WeightTransfer(
         hub=parts.hub,
         chunks=chunks,
         origin=origins.get(weights.adapter)(weights.origin, 10.0),
         hosts=list_engines,
-        limits=PlanLimits(bytes_per_s=weights.link_bytes_per_s * (1.0 - weights.live_fraction)),
+        limits=PlanLimits(bytes_per_s=weight_rate, min_upload_bytes=weight_rate * SMALL_UPLOAD_S),
         clock=parts.clock,
         random_source=random.Random(),
     )
--- a/tests/test_chunk_plan.py
+++ b/tests/test_chunk_plan.py
@@ -253,3 +253,18 @@
 
 def test_bitmap_bytes_are_least_significant_first() -> None:
     assert encode_bitmap(0b1_0000_0001, 9) == b"\x01\x01"
+
+
+def test_origin_is_asked_again_soon_after_a_corrupt_chunk() -> None:
+    """The only origin must not be left out for a minute: every host would wait that long."""
+    planned = _Planned(in_flight=1, in_flight_at_origin=1)
+    planned.plan.note_corrupt(planned.choose()[0].digest, ORIGIN)
+    assert planned.choose() == []
+    planned.clock.advance(1)
+    assert planned.choose()[0].source == ORIGIN
+
+
+def test_small_version_is_not_held_up_by_the_upload_budget() -> None:
+    planned = _Planned(held=_ALL, min_upload_bytes=1_000_000)
+    answers = {planned.plan.decide_upload(d, queued=0) for d in _DIGESTS * 3}
+    assert answers == {""}
