Forget closed caller connections

Cause: HTTPServer does not pass on_close to its delegate, so the set of used connections grew with every connection. The connection test now checks it; it fails without the change.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -227,6 +227,12 @@
     """Refuses connections above a limit and bounds what waits for slow readers."""
 
     max_connections = 0
+    request_callback: CallerServer
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        # HTTPServer tells this to no delegate.
+        self.request_callback.on_close(server_conn)
 
     def is_writing(self) -> bool:
         """Return whether a connection has data that its caller has not read."""
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -250,6 +250,10 @@
     assert (await entry.fetch("/v1/models")).code == 200
     for _, writer in idle:
         writer.close()
+    entry.client.close()
+    while entry.server._server._connections:
+        await asyncio.sleep(0.005)
+    assert not entry.server._used_connections
 
 
 @with_entry()
