--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,6 +10,7 @@
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from standins.in_process_store import InProcessStore
 from standins.store import MemoryStore
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.claims import ClaimBook
@@ -28,7 +29,6 @@
     send_answer,
     with_entry,
 )
-from tests._fake_store import FakeStore
 
 STREAM = json.dumps(
     {"model": MODEL, "stream": True, "messages": [{"role": "user", "content": "?"}]}
@@ -184,7 +184,7 @@
 
 
 def _make_book(**faults: float) -> ClaimBook:
-    return ClaimBook(store=FakeStore(MemoryStore(), **faults), prefix="/t", owner="e1")
+    return ClaimBook(store=InProcessStore(MemoryStore(), **faults), prefix="/t", owner="e1")
 
 
 async def _post(entry: Entry, body: bytes = b"5", key: str = "a") -> Any:
