--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -9,11 +9,11 @@
 
 import pytest
 
+from standins.in_process_store import InProcessStore
 from standins.store import MemoryStore
 from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.engine_orders import EngineOwner, Served
 from sycamoreproxy.weights import ChunkStore, Manifest
-from tests._fake_store import FakeStore
 from tests._weight_fakes import FakeEngine, make_manifest, make_record
 
 _TTL_S = 10.0
@@ -60,7 +60,7 @@
         checks_fencing: bool = True,
         process_id: str = "",
     ) -> None:
-        self.store = FakeStore(world.core)
+        self.store = InProcessStore(world.core)
         self.engine = engine or FakeEngine(checks_fencing=checks_fencing)
         chunks = ChunkStore()
         self.transfer = _Transfer(chunks)
--- a/tests/test_weight_transfer.py
+++ b/tests/test_weight_transfer.py
@@ -13,6 +13,7 @@
 from tornado.testing import bind_unused_port
 
 from standins._server import Faults
+from standins.in_process_store import InProcessStore
 from standins.origin import OriginState, generate_version, make_routes
 from standins.store import MemoryStore
 from sycamoreproxy.chunk_plan import PlanLimits
@@ -25,7 +26,6 @@
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.weight_transfer import WeightTransfer
 from sycamoreproxy.weights import ChunkStore, Manifest, compute_chunk_digest, parse_manifest
-from tests._fake_store import FakeStore
 from tests._weight_fakes import FakeEngine, FakeOrigin, make_record
 
 _FAST = PlanLimits(bytes_per_s=1e9, take_over_s=0.3, request_s=0.5, avoid_failed_s=0.2)
@@ -140,7 +140,7 @@
                 model="m",
                 prefix="/p",
                 process_id="one",
-                store=FakeStore(MemoryStore()),
+                store=InProcessStore(MemoryStore()),
                 engine=engine,
                 chunks=node.chunks,
                 transfer=node.transfer,
