Listen to peers before the origin is asked

Cause: a host that starts after a rollout asked the origin for its own chunks before it heard that peers hold them; a failed inner task of the transfer was not restarted; a manifest too large for a frame was not declined.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -25,6 +25,8 @@
 #: Chunks of the upload budget that are kept while chunks are missing. With one, hosts whose last
 #: chunks arrived corrupt exceeded two copies on their link in the bench.
 _RESERVED_CHUNKS = 2
+#: Longest wait for the first announcements of peers before the origin is asked, in seconds.
+_LISTEN_S = 1.0
 #: Shortest time without a chunk of a peer after which the origin is asked for one that peers hold.
 _FALLBACK_PAUSE_S = 0.5
 #: Longest pause after refusals for lack of room, in times of one chunk.
@@ -276,6 +278,7 @@
         self._last_upload_at = clock.monotonic()
         self._last_origin_at = clock.monotonic()
         self._last_arrival_at = clock.monotonic()
+        self._began_at = clock.monotonic()
         self._wasted_by_digest: Counter[str] = Counter()
         self._uploaded_by_digest: Counter[str] = Counter()
         if previous is not None:
@@ -717,7 +720,11 @@
 
     def _may_ask_origin(self) -> bool:
         asked = sum(1 for source, _ in self._in_flight_by_index.values() if source == ORIGIN)
-        return asked < self._limits.in_flight_at_origin and self.fetches_from_origin
+        if asked >= self._limits.in_flight_at_origin or not self.fetches_from_origin:
+            return False
+        # A process that starts late would fetch its chunks again before it hears who has them.
+        heard = 2 * len(self._peers_by_host) >= len(self._neighbours_by_host)
+        return heard or self._clock.monotonic() - self._began_at >= _LISTEN_S
 
     def _expire(self) -> None:
         """Give up requests without an answer, and pass on the duty of hosts without progress."""
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -21,7 +21,13 @@
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.host_list import HostRecord
 from sycamoreproxy.logs import get_logger
-from sycamoreproxy.messages import ChunkData, ChunkDecline, ChunkHave, ChunkRequest
+from sycamoreproxy.messages import (
+    MAX_FRAME_BYTES,
+    ChunkData,
+    ChunkDecline,
+    ChunkHave,
+    ChunkRequest,
+)
 from sycamoreproxy.metrics import WEIGHT_BYTES
 from sycamoreproxy.origins import Origin, OriginError
 from sycamoreproxy.peers import Peer, PeerHub
@@ -44,6 +50,8 @@
 MANIFEST_RETRY_MIN_S = 0.2
 MANIFEST_RETRY_MAX_S = 5.0
 
+#: Bytes of a frame besides the data of its chunk.
+_FRAME_ROOM_BYTES = 1_000
 #: Bytes of an announcement besides its bitmap: fields, frame and TCP/IP headers.
 _ANNOUNCE_BYTES = 120
 
@@ -221,11 +229,14 @@
 
     async def run(self) -> None:
         """Fetch and serve until cancelled."""
-        self._start(self._keep_uploading())
-        self._start(self._keep_announcing())
+        self._reading = ""
+        keepers = [self._start(self._keep_uploading()), self._start(self._keep_announcing())]
         try:
             while True:
                 self._wake.clear()
+                for keeper in keepers:
+                    if keeper.done():
+                        raise RuntimeError("a task of the transfer ended") from keeper.exception()
                 self._update_neighbours()
                 if self._wanted and self._manifest is None and self._reading != self._wanted:
                     self._reading = self._wanted
@@ -240,10 +251,11 @@
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._forget_task)
+        return task
 
     def _forget_task(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
@@ -412,7 +424,9 @@
             return
         # Chunks are the same in every version that has them, so the version does not matter.
         if not request.digest:
-            peer.send(ChunkData("", plan.manifest.encode()))
+            text = plan.manifest.encode()
+            fits = len(text) < MAX_FRAME_BYTES - _FRAME_ROOM_BYTES
+            peer.send(ChunkData("", text) if fits else ChunkDecline("", "absent"))
             return
         reason = plan.decide_upload(request.digest, queued=len(self._uploads))
         if reason:
--- a/tests/test_chunk_plan.py
+++ b/tests/test_chunk_plan.py
@@ -44,6 +44,7 @@
         )
         self.records = [make_record(f"h{number + 1}") for number in range(peers)]
         self.plan.set_neighbours(self.records, zones=1, regions=1)
+        self.clock.advance(1)
 
     def choose(self) -> list[Fetch]:
         """Return all requests that are sent within a few chunk times."""
@@ -140,6 +141,22 @@
     assert sum(1 << fetch.index for fetch in fetches) == duties.chunks_of("h0")
 
 
+def test_late_host_listens_before_it_asks_the_origin() -> None:
+    planned = _Planned(peers=2)
+    fresh = ChunkPlan(
+        host="h0",
+        manifest=_MANIFEST,
+        held=[],
+        limits=PlanLimits(bytes_per_s=1e9),
+        clock=planned.clock,
+        random_source=random.Random(1),
+    )
+    fresh.set_neighbours(planned.records, zones=1, regions=1)
+    assert fresh.choose_fetches() == []
+    fresh.note_have("h1", bitmap=_ALL, uploaded=0, closed=False)
+    assert {fetch.source for fetch in fresh.choose_fetches()} == {"h1"}
+
+
 @pytest.mark.parametrize("sign", ["lost", "no progress", "avoids the origin"])
 def test_next_host_takes_over(sign: str) -> None:
     planned = _Planned(peers=1, in_flight=99, in_flight_at_origin=99)
