--- a/sycamoreproxy/membership.py
+++ b/sycamoreproxy/membership.py
@@ -155,7 +155,11 @@
         return [self._entries_by_host[host] for host in sorted(self._entries_by_host)]
 
     def replace_hosts(self, records: Iterable[HostRecord]) -> None:
-        """Take a new host list; an upstream that stays keeps what is known of it."""
+        """Take a new host list; an upstream that stays keeps what is known of it.
+
+        An upstream that is no longer listed gets no new work, unless the list names no live one of
+        its model or service: then its heartbeats count, so that a broken list stops nothing.
+        """
         entries: dict[str, HostRecord] = {}
         upstreams: dict[str, UpstreamState] = {}
         for record in records:
@@ -191,9 +195,17 @@
             if state.peer is not None and not state.peer.is_closed
         }
         vanished = {host: state for host, state in connected.items() if host not in listed}
-        if len(vanished) <= MAX_VANISHED_FRACTION * len(connected):
-            for state in vanished.values():
-                # Its stream carries requests in progress; it is kept until the peer closes it.
+        if len(vanished) > MAX_VANISHED_FRACTION * len(connected):
+            return vanished
+        served = {
+            (state.record.kind, state.record.name)
+            for state in listed.values()
+            if state.record.state == "live"
+        }
+        for state in vanished.values():
+            # Its stream carries requests in progress; it is kept until the peer closes it. The
+            # last upstream of a model or service stays in use.
+            if (state.record.kind, state.record.name) in served:
                 state.record = replace(state.record, state="leaving")
         return vanished
 
