End an abandoned watch at once and read a replaced table again without a pause

Cause: tornado's client cannot end a fetch, so that watches abandoned after a lost answer held all four slots for 30 s, and the watcher waited for its poll; a page replaced during a read cost a pause. Change: the watch uses the package's own HTTP/1.1 connections, which close on cancellation; a replaced table is read again at once; the first pause is 50 ms.

--- a/sycamoreproxy/store_etcd.py
+++ b/sycamoreproxy/store_etcd.py
@@ -10,12 +10,14 @@
 from typing import Any
 
 from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httputil import HTTPHeaders
 from tornado.simple_httpclient import (
     HTTPStreamClosedError,
     HTTPTimeoutError,
     SimpleAsyncHTTPClient,
 )
 
+from sycamoreproxy._http_client import HttpClient
 from sycamoreproxy.metrics import STORE_CALLS
 from sycamoreproxy.store import (
     Delete,
@@ -32,13 +34,13 @@
 
 #: Calls in progress; more wait within their time limit.
 MAX_CALLS = 32
-#: Watches of one process.
-MAX_WATCHES = 4
 #: Largest answer in bytes; a read of 100 pages can hold the whole table.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-#: A watch ends after this time, in seconds. tornado cannot abort a fetch, and a connection whose
-#: peer vanished stays silent; both are freed by the limit.
-WATCH_PERIOD_S = 30.0
+#: A watch is opened again after this time, in seconds, in case its peer vanished unnoticed.
+WATCH_PERIOD_S = 300.0
+#: Bytes of one watch, and of one line of it: a value of 1 MB in base64 and its fields.
+MAX_WATCH_BYTES = 1 << 40
+MAX_LINE_BYTES = 4 * 1024 * 1024
 #: Lines that may wait for the reader of a watch; a slower reader loses the watch.
 MAX_WAITING_LINES = 1_000
 #: gRPC status codes that say that the call was checked and refused before it had any effect.
@@ -62,10 +64,8 @@
         self._client = SimpleAsyncHTTPClient(
             force_instance=True, max_clients=MAX_CALLS, max_buffer_size=MAX_ANSWER_BYTES
         )
-        # A waiting watch would hold one of the slots for calls.
-        self._watch_client = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_WATCHES, max_buffer_size=MAX_ANSWER_BYTES
-        )
+        # SimpleAsyncHTTPClient cannot end a waiting watch, which would keep its connection.
+        self._watch_client = HttpClient(self._address, max_body_bytes=MAX_WATCH_BYTES)
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key."""
@@ -106,17 +106,17 @@
         STORE_CALLS.inc({"verb": "watch"})
         reader = _WatchReader()
         create = {**_prefix_range(prefix), "start_revision": str(from_revision)}
-        request = HTTPRequest(
-            self._address + "/v3/watch",
+        exchange = self._watch_client.exchange(
             method="POST",
-            body=json.dumps({"create_request": create}),
-            headers={"Content-Type": "application/json"},
-            connect_timeout=self._timeout_s,
-            request_timeout=WATCH_PERIOD_S,
-            streaming_callback=reader.receive,
+            path="/v3/watch",
+            headers=HTTPHeaders({"Content-Type": "application/json"}),
+            body=json.dumps({"create_request": create}).encode(),
+            on_head=lambda status, headers: None,
+            on_data=reader.receive,
+            repeatable=False,
         )
-        fetch = asyncio.ensure_future(self._watch_client.fetch(request, raise_error=False))
-        fetch.add_done_callback(reader.finish)
+        task = asyncio.ensure_future(asyncio.wait_for(exchange, WATCH_PERIOD_S))
+        task.add_done_callback(reader.finish)
         try:
             while True:
                 entries = await reader.read()
@@ -124,7 +124,7 @@
                     return
                 yield entries
         finally:
-            reader.is_closed = True
+            task.cancel()
 
     def close(self) -> None:
         """Release connections."""
@@ -173,35 +173,40 @@
     """Splits the stream of a watch into lines and queues their changes."""
 
     def __init__(self) -> None:
-        self.is_closed = False
+        self._is_closed = False
         self._unread = bytearray()
         self._changes: asyncio.Queue[list[Entry] | None] = asyncio.Queue()
 
     def receive(self, data: bytes) -> None:
         """Take a part of the stream."""
-        if self.is_closed:
+        if self._is_closed:
             return
         *lines, rest = (bytes(self._unread) + data).split(b"\n")
         self._unread[:] = rest
         for line in lines:
             entries = _read_watch_line(line)
             if entries is None or self._changes.qsize() >= MAX_WAITING_LINES:
-                self.is_closed = True
-                self._changes.put_nowait(None)
+                self._end()
                 return
             if entries:
                 self._changes.put_nowait(entries)
+        if len(rest) > MAX_LINE_BYTES:
+            self._end()
 
-    def finish(self, fetch: asyncio.Future[Any]) -> None:
+    def finish(self, exchange: asyncio.Future[None]) -> None:
         """Take the end of the stream."""
-        if not fetch.cancelled():
-            fetch.exception()
-        self._changes.put_nowait(None)
+        if not exchange.cancelled():
+            exchange.exception()
+        self._end()
 
     async def read(self) -> list[Entry] | None:
         """Return the next changes, or None at the end."""
         return await self._changes.get()
 
+    def _end(self) -> None:
+        self._is_closed = True
+        self._changes.put_nowait(None)
+
 
 def _refusal(verb: str, status: int, answer: dict[str, Any]) -> Exception:
     message = str(answer.get("message") or answer.get("error") or "")
--- a/sycamoreproxy/table_sync.py
+++ b/sycamoreproxy/table_sync.py
@@ -33,8 +33,10 @@
 
 #: A watcher also reads the root this often, in seconds: a watch can be silently dead.
 POLL_PERIOD_S = 2.0
+#: Reads of a table that is replaced meanwhile.
+MAX_LOADS = 10
 #: Pauses of a watcher and of the initial read while the store does not answer, in seconds.
-RETRY_MIN_S = 0.1
+RETRY_MIN_S = 0.05
 RETRY_MAX_S = 2.0
 #: A fetch without progress for this long is given up and another peer is asked, in seconds.
 FETCH_TIMEOUT_S = 1.0
@@ -318,19 +320,23 @@
 
     async def _load(self, entry: Entry | None) -> None:
         """Adopt the table of a root entry; None is a store without a table."""
-        if entry is None:
-            self._ready.set()
-            return
-        revision = Root.parse(entry.value.decode()).revision
-        if revision <= self._view.revision:
-            self._check_equal(revision, text_digest(entry.value.decode()))
-            self._ready.set()
-            return
-        snapshot = await load_snapshot(self._store, self._keys, entry, self._view.snapshot)
-        if snapshot is None:
-            raise StoreUnavailableError("the table changed while it was read")
-        self.adopt(snapshot)
-        self._ready.set()
+        for _ in range(MAX_LOADS):
+            if entry is None:
+                self._ready.set()
+                return
+            root_text = entry.value.decode()
+            revision = Root.parse(root_text).revision
+            if revision <= self._view.revision:
+                self._check_equal(revision, text_digest(root_text))
+                self._ready.set()
+                return
+            snapshot = await load_snapshot(self._store, self._keys, entry, self._view.snapshot)
+            if snapshot is not None:
+                self.adopt(snapshot)
+                return
+            # A page was replaced by a newer revision, which the next read finds.
+            entry = await self._store.get(self._keys.root)
+        raise StoreUnavailableError("the table changes faster than it is read")
 
     async def _read_initially(self) -> None:
         pause_s = RETRY_MIN_S
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -169,6 +169,12 @@
             [("/w/a", b"1", 2)],
             [("/w/b", b"2", 3), ("/w/a", b"", 3)],
         ]
+        # A watch that nobody reads must not keep its connection.
+        abandoned = store.watch("/w/", from_revision=2)
+        await anext(abandoned)
+        await abandoned.aclose()  # type: ignore[attr-defined]
+        while len(core._listeners) > 1:
+            await asyncio.sleep(0.01)
         faults.replace({"down": True})
         assert [batch async for batch in changes] == []
         faults.replace({})
