--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -44,7 +44,7 @@
 CHUNKS = 96
 TOTAL_BYTES = CHUNKS * CHUNK_BYTES
 #: Rate of weights in each direction of a host's link.
-BYTES_PER_S = 800_000.0
+BYTES_PER_S = 800_000
 #: One host's rate for each region, so that neither link bounds the rollout alone.
 ORIGIN_BYTES_PER_S = BYTES_PER_S * len(ZONES)
 LOWER_BOUND_S = TOTAL_BYTES / BYTES_PER_S
@@ -95,7 +95,7 @@
         client_accounts=[
             {"name": name, "key_sha256": [digest_key(key_of(name))]} for name in ACCOUNTS
         ],
-        # The settings give the link in both directions together with the part for live requests.
+        # The link in each direction, of which half is kept for live requests.
         settings={"weights": {"link_bytes_per_s": BYTES_PER_S * 2, "live_fraction": 0.5}},
         standin_options={"origin": ("--bytes-per-s", str(ORIGIN_BYTES_PER_S))},
         seed=seed,
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -354,7 +354,10 @@
             plan.note_corrupt(digest, source)
             self._announce_due = True
             return
+        was_done = plan.is_done
         plan.note_arrived(digest, source)
+        if plan.is_done and not was_done:
+            _log.info("version held", version=plan.manifest.version)
         self._announce_due = True
 
     # Messages
