--- a/tests/test_chunk_plan.py
+++ b/tests/test_chunk_plan.py
@@ -44,6 +44,7 @@
         )
         self.records = [make_record(f"h{number + 1}") for number in range(peers)]
         self.plan.set_neighbours(self.records, zones=1, regions=1)
+        self.clock.advance(1)
 
     def choose(self) -> list[Fetch]:
         """Return all requests that are sent within a few chunk times."""
@@ -140,6 +141,22 @@
     assert sum(1 << fetch.index for fetch in fetches) == duties.chunks_of("h0")
 
 
+def test_late_host_listens_before_it_asks_the_origin() -> None:
+    planned = _Planned(peers=2)
+    fresh = ChunkPlan(
+        host="h0",
+        manifest=_MANIFEST,
+        held=[],
+        limits=PlanLimits(bytes_per_s=1e9),
+        clock=planned.clock,
+        random_source=random.Random(1),
+    )
+    fresh.set_neighbours(planned.records, zones=1, regions=1)
+    assert fresh.choose_fetches() == []
+    fresh.note_have("h1", bitmap=_ALL, uploaded=0, closed=False)
+    assert {fetch.source for fetch in fresh.choose_fetches()} == {"h1"}
+
+
 @pytest.mark.parametrize("sign", ["lost", "no progress", "avoids the origin"])
 def test_next_host_takes_over(sign: str) -> None:
     planned = _Planned(peers=1, in_flight=99, in_flight_at_origin=99)
@@ -253,3 +270,18 @@
 
 def test_bitmap_bytes_are_least_significant_first() -> None:
     assert encode_bitmap(0b1_0000_0001, 9) == b"\x01\x01"
+
+
+def test_origin_is_asked_again_soon_after_a_corrupt_chunk() -> None:
+    """The only origin must not be left out for a minute: every host would wait that long."""
+    planned = _Planned(in_flight=1, in_flight_at_origin=1)
+    planned.plan.note_corrupt(planned.choose()[0].digest, ORIGIN)
+    assert planned.choose() == []
+    planned.clock.advance(1)
+    assert planned.choose()[0].source == ORIGIN
+
+
+def test_small_version_is_not_held_up_by_the_upload_budget() -> None:
+    planned = _Planned(held=_ALL, min_upload_bytes=1_000_000)
+    answers = {planned.plan.decide_upload(d, queued=0) for d in _DIGESTS * 3}
+    assert answers == {""}
