--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -23,6 +23,7 @@
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.retries import MAX_ATTEMPTS, UPSTREAM_FAULTS, RetryBudget, may_repeat
 from sycamoreproxy.routing import Router
+from sycamoreproxy.store import StoreUnavailableError
 from sycamoreproxy.upstream_links import Attempt, UpstreamLinks, Whole
 
 #: Deadline where neither the table nor the caller gives one, in milliseconds.
@@ -464,9 +465,11 @@
             elif result.failure().executed is Executed.NO:
                 # The claim is removed first, so that a repeat does not meet it.
                 await claims.release(claim)
-        except Exception:
+        except StoreUnavailableError as error:
             # The answer stands; a repeat gets an unknown outcome instead of it.
-            _log.exception("claim not brought up to date", service=request.name)
+            _log.warning("claim not closed", service=request.name, error=str(error))
+        except Exception:
+            _log.exception("claim not closed", service=request.name)
         return result
 
     async def _run_attempts(
