--- a/sycamoreproxy/table_commands.py
+++ b/sycamoreproxy/table_commands.py
@@ -49,6 +49,7 @@
     build_snapshot,
     check_cell_place,
     check_key,
+    decode_text,
     make_pages,
     normalize_cell,
     validate_rows,
@@ -361,7 +362,7 @@
     :param held: a table whose pages need not be read again.
     :raises TableError: if the store holds malformed data.
     """
-    root_text = entry.value.decode()
+    root_text = decode_text(entry.value)
     if root_text == held.root_text:
         return held
     root = Root.parse(root_text)
@@ -371,7 +372,7 @@
     for digest, page in zip(missing, entries, strict=True):
         if page is None:
             return None
-        pages[digest] = page.value.decode()
+        pages[digest] = decode_text(page.value)
     return build_snapshot(root_text, pages, held=held)
 
 
--- a/sycamoreproxy/table_sync.py
+++ b/sycamoreproxy/table_sync.py
@@ -26,6 +26,7 @@
     Snapshot,
     TableError,
     build_snapshot,
+    decode_text,
     text_digest,
 )
 from sycamoreproxy.table_commands import load_snapshot
@@ -324,7 +325,7 @@
             if entry is None:
                 self._ready.set()
                 return
-            root_text = entry.value.decode()
+            root_text = decode_text(entry.value)
             revision = Root.parse(root_text).revision
             if revision <= self._view.revision:
                 self._check_equal(revision, text_digest(root_text))
