--- a/bench/control.py
+++ b/bench/control.py
@@ -170,8 +170,8 @@
         for size, value in by_size.items():
             metric = f"{load}_{role}_{name}_{size}"
             baseline = plain.get(name)
-            # Requests are not control, and resident memory counts pages shared by all processes.
-            if load == "busy" or name == "unique_mb":
+            # Requests are not control.
+            if load == "busy":
                 recorder.report(metric, unit, value, baseline=baseline)
             else:
                 recorder.at_most(metric, unit, value, bound, baseline=baseline)
--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -330,8 +330,14 @@
         outcome = read_outcome(
             deployment, living, "v3", accepted_at=accepted[0], origin_before=origin_bytes[0]
         )
-        mixed = _count_mixed(deployment, living)
+        answers, mixed = _count_mixed(deployment, living)
+        dropped = sum(
+            process.log.read_text(encoding="utf-8", errors="replace").count("corrupt chunk dropped")
+            for process in hosts
+        )
     recorder.report("killed", "hosts", len(dying))
+    recorder.report("corrupt_dropped", "chunks", dropped)
+    recorder.report("answers_checked", "answers", answers)
     recorder.at_most("partial_or_mixed", "answers", mixed, 0)
     _report_times(recorder, outcome, bounds[0], 2.0)
     states = [item for item in outcome.states if item.get("chunks")]
@@ -369,17 +375,18 @@
     timer.start()
 
 
-def _count_mixed(deployment: Deployment, hosts: list[ManagedProcess]) -> int:
-    """Return the answers whose engine named a version with another digest than the manifest's."""
+def _count_mixed(deployment: Deployment, hosts: list[ManagedProcess]) -> tuple[int, int]:
+    """Return the answers, and those whose engine held another digest than their version's."""
     origin = deployment.processes_by_name["origin"].url("http")
     digests = {
         name: request_json("GET", f"{origin}/manifests/{name}")[1]["digest"]
         for name in ("v1", "v2", "v3")
     }
-    mixed = 0
+    answers = mixed = 0
     for process in hosts:
         engine = deployment.processes_by_name[f"{process.name}-engine"]
         _, records = request_json("GET", f"{engine.url('http')}/standin/records")
-        items = records.get("records", []) if isinstance(records, dict) else records or []
+        items = records["records"]
+        answers += len(items)
         mixed += sum(item["digest"] != digests.get(item["version"]) for item in items)
-    return mixed
+    return answers, mixed
