--- a/tests/test_launch.py
+++ b/tests/test_launch.py
@@ -89,3 +89,26 @@
     with pytest.raises(LaunchError, match=r"(?s)store does not answer.*it ended.*bad option"):
         deployment._wait_for(process, "/")
     deployment.stop()
+
+
+def test_upstreams_share_the_standins_of_their_zone(tmp_path: Path) -> None:
+    """A zone must not use the stand-ins of another one, and each stand-in must be used."""
+    deployment = _OnlyHostList(
+        directory=tmp_path,
+        zones=ZONES,
+        upstreams=(UpstreamSpec(kind="service", name="ledger", count=5, standins=2),),
+    )
+    deployment.prepare()
+    addresses_by_zone = {
+        zone.name: {
+            settings.upstream.address
+            for process in deployment.list_processes("upstream", zone=zone.name)
+            if (settings := load_settings(Path(process.command[-1]))).upstream is not None
+        }
+        for zone in ZONES
+    }
+    for zone in ZONES:
+        standins = deployment.list_processes("service", zone=zone.name)
+        assert addresses_by_zone[zone.name] == {item.url("http") for item in standins}
+        assert len(standins) == 2
+    deployment.stop()
