--- a/bench/soak.py
+++ b/bench/soak.py
@@ -222,6 +222,8 @@
         await self._judge_table()
         for name, count in violations_by_name.items():
             self.faults.append(f"invariant {name} violated {count} times")
+        for process in [*self._world.processes_by_host.values(), *self._world.ended]:
+            self.faults += process.errors
         if self._requests:
             self.faults.append(f"{len(self._requests)} requests never ended")
 
--- a/bench/soak_world.py
+++ b/bench/soak_world.py
@@ -115,6 +115,7 @@
         self.store = InProcessStore(world.core, seed=world.rng.randrange(1 << 30))
         self.store.faults = world.store_faults
         self.revisions: list[int] = []
+        self.errors: list[str] = []
         self.tasks: set[asyncio.Task[Any]] = set()
         hub: Any = self.hub
         self.replica = TableReplica(hub=hub, store=self.store, prefix=PREFIX, clock=self.clock)
@@ -138,9 +139,14 @@
         """Run a task that ends with the process."""
         task = asyncio.create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._note_end)
         return task
 
+    def _note_end(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.errors.append(f"{self.host}: {task.exception()!r}")
+
     async def crash(self) -> None:
         """End at once: tasks stop, streams close, nothing is told to anyone."""
         self.hub.close()
