--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -25,6 +25,8 @@
 #: Chunks of the upload budget that are kept while chunks are missing. With one, hosts whose last
 #: chunks arrived corrupt exceeded two copies on their link in the bench.
 _RESERVED_CHUNKS = 2
+#: Longest wait for the first announcements of peers before the origin is asked, in seconds.
+_LISTEN_S = 1.0
 #: Shortest time without a chunk of a peer after which the origin is asked for one that peers hold.
 _FALLBACK_PAUSE_S = 0.5
 #: Longest pause after refusals for lack of room, in times of one chunk.
@@ -58,7 +60,12 @@
     :param take_over_s: shortest time without progress after which the next host in hash order
         fetches a chunk from the origin.
     :param request_s: longest wait for the data of one request.
-    :param avoid_corrupt_s: how long the source of a corrupt chunk is avoided.
+    :param min_upload_bytes: bytes that a host may upload however small the version is; of a few
+        chunks, one copy is too coarse a budget to reach every host.
+    :param avoid_corrupt_s: how long a peer that sent a corrupt chunk is avoided.
+    :param avoid_origin_s: the same for the origin.
+    :param stall_s: time without a chunk of the origin after which one more may be asked of it
+        whatever the budgets say.
     :param avoid_failed_s: how long a source is avoided that failed or did not answer.
     :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
         hosts replaced later need the chunks too.
@@ -77,7 +84,10 @@
     source_spread: float = 4.0
     take_over_s: float = 5.0
     request_s: float = 15.0
+    min_upload_bytes: float = 0.0
     avoid_corrupt_s: float = 60.0
+    avoid_origin_s: float = 0.5
+    stall_s: float = 5.0
     avoid_failed_s: float = 10.0
     quiet_s: float = 30.0
 
@@ -276,6 +286,7 @@
         self._last_upload_at = clock.monotonic()
         self._last_origin_at = clock.monotonic()
         self._last_arrival_at = clock.monotonic()
+        self._began_at = clock.monotonic()
         self._wasted_by_digest: Counter[str] = Counter()
         self._uploaded_by_digest: Counter[str] = Counter()
         if previous is not None:
@@ -404,7 +415,10 @@
         if index is not None:
             self._finish_request(index, source)
             self._count_waste(digest)
-        self._avoid(source, self._limits.avoid_corrupt_s)
+        limits = self._limits
+        # There is no other origin; a peer can be done without.
+        is_origin = source == ORIGIN
+        self._avoid(source, limits.avoid_origin_s if is_origin else limits.avoid_corrupt_s)
 
     def note_failed(self, digest: str, source: str) -> None:
         """Avoid a source that failed or did not answer."""
@@ -640,7 +654,7 @@
         size = self.manifest.size_of(index)
         if not self._peers_by_host:
             return True
-        if now - self._last_origin_at > self._limits.quiet_s:
+        if now - self._last_origin_at > self._limits.stall_s:
             # Nothing more is coming by the plan; one chunk each time keeps the transfer alive.
             return True
         return size <= self._origin_allowance()
@@ -671,7 +685,8 @@
 
     @property
     def _copy_budget(self) -> float:
-        return self._limits.upload_copies * self._unique_bytes
+        budget = self._limits.upload_copies * self._unique_bytes
+        return max(budget, self._limits.min_upload_bytes)
 
     def _usable_sources(self, now: float) -> list[tuple[str, _PeerState]]:
         limit = self._limits.in_flight_per_source
@@ -717,7 +732,11 @@
 
     def _may_ask_origin(self) -> bool:
         asked = sum(1 for source, _ in self._in_flight_by_index.values() if source == ORIGIN)
-        return asked < self._limits.in_flight_at_origin and self.fetches_from_origin
+        if asked >= self._limits.in_flight_at_origin or not self.fetches_from_origin:
+            return False
+        # A process that starts late would fetch its chunks again before it hears who has them.
+        heard = 2 * len(self._peers_by_host) >= len(self._neighbours_by_host)
+        return heard or self._clock.monotonic() - self._began_at >= _LISTEN_S
 
     def _expire(self) -> None:
         """Give up requests without an answer, and pass on the duty of hosts without progress."""
--- a/sycamoreproxy/table.py
+++ b/sycamoreproxy/table.py
@@ -247,6 +247,17 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+def decode_text(value: bytes) -> str:
+    """Return the text of a value in the store.
+
+    :raises TableError: if it is not UTF-8.
+    """
+    try:
+        return value.decode()
+    except UnicodeDecodeError as error:
+        raise TableError(f"not UTF-8: {error}") from error
+
+
 def render_page(rows: Rows) -> str:
     """Return the canonical JSON text of the rows of one page."""
     items = [[*key, dict(sorted(rows[key].items()))] for key in sorted(rows)]
--- a/sycamoreproxy/table_queries.py
+++ b/sycamoreproxy/table_queries.py
@@ -16,11 +16,13 @@
     DEADLINE_MS_BY_RANK,
     EMPTY_SNAPSHOT,
     ModelTarget,
+    Root,
     RowKey,
     RowPolicy,
     Rows,
     Snapshot,
     TableError,
+    decode_text,
     find_cell,
     find_share,
     lookup_keys,
@@ -208,16 +210,14 @@
 
         :param limit: how many; at most :data:`HISTORY_LIMIT` are kept.
         """
-        from sycamoreproxy.table import Root
-
         entry = await self._store.get(self._keys.root)
         if entry is None:
             return []
-        newest = Root.parse(entry.value.decode()).revision
+        newest = Root.parse(decode_text(entry.value)).revision
         oldest = max(1, newest - min(limit, HISTORY_LIMIT) + 1)
         keys = [self._keys.history(number) for number in range(newest, oldest - 1, -1)]
         entries = await read_entries(self._store, keys)
-        return [Revision.parse(item.value.decode()) for item in entries if item is not None]
+        return [Revision.parse(decode_text(item.value)) for item in entries if item is not None]
 
     async def find_change(self, change_id: str) -> int | None:
         """Return the revision of an accepted change, or None if there is none.
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -9,11 +9,11 @@
 
 import pytest
 
+from standins.in_process_store import InProcessStore
 from standins.store import MemoryStore
 from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.engine_orders import EngineOwner, Served
 from sycamoreproxy.weights import ChunkStore, Manifest
-from tests._fake_store import FakeStore
 from tests._weight_fakes import FakeEngine, make_manifest, make_record
 
 _TTL_S = 10.0
@@ -60,7 +60,7 @@
         checks_fencing: bool = True,
         process_id: str = "",
     ) -> None:
-        self.store = FakeStore(world.core)
+        self.store = InProcessStore(world.core)
         self.engine = engine or FakeEngine(checks_fencing=checks_fencing)
         chunks = ChunkStore()
         self.transfer = _Transfer(chunks)
@@ -119,6 +119,25 @@
     _run(action())
 
 
+def test_chunks_that_arrive_while_others_are_put_are_put_before_the_order() -> None:
+    async def action() -> None:
+        host = _Host(_World())
+        host.transfer.is_done = False
+        put = host.engine.put_chunk
+
+        async def finish_meanwhile(digest: str, data: bytes) -> None:
+            await put(digest, data)
+            host.transfer.is_done = True
+
+        host.engine.put_chunk = finish_meanwhile  # type: ignore[method-assign]
+        await host.bring("v1", steps=1)
+        assert not host.engine.orders and "refused" not in host.owner.unmet[0]
+        await host.bring("v1")
+        assert host.owner.served is not None and len(host.engine.orders) == 1
+
+    _run(action())
+
+
 def test_wrong_digest_is_never_served() -> None:
     async def action() -> None:
         host = _Host(_World())
