--- a/tests/test_table_sync.py
+++ b/tests/test_table_sync.py
@@ -252,10 +252,12 @@
     assert node.replica.is_ready and node.replica.view.revision == 4
 
 
+@pytest.mark.parametrize("root", [b"{}", b"\xff", make_revision(1).root_text.encode(), None])
 @in_virtual_time
-async def test_broken_root_in_the_store_leaves_the_table_in_force() -> None:
+async def test_store_with_a_broken_old_or_no_root_leaves_the_table_in_force(root: Any) -> None:
     store = InProcessStore(MemoryStore())
-    await store.transact(Txn(then=(Put("/t/table/root", b"{}"),)))
+    if root is not None:
+        await store.transact(Txn(then=(Put("/t/table/root", root),)))
     node = Node(store)
     node.replica.adopt(make_revision(2))
     node.replica.set_watching(True)
