--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 import sys
 
 from bench import (  # noqa: F401  they register their scenarios
+    churn,
     control,
     floods,
     rollouts,
