--- a/sycamoreproxy/claims.py
+++ b/sycamoreproxy/claims.py
@@ -195,6 +195,10 @@
         ids_by_lease = {
             lease: await lease.current() for lease in {operation.lease for operation in batch}
         }
+        # A waiter that gave up during the grant was told that nothing was sent.
+        batch = [operation for operation in batch if not operation.future.done()]
+        if not batch:
+            return
         # Set before the call: a waiter may give up while it is under way.
         before = [operation.may_have_effect for operation in batch]
         for operation in batch:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -108,6 +108,22 @@
     assert isinstance(await book.neighbour().try_begin(), Claim)
 
 
+@in_virtual_time
+async def test_begin_given_up_during_the_lease_grant_is_never_written() -> None:
+    book = Book()
+    call = book.store._call
+
+    async def grant_slowly(verb: str, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        await asyncio.sleep(2 if verb == "grant" else 0)
+        return await call(verb, path, body)
+
+    book.store._call = grant_slowly  # type: ignore[method-assign]
+    assert await book.try_begin(timeout_s=1) == NOT_RUN
+    await asyncio.sleep(10)
+    assert book.core.revision == 1
+    assert isinstance(await book.neighbour().try_begin(), Claim)
+
+
 @pytest.mark.parametrize("fault", ["lost", "late"])
 @in_virtual_time
 async def test_lost_answer_is_read_back_and_its_late_copy_starts_nothing(fault: str) -> None:
