Go on fetching when every host of a region avoids the origin

Cause: with 1% corrupt chunks all hosts of a small region avoided the origin within seconds, and nobody fetched for 60 s, repeatedly. Answers that arrived between a version change and the new manifest were lost, and their requests counted as in flight. The plan before takes answers until the new manifest is read.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -25,6 +25,9 @@
 #: Chunks of the upload budget that are kept while chunks are missing. With one, hosts whose last
 #: chunks arrived corrupt exceeded two copies on their link in the bench.
 _RESERVED_CHUNKS = 2
+#: Pause after a corrupt chunk of the origin if every host of the region avoids the origin, in
+#: seconds. In a region of 5 hosts all avoided it within seconds, and none fetched for a minute.
+_ORIGIN_RETRY_S = 1.0
 #: Longest wait for the first announcements of peers before the origin is asked, in seconds.
 _LISTEN_S = 1.0
 #: Shortest time without a chunk of a peer after which the origin is asked for one that peers hold.
@@ -279,6 +282,7 @@
         self._last_origin_at = clock.monotonic()
         self._last_arrival_at = clock.monotonic()
         self._began_at = clock.monotonic()
+        self._origin_retry_at = 0.0
         self._wasted_by_digest: Counter[str] = Counter()
         self._uploaded_by_digest: Counter[str] = Counter()
         if previous is not None:
@@ -407,6 +411,8 @@
         if index is not None:
             self._finish_request(index, source)
             self._count_waste(digest)
+        if source == ORIGIN:
+            self._origin_retry_at = self._clock.monotonic() + _ORIGIN_RETRY_S
         self._avoid(source, self._limits.avoid_corrupt_s)
 
     def note_failed(self, digest: str, source: str) -> None:
@@ -414,6 +420,8 @@
         index = self._first_index_by_digest.get(digest)
         if index is not None and self._finish_request(index, source) is not None:
             self._pacer.give_back(self.manifest.size_of(index))
+        if source == ORIGIN:
+            self._origin_retry_at = self._clock.monotonic() + self._limits.avoid_failed_s
         self._avoid(source, self._limits.avoid_failed_s)
 
     def note_declined(self, digest: str, host: str, reason: str) -> None:
@@ -720,7 +728,11 @@
 
     def _may_ask_origin(self) -> bool:
         asked = sum(1 for source, _ in self._in_flight_by_index.values() if source == ORIGIN)
-        if asked >= self._limits.in_flight_at_origin or not self.fetches_from_origin:
+        if asked >= self._limits.in_flight_at_origin:
+            return False
+        if not self.fetches_from_origin and (
+            self._list_fetching() or self._clock.monotonic() < self._origin_retry_at
+        ):
             return False
         # A process that starts late would fetch its chunks again before it hears who has them.
         heard = 2 * len(self._peers_by_host) >= len(self._neighbours_by_host)
@@ -741,23 +753,31 @@
         # The own requests tell how slow the origin is; a slow origin stalls no host.
         waiting = [now - at for source, at in self._in_flight_by_index.values() if source == ORIGIN]
         patience = max(self._limits.take_over_s, 4 * max([self._origin_s, *waiting]))
-        stalled = len(self._stalled)
         for host in self._neighbours_by_host:
             if host in self._stalled or now - self._progress_at_by_host[host] <= patience:
                 continue
             peer = self._peers_by_host.get(host)
             if self._duties.chunks_of(host) & ~(peer.bitmap if peer else 0):
                 self._stalled.add(host)
-        if len(self._stalled) != stalled:
-            self._assign()
+        self._assign()
 
-    def _assign(self) -> None:
-        active = {self._host} | {
+    def _list_active(self) -> set[str]:
+        return self._neighbours_by_host.keys() - self._stalled - self._lost
+
+    def _list_fetching(self) -> set[str]:
+        """Return the live hosts that do not avoid the origin; unheard ones count as such."""
+        return {
             host
-            for host in self._neighbours_by_host.keys() - self._stalled - self._lost
+            for host in self._list_active()
             if host not in self._peers_by_host or self._peers_by_host[host].fetches
         }
-        self._duties.assign(active)
+
+    def _assign(self) -> None:
+        active = self._list_fetching()
+        if not active and not self.fetches_from_origin:
+            # The region has no other source than the origin, so all share the chunks again.
+            active = self._list_active()
+        self._duties.assign(active | {self._host})
 
     def _finish_request(self, index: int, source: str) -> float | None:
         """Return when the request was sent, or None if it was not in flight."""
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -163,6 +163,7 @@
         _log.info("version wanted", version=version, before=self._wanted)
         if self._plan is not None:
             self._previous = self._plan
+            # Chunks that arrive until the new manifest is read are kept for it.
         self._wanted, self._served = version, served
         self._manifest, self._plan = None, None
         self._reason = "the manifest was not read yet"
@@ -262,6 +263,11 @@
         if not task.cancelled() and task.exception() is not None:
             _log.error("transfer task failed", error=repr(task.exception()))
 
+    @property
+    def _current_plan(self) -> ChunkPlan | None:
+        """The plan that takes answers: the one before until the new manifest is read."""
+        return self._plan or self._previous
+
     async def _notify(self) -> None:
         async with self._changed:
             self._changed.notify_all()
@@ -352,8 +358,8 @@
             data = await self._origin.read_chunk(plan.manifest, fetch.index)
         except OriginError as error:
             _log.warning("chunk not read from the origin", error=str(error))
-            if self._plan is not None:
-                self._plan.note_failed(fetch.digest, ORIGIN)
+            if self._current_plan is not None:
+                self._current_plan.note_failed(fetch.digest, ORIGIN)
             self._wake.set()
             return
         self._store(fetch.digest, data, ORIGIN)
@@ -362,7 +368,7 @@
         kind = "origin" if source == ORIGIN else "peer"
         WEIGHT_BYTES.add({"direction": "in", "kind": kind}, len(data))
         self._wake.set()
-        plan = self._plan
+        plan = self._current_plan
         if plan is None or digest not in plan.manifest.indexes_by_digest:
             # An answer to a request for a version that is not wanted any more.
             return
@@ -389,8 +395,8 @@
             return
         del self._peers_by_host[host]
         self._haves_by_host.pop(host, None)
-        if self._plan is not None:
-            self._plan.note_lost(host)
+        if self._current_plan is not None:
+            self._current_plan.note_lost(host)
         for item in [item for item in self._uploads if item[0] is peer]:
             self._uploads.remove(item)
             self._cancel_upload(item[1])
@@ -446,8 +452,8 @@
                 _log.warning("bad manifest", source=peer.hello.host, error=str(error))
 
     def _handle_decline(self, peer: Peer, decline: ChunkDecline) -> None:
-        if self._plan is not None and decline.digest:
-            self._plan.note_declined(decline.digest, peer.hello.host, decline.reason)
+        if self._current_plan is not None and decline.digest:
+            self._current_plan.note_declined(decline.digest, peer.hello.host, decline.reason)
             self._wake.set()
 
     # Uploads and announcements
--- a/tests/test_chunk_plan.py
+++ b/tests/test_chunk_plan.py
@@ -100,6 +100,19 @@
             assert host.plan.manifest is simulation.manifest
 
 
+def test_origin_is_asked_again_when_every_host_avoids_it() -> None:
+    planned = _Planned(peers=2, in_flight=99, in_flight_at_origin=99)
+    for host in ("h1", "h2"):
+        planned.have(host, 0)
+    fetch = planned.plan.choose_fetches()[0]
+    planned.plan.note_corrupt(fetch.digest, ORIGIN)
+    planned.clock.advance(1.5)
+    assert planned.choose() == [], "other hosts fetch from the origin"
+    for host in ("h1", "h2"):
+        planned.have(host, 0, fetches=False)
+    assert {fetch.source for fetch in planned.choose()} == {ORIGIN}
+
+
 @pytest.mark.parametrize("number", [1, 2])
 def test_limits_hold_without_faults(number: int) -> None:
     scenario = _small("rollout", hosts=30, chunks=64)
