--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -227,6 +227,12 @@
     """Refuses connections above a limit and bounds what waits for slow readers."""
 
     max_connections = 0
+    request_callback: CallerServer
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        # HTTPServer tells this to no delegate.
+        self.request_callback.on_close(server_conn)
 
     def is_writing(self) -> bool:
         """Return whether a connection has data that its caller has not read."""
@@ -348,6 +354,8 @@
         line = self._start_line
         self._has_body = line.method != "HEAD" and status not in (204, 304)
         self._is_chunked = line.version == "HTTP/1.1"
+        # Without chunks only the end of the connection tells the end of the body.
+        self._is_last = not self._is_chunked
         self._write_head(status, fields, None)
 
     def write(self, data: bytes) -> None:
--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -25,9 +25,6 @@
 #: Chunks of the upload budget that are kept while chunks are missing. With one, hosts whose last
 #: chunks arrived corrupt exceeded two copies on their link in the bench.
 _RESERVED_CHUNKS = 2
-#: Pause after a corrupt chunk of the origin if every host of the region avoids the origin, in
-#: seconds. In a region of 5 hosts all avoided it within seconds, and none fetched for a minute.
-_ORIGIN_RETRY_S = 1.0
 #: Longest wait for the first announcements of peers before the origin is asked, in seconds.
 _LISTEN_S = 1.0
 #: Shortest time without a chunk of a peer after which the origin is asked for one that peers hold.
@@ -63,7 +60,12 @@
     :param take_over_s: shortest time without progress after which the next host in hash order
         fetches a chunk from the origin.
     :param request_s: longest wait for the data of one request.
-    :param avoid_corrupt_s: how long the source of a corrupt chunk is avoided.
+    :param min_upload_bytes: bytes that a host may upload however small the version is; of a few
+        chunks, one copy is too coarse a budget to reach every host.
+    :param avoid_corrupt_s: how long a peer that sent a corrupt chunk is avoided.
+    :param avoid_origin_s: the same for the origin.
+    :param stall_s: time without a chunk of the origin after which one more may be asked of it
+        whatever the budgets say.
     :param avoid_failed_s: how long a source is avoided that failed or did not answer.
     :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
         hosts replaced later need the chunks too.
@@ -82,7 +84,10 @@
     source_spread: float = 4.0
     take_over_s: float = 5.0
     request_s: float = 15.0
+    min_upload_bytes: float = 0.0
     avoid_corrupt_s: float = 60.0
+    avoid_origin_s: float = 0.5
+    stall_s: float = 5.0
     avoid_failed_s: float = 10.0
     quiet_s: float = 30.0
 
@@ -282,7 +287,6 @@
         self._last_origin_at = clock.monotonic()
         self._last_arrival_at = clock.monotonic()
         self._began_at = clock.monotonic()
-        self._origin_retry_at = 0.0
         self._wasted_by_digest: Counter[str] = Counter()
         self._uploaded_by_digest: Counter[str] = Counter()
         if previous is not None:
@@ -411,17 +415,16 @@
         if index is not None:
             self._finish_request(index, source)
             self._count_waste(digest)
-        if source == ORIGIN:
-            self._origin_retry_at = self._clock.monotonic() + _ORIGIN_RETRY_S
-        self._avoid(source, self._limits.avoid_corrupt_s)
+        limits = self._limits
+        # There is no other origin; a peer can be done without.
+        is_origin = source == ORIGIN
+        self._avoid(source, limits.avoid_origin_s if is_origin else limits.avoid_corrupt_s)
 
     def note_failed(self, digest: str, source: str) -> None:
         """Avoid a source that failed or did not answer."""
         index = self._first_index_by_digest.get(digest)
         if index is not None and self._finish_request(index, source) is not None:
             self._pacer.give_back(self.manifest.size_of(index))
-        if source == ORIGIN:
-            self._origin_retry_at = self._clock.monotonic() + self._limits.avoid_failed_s
         self._avoid(source, self._limits.avoid_failed_s)
 
     def note_declined(self, digest: str, host: str, reason: str) -> None:
@@ -651,7 +654,7 @@
         size = self.manifest.size_of(index)
         if not self._peers_by_host:
             return True
-        if now - self._last_origin_at > self._limits.quiet_s:
+        if now - self._last_origin_at > self._limits.stall_s:
             # Nothing more is coming by the plan; one chunk each time keeps the transfer alive.
             return True
         return size <= self._origin_allowance()
@@ -682,7 +685,8 @@
 
     @property
     def _copy_budget(self) -> float:
-        return self._limits.upload_copies * self._unique_bytes
+        budget = self._limits.upload_copies * self._unique_bytes
+        return max(budget, self._limits.min_upload_bytes)
 
     def _usable_sources(self, now: float) -> list[tuple[str, _PeerState]]:
         limit = self._limits.in_flight_per_source
@@ -728,11 +732,7 @@
 
     def _may_ask_origin(self) -> bool:
         asked = sum(1 for source, _ in self._in_flight_by_index.values() if source == ORIGIN)
-        if asked >= self._limits.in_flight_at_origin:
-            return False
-        if not self.fetches_from_origin and (
-            self._list_fetching() or self._clock.monotonic() < self._origin_retry_at
-        ):
+        if asked >= self._limits.in_flight_at_origin or not self.fetches_from_origin:
             return False
         # A process that starts late would fetch its chunks again before it hears who has them.
         heard = 2 * len(self._peers_by_host) >= len(self._neighbours_by_host)
@@ -753,31 +753,23 @@
         # The own requests tell how slow the origin is; a slow origin stalls no host.
         waiting = [now - at for source, at in self._in_flight_by_index.values() if source == ORIGIN]
         patience = max(self._limits.take_over_s, 4 * max([self._origin_s, *waiting]))
+        stalled = len(self._stalled)
         for host in self._neighbours_by_host:
             if host in self._stalled or now - self._progress_at_by_host[host] <= patience:
                 continue
             peer = self._peers_by_host.get(host)
             if self._duties.chunks_of(host) & ~(peer.bitmap if peer else 0):
                 self._stalled.add(host)
-        self._assign()
-
-    def _list_active(self) -> set[str]:
-        return self._neighbours_by_host.keys() - self._stalled - self._lost
+        if len(self._stalled) != stalled:
+            self._assign()
 
-    def _list_fetching(self) -> set[str]:
-        """Return the live hosts that do not avoid the origin; unheard ones count as such."""
-        return {
+    def _assign(self) -> None:
+        active = {self._host} | {
             host
-            for host in self._list_active()
+            for host in self._neighbours_by_host.keys() - self._stalled - self._lost
             if host not in self._peers_by_host or self._peers_by_host[host].fetches
         }
-
-    def _assign(self) -> None:
-        active = self._list_fetching()
-        if not active and not self.fetches_from_origin:
-            # The region has no other source than the origin, so all share the chunks again.
-            active = self._list_active()
-        self._duties.assign(active | {self._host})
+        self._duties.assign(active)
 
     def _finish_request(self, index: int, source: str) -> float | None:
         """Return when the request was sent, or None if it was not in flight."""
--- a/sycamoreproxy/membership.py
+++ b/sycamoreproxy/membership.py
@@ -23,6 +23,10 @@
 #: Part of the subset filled from the own availability zone first, so that requests rarely
 #: leave it; the rest is for the time when it cannot answer.
 SUBSET_LOCAL = 24
+#: Entry hosts of its availability zone that include an upstream in their subsets in any case.
+#: Subsets chosen by each entry host alone left 3 of 92 upstreams without a stream beside 8 entry
+#: hosts: no work and no table reached them.
+COVERING_ENTRIES = 2
 #: Streams to entry hosts of the own availability zone, and to those of each other one.
 LOCAL_ENTRIES = 3
 REMOTE_ENTRIES = 1
@@ -120,6 +124,7 @@
         self._upstreams_by_key: dict[tuple[str, str], list[UpstreamState]] = {}
         self._leaving_entries: set[str] = set()
         self._local_entries = 0
+        self._covered_hosts: frozenset[str] = frozenset()
 
     @property
     def has_list(self) -> bool:
@@ -155,7 +160,11 @@
         return [self._entries_by_host[host] for host in sorted(self._entries_by_host)]
 
     def replace_hosts(self, records: Iterable[HostRecord]) -> None:
-        """Take a new host list; an upstream that stays keeps what is known of it."""
+        """Take a new host list; an upstream that stays keeps what is known of it.
+
+        An upstream that is no longer listed gets no new work, unless the list names no live one of
+        its model or service: then its heartbeats count, so that a broken list stops nothing.
+        """
         entries: dict[str, HostRecord] = {}
         upstreams: dict[str, UpstreamState] = {}
         for record in records:
@@ -182,6 +191,7 @@
         for state in upstreams.values():
             by_key.setdefault((state.record.kind, state.record.name), []).append(state)
         self._upstreams_by_key = by_key
+        self._covered_hosts = self._find_covered()
 
     def _keep_vanished(self, listed: dict[str, UpstreamState]) -> dict[str, UpstreamState]:
         """Return the upstreams with an open stream that a new host list no longer names."""
@@ -191,9 +201,17 @@
             if state.peer is not None and not state.peer.is_closed
         }
         vanished = {host: state for host, state in connected.items() if host not in listed}
-        if len(vanished) <= MAX_VANISHED_FRACTION * len(connected):
-            for state in vanished.values():
-                # Its stream carries requests in progress; it is kept until the peer closes it.
+        if len(vanished) > MAX_VANISHED_FRACTION * len(connected):
+            return vanished
+        served = {
+            (state.record.kind, state.record.name)
+            for state in listed.values()
+            if state.record.state == "live"
+        }
+        for state in vanished.values():
+            # Its stream carries requests in progress; it is kept until the peer closes it. The
+            # last upstream of a model or service stays in use.
+            if (state.record.kind, state.record.name) in served:
                 state.record = replace(state.record, state="leaving")
         return vanished
 
@@ -257,6 +275,24 @@
         chosen = sorted(hosts, key=lambda host: hash_rendezvous(zone, host))[:WATCHERS]
         return self._host in chosen
 
+    def _find_covered(self) -> frozenset[str]:
+        """Return the upstreams of the availability zone that this host must hold a stream to."""
+        zone = self._availability_zone
+        entries = {
+            record.host
+            for record in self._entries_by_host.values()
+            if record.availability_zone == zone and record.state == "live"
+        }
+        entries.add(self._host)
+        covered = set()
+        for state in self._upstreams_by_host.values():
+            if state.availability_zone == zone and state.record.state == "live":
+                mine = hash_rendezvous(self._host, state.host)
+                before = sum(hash_rendezvous(entry, state.host) < mine for entry in entries)
+                if before < COVERING_ENTRIES:
+                    covered.add(state.host)
+        return frozenset(covered)
+
     def _choose_subset(self, states: list[UpstreamState]) -> list[UpstreamState]:
         def is_busy(state: UpstreamState) -> bool:
             open_stream = state.peer is not None and not state.peer.is_closed
@@ -265,9 +301,11 @@
         live = [state for state in states if state.record.state == "live"]
         # A leaving one keeps its stream for as long as it holds it open.
         kept = [state for state in states if is_busy(state)]
-        live.sort(key=lambda state: hash_rendezvous(self._host, state.host))
+        covered = self._covered_hosts
+        live.sort(key=lambda s: (s.host not in covered, hash_rendezvous(self._host, s.host)))
         local = [s for s in live if s.availability_zone == self._availability_zone]
         remote = [s for s in live if s.availability_zone != self._availability_zone]
-        local_count = max(SUBSET_LOCAL, SUBSET_SIZE - len(remote))
+        covered_count = sum(state.host in covered for state in local)
+        local_count = max(SUBSET_LOCAL, SUBSET_SIZE - len(remote), covered_count)
         chosen = local[:local_count]
         return chosen + remote[: SUBSET_SIZE - len(chosen)] + kept
--- a/tests/_virtual_time.py
+++ b/tests/_virtual_time.py
@@ -1,44 +1,19 @@
-"""Runs coroutines in simulated time: waits take no time and give the same order in every run."""
+"""Runs tests in simulated time."""
 
-import asyncio
-import random
-from collections.abc import Coroutine
+import functools
+from collections.abc import Callable, Coroutine
 from typing import Any
 
+from bench.virtual_time import LoopClock, run_in_virtual_time
 
-class _VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock jumps to the next timer when nothing else is ready."""
+__all__ = ["LoopClock", "in_virtual_time"]
 
-    def __init__(self) -> None:
-        super().__init__()
-        self._now = 0.0
-        selector: Any = self._selector  # type: ignore[attr-defined]
-        select = selector.select
 
-        def jump(timeout: float | None = None) -> Any:
-            if timeout is None:
-                raise RuntimeError("every task waits for something that cannot happen")
-            self._now += timeout
-            return select(0)
+def in_virtual_time(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    """Run a test in simulated time with seeded jitter."""
 
-        selector.select = jump
+    @functools.wraps(test)
+    def run(*args: Any, **options: Any) -> None:
+        run_in_virtual_time(test(*args, **options))
 
-    def time(self) -> float:
-        return self._now
-
-
-class LoopClock:
-    """Reads the simulated time of the running loop."""
-
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall(self) -> float:
-        return asyncio.get_running_loop().time()
-
-
-def run(coroutine: Coroutine[Any, Any, None], *, seed: int = 1) -> None:
-    """Run a coroutine in simulated time with seeded jitter."""
-    random.seed(seed)
-    with asyncio.Runner(loop_factory=_VirtualTimeLoop) as runner:
-        runner.run(coroutine)
+    return run
--- a/tests/test_chunk_plan.py
+++ b/tests/test_chunk_plan.py
@@ -100,19 +100,6 @@
             assert host.plan.manifest is simulation.manifest
 
 
-def test_origin_is_asked_again_when_every_host_avoids_it() -> None:
-    planned = _Planned(peers=2, in_flight=99, in_flight_at_origin=99)
-    for host in ("h1", "h2"):
-        planned.have(host, 0)
-    fetch = planned.plan.choose_fetches()[0]
-    planned.plan.note_corrupt(fetch.digest, ORIGIN)
-    planned.clock.advance(1.5)
-    assert planned.choose() == [], "other hosts fetch from the origin"
-    for host in ("h1", "h2"):
-        planned.have(host, 0, fetches=False)
-    assert {fetch.source for fetch in planned.choose()} == {ORIGIN}
-
-
 @pytest.mark.parametrize("number", [1, 2])
 def test_limits_hold_without_faults(number: int) -> None:
     scenario = _small("rollout", hosts=30, chunks=64)
@@ -283,3 +270,18 @@
 
 def test_bitmap_bytes_are_least_significant_first() -> None:
     assert encode_bitmap(0b1_0000_0001, 9) == b"\x01\x01"
+
+
+def test_origin_is_asked_again_soon_after_a_corrupt_chunk() -> None:
+    """The only origin must not be left out for a minute: every host would wait that long."""
+    planned = _Planned(in_flight=1, in_flight_at_origin=1)
+    planned.plan.note_corrupt(planned.choose()[0].digest, ORIGIN)
+    assert planned.choose() == []
+    planned.clock.advance(1)
+    assert planned.choose()[0].source == ORIGIN
+
+
+def test_small_version_is_not_held_up_by_the_upload_budget() -> None:
+    planned = _Planned(held=_ALL, min_upload_bytes=1_000_000)
+    answers = {planned.plan.decide_upload(d, queued=0) for d in _DIGESTS * 3}
+    assert answers == {""}
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -38,6 +38,8 @@
 _LAST_PORT = 31_000
 #: Longest wait for a process to answer after its start, in seconds.
 START_TIMEOUT_S = 60.0
+#: Longest wait for a daemon to take work: 99 engines needed 50 s for their first version.
+READY_TIMEOUT_S = 180.0
 #: Time that a process has to end after SIGTERM before it gets SIGKILL, in seconds.
 STOP_TIMEOUT_S = 20.0
 
@@ -59,6 +61,7 @@
     :param count: upstreams in each availability zone.
     :param options: options of the stand-in, such as ``("--slots", "8")``.
     :param settings: extra keys of the daemon's ``[upstream]`` table.
+    :param standins: stand-ins that the upstreams of a zone share in turn; 0 gives each its own.
     """
 
     kind: str
@@ -66,6 +69,7 @@
     count: int
     options: tuple[str, ...] = ()
     settings: dict[str, Any] = field(default_factory=dict)
+    standins: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -325,7 +329,7 @@
             if self._table is not None:
                 self.load_table(self._table)
             for process in self.list_processes("entry", "upstream"):
-                self._wait_for(process, "/health/ready")
+                self._wait_for(process, "/health/ready", timeout_s=READY_TIMEOUT_S)
         except BaseException:
             self.stop()
             raise
@@ -352,10 +356,20 @@
             numbers: Counter[str] = Counter()
             for spec in self.upstreams:
                 # Two specs may serve one name with other options.
+                shared = [
+                    self._add_upstream_standin(zone, spec, f"{zone.name}-{spec.name}-s{number}")
+                    for number in range(1, spec.standins + 1)
+                ]
                 for _ in range(spec.count):
                     numbers[spec.name] += 1
-                    name = f"{zone.name}-{spec.name}-{numbers[spec.name]}"
-                    self._add_upstream(zone, spec, name)
+                    number = numbers[spec.name]
+                    name = f"{zone.name}-{spec.name}-{number}"
+                    address = (
+                        shared[number % len(shared)]
+                        if shared
+                        else self._add_upstream_standin(zone, spec, name)
+                    )
+                    self._add_upstream(zone, spec, name, address)
         return self.processes_by_name
 
     def start_standins(self) -> None:
@@ -517,10 +531,12 @@
                 start_new_session=True,
             )
 
-    def _wait_for(self, process: ManagedProcess, path: str) -> None:
+    def _wait_for(
+        self, process: ManagedProcess, path: str, *, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
         """Wait for any HTTP answer of a stand-in, or status 200 of a daemon's health page."""
         listener = "http" if "http" in process.ports else "admin"
-        end = time.monotonic() + START_TIMEOUT_S
+        end = time.monotonic() + timeout_s
         status = 0
         while time.monotonic() < end and process.is_running:
             status, _ = request_json(
@@ -556,10 +572,12 @@
         ports = {key: self._ports.reserve() for key in ("caller", "peer", "admin")}
         self._add_daemon(zone, name, "entry", ports, {})
 
-    def _add_upstream(self, zone: ZoneSpec, spec: UpstreamSpec, name: str) -> None:
+    def _add_upstream_standin(self, zone: ZoneSpec, spec: UpstreamSpec, name: str) -> str:
         # The engine answers only to its model name.
         options = ("--name", spec.name, *spec.options) if spec.kind == "engine" else spec.options
-        address = self._add_standin(f"{name}-{spec.kind}", spec.kind, options, zone.name)
+        return self._add_standin(f"{name}-{spec.kind}", spec.kind, options, zone.name)
+
+    def _add_upstream(self, zone: ZoneSpec, spec: UpstreamSpec, name: str, address: str) -> None:
         upstream = {"kind": spec.kind, "name": spec.name, "address": address, **spec.settings}
         ports = {key: self._ports.reserve() for key in ("peer", "admin")}
         self._add_daemon(zone, name, "upstream", ports, {"upstream": upstream})
