Add the partition scenario with relays at the border of a zone

Cause: a cut availability zone was only covered in simulated time. Change: bench partition cuts a zone from the other zone, store, origin and host list by relays of the bench, and joins it; launcher zones may have their own ways to the platform.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
     churn,
     control,
     floods,
+    partition,
     rollouts,
     scenarios,
     tables,
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -75,9 +75,9 @@
         directory.mkdir(parents=True, exist_ok=True)
         table = directory / "table.csv"
         table.write_text(render_table(spec.extra_rows), encoding="utf-8")
-        upstreams = [_make_engines(spec.engines)]
+        upstreams = [make_engines(spec.engines)]
         if spec.ignore_fencing:
-            upstreams.append(_make_engines(spec.ignore_fencing, ignore_fencing=True))
+            upstreams.append(make_engines(spec.ignore_fencing, ignore_fencing=True))
         if spec.services:
             upstreams.append(UpstreamSpec(kind="service", name="ledger", count=spec.services))
         deployment = Deployment(
@@ -96,7 +96,8 @@
             yield deployment
 
 
-def _make_engines(count: int, *, ignore_fencing: bool = False) -> UpstreamSpec:
+def make_engines(count: int, *, ignore_fencing: bool = False) -> UpstreamSpec:
+    """Return engines of the bench model."""
     options = {
         "--slots": SLOTS,
         "--token-ms": TOKEN_MS,
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -72,10 +72,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ZoneSpec:
-    """An availability zone and its region."""
+    """An availability zone and its region.
+
+    :param platform: base URLs by which its daemons reach ``store``, ``host_list`` and ``origin``,
+        where they differ from those of the stand-ins.
+    """
 
     name: str
     region: str
+    platform: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -298,6 +303,11 @@
         """Return the PEM file of the authority of the daemons, None without TLS."""
         return self.directory / "tls" / "authority.pem" if self._tls else None
 
+    @property
+    def hosts(self) -> list[dict[str, Any]]:
+        """Return the records of the host list; call :meth:`prepare` first."""
+        return [dict(record) for record in self._hosts]
+
     @property
     def operator_headers(self) -> dict[str, str]:
         """Return the headers of the first operator for the administration API."""
@@ -624,7 +634,8 @@
         extra: dict[str, dict[str, Any]],
     ) -> dict[str, Any]:
         store, hosts, origin = (
-            self.processes_by_name[key].url("http") for key in ("store", "host_list", "origin")
+            zone.platform.get(key) or self.processes_by_name[key].url("http")
+            for key in ("store", "host_list", "origin")
         )
         values: dict[str, Any] = {
             "secrets_file": "secrets.toml",
