Refuse an edit to a version that the origin does not have

Cause: the editor's check of versions was not wired; an unknown version was accepted and only later shown as not met. Change: an entry host with [weights] reads the manifest before it commits a version cell; a version of another model is refused too; without an answer of the origin the edit goes on. Conclusion: operators learn of a mistyped version at once.

--- a/sycamoreproxy/admin_commands.py
+++ b/sycamoreproxy/admin_commands.py
@@ -10,14 +10,17 @@
 
 from sycamoreproxy.admin_queries import refuse
 from sycamoreproxy.logs import get_logger
+from sycamoreproxy.origins import OriginError, VersionUnknownError
 from sycamoreproxy.result_codes import (
     INTERNAL,
     INVALID_FIELD,
+    TABLE_INVALID,
     TABLE_OUTCOME_UNKNOWN,
     Executed,
     Refusal,
 )
 from sycamoreproxy.table_commands import MAX_EDITS, Accepted, CellEdit, EditFailure
+from sycamoreproxy.weights import Manifest
 
 #: Longest wait for the store before the outcome is reported as unknown, in seconds.
 COMMIT_TIMEOUT_S = 15.0
@@ -35,14 +38,27 @@
         """Commit all edits or none; the editor checks names, values and the change id."""
 
 
+class ManifestReader(Protocol):
+    """Reads what a version consists of; see ``origins.Origin``."""
+
+    async def read_manifest(self, version: str) -> Manifest:
+        """Return the manifest of a version.
+
+        :raises VersionUnknownError: if there is no such version.
+        :raises OriginError: if there is no usable answer in time.
+        """
+
+
 class TableCommands:
     """Changes the table.
 
     :param editor: commits to the store.
+    :param origin: tells whether a version exists; None accepts every version.
     """
 
-    def __init__(self, *, editor: Editor) -> None:
+    def __init__(self, *, editor: Editor, origin: ManifestReader | None = None) -> None:
         self._editor = editor
+        self._origin = origin
         # A commit whose caller gave up still runs; the set keeps its task from being collected.
         self._commits: set[asyncio.Task[Result[Accepted, EditFailure]]] = set()
 
@@ -58,6 +74,9 @@
             change_id, edits = parse_edits(body)
         except ValueError as error:
             return Failure(EditFailure(refuse(INVALID_FIELD, str(error)), ()))
+        unknown = await self._find_unknown_version(edits)
+        if unknown:
+            return Failure(EditFailure(refuse(TABLE_INVALID, unknown), ()))
         commit = asyncio.create_task(
             self._editor.commit(edits, operator=operator, change_id=change_id)
         )
@@ -76,6 +95,28 @@
             _log.exception("commit failed", change_id=change_id, operator=operator)
             return Failure(EditFailure(Refusal(INTERNAL, Executed.UNKNOWN), ()))
 
+    async def _find_unknown_version(self, edits: Sequence[CellEdit]) -> str:
+        """Return a sentence about the first version that the origin does not have, or nothing.
+
+        Without an answer of the origin the edit goes on: the status of the revision names every
+        version that can't be loaded.
+        """
+        if self._origin is None:
+            return ""
+        for edit in edits:
+            if edit.cell != "version" or not edit.value:
+                continue
+            try:
+                manifest = await self._origin.read_manifest(edit.value)
+            except VersionUnknownError:
+                return f"The origin has no version {edit.value!r}."
+            except OriginError as error:
+                _log.warning("version not checked", version=edit.value, error=str(error))
+                continue
+            if manifest.model != edit.model:
+                return f"Version {edit.value!r} belongs to model {manifest.model!r}."
+        return ""
+
 
 def parse_edits(body: Any) -> tuple[str, tuple[CellEdit, ...]]:
     """Return the change id and the edits of a request body.
--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -20,6 +20,7 @@
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import Hello
 from sycamoreproxy.metrics import VIOLATIONS
+from sycamoreproxy.origins import Origin, origins
 from sycamoreproxy.peers import PeerHub
 from sycamoreproxy.registry import Registry
 from sycamoreproxy.settings import Settings, make_client_tls, make_server_tls
@@ -37,6 +38,10 @@
 #: What a host's link carries in this time, in seconds, may be uploaded of any version.
 SMALL_UPLOAD_S = 1.0
 
+#: Longest wait for a manifest while an operator waits, and for one chunk, in seconds.
+ORIGIN_TIMEOUT_S = 2.0
+CHUNK_TIMEOUT_S = 10.0
+
 _log = get_logger("composition")
 
 
@@ -123,7 +128,7 @@
                 reader=TableReader(store=self.store, prefix=prefix),
                 census=census,
             ),
-            commands=TableCommands(editor=editor),
+            commands=TableCommands(editor=editor, origin=self._build_origin()),
             dump=self.dump,
             readiness=explain_not_ready,
         )
@@ -132,6 +137,12 @@
             tls=make_server_tls(self.settings.tls, mutual=False),
         )
 
+    def _build_origin(self) -> Origin | None:
+        weights = self.settings.weights
+        if weights is None:
+            return None
+        return origins.get(weights.adapter)(weights.origin, ORIGIN_TIMEOUT_S)
+
     def _describe_table(self) -> dict[str, object]:
         view = self.replica.view
         return {
@@ -304,7 +315,6 @@
     from sycamoreproxy._engine_control import HttpEngineControl
     from sycamoreproxy.chunk_plan import PlanLimits
     from sycamoreproxy.engine_orders import EngineOwner
-    from sycamoreproxy.origins import origins
     from sycamoreproxy.weight_transfer import WeightTransfer
     from sycamoreproxy.weights import ChunkStore
 
@@ -322,7 +332,7 @@
     transfer = WeightTransfer(
         hub=parts.hub,
         chunks=chunks,
-        origin=origins.get(weights.adapter)(weights.origin, 10.0),
+        origin=origins.get(weights.adapter)(weights.origin, CHUNK_TIMEOUT_S),
         hosts=list_engines,
         limits=PlanLimits(bytes_per_s=weight_rate, min_upload_bytes=weight_rate * SMALL_UPLOAD_S),
         clock=parts.clock,
--- a/sycamoreproxy/settings.py
+++ b/sycamoreproxy/settings.py
@@ -121,6 +121,8 @@
 class WeightSettings:
     """Where weights come from and how fast links may be used for them.
 
+    An entry host with these settings refuses table edits to versions that the origin lacks.
+
     :param origin: base URL of the origin.
     :param link_bytes_per_s: rate of this host's link, each way, for weights and live traffic.
     :param live_fraction: part of the link kept for live requests.
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -652,7 +652,8 @@
             "limits": {"list_lag_s": 1.0, "start_quiet_s": 1.0},
             "tls": self._make_tls(name),
         }
-        if extra.get("upstream", {}).get("kind") == "engine":
+        # An entry host checks versions in table edits against the origin.
+        if role == "entry" or extra.get("upstream", {}).get("kind") == "engine":
             values["weights"] = {"origin": origin}
         for table, items in (*extra.items(), *self._settings.items()):
             # An option for weights or the engine does not turn an entry host into an upstream.
