Keep one adapter for orders to an engine

Cause: state, chunks and load stood twice, in engines.py (unused) and _engine_control.py; the latter was not chosen from a registry by name.

--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -41,6 +41,8 @@
 #: Longest wait for a manifest while an operator waits, and for one chunk, in seconds.
 ORIGIN_TIMEOUT_S = 2.0
 CHUNK_TIMEOUT_S = 10.0
+#: Longest wait for an answer of an engine's control calls except that of a load, in seconds.
+CONTROL_TIMEOUT_S = 5.0
 
 _log = get_logger("composition")
 
@@ -312,8 +314,8 @@
 
 def _build_weights(parts: CommonParts) -> tuple[EngineOwner, WeightTransfer]:
     """Return the parts that bring weights into the engine."""
-    from sycamoreproxy._engine_control import HttpEngineControl
     from sycamoreproxy.chunk_plan import PlanLimits
+    from sycamoreproxy.engine_control import engine_controls
     from sycamoreproxy.engine_orders import EngineOwner
     from sycamoreproxy.weight_transfer import WeightTransfer
     from sycamoreproxy.weights import ChunkStore
@@ -345,8 +347,8 @@
         prefix=settings.store.prefix,
         process_id=parts.hello.process_id,
         store=parts.store,
-        engine=HttpEngineControl(
-            upstream.address, timeout_s=5.0, order_timeout_s=upstream.order_timeout_s
+        engine=engine_controls.get(upstream.control_adapter)(
+            upstream.address, CONTROL_TIMEOUT_S, upstream.order_timeout_s
         ),
         chunks=chunks,
         transfer=transfer,
--- a/sycamoreproxy/_engine_control.py
+++ b/sycamoreproxy/engine_control.py
@@ -1,11 +1,14 @@
-"""Control calls to an engine over HTTP, and the protocol that :mod:`engine_orders` needs."""
+"""Orders to an engine: protocol of the adapters, their registry, and the adapter ``http-json``."""
 
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from sycamoreproxy.registry import Registry
+
 
 class EngineUnreachableError(Exception):
     """The order certainly did not reach the engine."""
@@ -75,6 +78,13 @@
         """Load a version and return the version and digest that the engine confirms."""
 
 
+#: Factories ``(address, timeout_s, order_timeout_s) -> EngineControl`` by adapter name.
+engine_controls: Registry[Callable[[str, float, float], EngineControl]] = Registry(
+    "engine control adapter"
+)
+
+
+@engine_controls.register("http-json")
 class HttpEngineControl:
     """Calls ``/control/...`` of section 12 of the design.
 
@@ -83,7 +93,7 @@
     :param order_timeout_s: longest wait for the answer of a load, in seconds.
     """
 
-    def __init__(self, address: str, *, timeout_s: float, order_timeout_s: float) -> None:
+    def __init__(self, address: str, timeout_s: float, order_timeout_s: float) -> None:
         from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4)
--- a/sycamoreproxy/engine_orders.py
+++ b/sycamoreproxy/engine_orders.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from sycamoreproxy._engine_control import (
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.engine_control import (
     EngineAnswerLostError,
     EngineControl,
     EngineState,
@@ -17,7 +18,6 @@
     LoadOrder,
     OrderRefusedError,
 )
-from sycamoreproxy.clock import Clock
 from sycamoreproxy.host_list import HostRecord
 from sycamoreproxy.invariants import InvariantViolationError, check_invariant
 from sycamoreproxy.logs import get_logger
--- a/sycamoreproxy/engines.py
+++ b/sycamoreproxy/engines.py
@@ -17,7 +17,6 @@
 from sycamoreproxy.result_codes import (
     ANSWER_INCOMPLETE,
     MIXED_VERSIONS,
-    ORDER_REFUSED,
     UPSTREAM_FAILED,
     UPSTREAM_LOST,
     Executed,
@@ -33,20 +32,8 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
-class EngineUnreachableError(Exception):
-    """A control call had no usable answer; an order may have taken effect."""
-
-
-class OrderRefusedError(Exception):
-    """The engine refused an order and did not carry it out.
-
-    :param status: 409 for an old fencing token, 422 for absent chunks.
-    """
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(f"{ORDER_REFUSED.name}: status {status}: {detail}")
-        self.status = status
-        self.detail = detail
+class EngineReportError(Exception):
+    """A cancellation or a load report had no usable answer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,35 +51,6 @@
     cached_prefixes: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class EngineState:
-    """What an engine has loaded.
-
-    :param fence: highest fencing token seen.
-    """
-
-    version: str
-    digest: str
-    fence: int = 0
-    loading: bool = False
-    adapters: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class LoadOrder:
-    """Order to load a version.
-
-    :param chunks: digests of the chunks in order.
-    :param fence: fencing token of the sender.
-    """
-
-    version: str
-    digest: str
-    chunks: tuple[str, ...]
-    adapters: tuple[str, ...] = ()
-    fence: int = 0
-
-
 class Engine(Protocol):
     """A model engine on the same host."""
 
@@ -105,39 +63,13 @@
     async def cancel(self, request_id: str) -> None:
         """Free the slot of a request; an unknown ID has no effect.
 
-        :raises EngineUnreachableError: if the engine gave no answer.
+        :raises EngineReportError: if the engine gave no answer.
         """
 
     async def read_report(self) -> EngineReport:
         """Return the load report.
 
-        :raises EngineUnreachableError: if there is no usable answer.
-        """
-
-    async def read_state(self) -> EngineState:
-        """Return what is loaded.
-
-        :raises EngineUnreachableError: if there is no usable answer.
-        """
-
-    async def list_chunks(self) -> frozenset[str]:
-        """Return the digests of the chunks held.
-
-        :raises EngineUnreachableError: if there is no usable answer.
-        """
-
-    async def put_chunk(self, digest: str, data: bytes) -> None:
-        """Hand over a chunk.
-
-        :raises EngineUnreachableError: if there is no usable answer.
-        :raises OrderRefusedError: if the engine refuses the chunk.
-        """
-
-    async def load(self, order: LoadOrder, *, timeout_s: float) -> EngineState:
-        """Load a version; return what the engine confirmed.
-
-        :raises EngineUnreachableError: if there is no answer in time; the order may take effect.
-        :raises OrderRefusedError: if the engine refused and changed nothing.
+        :raises EngineReportError: if there is no usable answer.
         """
 
     def close(self) -> None:
@@ -212,47 +144,6 @@
             cached_prefixes=int(value.get("cached_prefixes", 0)),
         )
 
-    async def read_state(self) -> EngineState:
-        """Return what is loaded."""
-        value = await self._control("GET", "/control/state")
-        return EngineState(
-            version=str(value.get("version", "")),
-            digest=str(value.get("digest", "")),
-            fence=int(value.get("fence", 0)),
-            loading=bool(value.get("loading", False)),
-            adapters=tuple(str(item) for item in value.get("adapters", ())),
-        )
-
-    async def list_chunks(self) -> frozenset[str]:
-        """Return the digests of the chunks held."""
-        value = await self._control("GET", "/control/chunks")
-        return frozenset(str(item) for item in value.get("chunks", ()))
-
-    async def put_chunk(self, digest: str, data: bytes) -> None:
-        """Hand over a chunk."""
-        await self._control("PUT", f"/control/chunks/{digest}", data)
-
-    async def load(self, order: LoadOrder, *, timeout_s: float) -> EngineState:
-        """Load a version; return what the engine confirmed."""
-        value = await self._control(
-            "POST",
-            "/control/load",
-            {
-                "version": order.version,
-                "digest": order.digest,
-                "chunks": list(order.chunks),
-                "adapters": list(order.adapters),
-                "fence": order.fence,
-            },
-            timeout_s=timeout_s,
-        )
-        return EngineState(
-            version=str(value.get("version", "")),
-            digest=str(value.get("digest", "")),
-            fence=order.fence,
-            adapters=order.adapters,
-        )
-
     def close(self) -> None:
         """Release connections."""
         for task in self._cancels:
@@ -267,30 +158,24 @@
     async def _cancel_quietly(self, request_id: str) -> None:
         try:
             await self.cancel(request_id)
-        except (EngineUnreachableError, OrderRefusedError):
+        except EngineReportError:
             # The closed connection frees the slot as well, later.
             return
 
-    async def _control(
-        self, method: str, path: str, content: Any = None, *, timeout_s: float | None = None
-    ) -> dict[str, Any]:
-        body = b""
-        if content is not None:
-            body = content if isinstance(content, bytes) else json.dumps(content).encode()
+    async def _control(self, method: str, path: str, content: Any = None) -> dict[str, Any]:
+        body = b"" if content is None else json.dumps(content).encode()
         try:
             status, _, data = await self._client.fetch(
                 method=method,
                 path=path,
                 body=body,
-                timeout_s=self._control_timeout_s if timeout_s is None else timeout_s,
+                timeout_s=self._control_timeout_s,
             )
-            value = json.loads(data) if status < 500 else None
+            value = json.loads(data) if status < 400 else None
         except (NotSentError, AnswerLostError, ValueError) as error:
-            raise EngineUnreachableError(f"{path}: {error}") from error
-        if status >= 500 or not isinstance(value, dict):
-            raise EngineUnreachableError(f"{path}: status {status}")
-        if status >= 400:
-            raise OrderRefusedError(status, str(value.get("error", ""))[:200])
+            raise EngineReportError(f"{path}: {error}") from error
+        if not isinstance(value, dict):
+            raise EngineReportError(f"{path}: status {status}")
         return value
 
 
--- a/sycamoreproxy/settings.py
+++ b/sycamoreproxy/settings.py
@@ -141,6 +141,8 @@
     :param kind: ``engine`` or ``service``.
     :param name: model or service name.
     :param address: base URL of the engine or service.
+    :param adapter: how requests reach it; empty for ``openai`` or ``http`` by kind.
+    :param control_adapter: how orders reach an engine.
     :param checks_fencing: whether the engine refuses an order with an old fencing number.
     :param window: requests given to the engine at once, at start.
     :param order_timeout_s: longest time an engine order can take effect after it was sent.
@@ -151,6 +153,7 @@
     name: str
     address: str
     adapter: str = ""
+    control_adapter: str = "http-json"
     checks_fencing: bool = True
     window: int = 8
     max_window: int = 256
--- a/sycamoreproxy/upstream_role.py
+++ b/sycamoreproxy/upstream_role.py
@@ -12,7 +12,7 @@
 from sycamoreproxy.admission import AdmissionQueue, SharePolicy, Ticket, choose_priority
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_window import EngineWindow
-from sycamoreproxy.engines import Engine, EngineUnreachableError, OrderRefusedError
+from sycamoreproxy.engines import Engine, EngineReportError
 from sycamoreproxy.invariants import InvariantViolationError, check_invariant
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import (
@@ -568,7 +568,7 @@
             await asyncio.sleep(STATUS_PERIOD_S)
             try:
                 report = await engine.read_report()
-            except (EngineUnreachableError, OrderRefusedError):
+            except EngineReportError:
                 continue
             self._window.add_report(
                 running=report.running, waiting=report.waiting, gap_ms=report.gap_ms
--- a/tests/_weight_fakes.py
+++ b/tests/_weight_fakes.py
@@ -6,7 +6,7 @@
 import hashlib
 from collections.abc import Iterable
 
-from sycamoreproxy._engine_control import (
+from sycamoreproxy.engine_control import (
     EngineAnswerLostError,
     EngineState,
     EngineUnreachableError,
--- a/tests/test_engine_control.py
+++ b/tests/test_engine_control.py
@@ -12,7 +12,7 @@
 from standins._engine_model import EngineTiming
 from standins._server import Faults
 from standins.engine import StandinEngine, make_routes
-from sycamoreproxy._engine_control import (
+from sycamoreproxy.engine_control import (
     EngineUnreachableError,
     HttpEngineControl,
     LoadOrder,
--- a/tests/test_engine_standin.py
+++ b/tests/test_engine_standin.py
@@ -8,7 +8,7 @@
 import pytest
 
 from standins._engine_model import EngineModel, EngineTiming
-from sycamoreproxy.engines import LoadOrder, OpenAiEngine, OrderRefusedError
+from sycamoreproxy.engine_control import HttpEngineControl, LoadOrder, OrderRefusedError
 from sycamoreproxy.messages import Finish
 from tests._upstream import run_deployment, wait_until
 
@@ -54,11 +54,11 @@
 def test_orders_follow_the_contract() -> None:
     async def action() -> None:
         async with run_deployment() as deployment:
-            engine = OpenAiEngine(f"http://127.0.0.1:{deployment.port}", 5.0)
+            engine = HttpEngineControl(f"http://127.0.0.1:{deployment.port}", 5.0, 5.0)
             chunk = hashlib.sha256(b"chunk").hexdigest()
             order = LoadOrder("v2", "", (chunk,), ("a1",), fence=7)
             with pytest.raises(OrderRefusedError) as absent:
-                await engine.load(order, timeout_s=5.0)
+                await engine.load(order)
             assert absent.value.status == 422
             with pytest.raises(OrderRefusedError):
                 await engine.put_chunk(chunk, b"corrupt")
@@ -66,18 +66,17 @@
             assert await engine.list_chunks() == {chunk}
             deployment.submit("a", b'{"prompt":"x","max_tokens":50,"stream":true}')
             await wait_until(lambda: deployment.engine._answers_by_id)
-            state = await engine.load(order, timeout_s=5.0)
-            assert state.digest == hashlib.sha256(chunk.encode()).hexdigest()
+            loaded = await engine.load(order)
+            assert loaded == ("v2", hashlib.sha256(chunk.encode()).hexdigest())
             held = await engine.read_state()
             assert (held.version, held.fence, held.adapters) == ("v2", 7, ("a1",))
             with pytest.raises(OrderRefusedError) as old:
-                await engine.load(LoadOrder("v3", "", (chunk,), fence=6), timeout_s=5.0)
+                await engine.load(LoadOrder("v3", "", (chunk,), (), fence=6))
             assert old.value.status == 409
             # A request in progress ends with the version that it began with.
             end = await deployment.wait_end("a")
             assert isinstance(end, Finish)
             assert end.version == "v1"
             assert deployment.engine.records[-1]["version"] == "v1"
-            engine.close()
 
     asyncio.run(action())
