Prove a rollout by one edit and an outage of the store for 30 s

Cause: both were only shown in parts. Change: promises rollout-by-edit and store-outage, with sycamorectl as operators run it.

--- a/bench/proofs_of_state.py
+++ b/bench/proofs_of_state.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
+import sys
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -310,3 +313,68 @@
         if status != 200 or int(answer["revision"]) != revision:
             lost.append(change_id)
     return lost
+
+
+def run_ctl(entry: ManagedProcess, *arguments: str) -> tuple[int, str]:
+    """Run ``sycamorectl`` as an operator would; return its exit status and output."""
+    run = subprocess.run(
+        [sys.executable, "-m", "sycamoreproxy.ctl", *arguments, "--admin", entry.url("admin")],
+        env={**os.environ, "SYCAMORE_TOKEN": example_key("operator")},
+        capture_output=True,
+        text=True,
+        timeout=90,
+        check=False,
+    )
+    return run.returncode, (run.stdout + run.stderr).strip()
+
+
+@promises.register("rollout-by-edit")
+def prove_rollout_by_edit(check: Checker, seed: int) -> None:
+    """One ``sycamorectl table set`` brings a new version into every replica; nothing is refused."""
+    arrivals = make_streams(seed, rate=12.0, seconds=25.0, tokens=30)
+    samples: list[Sample] = []
+    with start_fleet(FleetSpec(engines=4, entries=2), seed=seed) as deployment:
+        deployment.create_version(
+            VersionSpec(model=MODEL, version="v2", total_bytes=4_000_000, seed=2)
+        )
+        entry = deployment.list_processes("entry")[0]
+        with load_in_background(deployment, arrivals, samples):
+            time.sleep(3.0)
+            status, text = run_ctl(entry, "table", "set", MODEL, "*", "*", "version=v2")
+            check.expect("the edit was accepted", status == 0, output=text)
+            status, text = run_ctl(entry, "table", "status", "--met", "--wait", "40")
+            check.expect("the status ends at N of N", status == 0, output=text)
+        served = _wait_for_version(deployment, "v2", timeout_s=1.0)
+        check.expect("every replica serves it", served)
+    mixed = [item for item in samples if len(item.versions) > 1]
+    check.expect("no answer mixed versions", not mixed)
+    seen = sorted({v for s in samples for v in s.versions})
+    check.expect("both versions answered", seen == ["v1", "v2"], versions=seen)
+    results = count_results(samples)
+    check.expect("no request was refused", results.get("whole") == len(samples), **results)
+
+
+@promises.register("store-outage")
+def prove_store_outage(check: Checker, seed: int) -> None:
+    """The store is down for 30 s: requests flow, an edit is reported plainly, nothing reverts."""
+    arrivals = make_streams(seed, rate=8.0, seconds=40.0, tokens=20)
+    samples: list[Sample] = []
+    with start_fleet(FleetSpec(engines=3, entries=2), seed=seed) as deployment:
+        entry = deployment.list_processes("entry")[0]
+        daemons = deployment.list_processes("entry", "upstream")
+        with RevisionWatch(daemons) as watch, load_in_background(deployment, arrivals, samples):
+            time.sleep(2.0)
+            deployment.set_faults("store", {"down": True})
+            time.sleep(2.0)
+            status, text = run_ctl(entry, "table", "set", MODEL, "*", "batch", "weight=3")
+            check.expect("an edit is reported as not accepted", status not in (0, 3), output=text)
+            time.sleep(28.0)
+            deployment.set_faults("store", {})
+            time.sleep(3.0)
+            status, text = run_ctl(entry, "table", "set", MODEL, "*", "batch", "weight=3")
+            check.expect("an edit is accepted afterwards", status == 0, output=text)
+            reached = _wait_for_revision(daemons, 2, timeout_s=5.0)
+            check.expect("it is in force everywhere within 5 s", reached)
+        check.expect("nothing fell back", not watch.falls, reads=watch.reads)
+    results = count_results(samples)
+    check.expect("every answer is whole", results.get("whole") == len(samples), **results)
