Give the service fleet of the bench a version at the origin

Cause: bench table did not start: its table names a version that the origin lacked, and entry hosts now refuse such an edit with 1502. Change: the fleet offers the version.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -137,6 +137,8 @@
                 UpstreamSpec(kind="service", name="ledger", count=processes - entries, standins=2)
             ],
             entries=entries,
+            # The table names the version, and an entry host asks the origin for it.
+            versions=(VersionSpec(model=MODEL, version=VERSION, total_bytes=1_000_000),),
             table=table,
             client_accounts=[
                 {"name": name, "key_sha256": [digest_key(key_of(name))]} for name in ACCOUNTS
