--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,7 +14,7 @@
     scenarios,
     tables,
 )
-from bench.rows import Recorder
+from bench.rows import Recorder, end_on_sigterm
 from bench.scenarios import scenarios as registry
 
 
@@ -24,6 +24,7 @@
     parser.add_argument("scenario", nargs="?", default="", help=", ".join(registry.list_names()))
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
+    end_on_sigterm()
     names = [options.scenario] if options.scenario else registry.list_names()
     met = True
     for name in names:
--- a/bench/prove.py
+++ b/bench/prove.py
@@ -7,6 +7,7 @@
 
 from bench import proofs, proofs_of_state  # noqa: F401  both register their promises
 from bench.promises import Checker, promises
+from bench.rows import end_on_sigterm
 
 
 def main() -> int:
@@ -15,6 +16,7 @@
     parser.add_argument("promise", nargs="?", default="", help=", ".join(promises.list_names()))
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
+    end_on_sigterm()
     names = [options.promise] if options.promise else promises.list_names()
     held = True
     for name in names:
--- a/bench/rows.py
+++ b/bench/rows.py
@@ -4,6 +4,8 @@
 
 import json
 import math
+import signal
+import sys
 from dataclasses import dataclass
 
 
@@ -37,6 +39,11 @@
     return value
 
 
+def end_on_sigterm() -> None:
+    """Let SIGTERM end the program as an exception, so that deployments end their processes."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
+
+
 class Recorder:
     """Prints rows as they come and keeps them.
 
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -751,10 +751,12 @@
         f" -H 'Authorization: Bearer {example_key(account)}'"
         f" -H 'Content-Type: application/json' -d '{body}'"
     )
+    # Outside the virtual environment the command is not on the path.
+    command = shutil.which("sycamorectl") or Path(sys.executable).with_name("sycamorectl")
     print("Read the table:")
     print(
         f"  SYCAMORE_TOKEN={example_key(deployment.operators[0])}"
-        f" sycamorectl table get --admin {entry.url('admin')}"
+        f" {command} table get --admin {entry.url('admin')}"
     )
 
 
