Repeat a started stream without output elsewhere

Change: a started stream without output for 30% of its time left is given up if the retry budget has a spare and another upstream can answer in time; nothing had reached the caller. Plain answers are left alone, since their first byte comes only at their end.

--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -43,6 +43,10 @@
 #: :data:`SOON_MS`: a part of the time left, so that the rest is enough for another upstream.
 SILENT_SOON_PART = 0.3
 SILENT_SOON_MIN_S = 0.25
+#: Part of the time left after which a started stream without output is repeated elsewhere, and
+#: its shortest value in seconds. An engine that stalled for 4 s kept urgent requests for 2 to 4 s.
+STALL_PART = 0.3
+STALL_MIN_S = 0.25
 SOON_MS = 100.0
 #: Longest time of one attempt, in seconds; borrowed concurrency in ``limits`` relies on it.
 ATTEMPT_LIMIT_S = 300.0
@@ -182,18 +186,22 @@
     :param started_at: when the request was taken on, by the event loop's clock.
     :param deadline: end of the time to the first output, by the event loop's clock.
     :param silent_s: when an upstream that sent nothing is given up, in seconds from now.
+    :param may_move: tells whether another upstream could answer in time and a repeat is allowed.
     :param on_silent: called when that happens.
     """
 
     __slots__ = (
+        "_deadline",
         "_is_kept",
         "_kept",
         "_last_limit",
         "_limit",
         "_loop",
+        "_may_move",
         "_on_silent",
         "_request",
         "_silent_at",
+        "_stalled_at",
         "_started_at",
         "_submitted_at",
         "_timer",
@@ -214,11 +222,15 @@
         deadline: float,
         silent_s: float,
         on_silent: Callable[[], None],
+        may_move: Callable[[], bool],
     ) -> None:
         self._on_silent = on_silent
+        self._may_move = may_move
+        self._stalled_at = math.inf
         self._started_at = started_at
         self._loop = asyncio.get_running_loop()
         self._request = request
+        self._deadline = deadline
         self._limit = deadline + DEADLINE_GRACE_S
         self._last_limit = self._loop.time() + ATTEMPT_LIMIT_S
         self._kept = bytearray()
@@ -238,6 +250,9 @@
         """Extend the limit of an engine's work; a service must answer within the deadline."""
         self.has_started = True
         if self._request.kind == "engine":
+            now = self._loop.time()
+            stall_s = max(STALL_MIN_S, STALL_PART * (self._deadline - now))
+            self._stalled_at = now + stall_s
             self._limit = max(self._limit, self._loop.time() + STARTED_LIMIT_S)
 
     def on_head(self, status: int, headers: Pairs, version: str) -> None:
@@ -316,6 +331,11 @@
         if now >= self._limit or now >= self._last_limit:
             self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN))
             return
+        if now >= self._stalled_at:
+            self._stalled_at = math.inf
+            if not self.status and self._request.stream and self._may_move():
+                self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "No first output."))
+                return
         if now >= self._silent_at:
             self._silent_at = math.inf
             if attempt is not None and attempt.peer.last_message_at < self._submitted_at:
@@ -324,7 +344,7 @@
                     self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "It is silent."))
                     return
         self._timer = self._loop.call_at(
-            min(self._silent_at, self._limit, now + CHECK_PERIOD_S), self._check
+            min(self._silent_at, self._stalled_at, self._limit, now + CHECK_PERIOD_S), self._check
         )
 
 
@@ -522,6 +542,7 @@
                 deadline=deadline,
                 silent_s=self._choose_silent_s(state, request.rank, time_left_ms),
                 on_silent=partial(self._router.suspect, state),
+                may_move=partial(self._may_move, request, state, deadline, excluded),
             )
             end = await self._run_attempt(request, state, run, int(time_left_ms))
             if isinstance(end, Whole):
@@ -544,6 +565,23 @@
         )
         return Failure(refusal)
 
+    def _may_move(
+        self, request: CallerRequest, state: UpstreamState, deadline: float, excluded: set[str]
+    ) -> bool:
+        """Return whether an attempt without output may be given up for one elsewhere."""
+        if not self._budget.has_spare:
+            return False
+        time_left_ms = (deadline - asyncio.get_running_loop().time()) * 1000
+        other = self._router.choose(
+            kind=request.kind,
+            name=request.name,
+            rank=request.rank,
+            time_left_ms=time_left_ms,
+            excluded=excluded | {state.host},
+            only_in_time=True,
+        )
+        return other is not None
+
     def _choose_silent_s(self, state: UpstreamState, rank: str, time_left_ms: float) -> float:
         if self._router.predict_wait_ms(state, rank) >= SOON_MS:
             return SILENT_S
--- a/sycamoreproxy/retries.py
+++ b/sycamoreproxy/retries.py
@@ -71,6 +71,11 @@
         """Count a first attempt."""
         self._tokens = min(MAX_SAVED_RETRIES, self._tokens + RETRY_FRACTION)
 
+    @property
+    def has_spare(self) -> bool:
+        """Whether a repeat that is no answer to a failure may be made."""
+        return self._tokens >= 1.0 + RETRY_RESERVE
+
     def take(self, *, keep_reserve: bool) -> bool:
         """Return whether an extra attempt may be made, and count it.
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -14,7 +14,7 @@
 from standins.store import MemoryStore
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.claims import ClaimBook
-from sycamoreproxy.messages import Finish, Output, Refuse, Submit
+from sycamoreproxy.messages import Finish, Output, Refuse, Started, Submit
 from sycamoreproxy.peers import Peer
 from tests._entry import (
     DONE,
@@ -267,3 +267,34 @@
     assert answer.body.startswith(begin + b"data: {")
     assert b"upstream_lost" in answer.body.removeprefix(begin)
     assert b"[DONE]" not in answer.body
+
+
+@pytest.mark.parametrize(("count", "ends_whole"), [(2, True), (1, False)])
+@with_entry()
+async def test_stalled_stream_is_repeated_where_another_upstream_is_free(
+    entry: Entry, count: int, ends_whole: bool
+) -> None:
+    """An engine that takes a request and then stalls must not keep it past its deadline."""
+    submits: list[ScriptedUpstream] = []
+
+    def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
+        submits.append(upstream)
+        if upstream is submits[0]:
+            peer.send(Started(submit.attempt_id))
+        else:
+            answer_stream(upstream, peer, submit)
+
+    upstreams = await entry.add(script, count=count)
+    headers = {"X-Rank": "urgent", "X-Deadline-Ms": "1000"}
+    fetch = asyncio.create_task(entry.fetch(CHAT, method="POST", body=STREAM, headers=headers))
+    if ends_whole:
+        assert DONE in (await fetch).body
+        assert [len(item.cancels) for item in upstreams if item is submits[0]] == [1]
+        assert len(submits) == 2
+        return
+    # Without another upstream the stalled one is still the best hope.
+    await asyncio.sleep(1.2)
+    assert not fetch.done()
+    assert not upstreams[0].cancels
+    fetch.cancel()
+    await asyncio.gather(fetch, return_exceptions=True)
