Name what the table asks for and a process lacks a target

Cause: 'wish' is no term of the field. Change: names and texts of the census, command line and operations page. Conclusion: 'target' is the word that the code already uses for versions.

--- a/sycamoreproxy/admin_queries.py
+++ b/sycamoreproxy/admin_queries.py
@@ -153,7 +153,7 @@
         return Success({"change_id": change_id, "revision": revision})
 
     async def read_status(self, revision: int) -> Result[dict[str, Any], Refusal]:
-        """Return where a revision is in force and which wishes are not met.
+        """Return where a revision is in force and which targets are not met.
 
         :param revision: 0 stands for the revision in force in this process.
         """
--- a/sycamoreproxy/census.py
+++ b/sycamoreproxy/census.py
@@ -58,8 +58,8 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class UnmetWish:
-    """A wish of the table that is not met, with its reason; ``host`` may be empty."""
+class UnmetTarget:
+    """A target of the table that is not met, with its reason; ``host`` may be empty."""
 
     host: str
     reason: str
@@ -79,7 +79,7 @@
     in_force: int
     expected: int
     missing: tuple[MissingProcess, ...]
-    unmet: tuple[UnmetWish, ...]
+    unmet: tuple[UnmetTarget, ...]
 
 
 class CensusResponder:
@@ -88,7 +88,7 @@
     :param hub: receives :class:`CensusQuery`.
     :param revision: returns the table revision in force.
     :param version: returns the model version served, empty if none.
-    :param unmet: returns wishes of the table that this process cannot meet.
+    :param unmet: returns targets of the table that this process cannot meet.
     """
 
     def __init__(
@@ -207,7 +207,7 @@
         self, revision: int, pairs: list[tuple[HostRecord, CensusReply | None]]
     ) -> CensusReport:
         missing: list[MissingProcess] = []
-        unmet: list[UnmetWish] = []
+        unmet: list[UnmetTarget] = []
         in_force = expected = 0
         newest = self._view().revision
         for record, reply in pairs:
@@ -217,7 +217,7 @@
             reported = reply.table_revision if reply is not None else 0
             newest = max(newest, reported)
             if reply is not None:
-                unmet.extend(UnmetWish(host=record.host, reason=text) for text in reply.unmet)
+                unmet.extend(UnmetTarget(host=record.host, reason=text) for text in reply.unmet)
             if reply is not None and reported >= revision:
                 in_force += 1
                 continue
@@ -252,11 +252,11 @@
             return f"no answer; it last answered at {_format_time(answered_at)}"
         return f"no answer since this process started at {_format_time(self._started_at)}"
 
-    def _find_silent_models(self, answered: set[str]) -> list[UnmetWish]:
+    def _find_silent_models(self, answered: set[str]) -> list[UnmetTarget]:
         """Return the models wanted of which no host could report what it lacks."""
         view = self._view()
         return [
-            UnmetWish(host="", reason=f"not enough hosts: no host of {model} answers")
+            UnmetTarget(host="", reason=f"not enough hosts: no host of {model} answers")
             for model in view.models()
             if view.target(model).version and model not in answered
         ]
--- a/sycamoreproxy/ctl.py
+++ b/sycamoreproxy/ctl.py
@@ -370,7 +370,7 @@
     Ends with status 5 if the revision is not in force everywhere.
 
     :param revision: the revision; the newest one in force at the asked process if not given.
-    :param met: also require that every wish is met, such as a rollout that is still going on.
+    :param met: also require that every target is met, such as a rollout that is still going on.
     """
     with connection.open() as client:
         report = _wait_in_force(client, revision, wait, met=met)
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -438,7 +438,7 @@
 class CensusReply:
     """Answers ``CensusQuery``.
 
-    :param unmet: wishes of the table that are not met, each a sentence with its reason.
+    :param unmet: targets of the table that are not met, each a sentence with its reason.
     """
 
     query_id: str
--- a/tests/test_census.py
+++ b/tests/test_census.py
@@ -109,7 +109,7 @@
     assert report.newest == max(7, case.revision if case.listed_as == "other" else 0)
 
 
-def test_unmet_wishes_and_models_without_hosts_are_named() -> None:
+def test_unmet_targets_and_models_without_hosts_are_named() -> None:
     report = asyncio.run(_take(_Case(unmet="the engine refused lm-2 (422)")))
     assert [(item.host, item.reason) for item in report.unmet] == [
         ("other", "the engine refused lm-2 (422)"),
