--- a/sycamoreproxy/upstream_role.py
+++ b/sycamoreproxy/upstream_role.py
@@ -339,7 +339,7 @@
         refusal, shed = self._queue.offer(ticket)
         for victim in shed:
             self._refuse_waiting(
-                victim, QUEUE_FULL, "More urgent work took its place in the queue."
+                victim, QUEUE_FULL, "Work with precedence took its place in the queue."
             )
         if refusal is not None:
             return refusal
