Do not report a message as unsent after its bytes were written

Cause: found by reading. When 'send' flushed and the stream closed during that write, it raised StreamLostError, Peer.send returned False, and the entry host refused the request with executed=no although the upstream process may have received it. Ruled out: errors that the stream raises before it takes the bytes (closed, buffer full). Change: only a write that took nothing counts as not sent; otherwise the attempt ends as unknown when the stream's close is noticed. Conclusion: a refusal as not run is true on this path too.

--- a/sycamoreproxy/streams.py
+++ b/sycamoreproxy/streams.py
@@ -154,24 +154,27 @@
         unsent.append(_LENGTH.pack(len(data)))
         unsent.append(data)
         self.bytes_out += len(data) + _LENGTH.size
-        if len(unsent) >= _MAX_UNSENT_PARTS:
-            self._flush()
-            if self._stream.closed():
-                raise StreamLostError("the peer reads too slowly")
+        # A stream that closes while it writes may have sent the message, so only a write that took
+        # nothing counts as not sent.
+        if len(unsent) >= _MAX_UNSENT_PARTS and not self._flush():
+            raise StreamLostError("the stream is closed or the peer reads too slowly")
 
-    def _flush(self) -> None:
+    def _flush(self) -> bool:
+        """Write what waits; return False if certainly none of it was written."""
         unsent = self._unsent
         if not unsent:
-            return
+            return True
         data = b"".join(unsent)
         unsent.clear()
         try:
+            # These errors come before the stream takes the bytes; a later one only closes it.
             self._stream.write(data).add_done_callback(_ignore_result)
-        except (StreamClosedError, OSError):
+        except (StreamClosedError, StreamBufferFullError):
             self._stream.close()
-        except StreamBufferFullError:
-            # The peer reads too slowly.
+            return False
+        except OSError:
             self._stream.close()
+        return True
 
     async def write(self, message: object, *, timeout_s: float = 10.0) -> None:
         """Write a message and wait until the socket took it.
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,10 +4,12 @@
 import struct
 
 import pytest
+from tornado.iostream import StreamClosedError
 from tornado.testing import bind_unused_port
 
 from sycamoreproxy.messages import Cancel, Output
 from sycamoreproxy.streams import (
+    _MAX_UNSENT_PARTS,
     Address,
     MessageServer,
     MessageStream,
@@ -68,3 +70,30 @@
     socket.close()
     with pytest.raises(StreamLostError):
         asyncio.run(open_stream(Address("127.0.0.1", port), tls=None))
+
+
+@pytest.mark.parametrize(("refuses", "is_sent"), [(True, False), (False, True)])
+def test_message_is_unsent_only_if_the_write_took_nothing(refuses: bool, is_sent: bool) -> None:
+    """A stream that broke while it wrote was reported as unsent: a refusal then said not run."""
+
+    async def action(port: int) -> None:
+        stream = await open_stream(Address("127.0.0.1", port), tls=None)
+        inner = stream._stream
+
+        def write(data: bytes) -> asyncio.Future[None]:
+            if refuses:
+                raise StreamClosedError
+            inner.close()
+            return asyncio.get_running_loop().create_future()
+
+        inner.write = write  # type: ignore[method-assign,assignment]
+        outcome = True
+        try:
+            for number in range(_MAX_UNSENT_PARTS // 2):
+                stream.send(Output("a", number, b"x"))
+        except StreamLostError:
+            outcome = False
+        assert outcome is is_sent
+        assert stream.is_closed
+
+    asyncio.run(_with_server(action))
