--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import ssl
 import time
 from collections.abc import Callable
@@ -27,6 +28,12 @@
 #: A kept connection that the server had closed before fails within this time, in seconds. A later
 #: failure is the server's, and a second run would only add to its load.
 STALE_LIMIT_S = 0.25
+#: A path that no longer answers is noticed by probes after these times, in seconds, and
+#: unacknowledged data after this time, in milliseconds: a connection may go silent without a reset.
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBES = 2
+UNACKNOWLEDGED_LIMIT_MS = 3000
 #: Idle connections kept per client.
 MAX_IDLE_CONNECTIONS = 64
 
@@ -95,9 +102,12 @@
 
     :param address: base URL; its path is put before each request's path.
     :param max_body_bytes: longest answer body, in bytes.
+    :param idle_limit: idle connections kept.
     """
 
-    def __init__(self, address: str, *, max_body_bytes: int) -> None:
+    def __init__(
+        self, address: str, *, max_body_bytes: int, idle_limit: int = MAX_IDLE_CONNECTIONS
+    ) -> None:
         parts = urlsplit(address)
         self._host = parts.hostname or ""
         self._tls = ssl.create_default_context() if parts.scheme == "https" else None
@@ -106,6 +116,7 @@
         self._path = parts.path.rstrip("/")
         self._client = TCPClient()
         self._idle: list[IOStream] = []
+        self._idle_limit = idle_limit
         self._parameters = HTTP1ConnectionParameters(
             max_body_size=max_body_bytes, max_header_size=65_536
         )
@@ -181,12 +192,13 @@
         while self._idle:
             stream = self._idle.pop()
             stream.set_close_callback(None)
-            if not stream.closed():
+            if not stream.closed() and not _has_surplus(stream):
                 return stream
+            stream.close()
         return None
 
     def _keep(self, stream: IOStream) -> None:
-        if stream.closed() or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        if stream.closed() or len(self._idle) >= self._idle_limit:
             stream.close()
             return
         self._idle.append(stream)
@@ -205,6 +217,7 @@
         except (StreamClosedError, OSError, TimeoutError) as error:
             raise NotSentError(f"{type(error).__name__}: {error}") from error
         stream.set_nodelay(True)
+        _set_probes(stream.socket)
         return stream
 
     async def _send(
@@ -217,7 +230,8 @@
         body: bytes,
     ) -> None:
         headers = headers.copy()
-        headers["Host"] = self._host_header
+        if "Host" not in headers:
+            headers["Host"] = self._host_header
         if body or method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(body))
         connection = HTTP1Connection(stream, True, self._parameters)
@@ -234,6 +248,9 @@
                 raise delegate.error
             if not delegate.is_whole:
                 raise AnswerLostError("the answer is malformed", received=delegate.received)
+            if stream.error is not None:
+                # An answer without a length ends with its connection; a reset cuts it.
+                raise AnswerLostError(f"reset: {stream.error}", received=delegate.received)
             kept = delegate.keeps_open
         except (StreamClosedError, OSError, ValueError) as error:
             if delegate.error is not None:
@@ -246,3 +263,17 @@
                 self._keep(stream)
             else:
                 stream.close()
+
+
+def _set_probes(connection: socket.socket) -> None:
+    """Have the kernel close a connection whose other end no longer answers."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+
+
+def _has_surplus(stream: IOStream) -> bool:
+    """Return whether an idle connection holds bytes that belong to no request."""
+    return bool(stream._read_buffer_size)
--- a/sycamoreproxy/daemon.py
+++ b/sycamoreproxy/daemon.py
@@ -8,6 +8,7 @@
 import sys
 from pathlib import Path
 
+from sycamoreproxy.routed_settings import RoutedSettings, is_routed, load_routed_settings
 from sycamoreproxy.settings import Settings, SettingsError, load_settings
 
 #: Exit status for settings that can't be used.
@@ -25,6 +26,8 @@
     parser.add_argument("--config", type=Path, required=True, help="settings file in TOML")
     parser.add_argument("--check", action="store_true", help="check the settings and exit")
     options = parser.parse_args(arguments)
+    if is_routed(options.config):
+        return _run_routed(options.config, check_only=options.check)
     try:
         settings = load_settings(options.config)
     except SettingsError as error:
@@ -37,6 +40,62 @@
     return 0
 
 
+def _run_routed(path: Path, *, check_only: bool) -> int:
+    """Run or check a process of a routed deployment."""
+    try:
+        settings = load_routed_settings(path)
+    except SettingsError as error:
+        print(f"sycamored: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if check_only:
+        print(f"{path}: valid")
+        return 0
+    asyncio.run(run_routed(path, settings))
+    return 0
+
+
+async def run_routed(path: Path, settings: RoutedSettings) -> None:
+    """Run a process of a routed deployment until SIGTERM or SIGINT, then drain it.
+
+    SIGHUP reads the settings file again; a file that can't be used changes nothing.
+    """
+    from sycamoreproxy._resolver import use_number_resolver
+    from sycamoreproxy.clock import SystemClock
+    from sycamoreproxy.logs import LineWriter, configure_logs, get_logger
+    from sycamoreproxy.routed_composition import build_routed_process
+
+    configure_logs(
+        format=settings.log.format,
+        level=settings.log.level,
+        output=LineWriter(sys.stdout.fileno(), clock=SystemClock()),
+        host=settings.process.host,
+    )
+    log = get_logger("daemon")
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    use_number_resolver()
+    process = build_routed_process(settings)
+
+    def reload() -> None:
+        try:
+            process.reload(load_routed_settings(path))
+        except SettingsError as error:
+            log.warning("settings not reloaded", error=str(error))
+        else:
+            log.info("settings reloaded")
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    await process.start()
+    log.info("started", role=settings.process.role)
+    await stop.wait()
+    log.info("draining")
+    await process.drain()
+    await process.close()
+    log.info("stopped")
+
+
 async def run(settings: Settings) -> None:
     """Run the process of these settings until SIGTERM or SIGINT, then drain it."""
     from sycamoreproxy._resolver import use_number_resolver
--- /dev/null
+++ b/sycamoreproxy/engine_forecast.py
@@ -0,0 +1,62 @@
+"""Forecast of a continuously batching engine: duration of a pass, of a prompt, of an answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sycamoreproxy.route_table import EngineProfile
+
+
+@dataclass(frozen=True, slots=True)
+class EngineForecast:
+    """Times of one engine in seconds.
+
+    :param profile: published timings.
+    :param pace: factor on them; over 1 is slower.
+    """
+
+    profile: EngineProfile
+    pace: float = 1.0
+
+    def step_s(self, writers: int) -> float:
+        """Return the duration of one decode step with this many requests that write."""
+        profile = self.profile
+        context = writers * (profile.usual_prompt_tokens + profile.usual_answer_tokens / 2) / 1000
+        return self.pace * (
+            profile.step_s
+            + profile.step_s_per_request * writers
+            + profile.step_s_per_1k_context * context
+        )
+
+    def pass_s(self, writers: int) -> float:
+        """Return the time between two events of a stream without any prompt to read."""
+        return self.step_s(writers) * self.profile.steps_per_pass
+
+    def prefill_s(self, prompt_tokens: float) -> float:
+        """Return the time to read a prompt alone."""
+        pairs = prompt_tokens * prompt_tokens / 2 / 1e6
+        return self.pace * (
+            prompt_tokens / self.profile.prefill_tokens_per_s
+            + pairs * self.profile.prefill_s_per_1m_pairs
+        )
+
+    def request_cost_s(self, prompt_tokens: float, answer_tokens: float) -> float:
+        """Return the engine time that a request takes when the batch is full."""
+        slots = max(1, self.profile.slots)
+        return self.prefill_s(prompt_tokens) + answer_tokens * self.step_s(slots) / slots
+
+    def slot_interval_s(self) -> float:
+        """Return the mean time between two ends of requests when the batch is full."""
+        profile = self.profile
+        return self.request_cost_s(profile.usual_prompt_tokens, profile.usual_answer_tokens)
+
+    def first_token_s(self, *, ahead: float, writers: int, prompt_tokens: float) -> float:
+        """Return the time from arrival to the first token.
+
+        :param ahead: requests that must end before this one gets a slot; may be 0.
+        :param writers: requests in the batch.
+        """
+        wait = ahead * self.slot_interval_s()
+        # The running pass ends first; the prompt is read between the steps of the next one.
+        passes = 1.5 * self.pass_s(writers) if writers else self.step_s(1)
+        return wait + passes + self.prefill_s(prompt_tokens)
--- /dev/null
+++ b/sycamoreproxy/event_splitter.py
@@ -0,0 +1,44 @@
+"""Whole events of a server-sent event stream, as bytes that are passed on unchanged."""
+
+from __future__ import annotations
+
+import re
+
+_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+_END = b"\n\n"
+
+
+class EventSplitter:
+    """Holds back the last event until it is whole.
+
+    An upstream may stop in the middle of an event; another one then sends it again from its start.
+
+    :param last_id: id of the last event that the caller has, None if it has none.
+    """
+
+    def __init__(self, *, last_id: int | None) -> None:
+        self.last_id = last_id
+        self._partial = b""
+
+    @property
+    def partial(self) -> bytes:
+        """Bytes of an event that is not whole yet."""
+        return self._partial
+
+    def take(self, data: bytes) -> bytes:
+        """Return the events that are whole with this data; empty if none is."""
+        data = self._partial + data if self._partial else data
+        end = data.rfind(_END)
+        if end < 0:
+            self._partial = data
+            return b""
+        end += len(_END)
+        whole, self._partial = data[:end], data[end:]
+        ids = _ID.findall(whole)
+        if ids:
+            self.last_id = int(ids[-1])
+        return whole
+
+    def restart(self) -> None:
+        """Drop the partial event before the stream goes on at another upstream."""
+        self._partial = b""
--- a/sycamoreproxy/logs.py
+++ b/sycamoreproxy/logs.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import json
 import logging
+import os
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Any
+from typing import Any, TextIO, cast
+
+from sycamoreproxy.clock import Clock
+
+#: Log lines that a process writes in a second at most, and saves up for a burst.
+LINES_PER_S = 200
+BURST_LINES = 400
 
 
 @contextmanager
@@ -36,8 +44,12 @@
     return event
 
 
-def configure_logs(*, format: str, level: str, **context: str) -> None:
-    """Set up logs to standard error.
+def configure_logs(
+    *, format: str, level: str, output: TextIO | LineWriter | None = None, **context: str
+) -> None:
+    """Set up logs.
+
+    :param output: where lines go; standard error without it.
 
     :param format: ``json`` or ``terminal``.
     :param level: lowest level written.
@@ -58,7 +70,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=cast(TextIO, output or sys.stderr)),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**context)
@@ -67,6 +79,59 @@
     logging.getLogger("tornado.general").setLevel(logging.ERROR)
 
 
+class LineWriter:
+    """Writes log lines to a descriptor without ever waiting, and bounds their rate.
+
+    Lines over the rate, or that a full pipe does not take, are dropped; the next line that is
+    written is followed by their number.
+
+    :param descriptor: an open file descriptor; it is set to non-blocking.
+    """
+
+    def __init__(self, descriptor: int, *, clock: Clock) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._clock = clock
+        self._allowance = float(BURST_LINES)
+        self._refilled_at = clock.monotonic()
+        self._unwritten = b""
+        self.dropped = 0
+        self._reported = 0
+
+    def write(self, text: str) -> int:
+        """Write one line, or drop it; return the length of the text."""
+        now = self._clock.monotonic()
+        refill = (now - self._refilled_at) * LINES_PER_S
+        self._allowance = min(float(BURST_LINES), self._allowance + refill)
+        self._refilled_at = now
+        line = text if text.endswith("\n") else text + "\n"
+        if self._unwritten or self._allowance < 1:
+            self._send(b"")
+        if self._unwritten or self._allowance < 1:
+            self.dropped += 1
+            return len(text)
+        self._allowance -= 1
+        if self.dropped > self._reported:
+            line += json.dumps({"event": "log lines dropped", "total": self.dropped}) + "\n"
+            self._reported = self.dropped
+        self._send(line.encode())
+        return len(text)
+
+    def flush(self) -> None:
+        """Try to write the rest of a line that the pipe took in part."""
+        if self._unwritten:
+            self._send(b"")
+
+    def _send(self, data: bytes) -> None:
+        data = self._unwritten + data
+        try:
+            written = os.write(self._descriptor, data) if data else 0
+        except OSError:
+            # The pipe is full or its reader is gone; the line is kept and the next ones dropped.
+            written = 0
+        self._unwritten = data[written:]
+
+
 def get_logger(name: str) -> Any:
     """Return a logger whose lines carry ``module=name``."""
     return structlog.get_logger(module=name)
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -459,3 +459,60 @@
     """
 
     number: int
+
+
+@message(70)
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """Load of the engine beside the sender, to entry hosts.
+
+    :param address: ``IP:PORT`` of the engine.
+    :param running: requests in the batch.
+    :param waiting: requests that the engine has accepted and not begun.
+    :param memory_used: tokens in the KV cache.
+    :param pace: factor on the published timings; over 1 is slower.
+    :param is_loading: whether the engine takes no new requests because it loads weights.
+    :param versions: versions of the weights by model.
+    :param entry_hosts: entry hosts that the sender has a stream with.
+    """
+
+    address: str
+    running: int
+    waiting: int
+    memory_used: int
+    memory_total: int
+    pace: float
+    is_loading: bool
+    versions: IntByName = field(default_factory=dict)
+    entry_hosts: int = 0
+
+
+@message(71)
+@dataclass(frozen=True, slots=True)
+class DocumentAnnounce:
+    """Revisions of documents that the sender holds, by key."""
+
+    revisions: IntByName
+
+
+@message(72)
+@dataclass(frozen=True, slots=True)
+class DocumentFetch:
+    """Asks for documents."""
+
+    keys: Strings
+
+
+@message(73)
+@dataclass(frozen=True, slots=True)
+class DocumentData:
+    """One document.
+
+    :param revision: the store's revision of its last change.
+    :param value: its bytes, compressed by zlib; empty if it was deleted.
+    """
+
+    key: str
+    revision: int
+    value: bytes
+    is_deleted: bool = False
--- /dev/null
+++ b/sycamoreproxy/placement.py
@@ -0,0 +1,298 @@
+"""Which upstream a request is sent to, from shared load reports and this host's own requests.
+
+Answers bursts on engines that batch: a request goes where its first token is forecast to come
+first, and waits here while no engine has room, so that more urgent ones can still pass it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.engine_forecast import EngineForecast
+from sycamoreproxy.retries import Breaker
+from sycamoreproxy.route_table import EngineProfile
+from sycamoreproxy.upstream_book import UpstreamRecord
+
+#: Requests beyond the batch that an engine may be given, by rank. Engines admit the more urgent
+#: first; a few that wait there keep a slot from being idle until the next load report.
+ROOM_BY_RANK = (3, 1, 0)
+#: A load report is used for this time, in seconds; afterwards own requests are all that is known.
+REPORT_FRESH_S = 1.0
+#: Age of a report on arrival, in seconds: requests sent in this time are not in it yet.
+REPORT_DELAY_S = 0.02
+#: An engine whose reports stopped for this long is used only if no other has room, in seconds.
+#: Reports come every 0.1 s, so this is no jitter of the network.
+REPORT_LOST_S = 0.6
+#: Forecasts that differ by less than this are equal, in seconds: all entry hosts see the same
+#: reports and would otherwise choose the same engine.
+SPREAD_S = 0.03
+#: Added to the forecast of an upstream in another availability zone, in seconds: traffic between
+#: zones is slower and shares narrow links.
+OTHER_ZONE_S = 0.02
+#: Weight of the newest outcome in the mean of failures.
+FAILURE_WEIGHT = 0.15
+#: Added to the forecast per part of failed requests, in seconds.
+FAILURE_PENALTY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """Load of an upstream at one time.
+
+    :param at: monotonic time of receipt.
+    :param running: requests being processed.
+    :param waiting: requests accepted and not begun.
+    """
+
+    at: float
+    running: int
+    waiting: int
+    memory_used: int = 0
+    memory_total: int = 0
+    pace: float = 1.0
+    is_loading: bool = False
+    version_by_model: tuple[tuple[str, int], ...] = ()
+
+
+@dataclass(slots=True)
+class OwnAttempt:
+    """A request that this host has sent to an upstream and that has not ended."""
+
+    sent_at: float
+    prompt_tokens: int
+    has_output: bool = False
+
+
+@dataclass(slots=True)
+class UpstreamView:
+    """What this host knows of one upstream.
+
+    :param failure_rate: moving mean of failed requests.
+    """
+
+    instance: str
+    breaker: Breaker
+    report: LoadReport | None = None
+    own_by_number: dict[int, OwnAttempt] = field(default_factory=dict)
+    failure_rate: float = 0.0
+
+    def count_unseen(self) -> int:
+        """Return own requests that the last report can't contain."""
+        if self.report is None:
+            return len(self.own_by_number)
+        seen_until = self.report.at - REPORT_DELAY_S
+        return sum(1 for own in self.own_by_number.values() if own.sent_at >= seen_until)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Need:
+    """What a request needs.
+
+    :param rank: 0 is the most urgent.
+    :param model: model whose weights must be loaded; empty for plain services.
+    :param minimum_version: lowest version of the weights that may answer.
+    :param excluded: instances that this request was sent to before.
+    """
+
+    rank: int
+    prompt_tokens: int = 0
+    model: str = ""
+    minimum_version: int = 0
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """A decision to send a request to an upstream.
+
+    :param forecast_s: forecast time to the first token or the answer, in seconds.
+    :param occupied: requests that the upstream holds as far as known.
+    :param number: of the attempt that was begun with it, for :meth:`Placer.end`; 0 if none was.
+    """
+
+    record: UpstreamRecord
+    forecast_s: float
+    occupied: int
+    report_age_s: float | None
+    number: int = 0
+
+
+class Placer:
+    """Chooses upstreams and keeps this host's view of them.
+
+    :param availability_zone: zone of this host.
+    """
+
+    def __init__(
+        self, *, clock: Clock, availability_zone: str, random_source: random.Random
+    ) -> None:
+        self._clock = clock
+        self._zone = availability_zone
+        self._random = random_source
+        self._views_by_instance: dict[str, UpstreamView] = {}
+        self._number = 0
+        self.entry_hosts = 1
+
+    # Queries
+
+    def view(self, instance: str) -> UpstreamView:
+        """Return the view of an upstream; a new one if it was not seen before."""
+        view = self._views_by_instance.get(instance)
+        if view is None:
+            view = UpstreamView(instance, Breaker(clock=self._clock))
+            self._views_by_instance[instance] = view
+        return view
+
+    def choose(
+        self,
+        records: Iterable[UpstreamRecord],
+        need: Need,
+        *,
+        profile: EngineProfile | None,
+        is_leaving: frozenset[str] = frozenset(),
+        any_room: bool = False,
+    ) -> Choice | None:
+        """Return the upstream for a request, or None while none has room.
+
+        :param records: upstreams of the service.
+        :param profile: timings of the engines; None for plain services.
+        :param is_leaving: instances that are used only if no other has room.
+        :param any_room: whether an upstream without room may be chosen.
+        """
+        now = self._clock.monotonic()
+        choices: list[tuple[float, Choice]] = []
+        for record in records:
+            if record.instance in need.excluded:
+                continue
+            view = self.view(record.instance)
+            if need.model and self.find_version(record, need.model) < max(1, need.minimum_version):
+                continue
+            choice = self._weigh(record, view, need, profile, now, any_room)
+            if choice is None:
+                continue
+            cost = choice.forecast_s + view.failure_rate * FAILURE_PENALTY_S
+            if record.availability_zone != self._zone:
+                cost += OTHER_ZONE_S
+            if not view.breaker.allows():
+                cost += 10.0
+            if record.instance in is_leaving or self._is_silent(view, now):
+                cost += 5.0
+            choices.append((cost, choice))
+        if not choices:
+            return None
+        best = min(cost for cost, _ in choices)
+        return self._random.choice([c for cost, c in choices if cost <= best + SPREAD_S])
+
+    def find_version(self, record: UpstreamRecord, model: str) -> int:
+        """Return the version of a model that an upstream holds, 0 if none."""
+        view = self._views_by_instance.get(record.instance)
+        held = record.version_by_model
+        report = view.report if view is not None else None
+        if report is not None and self._clock.monotonic() - report.at < REPORT_FRESH_S:
+            held = report.version_by_model
+        return dict(held).get(model, 0)
+
+    def describe(self) -> dict[str, object]:
+        """Return the views for a dump."""
+        now = self._clock.monotonic()
+        return {
+            view.instance: {
+                "own": len(view.own_by_number),
+                "failure_rate": round(view.failure_rate, 3),
+                "report": (
+                    None
+                    if view.report is None
+                    else {
+                        "age_s": round(now - view.report.at, 3),
+                        "running": view.report.running,
+                        "waiting": view.report.waiting,
+                    }
+                ),
+            }
+            for view in self._views_by_instance.values()
+        }
+
+    # Commands
+
+    def take_report(self, instance: str, report: LoadReport) -> None:
+        """Take a newer load report."""
+        self.view(instance).report = report
+
+    def begin(self, choice: Choice, need: Need) -> Choice:
+        """Note that a request is sent; return the choice with its number."""
+        self._number += 1
+        view = self.view(choice.record.instance)
+        view.breaker.count_attempt()
+        view.own_by_number[self._number] = OwnAttempt(self._clock.monotonic(), need.prompt_tokens)
+        return replace(choice, number=self._number)
+
+    def note_output(self, choice: Choice) -> None:
+        """Note that the first output of a request arrived."""
+        own = self.view(choice.record.instance).own_by_number.get(choice.number)
+        if own is not None:
+            own.has_output = True
+
+    def end(self, choice: Choice, *, failed: bool | None) -> None:
+        """Note that a request ended.
+
+        :param failed: whether the upstream failed it; None if the outcome says nothing of it.
+        """
+        view = self.view(choice.record.instance)
+        view.own_by_number.pop(choice.number, None)
+        if failed is None:
+            return
+        view.failure_rate += FAILURE_WEIGHT * (float(failed) - view.failure_rate)
+        if failed:
+            view.breaker.count_failure()
+        else:
+            view.breaker.count_success()
+
+    def forget(self, instance: str) -> None:
+        """Drop the view of an upstream that is gone."""
+        view = self._views_by_instance.get(instance)
+        if view is not None and not view.own_by_number:
+            del self._views_by_instance[instance]
+
+    def _weigh(
+        self,
+        record: UpstreamRecord,
+        view: UpstreamView,
+        need: Need,
+        profile: EngineProfile | None,
+        now: float,
+        any_room: bool,
+    ) -> Choice | None:
+        report = view.report
+        age = None if report is None else now - report.at
+        fresh = report is not None and age is not None and age < REPORT_FRESH_S
+        if fresh and report is not None:
+            occupied = report.running + report.waiting + view.count_unseen()
+            if report.is_loading and not any_room:
+                return None
+        else:
+            # Other entry hosts send about as many as this one.
+            occupied = len(view.own_by_number) * max(1, self.entry_hosts)
+        slots = max(1, record.slots if profile is None else profile.slots)
+        ahead = max(0, occupied + 1 - slots)
+        if profile is None:
+            forecast = 0.01 * (1 + occupied / slots)
+        else:
+            room = ROOM_BY_RANK[min(need.rank, len(ROOM_BY_RANK) - 1)]
+            if ahead > room and not any_room:
+                return None
+            engine = EngineForecast(profile, pace=report.pace if fresh and report else 1.0)
+            unread = sum(
+                own.prompt_tokens for own in view.own_by_number.values() if not own.has_output
+            )
+            forecast = engine.first_token_s(
+                ahead=ahead,
+                writers=min(occupied, slots),
+                prompt_tokens=need.prompt_tokens + unread,
+            )
+        return Choice(record=record, forecast_s=forecast, occupied=occupied, report_age_s=age)
+
+    def _is_silent(self, view: UpstreamView, now: float) -> bool:
+        return view.report is not None and now - view.report.at > REPORT_LOST_S
--- /dev/null
+++ b/sycamoreproxy/platform/names.py
@@ -0,0 +1,30 @@
+"""Names on the platform's wire that more than one module of this package uses."""
+
+from __future__ import annotations
+
+REQUEST_ID = "Sycamoreproxy-Request-Id"
+DEADLINE_MS = "Sycamoreproxy-Deadline-Ms"
+SIGNATURE = "Sycamoreproxy-Response-Signature"
+TENANT = "Sycamoreproxy-Tenant"
+EXPECT_INSTANCE = "Sycamoreproxy-Expect-Instance"
+EXPECT_VERSION = "Sycamoreproxy-Expect-Version"
+REQUEST_PRIORITY = "Sycamoreproxy-Request-Priority"
+SERVER_LOAD = "Sycamoreproxy-Server-Load"
+NOT_EXECUTED = "Sycamoreproxy-Not-Executed"
+INSTANCE_ID = "Sycamoreproxy-Instance-Id"
+AT_SERVER = "At-Server"
+MODEL = "Sycamoreproxy-Model"
+TOKEN_COUNT = "Sycamoreproxy-Token-Count"
+LENGTH_HINT = "Sycamoreproxy-Length-Hint"
+WEIGHT_VERSIONS = "Sycamoreproxy-Weight-Versions"
+LAST_EVENT_ID = "Last-Event-Id"
+API_KEY = "X-Api-Key"
+
+#: Store keys: the configuration, the named weights, and the runners.
+CONFIG_KEY = "op/config"
+VERSION_PREFIX = "op/version/"
+OPERATOR_PREFIX = "op/"
+RUNNER_PREFIX = "servers/"
+
+#: State of a runner that takes no new work soon.
+DRAINING = "draining"
--- /dev/null
+++ b/sycamoreproxy/platform/requests.py
@@ -0,0 +1,163 @@
+"""Headers of callers' requests, of requests to runners, and of runners' answers."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from sycamoreproxy.caller_request import (
+    AnswerHead,
+    Attempt,
+    BadRequestError,
+    CallerRequest,
+    UpstreamLoad,
+)
+from sycamoreproxy.platform import names
+
+#: Headers that concern one connection only (RFC 9110, section 7.6.1).
+_CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+#: Request headers that this system sets itself, whatever the caller sent.
+_OWN_REQUEST_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        names.API_KEY,
+        names.DEADLINE_MS,
+        names.TENANT,
+        names.EXPECT_INSTANCE,
+        names.EXPECT_VERSION,
+        names.REQUEST_PRIORITY,
+        names.LAST_EVENT_ID,
+        "host",
+        "content-length",
+        "path",
+    )
+)
+#: Answer headers between a runner and this system.
+_RUNNER_ANSWER_HEADERS = frozenset(
+    name.lower() for name in (names.SERVER_LOAD, names.NOT_EXECUTED, names.AT_SERVER)
+)
+#: A runner that refuses an instance, a version or a part of a path.
+_MISDIRECTED = 421
+#: Time left of a caller that does not tell it, in seconds.
+_DEFAULT_TIME_LEFT_S = 60.0
+
+
+class PlatformDialect:
+    """The headers of the platform's pages."""
+
+    def read_request(self, start: RequestStartLine, headers: HTTPHeaders) -> CallerRequest:
+        """Return a caller's request without its body.
+
+        :raises BadRequestError: if a number is malformed.
+        """
+        prompt, answer = _read_token_count(headers.get(names.TOKEN_COUNT))
+        last_event = headers.get(names.LAST_EVENT_ID)
+        return CallerRequest(
+            request_id=headers.get(names.REQUEST_ID, ""),
+            method=start.method,
+            host=headers.get("Host", ""),
+            target=start.path,
+            key=headers.get(names.API_KEY, ""),
+            time_left_s=_read_time_left(headers.get(names.DEADLINE_MS)),
+            model=headers.get(names.MODEL, ""),
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+            length_hint=_read_int(headers.get(names.LENGTH_HINT), 0),
+            last_event_id=None if last_event is None else _read_int(last_event, None),
+            headers=_pass_on(headers, _OWN_REQUEST_HEADERS),
+        )
+
+    def write_attempt(self, request: CallerRequest, attempt: Attempt) -> HTTPHeaders:
+        """Return the headers of a request to a runner."""
+        headers = HTTPHeaders()
+        headers["Host"] = request.host
+        for name, value in request.headers:
+            headers.add(name, value)
+        headers[names.DEADLINE_MS] = str(max(1, int(attempt.time_left_s * 1000)))
+        headers[names.EXPECT_INSTANCE] = attempt.instance
+        if attempt.account:
+            headers[names.TENANT] = attempt.account
+        if attempt.weight_version is not None:
+            headers[names.EXPECT_VERSION] = str(attempt.weight_version)
+        if attempt.urgency is not None:
+            headers[names.REQUEST_PRIORITY] = str(attempt.urgency)
+        if attempt.last_event_id is not None:
+            headers[names.LAST_EVENT_ID] = str(attempt.last_event_id)
+        return headers
+
+    def read_answer(self, status: int, headers: HTTPHeaders) -> AnswerHead:
+        """Return the head of a runner's answer."""
+        return AnswerHead(
+            status=status,
+            is_unrun=names.NOT_EXECUTED in headers or status == _MISDIRECTED,
+            is_misdirected=status == _MISDIRECTED,
+            request_id=headers.get(names.REQUEST_ID, ""),
+            is_signed=names.SIGNATURE in headers,
+            at_fault=headers.get(names.AT_SERVER, ""),
+            load=_read_load(headers.get(names.SERVER_LOAD)),
+            weight_version=_read_int(headers.get(names.WEIGHT_VERSIONS), None),
+            headers=_pass_on(headers, _RUNNER_ANSWER_HEADERS),
+        )
+
+
+def _pass_on(headers: HTTPHeaders, left_out: frozenset[str]) -> tuple[tuple[str, str], ...]:
+    named = {item.strip().lower() for item in headers.get("Connection", "").split(",")}
+    return tuple(
+        (name, value)
+        for name, value in headers.get_all()
+        if (lower := name.lower()) not in _CONNECTION_HEADERS
+        and lower not in left_out
+        and lower not in named
+    )
+
+
+def _read_int(text: str | None, default: Any) -> Any:
+    try:
+        return int(text) if text is not None else default
+    except ValueError:
+        return default
+
+
+def _read_time_left(text: str | None) -> float:
+    if text is None:
+        return _DEFAULT_TIME_LEFT_S
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise BadRequestError(f"{names.DEADLINE_MS} is not a number") from error
+    if not math.isfinite(value) or value <= 0:
+        raise BadRequestError(f"{names.DEADLINE_MS} is not a positive number")
+    return value / 1000
+
+
+def _read_token_count(text: str | None) -> tuple[int, int]:
+    """Return the prompt's tokens and the upper bound of the answer's; zeros if absent."""
+    if text is None:
+        return 0, 0
+    prompt, _, answer = text.partition(",")
+    return _read_int(prompt, 0), _read_int(answer, 0)
+
+
+def _read_load(text: str | None) -> UpstreamLoad | None:
+    if text is None:
+        return None
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return UpstreamLoad(running=running, waiting=waiting, slots=slots)
--- /dev/null
+++ b/sycamoreproxy/platform/runner.py
@@ -0,0 +1,175 @@
+"""Calls to a runner of the platform by the process on its own machine, and to the origin."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
+from sycamoreproxy.engine_stage import EngineReport, OrderOutcome, StageError
+from sycamoreproxy.origins import OriginError, VersionUnknownError
+from sycamoreproxy.weights import Manifest, compute_version_digest
+
+#: Longest waits for answers, in seconds. The runner is on the same machine; a piece of the origin
+#: takes 26 ms of its link and shares it with all machines.
+RUNNER_TIMEOUT_S = 1.0
+ORIGIN_TIMEOUT_S = 3.0
+#: Largest answer, in bytes.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class PlatformRunner:
+    """The runner on this machine.
+
+    :param address: its ``IP:PORT``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpClient(f"http://{address}", max_body_bytes=MAX_ANSWER_BYTES)
+
+    async def read_report(self) -> EngineReport:
+        """Return the runner's state.
+
+        :raises StageError: if there is no usable answer.
+        """
+        status, body = await self._call("GET", "/report")
+        try:
+            data = json.loads(body)
+            if status != 200:
+                raise ValueError(f"status {status}")
+            born = data.get("born", 0)
+            return EngineReport(
+                running=int(data["running"]),
+                waiting=int(data["waiting"]),
+                memory_used=int(data["kv_used"]),
+                memory_total=int(data["kv_total"]),
+                pace=float(data.get("pace") or 1.0),
+                is_loading=bool(data["busy"]),
+                # The number of orders accepted, not a position in a stream.
+                orders_accepted=int(data["sequence"]),
+                started_ms=born if type(born) is int else 0,
+                version_by_model=tuple(
+                    (str(item["name"]), int(item["version"])) for item in data["models"]
+                ),
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise StageError(f"report: {error!r}") from error
+
+    async def put_chunk(self, model: str, index: int, data: bytes) -> None:
+        """Stage one chunk.
+
+        :raises StageError: if the runner does not confirm it.
+        """
+        path = f"/stage-put/{quote(model, safe='')}?number={index}"
+        status, _ = await self._call("PUT", path, data)
+        if status not in (200, 201, 204):
+            raise StageError(f"stage-put: status {status}")
+
+    async def get_chunk(self, model: str, index: int) -> bytes | None:
+        """Return a staged chunk, None if it is not there.
+
+        :raises StageError: if there is no usable answer.
+        """
+        path = f"/stage-get/{quote(model, safe='')}?number={index}"
+        status, body = await self._call("GET", path)
+        if status == 404:
+            return None
+        if status != 200:
+            raise StageError(f"stage-get: status {status}")
+        return body
+
+    async def order_start(self, model: str, version: int, *, expected: int) -> OrderOutcome:
+        """Order the runner to load the staged chunks.
+
+        :param expected: number of orders that the runner has accepted.
+        :raises StageError: if there is no answer; the order may have been accepted.
+        """
+        order = {
+            "operation": "start",
+            "model": model,
+            "version": version,
+            "mode": "wait",
+            "expected": expected,
+        }
+        status, body = await self._call("POST", "/order", json.dumps(order).encode())
+        if status == 202:
+            return OrderOutcome.BEGUN
+        if status == 200:
+            return OrderOutcome.IN_EFFECT
+        raise StageError(f"order: status {status} {body[:200]!r}")
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    async def _call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        try:
+            status, _, answer = await self._http.fetch(
+                method=method, path=path, body=body, timeout_s=RUNNER_TIMEOUT_S
+            )
+        except (NotSentError, AnswerLostError) as error:
+            raise StageError(f"{method} {path}: {error}") from error
+        return status, answer
+
+
+class PlatformOrigin:
+    """The origin of weights; versions are named ``MODEL/NUMBER``.
+
+    :param address: its ``IP:PORT``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpClient(f"http://{address}", max_body_bytes=MAX_ANSWER_BYTES)
+
+    async def read_manifest(self, version: str) -> Manifest:
+        """Return the manifest of a version.
+
+        :raises VersionUnknownError: if the origin no longer has it.
+        :raises OriginError: if there is no usable answer.
+        """
+        model, _, number = version.rpartition("/")
+        path = f"/manifest/{quote(model, safe='')}?version={number}"
+        data: Any = None
+        try:
+            data = json.loads(await self._get(path))
+            chunks = tuple(str(item) for item in data["digests"])
+            chunk_bytes = int(data["chunk_bytes"])
+            if int(data["version"]) != int(number):
+                raise ValueError(f"version {data['version']}")
+        except (ValueError, KeyError, TypeError) as error:
+            raise OriginError(f"manifest: {error!r}") from error
+        return Manifest(
+            version=version,
+            model=model,
+            digest=compute_version_digest(chunks),
+            chunk_bytes=chunk_bytes,
+            total_bytes=chunk_bytes * len(chunks),
+            chunks=chunks,
+        )
+
+    async def read_chunk(self, manifest: Manifest, index: int) -> bytes:
+        """Return the bytes of a chunk, not verified.
+
+        :raises OriginError: if there is no usable answer.
+        """
+        number = manifest.version.rpartition("/")[2]
+        model = quote(manifest.model, safe="")
+        return await self._get(f"/piece/{model}?number={index}&version={number}")
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    async def _get(self, path: str) -> bytes:
+        try:
+            status, _, body = await self._http.fetch(
+                method="GET", path=path, timeout_s=ORIGIN_TIMEOUT_S
+            )
+        except (NotSentError, AnswerLostError) as error:
+            raise OriginError(f"{path}: {error}") from error
+        if status == 410:
+            raise VersionUnknownError(path)
+        if status != 200:
+            raise OriginError(f"{path}: status {status}")
+        return body
--- /dev/null
+++ b/sycamoreproxy/platform/store.py
@@ -0,0 +1,97 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
+from sycamoreproxy.metrics import STORE_CALLS
+from sycamoreproxy.watched_documents import (
+    Document,
+    HistoryLostError,
+    Snapshot,
+    SourceUnavailableError,
+)
+
+#: Longest wait for an answer, in seconds, besides the wait of a watch. The slowest answers of a
+#: store in trouble take 4 ms x 60; the rest is transfer of a page over a narrowed link.
+CALL_TIMEOUT_S = 2.0
+#: Largest answer, in bytes: a page holds about 1 MB of values in base64.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class PlatformStore:
+    """Reads ranges and watches.
+
+    :param address: ``IP:PORT``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpClient(f"http://{address}", max_body_bytes=MAX_ANSWER_BYTES)
+
+    async def read_all(self, prefix: str) -> Snapshot:
+        """Return all items below a prefix; the revision is that of the first page.
+
+        :raises SourceUnavailableError: if a page can't be read.
+        """
+        found: dict[str, Document] = {}
+        revision = 0
+        after = ""
+        while True:
+            query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
+            page = await self._call("/kv-range", query, timeout_s=CALL_TIMEOUT_S)
+            items = [_read_item(item) for item in page.get("items", ())]
+            found.update((item.key, item) for item in items)
+            # Pages are no snapshot: changes after the first one are read again by the watch.
+            revision = revision or int(page["store_revision"])
+            if not page.get("has_more") or not items:
+                return Snapshot(tuple(found.values()), revision)
+            after = items[-1].key
+
+    async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Snapshot:
+        """Return the changes after a revision.
+
+        :raises HistoryLostError: if the store has discarded them.
+        :raises SourceUnavailableError: if there is no usable answer in time.
+        """
+        query = {"prefix": prefix, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
+        answer = await self._call("/kv-watch", query, timeout_s=wait_s + CALL_TIMEOUT_S)
+        events = tuple(_read_item(item) for item in answer.get("events", ()))
+        return Snapshot(events, int(answer["store_revision"]))
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    async def _call(self, path: str, query: dict[str, str], *, timeout_s: float) -> dict[str, Any]:
+        STORE_CALLS.inc({"verb": path.removeprefix("/kv-")})
+        try:
+            status, _, body = await self._http.fetch(
+                method="GET", path=f"{path}?{urlencode(query)}", timeout_s=timeout_s
+            )
+        except (NotSentError, AnswerLostError) as error:
+            raise SourceUnavailableError(str(error)) from error
+        if status == 410:
+            raise HistoryLostError
+        if status != 200:
+            raise SourceUnavailableError(f"status {status}")
+        try:
+            answer = json.loads(body)
+            if type(answer["store_revision"]) is not int:
+                raise ValueError("store_revision is no number")
+        except (ValueError, KeyError, TypeError) as error:
+            raise SourceUnavailableError(f"malformed answer: {error!r}") from error
+        return dict(answer)
+
+
+def _read_item(item: dict[str, Any]) -> Document:
+    try:
+        if item.get("deleted"):
+            return Document(item["key"], int(item["revision"]), None)
+        value = base64.b64decode(item["value"], validate=True)
+        return Document(item["key"], int(item["revision"]), value)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise SourceUnavailableError(f"malformed item: {error!r}") from error
--- a/sycamoreproxy/result_codes.py
+++ b/sycamoreproxy/result_codes.py
@@ -52,6 +52,8 @@
 HEADERS_TOO_LARGE = _define(1004, "headers_too_large", 431, "The headers exceed the size limit.")
 UNKNOWN_MODEL = _define(1005, "unknown_model", 404, "No model has this name.")
 UNKNOWN_SERVICE = _define(1006, "unknown_service", 404, "No service has this name.")
+UNKNOWN_ROUTE = _define(1014, "unknown_route", 404, "No route has this host and path.")
+INVALID_HEADER = _define(1015, "invalid_header", 400, "A header of the request is malformed.")
 UNKNOWN_PATH = _define(1007, "unknown_path", 404, "Nothing is served at this path.")
 METHOD_NOT_ALLOWED = _define(1008, "method_not_allowed", 405, "The path has no such method.")
 UNKNOWN_RANK = _define(1009, "unknown_rank", 400, "No rank has this name.")
@@ -97,12 +99,23 @@
     1209, "retry_budget_spent", 503, "The retry budget is spent.", retry_helps=True
 )
 
+NO_CONFIGURATION = _define(
+    1210, "no_configuration", 503, "The process knows no configuration yet.", retry_helps=True
+)
+OVERLOADED = _define(
+    1211, "overloaded", 503, "The engines have no room for this rank in time.", retry_helps=True
+)
+UPSTREAM_REFUSED = _define(
+    1212, "upstream_refused", 503, "The upstreams refused it unrun.", retry_helps=True
+)
+
 # 13xx: upstreams and answers.
 UPSTREAM_FAILED = _define(1301, "upstream_failed", 502, "The upstream failed the request.")
 UPSTREAM_LOST = _define(1302, "upstream_lost", 502, "The connection to the upstream was lost.")
 UPSTREAM_TIMEOUT = _define(1303, "upstream_timeout", 504, "The upstream gave no answer in time.")
 ANSWER_INCOMPLETE = _define(1304, "answer_incomplete", 502, "The answer is not whole.")
 MIXED_VERSIONS = _define(1305, "mixed_versions", 502, "The answer mixed two model versions.")
+TIMED_OUT = _define(1307, "timed_out", 504, "The route's time limit is over.")
 CALLER_GONE = _define(1306, "caller_gone", 499, "The caller closed the connection.")
 
 # 14xx: claims of non-idempotent requests.
--- /dev/null
+++ b/sycamoreproxy/routed_composition.py
@@ -0,0 +1,280 @@
+"""The composition root of a routed deployment: builds the parts of a process and wires them."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from sycamoreproxy.caller_request import Dialect
+from sycamoreproxy.chunk_plan import PlanLimits
+from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.messages import Hello
+from sycamoreproxy.origins import Origin, OriginError
+from sycamoreproxy.peers import PeerHub
+from sycamoreproxy.registry import Registry
+from sycamoreproxy.routed_entry import Beliefs, Documents
+from sycamoreproxy.routed_settings import RoutedSettings
+from sycamoreproxy.state_http import StateServer
+from sycamoreproxy.streams import MessageServer
+from sycamoreproxy.task_group import BackgroundTasks
+from sycamoreproxy.upstream_book import UpstreamBook
+from sycamoreproxy.watched_documents import DocumentReplica, DocumentSource
+from sycamoreproxy.weight_targets import WeightTargets
+
+if TYPE_CHECKING:
+    from sycamoreproxy.engine_stage import StagedEngine
+    from sycamoreproxy.weights import Manifest
+
+#: Part of a host's link that weights may use; live requests share it.
+WEIGHTS_LINK_FRACTION = 0.85
+#: Waits of a transfer, in seconds. All hosts must hold a version within a few seconds, so a source
+#: that does not answer is left much sooner than on deployments with large weights.
+CHUNK_REQUEST_S = 2.0
+TAKE_OVER_S = 1.0
+AVOID_FAILED_S = 1.5
+ORIGIN_STALL_S = 1.0
+QUIET_S = 5.0
+
+
+class RoutedProcess(Protocol):
+    """A process of a routed deployment."""
+
+    async def start(self) -> None:
+        """Open the listeners and start the tasks."""
+
+    async def drain(self) -> None:
+        """Take no new work and finish what is in progress."""
+
+    async def close(self) -> None:
+        """Stop all tasks and close all sockets."""
+
+    def reload(self, settings: RoutedSettings) -> None:
+        """Apply changed settings."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformAdapter:
+    """Factories of one platform's translations.
+
+    :param open_engine: ``IP:PORT`` of the engine on this host to its client.
+    :param open_origin: ``IP:PORT`` of the origin to its client.
+    """
+
+    open_source: Callable[[str], DocumentSource]
+    documents: Callable[[], Documents]
+    dialect: Callable[[], Dialect]
+    open_engine: Callable[[str], StagedEngine]
+    open_origin: Callable[[str], Origin]
+
+
+#: Adapters by the name in the settings.
+platforms: Registry[PlatformAdapter] = Registry("platform adapter")
+
+
+class _Parts:
+    """The parts that both roles have."""
+
+    def __init__(self, settings: RoutedSettings, adapter: PlatformAdapter) -> None:
+        process = settings.process
+        self.clock = SystemClock()
+        self.documents = adapter.documents()
+        self.hub = PeerHub(
+            hello=Hello(
+                host=settings.listen.ip,
+                process_id=secrets.token_hex(8),
+                role="entry" if process.role == "routed-entry" else "upstream",
+                availability_zone=process.availability_zone,
+                # Hosts of weights are neighbours within one availability zone: each has a narrow
+                # link to the others.
+                region=process.availability_zone,
+            ),
+            client_tls=None,
+        )
+        self.replica = DocumentReplica(
+            source=adapter.open_source(str(settings.store.address)),
+            hub=self.hub,
+            prefixes=self.documents.prefixes,
+            clock=self.clock,
+        )
+        self.book = UpstreamBook(clock=self.clock, leave_s=settings.bounds.leave_s)
+        self.targets = WeightTargets(clock=self.clock, bound_s=settings.bounds.version_s)
+        self.beliefs = Beliefs(
+            documents=self.documents, replica=self.replica, book=self.book, targets=self.targets
+        )
+        self.tasks = BackgroundTasks()
+
+
+def build_routed_process(settings: RoutedSettings) -> RoutedProcess:
+    """Return the process of these settings, not started."""
+    import sycamoreproxy.platform.adapter  # noqa: F401  registers itself
+
+    adapter = platforms.get(settings.store.adapter)
+    parts = _Parts(settings, adapter)
+    if settings.process.role == "routed-entry":
+        return _build_entry(settings, adapter, parts)
+    return _build_upstream(settings, adapter, parts)
+
+
+def _build_entry(
+    settings: RoutedSettings, adapter: PlatformAdapter, parts: _Parts
+) -> RoutedProcess:
+    from sycamoreproxy.placement import Placer
+    from sycamoreproxy.resend_budget import ResendBudget
+    from sycamoreproxy.routed_dispatch import RoutedDispatcher
+    from sycamoreproxy.routed_entry import RoutedEntry
+    from sycamoreproxy.routed_http import RoutedFront
+
+    placer = Placer(
+        clock=parts.clock,
+        availability_zone=settings.process.availability_zone,
+        random_source=random.Random(),
+    )
+    budgets_by_service: dict[str, ResendBudget] = {}
+    bounds = settings.bounds
+
+    def budget_for(service: str) -> ResendBudget:
+        budget = budgets_by_service.get(service)
+        if budget is None:
+            budget = ResendBudget(
+                clock=parts.clock,
+                ratio=bounds.resend_ratio,
+                slack=bounds.resend_slack,
+                window_s=bounds.resend_window_s,
+            )
+            budgets_by_service[service] = budget
+        return budget
+
+    dialect = adapter.dialect()
+    dispatcher = RoutedDispatcher(
+        dialect=dialect,
+        table=lambda: parts.beliefs.table,
+        book=parts.book,
+        placer=placer,
+        targets=parts.targets,
+        budget_for=budget_for,
+        clock=parts.clock,
+        random_source=random.Random(),
+    )
+    front = RoutedFront(dispatcher=dispatcher, dialect=dialect)
+    state = StateServer(
+        sections_by_name={
+            "documents": parts.replica.describe,
+            "routes": lambda: {"revision": parts.beliefs.table.revision},
+            "upstreams": placer.describe,
+            "waiting": dispatcher.count_waiting,
+            "open_requests": lambda: dispatcher.open_requests,
+            "tasks": parts.tasks.list_names,
+        }
+    )
+    return RoutedEntry(
+        settings=settings,
+        documents=parts.documents,
+        hub=parts.hub,
+        replica=parts.replica,
+        beliefs=parts.beliefs,
+        placer=placer,
+        dispatcher=dispatcher,
+        front=front,
+        state=state,
+        tasks=parts.tasks,
+        budgets_by_service=budgets_by_service,
+        now=parts.clock.monotonic,
+    )
+
+
+class _LazyOrigin:
+    """The origin that the configuration names, opened when it is first used."""
+
+    def __init__(self, *, beliefs: Beliefs, open_origin: Callable[[str], Origin]) -> None:
+        self._beliefs = beliefs
+        self._open_origin = open_origin
+        self._address = ""
+        self._origin: Origin | None = None
+
+    async def read_manifest(self, version: str) -> Manifest:
+        """Return the manifest of a version; see ``Origin``."""
+        return await self._current().read_manifest(version)
+
+    async def read_chunk(self, manifest: Manifest, index: int) -> bytes:
+        """Return the bytes of a chunk; see ``Origin``."""
+        return await self._current().read_chunk(manifest, index)
+
+    def close(self) -> None:
+        """Release connections."""
+        if self._origin is not None:
+            self._origin.close()
+
+    def _current(self) -> Origin:
+        services = self._beliefs.table.services_by_name.values()
+        address = next((spec.origin for spec in services if spec.origin), "")
+        if not address:
+            raise OriginError("the configuration names no origin")
+        if self._origin is None or address != self._address:
+            self.close()
+            self._address, self._origin = address, self._open_origin(address)
+        return self._origin
+
+
+def _build_upstream(
+    settings: RoutedSettings, adapter: PlatformAdapter, parts: _Parts
+) -> RoutedProcess:
+    from sycamoreproxy.engine_stage import WeightStager
+    from sycamoreproxy.routed_upstream import RoutedUpstream
+    from sycamoreproxy.weight_transfer import WeightTransfer
+    from sycamoreproxy.weights import ChunkStore
+
+    assert settings.engine is not None
+    engine = adapter.open_engine(str(settings.engine.address))
+    chunks = ChunkStore()
+    built: list[RoutedUpstream] = []
+    transfer = WeightTransfer(
+        hub=parts.hub,
+        chunks=chunks,
+        origin=_LazyOrigin(beliefs=parts.beliefs, open_origin=adapter.open_origin),
+        hosts=lambda: built[0].list_neighbours(),
+        limits=PlanLimits(
+            bytes_per_s=settings.engine.link_bytes_per_s * WEIGHTS_LINK_FRACTION,
+            in_flight_at_origin=2,
+            take_over_s=TAKE_OVER_S,
+            request_s=CHUNK_REQUEST_S,
+            avoid_failed_s=AVOID_FAILED_S,
+            stall_s=ORIGIN_STALL_S,
+            quiet_s=QUIET_S,
+        ),
+        clock=parts.clock,
+        random_source=random.Random(),
+    )
+    stager = WeightStager(
+        engine=engine,
+        transfer=transfer,
+        chunks=chunks,
+        targets=parts.targets,
+        report=lambda: built[0].report,
+    )
+    state = StateServer(
+        sections_by_name={
+            "documents": parts.replica.describe,
+            "routes": lambda: {"revision": parts.beliefs.table.revision},
+            "weights": lambda: transfer.state,
+            "engine": lambda: built[0].report,
+            "tasks": parts.tasks.list_names,
+        }
+    )
+    process = RoutedUpstream(
+        settings=settings,
+        documents=parts.documents,
+        hub=parts.hub,
+        peer_server=MessageServer(handle=parts.hub.serve, tls=None),
+        replica=parts.replica,
+        beliefs=parts.beliefs,
+        engine=engine,
+        transfer=transfer,
+        stager=stager,
+        state=state,
+        tasks=parts.tasks,
+    )
+    built.append(process)
+    return process
--- /dev/null
+++ b/sycamoreproxy/routed_dispatch.py
@@ -0,0 +1,618 @@
+"""Runs one caller's request on a routed deployment: route, account, upstream, resends, answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from tornado.httputil import HTTPHeaders
+
+from sycamoreproxy import result_codes as codes
+from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
+from sycamoreproxy.caller_request import AnswerHead, Attempt, CallerRequest, Dialect
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.event_splitter import EventSplitter
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.metrics import FIRST_OUTPUT_SECONDS, REFUSALS, REQUESTS
+from sycamoreproxy.placement import Choice, LoadReport, Need, Placer
+from sycamoreproxy.resend_budget import ResendBudget
+from sycamoreproxy.result_codes import Executed, Refusal
+from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
+from sycamoreproxy.upstream_book import UpstreamBook
+from sycamoreproxy.waiting_line import Overload, Waiter, WaitingLine
+from sycamoreproxy.weight_targets import WeightTargets
+
+#: Longest answer, in bytes.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+#: Idle connections kept to one upstream. All entry hosts share the upstream's connection limit.
+IDLE_CONNECTIONS = 16
+#: Sends of one request that its upstreams refused unrun; each counts against the resend budget.
+MAX_UNRUN = 3
+#: A repeatable request without output is sent elsewhere after its forecast, plus this part of its
+#: goal, plus this time, in seconds.
+PATIENCE_GOALS = 1.0
+PATIENCE_S = 1.0
+#: A stream that resumes goes on elsewhere after this many of its longest pauses without an event.
+GAP_PATIENCE = 3.0
+#: Shortest time left with which a request is sent, in seconds: less does not reach the upstream.
+MIN_TIME_LEFT_S = 0.03
+#: Shortest and longest time after which a refused caller is told to return, in seconds. Callers
+#: return at different times, so that they do not form the next burst.
+RETRY_AFTER_MIN_S = 0.5
+RETRY_AFTER_MAX_S = 2.0
+#: An answer of an upstream from which it may have run the request and that a caller would read as
+#: a promise that it has not.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+_log = get_logger("routed_dispatch")
+
+
+class Reply(Protocol):
+    """The answer to one caller."""
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the caller may have received a part of the answer."""
+
+    def start(self, status: int, headers: HTTPHeaders, data: bytes) -> None:
+        """Send the head and a first part of the body."""
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer does not look complete."""
+
+    def refuse(self, refusal: Refusal, *, retry_after_s: float | None) -> None:
+        """Send a final answer of the system's own."""
+
+
+class _MismatchError(Exception):
+    """The answer belongs to another request or looks like none."""
+
+
+@dataclass(slots=True)
+class _Progress:
+    """State of one request over its attempts."""
+
+    request: CallerRequest
+    route: Route
+    account: str
+    service: ServiceSpec
+    received_at: float
+    deadline: float
+    splitter: EventSplitter
+    excluded: set[str]
+    attempts: int = 0
+    runs: int = 0
+    unrun: int = 0
+    first_output_at: float | None = None
+    last_output_at: float = 0.0
+    forecast_s: float = 0.0
+    waited_s: float = 0.0
+    instances: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _Ended:
+    """An attempt ended.
+
+    :param refusal: None if the caller has its answer.
+    :param failed: whether the failure speaks against the upstream; None if it says nothing of it.
+    :param may_resend: whether another upstream may take the request.
+    """
+
+    refusal: Refusal | None
+    failed: bool | None = False
+    may_resend: bool = False
+
+
+class RoutedDispatcher:
+    """Answers callers' requests.
+
+    :param table: returns the routes in force.
+    :param budget_for: returns the resend budget of a service.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        table: Callable[[], RouteTable],
+        book: UpstreamBook,
+        placer: Placer,
+        targets: WeightTargets,
+        budget_for: Callable[[str], ResendBudget],
+        clock: Clock,
+        random_source: random.Random,
+    ) -> None:
+        self._dialect = dialect
+        self._table = table
+        self._book = book
+        self._placer = placer
+        self._targets = targets
+        self._budget_for = budget_for
+        self._clock = clock
+        self._random = random_source
+        self._clients_by_address: dict[str, HttpClient] = {}
+        self._lines_by_service: dict[str, WaitingLine] = {}
+        self.open_requests = 0
+
+    # Queries
+
+    def count_waiting(self) -> dict[str, dict[int, int]]:
+        """Return the number of waiting requests by service and rank."""
+        return {name: line.count_by_rank() for name, line in self._lines_by_service.items()}
+
+    # Commands
+
+    def pump(self) -> None:
+        """Place waiting requests; called when an upstream may have room."""
+        for line in self._lines_by_service.values():
+            line.pump()
+
+    def close(self) -> None:
+        """Close the idle connections to upstreams."""
+        for client in self._clients_by_address.values():
+            client.close()
+        self._clients_by_address.clear()
+
+    async def answer(self, request: CallerRequest, reply: Reply) -> None:
+        """Answer one request; cancelling the task ends its work at the upstream."""
+        received_at = self._clock.monotonic()
+        table = self._table()
+        found = self._admit(table, request)
+        if isinstance(found, Refusal):
+            self._refuse(request, None, found, reply)
+            return
+        route, account, service = found
+        progress = _Progress(
+            request=request,
+            route=route,
+            account=account,
+            service=service,
+            received_at=received_at,
+            deadline=received_at + min(request.time_left_s, route.timeout_s),
+            splitter=EventSplitter(last_id=request.last_event_id),
+            excluded=set(),
+        )
+        self.open_requests += 1
+        refusal: Refusal | None = None
+        try:
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time() + progress.deadline - received_at
+            ):
+                refusal = await self._run(progress, reply)
+        except TimeoutError:
+            executed = Executed.UNKNOWN if progress.runs else Executed.NO
+            code = codes.TIMED_OUT if progress.runs else codes.DEADLINE_UNREACHABLE
+            refusal = Refusal(code, executed)
+        except asyncio.CancelledError:
+            self._report(progress, Refusal(codes.CALLER_GONE, Executed.UNKNOWN))
+            raise
+        finally:
+            self.open_requests -= 1
+        self._report(progress, refusal)
+        if refusal is not None:
+            self._refuse(request, progress, refusal, reply)
+
+    # Steps
+
+    def _admit(
+        self, table: RouteTable, request: CallerRequest
+    ) -> tuple[Route, str, ServiceSpec] | Refusal:
+        """Return route, client account and service of a request."""
+        if table.revision == 0:
+            return Refusal(codes.NO_CONFIGURATION, Executed.NO)
+        route = table.match(request.host, request.target)
+        if route is None:
+            return Refusal(codes.UNKNOWN_ROUTE, Executed.NO)
+        account = ""
+        if table.needs_keys and not route.is_public:
+            account = table.account_by_key.get(request.key, "")
+            if not account:
+                code = codes.UNKNOWN_KEY if request.key else codes.MISSING_KEY
+                return Refusal(code, Executed.NO)
+        rank = table.rank_by_account.get(account, route.rank)
+        if rank != route.rank:
+            route = replace(route, rank=rank)
+        name = route.choose_service(request.request_id)
+        service = table.services_by_name.get(name) or ServiceSpec(name=name)
+        return route, account, service
+
+    async def _run(self, progress: _Progress, reply: Reply) -> Refusal | None:
+        """Send a request until it has an answer or no further upstream may take it."""
+        budget = self._budget_for(progress.service.name)
+        while True:
+            choice = await self._place(progress)
+            if isinstance(choice, Refusal):
+                return choice
+            progress.attempts += 1
+            progress.forecast_s = choice.forecast_s
+            progress.instances += f" {choice.record.instance}"
+            if progress.attempts == 1:
+                budget.count_first()
+            failed: bool | None = None
+            try:
+                ended = await self._attempt(progress, choice, reply)
+                failed = ended.failed
+            finally:
+                self._placer.end(choice, failed=failed)
+                self.pump()
+            if ended.refusal is None:
+                return None
+            progress.excluded.add(choice.record.instance)
+            if not ended.may_resend or not self._may_resend(progress, ended.refusal, budget):
+                return ended.refusal
+            _log.info(
+                "request resent",
+                request=progress.request.request_id,
+                upstream=choice.record.instance,
+                code=ended.refusal.code.number,
+                executed=str(ended.refusal.executed),
+                last_event=progress.splitter.last_id,
+                age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
+            )
+
+    def _may_resend(self, progress: _Progress, refusal: Refusal, budget: ResendBudget) -> bool:
+        if refusal.executed is Executed.NO:
+            progress.unrun += 1
+            if progress.unrun > MAX_UNRUN:
+                return False
+            return refusal.code is codes.UPSTREAM_LOST or budget.take()
+        return (
+            progress.route.repeatable
+            and progress.runs < progress.route.max_attempts
+            and progress.deadline - self._clock.monotonic() > MIN_TIME_LEFT_S
+            and budget.take()
+        )
+
+    async def _place(self, progress: _Progress) -> Choice | Refusal:
+        """Return the upstream for the next attempt, after a wait if none has room."""
+        need = self._make_need(progress)
+        name = progress.service.name
+        if progress.service.engine is None or progress.first_output_at is not None:
+            # Plain services are not near their capacity; a stream that goes on does not wait.
+            choice = self._choose(name, need, any_room=True)
+            return choice or Refusal(codes.NO_UPSTREAM, Executed.NO)
+        line = self._lines_by_service.get(name)
+        if line is None:
+            line = WaitingLine(clock=self._clock, place=lambda need: self._choose(name, need))
+            self._lines_by_service[name] = line
+        joined = line.join(need, goal_s=progress.route.goal_s, expires_at=progress.deadline)
+        if isinstance(joined, Overload):
+            return Refusal(codes.OVERLOADED, Executed.NO, detail=f"wait {joined.wait_s:.2f} s")
+        if isinstance(joined, Waiter):
+            try:
+                choice = await joined.placed
+            finally:
+                line.leave(joined)
+            progress.waited_s = self._clock.monotonic() - joined.arrived_at
+            return choice or Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO)
+        return joined
+
+    def _make_need(self, progress: _Progress) -> Need:
+        request = progress.request
+        is_generation = progress.service.engine is not None
+        return Need(
+            rank=progress.route.rank,
+            prompt_tokens=request.prompt_tokens,
+            model=request.model if is_generation else "",
+            minimum_version=self._targets.find_minimum(request.model) if is_generation else 0,
+            excluded=frozenset(progress.excluded),
+        )
+
+    def _choose(self, service: str, need: Need, *, any_room: bool = False) -> Choice | None:
+        records = self._book.list_usable(service)
+        spec = self._table().services_by_name.get(service)
+        choice = self._placer.choose(
+            records,
+            need,
+            profile=spec.engine if spec is not None else None,
+            is_leaving=frozenset(
+                record.instance for record in records if self._book.is_leaving(record.instance)
+            ),
+            any_room=any_room,
+        )
+        return None if choice is None else self._placer.begin(choice, need)
+
+    async def _attempt(self, progress: _Progress, choice: Choice, reply: Reply) -> _Ended:
+        """Send a request to one upstream and pass its answer on."""
+        request, route = progress.request, progress.route
+        time_left = progress.deadline - self._clock.monotonic()
+        if time_left < MIN_TIME_LEFT_S:
+            return _Ended(Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO), failed=None)
+        headers = self._dialect.write_attempt(
+            request,
+            Attempt(
+                instance=choice.record.instance,
+                time_left_s=time_left,
+                account=progress.account,
+                weight_version=(
+                    self._targets.find_minimum(request.model) or None
+                    if progress.service.engine is not None
+                    else None
+                ),
+                urgency=min(9, route.rank) if progress.service.engine is not None else None,
+                last_event_id=progress.splitter.last_id,
+            ),
+        )
+        relay = _Relay(
+            progress=progress,
+            choice=choice,
+            reply=reply,
+            dialect=self._dialect,
+            placer=self._placer,
+            clock=self._clock,
+        )
+        client = self._client_of(choice)
+        exchange = asyncio.ensure_future(
+            client.exchange(
+                method=request.method,
+                path=request.target,
+                headers=headers,
+                body=request.body,
+                on_head=relay.take_head,
+                on_data=relay.take_data,
+                repeatable=route.repeatable,
+            )
+        )
+        progress.runs += 1
+        try:
+            await self._watch_over(exchange, progress, choice)
+        except NotSentError as error:
+            progress.runs -= 1
+            return _Ended(
+                Refusal(codes.UPSTREAM_LOST, Executed.NO, detail=str(error)),
+                failed=True,
+                may_resend=True,
+            )
+        except (AnswerLostError, _MismatchError) as error:
+            return _Ended(
+                Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN, detail=str(error)),
+                failed=True,
+                may_resend=True,
+            )
+        except TimeoutError:
+            return _Ended(
+                Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time"),
+                failed=True,
+                may_resend=True,
+            )
+        return relay.end()
+
+    async def _watch_over(
+        self, exchange: asyncio.Future[None], progress: _Progress, choice: Choice
+    ) -> None:
+        """Wait for the end of an exchange.
+
+        :raises TimeoutError: if a repeatable request has no output for too long.
+        """
+        started_at = self._clock.monotonic()
+        first_limit = started_at + (
+            choice.forecast_s + PATIENCE_GOALS * progress.route.goal_s + PATIENCE_S
+        )
+        try:
+            if not progress.route.repeatable:
+                await exchange
+                return
+            while not exchange.done():
+                limit = first_limit
+                if progress.last_output_at > started_at:
+                    limit = progress.last_output_at + GAP_PATIENCE * max(
+                        0.4, progress.route.gap_goal_s
+                    )
+                left = limit - self._clock.monotonic()
+                if left <= 0:
+                    raise TimeoutError
+                await asyncio.wait({exchange}, timeout=left)
+            exchange.result()
+        finally:
+            if not exchange.done():
+                exchange.cancel()
+
+    def _client_of(self, choice: Choice) -> HttpClient:
+        address = str(choice.record.address)
+        client = self._clients_by_address.get(address)
+        if client is None:
+            client = HttpClient(
+                f"http://{address}",
+                max_body_bytes=MAX_ANSWER_BYTES,
+                idle_limit=IDLE_CONNECTIONS,
+            )
+            self._clients_by_address[address] = client
+        return client
+
+    # Ends
+
+    def _refuse(
+        self, request: CallerRequest, progress: _Progress | None, refusal: Refusal, reply: Reply
+    ) -> None:
+        REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
+        if progress is None:
+            _log.info(
+                "request refused",
+                request=request.request_id,
+                code=refusal.code.number,
+                host=request.host,
+                target=request.target,
+                revision=self._table().revision,
+            )
+        if reply.has_started:
+            reply.abort()
+            return
+        retry_after = None
+        if refusal.executed is Executed.NO and refusal.code.retry_helps:
+            retry_after = self._random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+        reply.refuse(refusal, retry_after_s=retry_after)
+
+    def _report(self, progress: _Progress, refusal: Refusal | None) -> None:
+        now = self._clock.monotonic()
+        code = refusal.code.number if refusal is not None else 0
+        rank = str(progress.route.rank)
+        REQUESTS.inc({"kind": str(progress.route.kind), "rank": rank, "code": str(code)})
+        first_ms = None
+        if progress.first_output_at is not None:
+            FIRST_OUTPUT_SECONDS.observe(
+                {"rank": rank}, progress.first_output_at - progress.received_at
+            )
+            first_ms = round((progress.first_output_at - progress.received_at) * 1000)
+        _log.info(
+            "request ended",
+            request=progress.request.request_id,
+            route=progress.route.name,
+            account=progress.account,
+            rank=progress.route.rank,
+            prompt=progress.request.prompt_tokens,
+            upstreams=progress.instances.strip(),
+            attempts=progress.attempts,
+            waited_ms=round(progress.waited_s * 1000),
+            forecast_ms=round(progress.forecast_s * 1000),
+            first_ms=first_ms,
+            total_ms=round((now - progress.received_at) * 1000),
+            code=code,
+            executed=None if refusal is None else str(refusal.executed),
+            detail=None if refusal is None else refusal.detail,
+        )
+
+
+class _Relay:
+    """Passes one upstream's answer on to the caller."""
+
+    def __init__(
+        self,
+        *,
+        progress: _Progress,
+        choice: Choice,
+        reply: Reply,
+        dialect: Dialect,
+        placer: Placer,
+        clock: Clock,
+    ) -> None:
+        self._progress = progress
+        self._choice = choice
+        self._reply = reply
+        self._dialect = dialect
+        self._placer = placer
+        self._clock = clock
+        self._head: AnswerHead | None = None
+        self._is_stream = False
+        self._parts: list[bytes] = []
+
+    def take_head(self, status: int, headers: HTTPHeaders) -> None:
+        """Take the head of the answer.
+
+        :raises _MismatchError: if it belongs to another request.
+        """
+        head = self._dialect.read_answer(status, headers)
+        request_id = self._progress.request.request_id
+        if head.request_id and head.request_id != request_id:
+            raise _MismatchError(f"answer to {head.request_id}")
+        self._head = head
+        self._is_stream = (
+            self._progress.route.kind is RouteKind.STREAMING
+            and 200 <= status < 300
+            and head.is_signed
+        )
+        if head.load is not None and self._placer.view(self._choice.record.instance).report is None:
+            self._note_load(head)
+
+    def take_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if not self._is_stream:
+            self._parts.append(data)
+            return
+        events = self._progress.splitter.take(data)
+        if events:
+            self._send(events)
+
+    def end(self) -> _Ended:
+        """Finish the answer after its last byte."""
+        head = self._head
+        if head is None:
+            return _Ended(Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN), True, True)
+        if self._is_stream:
+            rest = self._progress.splitter.partial
+            if rest:
+                return _Ended(
+                    Refusal(codes.ANSWER_INCOMPLETE, Executed.UNKNOWN, detail="half an event"),
+                    True,
+                    True,
+                )
+            if not self._reply.has_started:
+                self._send(b"")
+            self._reply.finish()
+            return _Ended(None)
+        if head.is_unrun:
+            return self._end_unrun(head)
+        if self._reply.has_started:
+            # A stream that should have gone on here was answered with a failure.
+            return _Ended(Refusal(codes.UPSTREAM_FAILED, Executed.UNKNOWN), True, True)
+        if head.status >= 500 and self._progress.route.repeatable:
+            ended = _Ended(
+                Refusal(codes.UPSTREAM_FAILED, Executed.YES, detail=f"status {head.status}"),
+                failed=True,
+                may_resend=True,
+            )
+            if self._progress.runs < self._progress.route.max_attempts:
+                return ended
+        if head.status in _PROMISES or not head.is_signed:
+            return _Ended(
+                Refusal(codes.UPSTREAM_FAILED, Executed.UNKNOWN, detail=f"status {head.status}"),
+                failed=True,
+                may_resend=True,
+            )
+        self._note_output()
+        body = b"".join(self._parts)
+        headers = self._caller_headers(head)
+        headers["Content-Length"] = str(len(body))
+        self._reply.start(head.status, headers, body)
+        self._reply.finish()
+        return _Ended(None, failed=head.status >= 500)
+
+    def _end_unrun(self, head: AnswerHead) -> _Ended:
+        self._progress.runs -= 1
+        # A refusal for want of room or of another instance is no fault of the upstream.
+        return _Ended(
+            Refusal(codes.UPSTREAM_REFUSED, Executed.NO, detail=f"status {head.status}"),
+            failed=None,
+            may_resend=True,
+        )
+
+    def _send(self, data: bytes) -> None:
+        self._note_output()
+        if self._reply.has_started:
+            self._reply.write(data)
+        else:
+            assert self._head is not None
+            headers = self._caller_headers(self._head)
+            headers.pop("Content-Length", None)
+            self._reply.start(self._head.status, headers, data)
+
+    def _note_output(self) -> None:
+        progress = self._progress
+        now = self._clock.monotonic()
+        progress.last_output_at = now
+        self._placer.note_output(self._choice)
+        if progress.first_output_at is None:
+            progress.first_output_at = now
+
+    def _note_load(self, head: AnswerHead) -> None:
+        load = head.load
+        assert load is not None
+        report = LoadReport(at=self._clock.monotonic(), running=load.running, waiting=load.waiting)
+        if self._progress.service.engine is None:
+            self._placer.take_report(self._choice.record.instance, report)
+
+    @staticmethod
+    def _caller_headers(head: AnswerHead) -> HTTPHeaders:
+        headers = HTTPHeaders()
+        for name, value in head.headers:
+            headers.add(name, value)
+        return headers
--- /dev/null
+++ b/sycamoreproxy/routed_http.py
@@ -0,0 +1,229 @@
+"""HTTP surface of an entry host on a routed deployment, by tornado's server."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from sycamoreproxy import result_codes as codes
+from sycamoreproxy.caller_request import BadRequestError, CallerRequest, Dialect
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.result_codes import Executed, Refusal
+from sycamoreproxy.route_table import CallerBounds
+from sycamoreproxy.routed_dispatch import RoutedDispatcher
+
+#: Margin over the idle time that callers may use, in seconds, so that a connection is not closed
+#: while a request is on its way.
+IDLE_MARGIN_S = 5.0
+#: Reason phrases of the statuses that the system answers with itself.
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+_log = get_logger("routed_http")
+
+
+class CallerReply:
+    """The answer on one connection."""
+
+    def __init__(self, connection: HTTP1Connection, *, is_leaving: Callable[[], bool]) -> None:
+        self._connection = connection
+        self._is_leaving = is_leaving
+        self.has_started = False
+        self.is_finished = False
+
+    def start(self, status: int, headers: HTTPHeaders, data: bytes) -> None:
+        """Send the head and a first part of the body."""
+        self.has_started = True
+        if self._is_leaving():
+            headers["Connection"] = "close"
+        reason = _REASONS.get(status, "Unknown")
+        _ignore(
+            self._connection.write_headers(
+                ResponseStartLine("HTTP/1.1", status, reason), headers, data or None
+            )
+        )
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        _ignore(self._connection.write(data))
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        self.is_finished = True
+        if self._is_leaving():
+            self._connection._disconnect_on_finish = True
+        self._connection.finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer does not look complete."""
+        self.is_finished = True
+        self._connection.close()
+
+    def refuse(self, refusal: Refusal, *, retry_after_s: float | None) -> None:
+        """Send a refusal as JSON."""
+        body = json.dumps(refusal.as_body()).encode()
+        headers = HTTPHeaders(
+            {"Content-Type": "application/json", "Content-Length": str(len(body))}
+        )
+        if retry_after_s is not None:
+            headers["Retry-After"] = f"{retry_after_s:.2f}"
+        self.start(refusal.code.http_status, headers, body)
+        self.finish()
+
+
+def _ignore(future: asyncio.Future[None]) -> None:
+    """Leave the error of a write to the connection's close callback."""
+    future.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+
+class _Exchange(HTTPMessageDelegate):
+    """Receives one request and runs its answer."""
+
+    def __init__(self, front: RoutedFront, connection: HTTP1Connection) -> None:
+        self._front = front
+        self._connection = connection
+        self._request: CallerRequest | None = None
+        self._refusal: Refusal | None = None
+        self._parts: list[bytes] = []
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        try:
+            self._request = self._front.dialect.read_request(start_line, headers)
+        except BadRequestError as error:
+            self._refusal = Refusal(codes.INVALID_HEADER, Executed.NO, detail=str(error))
+
+    def data_received(self, chunk: bytes) -> None:
+        self._parts.append(chunk)
+
+    def finish(self) -> None:
+        reply = CallerReply(self._connection, is_leaving=self._front.is_leaving)
+        if self._request is None:
+            reply.refuse(
+                self._refusal or Refusal(codes.INVALID_HEADER, Executed.NO), retry_after_s=None
+            )
+            return
+        request = self._request
+        if self._parts:
+            request = _with_body(request, b"".join(self._parts))
+        self._task = asyncio.create_task(self._answer(request, reply))
+        self._connection.set_close_callback(self._cancel)
+        self._front.tasks.add(self._task)
+        self._task.add_done_callback(self._front.tasks.discard)
+
+    def on_connection_close(self) -> None:
+        self._cancel()
+
+    def _cancel(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _answer(self, request: CallerRequest, reply: CallerReply) -> None:
+        try:
+            await self._front.dispatcher.answer(request, reply)
+        except (asyncio.CancelledError, StreamClosedError):
+            pass
+        except Exception:
+            _log.exception("request failed", request=request.request_id)
+            if reply.has_started:
+                reply.abort()
+            else:
+                reply.refuse(Refusal(codes.INTERNAL, Executed.UNKNOWN), retry_after_s=None)
+        finally:
+            if not reply.is_finished:
+                reply.abort()
+
+
+def _with_body(request: CallerRequest, body: bytes) -> CallerRequest:
+    from dataclasses import replace
+
+    return replace(request, body=body)
+
+
+class RoutedFront(HTTPServerConnectionDelegate):
+    """Takes callers' requests.
+
+    :param dispatcher: answers them.
+    """
+
+    def __init__(self, *, dispatcher: RoutedDispatcher, dialect: Dialect) -> None:
+        self.dispatcher = dispatcher
+        self.dialect = dialect
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._leaving = False
+        self._server: HTTPServer | None = None
+        self._idle: set[object] = set()
+
+    def is_leaving(self) -> bool:
+        """Return whether connections are closed after their answer."""
+        return self._leaving
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the receiver of one request."""
+        assert isinstance(request_conn, HTTP1Connection)
+        return _Exchange(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Take note of a closed connection; its request is cancelled by its own callback."""
+
+    def listen(self, ip: str, port: int) -> None:
+        """Open the listener."""
+        bounds = CallerBounds()
+        self._server = HTTPServer(
+            self,
+            max_header_size=bounds.max_header_bytes,
+            max_body_size=bounds.max_body_bytes,
+            idle_connection_timeout=bounds.idle_timeout_s + IDLE_MARGIN_S,
+        )
+        self._server.listen(port, ip, backlog=1024)
+
+    def set_bounds(self, bounds: CallerBounds) -> None:
+        """Apply the operator's bounds to new connections and to the next request of open ones."""
+        if self._server is None:
+            return
+        parameters = self._server.conn_params
+        parameters.max_body_size = bounds.max_body_bytes
+        parameters.header_timeout = bounds.idle_timeout_s + IDLE_MARGIN_S
+
+    def leave(self) -> None:
+        """Close each connection after its next answer."""
+        self._leaving = True
+
+    async def close(self, *, wait_s: float) -> None:
+        """Stop listening, wait for open requests, and close all connections.
+
+        :param wait_s: longest wait for open requests, in seconds.
+        """
+        if self._server is None:
+            return
+        self._server.stop()
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=wait_s)
+        for task in list(self.tasks):
+            task.cancel()
+        await self._server.close_all_connections()
--- /dev/null
+++ b/sycamoreproxy/routed_upstream.py
@@ -0,0 +1,161 @@
+"""The process beside an engine on a routed deployment: load reports and weights."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from functools import partial
+
+from sycamoreproxy.engine_stage import EngineReport, StagedEngine, StageError, WeightStager
+from sycamoreproxy.host_list import HostRecord
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.messages import EngineLoad, PeerStatus
+from sycamoreproxy.peers import PeerHub
+from sycamoreproxy.routed_entry import Beliefs, Documents
+from sycamoreproxy.routed_settings import RoutedSettings
+from sycamoreproxy.state_http import StateServer
+from sycamoreproxy.streams import Address, MessageServer
+from sycamoreproxy.task_group import BackgroundTasks
+from sycamoreproxy.watched_documents import DocumentReplica
+from sycamoreproxy.weight_transfer import WeightTransfer
+
+#: Time between two reads of the engine's report, in seconds. It is free on the engine's own host.
+REPORT_PERIOD_S = 0.1
+#: An unchanged load is sent again after this time, in seconds.
+UNCHANGED_PERIOD_S = 0.3
+#: Time between two heartbeats to peers, in seconds.
+HEARTBEAT_S = 1.0
+
+_log = get_logger("routed_upstream")
+
+
+class RoutedUpstream:
+    """Owns the tasks of the process beside an engine.
+
+    All parts are built by :mod:`sycamoreproxy.routed_composition`.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: RoutedSettings,
+        documents: Documents,
+        hub: PeerHub,
+        peer_server: MessageServer,
+        replica: DocumentReplica,
+        beliefs: Beliefs,
+        engine: StagedEngine,
+        transfer: WeightTransfer,
+        stager: WeightStager,
+        state: StateServer,
+        tasks: BackgroundTasks,
+    ) -> None:
+        assert settings.engine is not None
+        self._settings = settings
+        self._address = str(settings.engine.address)
+        self._documents = documents
+        self._hub = hub
+        self._peer_server = peer_server
+        self._replica = replica
+        self._beliefs = beliefs
+        self._engine = engine
+        self._transfer = transfer
+        self._stager = stager
+        self._state = state
+        self._tasks = tasks
+        self._report: EngineReport | None = None
+        self._failures = 0
+
+    @property
+    def report(self) -> EngineReport | None:
+        """The engine's last report; None if it can't be reached."""
+        return self._report
+
+    def reload(self, settings: RoutedSettings) -> None:
+        """Apply changed settings; addresses need a restart."""
+        self._settings = settings
+
+    async def start(self) -> None:
+        """Open the listeners and start the tasks."""
+        listen = self._settings.listen
+        self._peer_server.listen(listen.peer_port, listen.ip)
+        self._state.listen(listen.ip, listen.state_port)
+        for prefix in self._documents.prefixes:
+            self._tasks.start(f"watch {prefix}", partial(self._replica.watch, prefix))
+        self._tasks.start("heartbeat", self._beat)
+        self._tasks.start("load reports", self._follow_engine)
+        self._tasks.start("weights", self._transfer.run)
+        self._tasks.start("staging", self._stager.run)
+
+    async def drain(self) -> None:
+        """Nothing is in progress that a caller waits for."""
+
+    async def close(self) -> None:
+        """Stop all tasks and close all sockets."""
+        await self._tasks.close()
+        self._peer_server.stop()
+        await self._hub.close()
+        await self._state.close()
+
+    def list_neighbours(self) -> Iterable[HostRecord]:
+        """Return the hosts of engines with the same weights, this one included."""
+        port = self._settings.listen.peer_port
+        services = self._beliefs.table.services_by_name
+        for record in self._beliefs.book.list_all():
+            spec = services.get(record.service)
+            if spec is None or spec.engine is None:
+                continue
+            peer = Address(record.address.ip, port)
+            yield HostRecord(
+                host=record.address.ip,
+                role="upstream",
+                availability_zone=record.availability_zone,
+                region=record.availability_zone,
+                peer=peer,
+                admin=peer,
+                state="leaving" if self._beliefs.book.is_leaving(record.instance) else "live",
+                kind="engine",
+                name=record.service,
+            )
+
+    async def _beat(self) -> None:
+        while True:
+            beat = PeerStatus("ready", self._beliefs.table.revision, "")
+            self._hub.broadcast(beat, role="upstream")
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _follow_engine(self) -> None:
+        last: EngineLoad | None = None
+        last_at = 0.0
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                report = await self._engine.read_report()
+            except StageError as error:
+                self._failures += 1
+                if self._report is not None:
+                    _log.warning("engine lost", error=str(error))
+                self._report = None
+            else:
+                if self._report is None:
+                    _log.info("engine reached", failures=self._failures)
+                    self._failures = 0
+                self._report = report
+                load = self._make_load(report)
+                if load != last or loop.time() - last_at >= UNCHANGED_PERIOD_S:
+                    self._hub.broadcast(load, role="entry")
+                    last, last_at = load, loop.time()
+            await asyncio.sleep(REPORT_PERIOD_S)
+
+    def _make_load(self, report: EngineReport) -> EngineLoad:
+        return EngineLoad(
+            address=self._address,
+            running=report.running,
+            waiting=report.waiting,
+            memory_used=report.memory_used,
+            memory_total=report.memory_total,
+            pace=report.pace,
+            is_loading=report.is_loading,
+            versions=dict(report.version_by_model),
+            entry_hosts=sum(1 for peer in self._hub.peers if peer.hello.role == "entry"),
+        )
--- a/sycamoreproxy/settings.py
+++ b/sycamoreproxy/settings.py
@@ -247,7 +247,7 @@
             if key not in ("client_accounts", "operators"):
                 raise SettingsError(secrets_path, key, "unknown key")
             data.setdefault(key, value)
-    settings = typing.cast(Settings, _Reader(path).read(Settings, data, ""))
+    settings = typing.cast(Settings, SettingsReader(path).read(Settings, data, ""))
     _check(path, settings)
     return settings
 
@@ -261,7 +261,7 @@
         raise SettingsError(path, "(file)", str(error)) from error
 
 
-class _Reader:
+class SettingsReader:
     """Builds settings classes from TOML values.
 
     :param path: the file, for errors and as the base of relative paths.
--- /dev/null
+++ b/sycamoreproxy/upstream_book.py
@@ -0,0 +1,128 @@
+"""Upstreams as the platform lists them, and how long one that leaves may still be used."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.streams import Address
+
+#: Part of the operator's bound after which a leaving upstream receives nothing, so that a request
+#: which is already on its way arrives within the bound.
+LEAVING_FRACTION = 0.6
+
+_log = get_logger("upstream_book")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamRecord:
+    """One upstream of the list.
+
+    :param instance: id of the upstream's incarnation.
+    :param is_leaving: whether it has announced its end.
+    :param started_ms: start of the incarnation, Unix milliseconds; 0 if not told.
+    :param version_by_model: versions of the weights that it holds.
+    """
+
+    instance: str
+    service: str
+    address: Address
+    availability_zone: str
+    slots: int
+    is_leaving: bool = False
+    started_ms: int = 0
+    version_by_model: tuple[tuple[str, int], ...] = ()
+
+
+class UpstreamBook:
+    """Holds the listed upstreams.
+
+    A record that vanished is kept until its time to leave is over: it may have lapsed with an
+    outage of the store, and the upstream still serves for a while after it was removed.
+
+    :param leave_s: bound on new requests to an upstream that leaves, in seconds.
+    """
+
+    def __init__(self, *, clock: Clock, leave_s: float) -> None:
+        self._clock = clock
+        self._leave_s = leave_s * LEAVING_FRACTION
+        self._records_by_instance: dict[str, UpstreamRecord] = {}
+        self._leaving_since_by_instance: dict[str, float] = {}
+        self._listeners: list[Callable[[str], None]] = []
+
+    def subscribe(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener(instance)`` after each change of a record."""
+        self._listeners.append(listener)
+
+    def put(self, record: UpstreamRecord) -> None:
+        """Take the current record of an upstream."""
+        instance = record.instance
+        before = self._records_by_instance.get(instance)
+        self._records_by_instance[instance] = record
+        restarted = before is not None and before.started_ms != record.started_ms
+        if record.is_leaving:
+            if restarted or instance not in self._leaving_since_by_instance:
+                self._leaving_since_by_instance[instance] = self._clock.monotonic()
+        else:
+            self._leaving_since_by_instance.pop(instance, None)
+        if before != record:
+            _log.info(
+                "upstream listed",
+                instance=instance,
+                service=record.service,
+                address=str(record.address),
+                leaving=record.is_leaving,
+                versions=dict(record.version_by_model),
+            )
+            self._notify(instance)
+
+    def remove(self, instance: str) -> None:
+        """Note that an upstream is no longer listed."""
+        if instance not in self._records_by_instance:
+            return
+        since = self._leaving_since_by_instance.setdefault(instance, self._clock.monotonic())
+        _log.info("upstream removed", instance=instance, leaving_s=self._clock.monotonic() - since)
+        self._notify(instance)
+
+    def get(self, instance: str) -> UpstreamRecord | None:
+        """Return the record of an upstream that may still be used."""
+        record = self._records_by_instance.get(instance)
+        return record if record is not None and self._is_usable(instance) else None
+
+    def is_leaving(self, instance: str) -> bool:
+        """Return whether an upstream is leaving or gone."""
+        return instance in self._leaving_since_by_instance
+
+    def list_usable(self, service: str) -> list[UpstreamRecord]:
+        """Return the upstreams of a service that may receive requests."""
+        self._expire()
+        return [
+            record
+            for record in self._records_by_instance.values()
+            if record.service == service and self._is_usable(record.instance)
+        ]
+
+    def list_all(self) -> list[UpstreamRecord]:
+        """Return all records held, those that leave included."""
+        self._expire()
+        return list(self._records_by_instance.values())
+
+    def _is_usable(self, instance: str) -> bool:
+        since = self._leaving_since_by_instance.get(instance)
+        return since is None or self._clock.monotonic() - since < self._leave_s
+
+    def _expire(self) -> None:
+        gone = [
+            instance
+            for instance, since in self._leaving_since_by_instance.items()
+            if self._clock.monotonic() - since > 60.0
+        ]
+        for instance in gone:
+            del self._leaving_since_by_instance[instance]
+            self._records_by_instance.pop(instance, None)
+
+    def _notify(self, instance: str) -> None:
+        for listener in self._listeners:
+            listener(instance)
--- /dev/null
+++ b/sycamoreproxy/watched_documents.py
@@ -0,0 +1,275 @@
+"""Documents of the platform's store, watched by each process and relayed between processes.
+
+Every document keeps the store's revision of its last change, and a process only ever moves to a
+higher one, so no source can take it back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.logs import get_logger
+from sycamoreproxy.messages import DocumentAnnounce, DocumentData, DocumentFetch
+from sycamoreproxy.peers import Peer, PeerHub
+
+#: Longest wait of one watch call, in seconds; the platform allows 30.
+WATCH_WAIT_S = 25.0
+#: First and longest pause after a failed call, in seconds. Failed calls are priced like others.
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+#: A process that hears of a newer revision gives its own watch this time, in seconds, before it
+#: fetches the document from the peer: in normal operation the watch is as fast.
+RELAY_DELAY_S = 0.3
+
+_log = get_logger("watched_documents")
+
+
+class DocumentError(Exception):
+    """A document can't be read."""
+
+
+class SourceUnavailableError(Exception):
+    """The store gave no usable answer."""
+
+
+class HistoryLostError(Exception):
+    """The store no longer holds the changes since the revision asked for."""
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """One document.
+
+    :param revision: the store's revision of its last change.
+    :param value: its bytes; None if it was deleted.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Documents, and the store's revision up to which they are complete."""
+
+    documents: tuple[Document, ...]
+    revision: int
+
+
+class DocumentSource(Protocol):
+    """Reads documents from the store."""
+
+    async def read_all(self, prefix: str) -> Snapshot:
+        """Return all documents below a prefix.
+
+        :raises SourceUnavailableError: if the store gives no usable answer in time.
+        """
+
+    async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Snapshot:
+        """Return the changes after a revision as soon as there are any, or none after ``wait_s``.
+
+        :raises HistoryLostError: if they are no longer available.
+        :raises SourceUnavailableError: if the store gives no usable answer in time.
+        """
+
+
+Listener = Callable[[Document], None]
+
+
+@dataclass(slots=True)
+class _PrefixState:
+    """What is known of one prefix.
+
+    :param revision: the store's revision up to which the documents are complete; 0 before the
+        first read.
+    """
+
+    revision: int = 0
+    answered_at: float = 0.0
+    is_connected: bool = False
+    failures: int = field(default=0)
+
+
+class DocumentReplica:
+    """Holds the newest known documents below some prefixes.
+
+    :param prefixes: what to watch.
+    """
+
+    def __init__(
+        self, *, source: DocumentSource, hub: PeerHub, prefixes: tuple[str, ...], clock: Clock
+    ) -> None:
+        self._source = source
+        self._hub = hub
+        self._clock = clock
+        self._documents_by_key: dict[str, Document] = {}
+        self._states_by_prefix = {prefix: _PrefixState() for prefix in prefixes}
+        self._listeners: list[Listener] = []
+        self._fetches: set[asyncio.Task[None]] = set()
+        hub.on(DocumentAnnounce, self._handle_announce)
+        hub.on(DocumentFetch, self._handle_fetch)
+        hub.on(DocumentData, self._handle_data)
+        hub.on_open(self._handle_open)
+
+    # Queries
+
+    def get(self, key: str) -> Document | None:
+        """Return a document; one with value None was deleted."""
+        return self._documents_by_key.get(key)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the last call for every prefix was answered."""
+        return all(state.is_connected for state in self._states_by_prefix.values())
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for a dump."""
+        now = self._clock.monotonic()
+        return {
+            "documents": len(self._documents_by_key),
+            "prefixes": {
+                prefix: {
+                    "revision": state.revision,
+                    "connected": state.is_connected,
+                    "answered_s_ago": round(now - state.answered_at, 3),
+                    "failures": state.failures,
+                }
+                for prefix, state in self._states_by_prefix.items()
+            },
+        }
+
+    # Commands
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener(document)`` after each change."""
+        self._listeners.append(listener)
+
+    def apply(self, document: Document, *, source: str) -> bool:
+        """Take a document if it is newer than the one held.
+
+        :param source: where it comes from, for the log.
+        :returns: whether it was newer.
+        """
+        held = self._documents_by_key.get(document.key)
+        if held is not None and held.revision >= document.revision:
+            return False
+        self._documents_by_key[document.key] = document
+        _log.debug("document changed", key=document.key, revision=document.revision, source=source)
+        for listener in self._listeners:
+            try:
+                listener(document)
+            except Exception:
+                # One bad document must not keep the others from being applied.
+                _log.exception("document listener failed", key=document.key)
+        return True
+
+    async def watch(self, prefix: str) -> None:
+        """Follow the documents below a prefix until cancelled."""
+        state = self._states_by_prefix[prefix]
+        pause = RETRY_MIN_S
+        while True:
+            try:
+                if state.revision == 0:
+                    self._apply_all(prefix, await self._source.read_all(prefix))
+                else:
+                    changes = await self._source.wait_changes(
+                        prefix, after=state.revision, wait_s=WATCH_WAIT_S
+                    )
+                    self._apply_changes(prefix, changes)
+                pause = RETRY_MIN_S
+                continue
+            except HistoryLostError:
+                _log.info("history lost", prefix=prefix, after=state.revision)
+                state.revision = 0
+            except SourceUnavailableError as error:
+                state.failures += 1
+                if state.is_connected or state.failures == 1:
+                    _log.warning("store lost", prefix=prefix, error=str(error))
+                state.is_connected = False
+                # Jitter spreads the processes that lost the store at the same moment.
+                await asyncio.sleep(pause * (0.5 + random.random()))
+                pause = min(RETRY_MAX_S, pause * 2)
+
+    # What arrives
+
+    def _apply_all(self, prefix: str, snapshot: Snapshot) -> None:
+        listed = {document.key for document in snapshot.documents}
+        deleted = [
+            Document(key, snapshot.revision, None)
+            for key, held in self._documents_by_key.items()
+            if key.startswith(prefix) and key not in listed and held.value is not None
+        ]
+        self._apply_changes(prefix, Snapshot((*snapshot.documents, *deleted), snapshot.revision))
+
+    def _apply_changes(self, prefix: str, snapshot: Snapshot) -> None:
+        state = self._states_by_prefix[prefix]
+        if not state.is_connected:
+            _log.info(
+                "store connected",
+                prefix=prefix,
+                revision=snapshot.revision,
+                failures=state.failures,
+            )
+        state.is_connected = True
+        state.failures = 0
+        state.answered_at = self._clock.monotonic()
+        state.revision = max(state.revision, snapshot.revision)
+        changed = {
+            document.key: document.revision
+            for document in snapshot.documents
+            if self.apply(document, source="store")
+        }
+        if changed:
+            self._hub.broadcast(DocumentAnnounce(changed))
+
+    # Messages
+
+    def _handle_open(self, peer: Peer) -> None:
+        if self._documents_by_key:
+            peer.send(
+                DocumentAnnounce(
+                    {key: held.revision for key, held in self._documents_by_key.items()}
+                )
+            )
+
+    def _handle_announce(self, peer: Peer, announce: DocumentAnnounce) -> None:
+        if self._list_newer(announce.revisions):
+            task = asyncio.create_task(self._fetch_later(peer, announce.revisions))
+            self._fetches.add(task)
+            task.add_done_callback(self._fetches.discard)
+
+    async def _fetch_later(self, peer: Peer, revisions: dict[str, int]) -> None:
+        await asyncio.sleep(RELAY_DELAY_S)
+        if missing := self._list_newer(revisions):
+            peer.send(DocumentFetch(tuple(missing)))
+
+    def _list_newer(self, revisions: dict[str, int]) -> list[str]:
+        held = self._documents_by_key
+        return [
+            key
+            for key, revision in revisions.items()
+            if key not in held or held[key].revision < revision
+        ]
+
+    def _handle_fetch(self, peer: Peer, fetch: DocumentFetch) -> None:
+        for key in fetch.keys:
+            held = self._documents_by_key.get(key)
+            if held is not None:
+                value = zlib.compress(held.value) if held.value is not None else b""
+                peer.send(DocumentData(key, held.revision, value, held.value is None))
+
+    def _handle_data(self, peer: Peer, data: DocumentData) -> None:
+        try:
+            value = None if data.is_deleted else zlib.decompress(data.value)
+        except zlib.error as error:
+            _log.warning("document not readable", key=data.key, error=str(error))
+            return
+        if self.apply(Document(data.key, data.revision, value), source=peer.hello.host):
+            self._hub.broadcast(DocumentAnnounce({data.key: data.revision}))
--- /dev/null
+++ b/sycamoreproxy/weight_targets.py
@@ -0,0 +1,75 @@
+"""Versions of the weights that the operator names, and from when on only they may answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.logs import get_logger
+
+#: Part of the operator's bound after which older versions are no longer used. A request that
+#: waits at an engine begins later than it was sent.
+OLD_FRACTION = 0.8
+#: The same for a version that was named before this process started: how long ago is not known.
+OLD_FRACTION_AT_START = 0.3
+
+_log = get_logger("weight_targets")
+
+
+@dataclass(frozen=True, slots=True)
+class _Target:
+    """A named version; from ``binds_at`` (monotonic seconds) on no older one may answer."""
+
+    version: int
+    binds_at: float
+
+
+class WeightTargets:
+    """The named versions of each model.
+
+    :param bound_s: time from the naming of a version until requests begin only on it, in seconds.
+    """
+
+    def __init__(self, *, clock: Clock, bound_s: float) -> None:
+        self._clock = clock
+        self._bound_s = bound_s
+        self._targets_by_model: dict[str, list[_Target]] = {}
+        self._listeners: list[Callable[[str, int], None]] = []
+
+    def subscribe(self, listener: Callable[[str, int], None]) -> None:
+        """Call ``listener(model, version)`` for each newly named version."""
+        self._listeners.append(listener)
+
+    def set_target(self, model: str, version: int, *, is_first_read: bool) -> None:
+        """Take the named version of a model; an older one than the last is ignored.
+
+        :param is_first_read: whether it was found at the start and may have been named earlier.
+        """
+        targets = self._targets_by_model.setdefault(model, [])
+        if targets and targets[-1].version >= version:
+            return
+        now = self._clock.monotonic()
+        fraction = OLD_FRACTION_AT_START if is_first_read else OLD_FRACTION
+        targets.append(_Target(version, now + fraction * self._bound_s))
+        # Of the targets that bind, only the newest matters.
+        while len(targets) > 1 and targets[1].binds_at <= now:
+            targets.pop(0)
+        _log.info("weights named", model=model, version=version, at_start=is_first_read)
+        for listener in self._listeners:
+            listener(model, version)
+
+    def list_models(self) -> list[str]:
+        """Return the models with a named version."""
+        return sorted(self._targets_by_model)
+
+    def find_target(self, model: str) -> int:
+        """Return the newest named version, 0 if none is named."""
+        targets = self._targets_by_model.get(model)
+        return targets[-1].version if targets else 0
+
+    def find_minimum(self, model: str) -> int:
+        """Return the lowest version that may begin a request now, 0 for any."""
+        now = self._clock.monotonic()
+        binding = [t.version for t in self._targets_by_model.get(model, ()) if t.binds_at <= now]
+        return max(binding, default=0)
