Load the first version of the weights into runners that start empty

Change: without a named version the target is version 1 of the configuration's model. Reading of other prompts counts in the forecast. Left: events are late while weights travel over the hosts' 4.7 Mbit/s links.

--- a/sycamoreproxy/engine_forecast.py
+++ b/sycamoreproxy/engine_forecast.py
@@ -6,6 +6,10 @@
 
 from sycamoreproxy.route_table import EngineProfile
 
+#: Reading of other prompts that delays a first token while the batch is full, in usual prompts:
+#: requests replace each other in the batch, and each newcomer's prompt is read between the steps.
+CONTENTION_PROMPTS = 4.0
+
 
 @dataclass(frozen=True, slots=True)
 class EngineForecast:
@@ -59,4 +63,7 @@
         wait = ahead * self.slot_interval_s()
         # The running pass ends first; the prompt is read between the steps of the next one.
         passes = 1.5 * self.pass_s(writers) if writers else self.step_s(1)
-        return wait + passes + self.prefill_s(prompt_tokens)
+        share = min(1.0, writers / max(1, self.profile.slots))
+        contention = share * share * CONTENTION_PROMPTS
+        prompts = contention * self.prefill_s(self.profile.usual_prompt_tokens)
+        return wait + passes + prompts + self.prefill_s(prompt_tokens)
--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -84,6 +84,7 @@
     Only this process may write it, so no lease is needed: a second process would need a second
     one on the same host.
 
+    :param model: returns the engine's model, empty while no configuration is known.
     :param report: returns the engine's last report, None before the first.
     """
 
@@ -94,12 +95,14 @@
         transfer: Transfer,
         chunks: ChunkStore,
         targets: WeightTargets,
+        model: Callable[[], str],
         report: Callable[[], EngineReport | None],
     ) -> None:
         self._engine = engine
         self._transfer = transfer
         self._chunks = chunks
         self._targets = targets
+        self._model = model
         self._report = report
         self._staged_version = ""
         self._staged_by_index: dict[int, str] = {}
@@ -121,7 +124,7 @@
         :raises StageError: if the engine gives no usable answer.
         """
         report = self._report()
-        model = next(iter(self._targets.list_models()), "")
+        model = self._model()
         if report is None or not model:
             return
         if report.started_ms != self._started_ms:
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -28,10 +28,10 @@
 REPORT_LOST_S = 0.6
 #: Forecasts that differ by less than this are equal, in seconds: all entry hosts see the same
 #: reports and would otherwise choose the same engine.
-SPREAD_S = 0.03
+SPREAD_S = 0.01
 #: Added to the forecast of an upstream in another availability zone, in seconds: traffic between
 #: zones is slower and shares narrow links.
-OTHER_ZONE_S = 0.02
+OTHER_ZONE_S = 0.01
 #: Weight of the newest outcome in the mean of failures.
 FAILURE_WEIGHT = 0.15
 #: Added to the forecast per part of failed requests, in seconds.
@@ -109,13 +109,17 @@
     """A decision to send a request to an upstream.
 
     :param forecast_s: forecast time to the first token or the answer, in seconds.
-    :param occupied: requests that the upstream holds as far as known.
+    :param running: requests in the upstream's batch by its last report.
+    :param waiting: requests that it had accepted and not begun by its last report.
+    :param unseen: own requests that the report can't contain.
     :param number: of the attempt that was begun with it, for :meth:`Placer.end`; 0 if none was.
     """
 
     record: UpstreamRecord
     forecast_s: float
-    occupied: int
+    running: int
+    waiting: int
+    unseen: int
     report_age_s: float | None
     number: int = 0
 
@@ -292,7 +296,14 @@
                 writers=min(occupied, slots),
                 prompt_tokens=need.prompt_tokens + unread,
             )
-        return Choice(record=record, forecast_s=forecast, occupied=occupied, report_age_s=age)
+        return Choice(
+            record=record,
+            forecast_s=forecast,
+            running=report.running if report is not None else 0,
+            waiting=report.waiting if report is not None else 0,
+            unseen=view.count_unseen(),
+            report_age_s=age,
+        )
 
     def _is_silent(self, view: UpstreamView, now: float) -> bool:
         return view.report is not None and now - view.report.at > REPORT_LOST_S
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -252,6 +252,7 @@
         transfer=transfer,
         chunks=chunks,
         targets=parts.targets,
+        model=lambda: built[0].model,
         report=lambda: built[0].report,
     )
     state = StateServer(
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -96,6 +96,7 @@
     last_output_at: float = 0.0
     forecast_s: float = 0.0
     waited_s: float = 0.0
+    load: str = ""
     instances: str = ""
 
 
@@ -235,6 +236,10 @@
                 return choice
             progress.attempts += 1
             progress.forecast_s = choice.forecast_s
+            progress.load = (
+                f"running {choice.running} waiting {choice.waiting} unseen {choice.unseen}"
+                f" age {round((choice.report_age_s or 0.0) * 1000)} ms"
+            )
             progress.instances += f" {choice.record.instance}"
             if progress.attempts == 1:
                 budget.count_first()
@@ -474,6 +479,7 @@
             attempts=progress.attempts,
             waited_ms=round(progress.waited_s * 1000),
             forecast_ms=round(progress.forecast_s * 1000),
+            load=progress.load,
             first_ms=first_ms,
             total_ms=round((now - progress.received_at) * 1000),
             code=code,
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol
@@ -128,6 +129,7 @@
             before=before.revision,
             hosts=len(table.routes_by_host),
             keys=len(table.account_by_key),
+            accounts_by_rank=dict(Counter(table.rank_by_account.values())),
         )
         for listener in self._listeners:
             listener(table)
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -71,6 +71,19 @@
         """The engine's last report; None if it can't be reached."""
         return self._report
 
+    @property
+    def model(self) -> str:
+        """Name of the model that the engine's service serves, empty while it is not known."""
+        record = next(
+            (r for r in self._beliefs.book.list_all() if str(r.address) == self._address), None
+        )
+        if record is None:
+            return ""
+        spec = self._beliefs.table.services_by_name.get(record.service)
+        if spec is None or spec.engine is None or not spec.engine.chunks:
+            return ""
+        return next(iter(spec.engine.models), "")
+
     def reload(self, settings: RoutedSettings) -> None:
         """Apply changed settings; addresses need a restart."""
         self._settings = settings
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -14,6 +14,9 @@
 #: The same for a version that was named before this process started: how long ago is not known.
 OLD_FRACTION_AT_START = 0.3
 
+#: Version of a model before the operator names one; upstreams that start empty need it, too.
+FIRST_VERSION = 1
+
 _log = get_logger("weight_targets")
 
 
@@ -59,14 +62,10 @@
         for listener in self._listeners:
             listener(model, version)
 
-    def list_models(self) -> list[str]:
-        """Return the models with a named version."""
-        return sorted(self._targets_by_model)
-
     def find_target(self, model: str) -> int:
-        """Return the newest named version, 0 if none is named."""
+        """Return the newest named version, the first one if none is named."""
         targets = self._targets_by_model.get(model)
-        return targets[-1].version if targets else 0
+        return targets[-1].version if targets else FIRST_VERSION
 
     def find_minimum(self, model: str) -> int:
         """Return the lowest version that may begin a request now, 0 for any."""
