Slice uploads of weights so that live answers pass between the slices

Cause: a chunk of 49,152 bytes holds a 4.7 Mbit/s link for 84 ms and the first megabyte was not paced, so 40 to 60 in 100 answers were late while weights travelled, with first tokens as early as before. Change: ChunkSlice messages of 8 KB, paced at three quarters of the link; a transfer is finished before a newer version is fetched if the newer one still makes its bound.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -67,6 +67,9 @@
     :param stall_s: time without a chunk of the origin after which one more may be asked of it
         whatever the budgets say.
     :param avoid_failed_s: how long a source is avoided that failed or did not answer.
+    :param upload_bytes_per_s: rate of uploads if it differs from ``bytes_per_s``; 0 if not.
+    :param upload_slice_bytes: uploads leave in slices of this size, so that live answers on the
+        same link wait for one slice instead of one chunk; 0 for whole chunks.
     :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
         hosts replaced later need the chunks too.
     """
@@ -89,6 +92,8 @@
     avoid_origin_s: float = 0.5
     stall_s: float = 5.0
     avoid_failed_s: float = 10.0
+    upload_bytes_per_s: float = 0.0
+    upload_slice_bytes: int = 0
     quiet_s: float = 30.0
 
 
--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -8,12 +8,16 @@
 from enum import Enum
 from typing import Protocol
 
+from sycamoreproxy.clock import Clock
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.weight_targets import WeightTargets
 from sycamoreproxy.weights import ChunkStore, Manifest, compute_chunk_digest
 
 #: Pause between two looks at the engine and the transfer, in seconds.
 STEP_S = 0.1
+#: Time that an engine takes to end its requests and to load, in seconds: the answers in progress
+#: last about 2 s, and loading takes 0.3 s.
+SWITCH_S = 1.0
 #: Pause after a failed call, in seconds.
 FAILURE_PAUSE_S = 0.3
 
@@ -74,10 +78,30 @@
     def manifest(self) -> Manifest | None:
         """Manifest of the wanted version, once it was read."""
 
+    @property
+    def progress(self) -> float:
+        """Part of the wanted version's chunks that are held, from 0 to 1."""
+
     def want(self, version: str, *, served: Manifest | None = None) -> None:
         """Fetch a version and abandon any other."""
 
 
+def should_finish_first(*, progress: float, elapsed_s: float, time_to_bind_s: float) -> bool:
+    """Return whether a transfer is finished before a newer version is fetched.
+
+    If versions are named in quick succession and each transfer is abandoned for the next, no host
+    holds any of them when the first one must answer.
+
+    :param progress: part of the transfer that is done, from 0 to 1.
+    :param elapsed_s: time since it began, in seconds.
+    :param time_to_bind_s: time until the newer version must answer, in seconds.
+    """
+    if not 0.0 < progress < 1.0:
+        return False
+    whole_s = elapsed_s / progress
+    return whole_s * (1 - progress) + whole_s + SWITCH_S <= time_to_bind_s
+
+
 class WeightStager:
     """Owns the staging area of one engine.
 
@@ -97,6 +121,7 @@
         targets: WeightTargets,
         model: Callable[[], str],
         report: Callable[[], EngineReport | None],
+        clock: Clock,
     ) -> None:
         self._engine = engine
         self._transfer = transfer
@@ -104,6 +129,9 @@
         self._targets = targets
         self._model = model
         self._report = report
+        self._clock = clock
+        self._wanted = 0
+        self._wanted_since = 0.0
         self._staged_version = ""
         self._staged_by_index: dict[int, str] = {}
         self._started_ms = -1
@@ -131,7 +159,7 @@
             # What is staged survives a crash of the engine but not a loss of power.
             self._started_ms = report.started_ms
             self._staged_by_index.clear()
-        target = self._targets.find_target(model)
+        target = self._choose_version(model, dict(report.version_by_model).get(model, 0))
         version = f"{model}/{target}"
         if self._staged_version != version:
             self._staged_version = version
@@ -153,6 +181,20 @@
                 orders_accepted=report.orders_accepted,
             )
 
+    def _choose_version(self, model: str, loaded: int) -> int:
+        """Return the version to bring into the engine now."""
+        newest = self._targets.find_target(model)
+        if newest != self._wanted:
+            keeps = loaded < self._wanted < newest and should_finish_first(
+                progress=self._transfer.progress,
+                elapsed_s=self._clock.monotonic() - self._wanted_since,
+                time_to_bind_s=self._targets.time_to_bind_s(model),
+            )
+            is_held = loaded < self._wanted < newest and self._transfer.progress >= 1.0
+            if not keeps and not is_held:
+                self._wanted, self._wanted_since = newest, self._clock.monotonic()
+        return self._wanted
+
     async def _stage(self, manifest: Manifest) -> None:
         """Stage every chunk that has arrived."""
         for index, digest in enumerate(manifest.chunks):
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -393,6 +393,21 @@
     reason: str
 
 
+@message(34)
+@dataclass(frozen=True, slots=True)
+class ChunkSlice:
+    """A part of one chunk, for links that live requests share with weights.
+
+    :param offset: position of the first byte in the chunk.
+    :param total: size of the chunk in bytes.
+    """
+
+    digest: str
+    offset: int
+    total: int
+    data: bytes
+
+
 @message(40)
 @dataclass(frozen=True, slots=True)
 class AllowanceGrant:
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -28,8 +28,13 @@
     from sycamoreproxy.engine_stage import StagedEngine
     from sycamoreproxy.weights import Manifest
 
-#: Part of a host's link that weights may use; live requests share it.
-WEIGHTS_LINK_FRACTION = 0.85
+#: Parts of a host's link that weights may use. Live answers leave over the same link as uploads,
+#: while downloads share it with the much smaller requests.
+DOWNLOAD_LINK_FRACTION = 0.95
+UPLOAD_LINK_FRACTION = 0.75
+#: Uploads leave in slices of this size, in bytes: 14 ms of a link of 4.7 Mbit/s, where a whole
+#: chunk of 49,152 bytes would hold up live answers for 84 ms.
+UPLOAD_SLICE_BYTES = 8_192
 #: Waits of a transfer, in seconds. All hosts must hold a version within a few seconds, so a source
 #: that does not answer is left much sooner than on deployments with large weights.
 CHUNK_REQUEST_S = 2.0
@@ -236,7 +241,9 @@
         origin=_LazyOrigin(beliefs=parts.beliefs, open_origin=adapter.open_origin),
         hosts=lambda: built[0].list_neighbours(),
         limits=PlanLimits(
-            bytes_per_s=settings.engine.link_bytes_per_s * WEIGHTS_LINK_FRACTION,
+            bytes_per_s=settings.engine.link_bytes_per_s * DOWNLOAD_LINK_FRACTION,
+            upload_bytes_per_s=settings.engine.link_bytes_per_s * UPLOAD_LINK_FRACTION,
+            upload_slice_bytes=UPLOAD_SLICE_BYTES,
             in_flight_at_origin=2,
             take_over_s=TAKE_OVER_S,
             request_s=CHUNK_REQUEST_S,
@@ -254,6 +261,7 @@
         targets=parts.targets,
         model=lambda: built[0].model,
         report=lambda: built[0].report,
+        clock=parts.clock,
     )
     state = StateServer(
         sections_by_name={
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -67,6 +67,13 @@
         targets = self._targets_by_model.get(model)
         return targets[-1].version if targets else FIRST_VERSION
 
+    def time_to_bind_s(self, model: str) -> float:
+        """Return the time until the newest named version must answer, in seconds; 0 if it must."""
+        targets = self._targets_by_model.get(model)
+        if not targets:
+            return 0.0
+        return max(0.0, targets[-1].binds_at - self._clock.monotonic())
+
     def find_minimum(self, model: str) -> int:
         """Return the lowest version that may begin a request now, 0 for any."""
         now = self._clock.monotonic()
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -27,6 +27,7 @@
     ChunkDecline,
     ChunkHave,
     ChunkRequest,
+    ChunkSlice,
 )
 from sycamoreproxy.metrics import WEIGHT_BYTES
 from sycamoreproxy.origins import Origin, OriginError
@@ -129,8 +130,11 @@
         self._haves_by_host: dict[str, ChunkHave] = {}
         self._uploads: deque[tuple[Peer, str]] = deque()
         self._upload_pacer = Pacer(
-            clock=clock, bytes_per_s=limits.bytes_per_s, burst_bytes=MAX_CHUNK_BYTES
+            clock=clock,
+            bytes_per_s=limits.upload_bytes_per_s or limits.bytes_per_s,
+            burst_bytes=limits.upload_slice_bytes or MAX_CHUNK_BYTES,
         )
+        self._slices_by_source: dict[tuple[str, str], bytearray] = {}
         self._wake = asyncio.Event()
         self._upload_wake = asyncio.Event()
         self._changed = asyncio.Condition()
@@ -141,6 +145,7 @@
         hub.on(ChunkHave, self._handle_have)
         hub.on(ChunkRequest, self._handle_request)
         hub.on(ChunkData, self._handle_data)
+        hub.on(ChunkSlice, self._handle_slice)
         hub.on(ChunkDecline, self._handle_decline)
         hub.on_open(self._handle_open)
         hub.on_close(self._handle_close)
@@ -179,6 +184,13 @@
         """Whether every chunk of the wanted version is held."""
         return self._plan is not None and self._plan.is_done
 
+    @property
+    def progress(self) -> float:
+        """Part of the wanted version's chunks that are held, from 0 to 1."""
+        if self._plan is None or self._manifest is None:
+            return 0.0
+        return self._plan.held.bit_count() / len(self._manifest.indexes_by_digest)
+
     @property
     def reason(self) -> str:
         """Why it is not done, empty if it is."""
@@ -397,6 +409,8 @@
         if self._peers_by_host.get(host) is not peer:
             return
         del self._peers_by_host[host]
+        for key in [key for key in self._slices_by_source if key[0] == host]:
+            del self._slices_by_source[key]
         self._haves_by_host.pop(host, None)
         if self._current_plan is not None:
             self._current_plan.note_lost(host)
@@ -454,6 +468,25 @@
             except ManifestError as error:
                 _log.warning("bad manifest", source=peer.hello.host, error=str(error))
 
+    def _handle_slice(self, peer: Peer, answer: ChunkSlice) -> None:
+        """Collect the slices of a chunk, which arrive in order on one stream."""
+        key = (peer.hello.host, answer.digest)
+        if answer.offset == 0:
+            self._slices_by_source[key] = bytearray()
+        received = self._slices_by_source.get(key)
+        if (
+            received is None
+            or len(received) != answer.offset
+            or answer.offset + len(answer.data) > answer.total
+            or answer.total > MAX_CHUNK_BYTES
+        ):
+            self._slices_by_source.pop(key, None)
+            return
+        received += answer.data
+        if len(received) == answer.total:
+            del self._slices_by_source[key]
+            self._store(answer.digest, bytes(received), peer.hello.host)
+
     def _handle_decline(self, peer: Peer, decline: ChunkDecline) -> None:
         if self._current_plan is not None and decline.digest:
             self._current_plan.note_declined(decline.digest, peer.hello.host, decline.reason)
@@ -467,19 +500,35 @@
                 self._upload_wake.clear()
                 await self._upload_wake.wait()
                 continue
-            wait_s = self._upload_pacer.wait_s()
-            if wait_s > 0:
-                await asyncio.sleep(wait_s)
+            await self._wait_for_link()
+            if not self._uploads:
                 continue
             peer, digest = self._uploads.popleft()
             data = self._chunks.get(digest)
             if data is None:
                 self._cancel_upload(digest)
                 peer.send(ChunkDecline(digest, "absent"))
-            elif peer.send(ChunkData(digest, data)):
-                self._upload_pacer.take(len(data))
+            elif await self._upload(peer, digest, data):
                 WEIGHT_BYTES.add({"direction": "out", "kind": "peer"}, len(data))
 
+    async def _wait_for_link(self) -> None:
+        while (wait_s := self._upload_pacer.wait_s()) > 0:
+            await asyncio.sleep(wait_s)
+
+    async def _upload(self, peer: Peer, digest: str, data: bytes) -> bool:
+        """Send a chunk, in slices if the limits say so; return whether it was sent."""
+        size = self._limits.upload_slice_bytes
+        if not size or len(data) <= size:
+            self._upload_pacer.take(len(data))
+            return peer.send(ChunkData(digest, data))
+        for offset in range(0, len(data), size):
+            await self._wait_for_link()
+            part = data[offset : offset + size]
+            if not peer.send(ChunkSlice(digest, offset, len(data), part)):
+                return False
+            self._upload_pacer.take(len(part))
+        return True
+
     def _cancel_upload(self, digest: str) -> None:
         if self._plan is not None:
             self._plan.cancel_upload(digest)
