--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -15,9 +15,9 @@
 
 #: Pause between two looks at the engine and the transfer, in seconds.
 STEP_S = 0.1
-#: Time that an engine takes to end its requests and to load, in seconds: the answers in progress
-#: last about 2 s, and loading takes 0.3 s.
-SWITCH_S = 1.0
+#: Time between the last chunk and the first request on the new version, in seconds: verification and
+#: loading. Engines that are free load first, so the end of long answers is not waited for.
+SWITCH_S = 0.5
 #: Pause after a failed call, in seconds.
 FAILURE_PAUSE_S = 0.3
 
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -35,6 +35,9 @@
 #: Uploads leave in slices of this size, in bytes: 14 ms of a link of 4.7 Mbit/s, where a whole
 #: chunk of 49,152 bytes would hold up live answers for 84 ms.
 UPLOAD_SLICE_BYTES = 8_192
+#: Chunks asked for at once. Three sources keep the link busy; more would queue before it, and live
+#: requests behind them.
+CHUNKS_IN_FLIGHT = 3
 #: Waits of a transfer, in seconds. All hosts must hold a version within a few seconds, so a source
 #: that does not answer is left much sooner than on deployments with large weights.
 CHUNK_REQUEST_S = 2.0
@@ -244,7 +247,8 @@
             bytes_per_s=settings.engine.link_bytes_per_s * DOWNLOAD_LINK_FRACTION,
             upload_bytes_per_s=settings.engine.link_bytes_per_s * UPLOAD_LINK_FRACTION,
             upload_slice_bytes=UPLOAD_SLICE_BYTES,
-            in_flight_at_origin=2,
+            in_flight=CHUNKS_IN_FLIGHT,
+            in_flight_per_source=1,
             take_over_s=TAKE_OVER_S,
             request_s=CHUNK_REQUEST_S,
             avoid_failed_s=AVOID_FAILED_S,
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -10,7 +10,7 @@
 
 #: Part of the operator's bound after which older versions are no longer used. A request that
 #: waits at an engine begins later than it was sent.
-OLD_FRACTION = 0.8
+OLD_FRACTION = 0.9
 #: The same for a version that was named before this process started: how long ago is not known.
 OLD_FRACTION_AT_START = 0.3
 
@@ -68,7 +68,7 @@
         return targets[-1].version if targets else FIRST_VERSION
 
     def time_to_bind_s(self, model: str) -> float:
-        """Return the time until the newest named version must answer, in seconds; 0 if it must."""
+        """Return the time until older versions are no longer used, in seconds; 0 if it is over."""
         targets = self._targets_by_model.get(model)
         if not targets:
             return 0.0
