Share one copy of the origin among all zones; order by account and route rank

Change: all hosts exchange chunks; the order of urgency is account rank, then route rank; a caller that returned waits for spare room; watch calls are grouped.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -70,6 +70,8 @@
     :param upload_bytes_per_s: rate of uploads if it differs from ``bytes_per_s``; 0 if not.
     :param upload_slice_bytes: uploads leave in slices of this size, so that live answers on the
         same link wait for one slice instead of one chunk; 0 for whole chunks.
+    :param availability_zone: zone of this host; with ``other_zone_chunks``, a source elsewhere
+        counts as if it had uploaded that many chunks more.
     :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
         hosts replaced later need the chunks too.
     """
@@ -94,6 +96,8 @@
     avoid_failed_s: float = 10.0
     upload_bytes_per_s: float = 0.0
     upload_slice_bytes: int = 0
+    availability_zone: str = ""
+    other_zone_chunks: float = 0.0
     quiet_s: float = 30.0
 
 
@@ -716,7 +720,10 @@
         return min(
             (
                 (
-                    peer.uploaded + peer.in_flight * chunk + spread * self._random.random(),
+                    peer.uploaded
+                    + peer.in_flight * chunk
+                    + spread * self._random.random()
+                    + self._zone_penalty(host),
                     host,
                 )
                 for host, peer in sources
@@ -724,6 +731,14 @@
             )
         )[1]
 
+    def _zone_penalty(self, host: str) -> float:
+        """Return what is added to the bytes that a source in another zone has uploaded."""
+        record = self._neighbours_by_host.get(host)
+        limits = self._limits
+        if record is None or record.availability_zone == limits.availability_zone:
+            return 0.0
+        return limits.other_zone_chunks * self.manifest.chunk_bytes
+
     def _pick_bit(self, bitmap: int) -> int:
         """Return a set bit near a random position, in time independent of the bitmap's density."""
         start = self._random.randrange(len(self.manifest.chunks))
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -16,9 +16,9 @@
 from sycamoreproxy.route_table import EngineProfile
 from sycamoreproxy.upstream_book import UpstreamRecord
 
-#: Requests beyond the batch that an engine may be given, by rank. Engines admit the more urgent
-#: first; a few that wait there keep a slot from being idle until the next load report.
-ROOM_BY_RANK = (3, 1, 0)
+#: Requests beyond the batch that an engine may be given if they are the most urgent. Engines admit
+#: the more urgent first; a few that wait there keep a slot from being idle until the next report.
+URGENT_ROOM = 3
 #: A load report is used for this time, in seconds; afterwards own requests are all that is known.
 REPORT_FRESH_S = 1.0
 #: Age of a report on arrival, in seconds: requests sent in this time are not in it yet.
@@ -91,13 +91,15 @@
 class Need:
     """What a request needs.
 
-    :param rank: 0 is the most urgent.
+    :param level: place in the order of urgency, 0 for the first.
+    :param urgency: the same as a part from 1 (first) to 0 (last).
     :param model: model whose weights must be loaded; empty for plain services.
     :param minimum_version: lowest version of the weights that may answer.
     :param excluded: instances that this request was sent to before.
     """
 
-    rank: int
+    level: int
+    urgency: float = 0.0
     prompt_tokens: int = 0
     model: str = ""
     minimum_version: int = 0
@@ -284,8 +286,7 @@
         if profile is None:
             forecast = 0.01 * (1 + occupied / slots)
         else:
-            room = ROOM_BY_RANK[min(need.rank, len(ROOM_BY_RANK) - 1)]
-            if ahead > room and not any_room:
+            if ahead > URGENT_ROOM * need.urgency and not any_room:
                 return None
             engine = EngineForecast(profile, pace=report.pace if fresh and report else 1.0)
             unread = sum(
--- a/sycamoreproxy/platform/documents.py
+++ b/sycamoreproxy/platform/documents.py
@@ -14,6 +14,7 @@
     RouteTable,
     ServiceSpec,
     index_routes,
+    list_levels,
 )
 from sycamoreproxy.streams import Address
 from sycamoreproxy.upstream_book import UpstreamRecord
@@ -53,18 +54,21 @@
         data = _read_object(value)
         try:
             accounts = data.get("tenants") or []
+            routes = [_read_route(item) for item in data["routes"]]
+            rank_by_account = {
+                account["name"]: int(account["priority"])
+                for account in accounts
+                if account.get("priority") is not None
+            }
             return RouteTable(
                 revision=int(data["version"]),
-                routes_by_host=index_routes([_read_route(item) for item in data["routes"]]),
+                routes_by_host=index_routes(routes),
                 services_by_name={item["name"]: _read_service(item) for item in data["services"]},
                 account_by_key={
                     key: account["name"] for account in accounts for key in account["api_keys"]
                 },
-                rank_by_account={
-                    account["name"]: int(account["priority"])
-                    for account in accounts
-                    if account.get("priority") is not None
-                },
+                rank_by_account=rank_by_account,
+                levels=list_levels(routes, rank_by_account),
                 needs_keys="tenants" in data and data["tenants"] is not None,
                 bounds=_read_bounds(data.get("limits") or {}),
             )
--- a/sycamoreproxy/route_table.py
+++ b/sycamoreproxy/route_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -135,6 +136,7 @@
     :param routes_by_host: for each host name, routes by falling length of the prefix.
     :param account_by_key: client account that holds a key.
     :param rank_by_account: rank of an account, which goes before the route's.
+    :param levels: pairs of account rank and route rank in use, the most urgent first.
     """
 
     revision: int = 0
@@ -144,6 +146,15 @@
     rank_by_account: Mapping[str, int] = field(default_factory=dict)
     needs_keys: bool = False
     bounds: CallerBounds = field(default_factory=CallerBounds)
+    levels: tuple[tuple[int, int], ...] = ()
+
+    def find_level(self, account: str, route: Route) -> int:
+        """Return the place of a request in the order of urgency, 0 for the first.
+
+        Accounts of the same rank are told apart by the route's rank.
+        """
+        pair = (self.rank_by_account.get(account, 0), route.rank)
+        return bisect.bisect_left(self.levels, pair)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
@@ -156,6 +167,15 @@
         return next((route for route in routes if path.startswith(route.prefix)), None)
 
 
+def list_levels(
+    routes: list[Route], rank_by_account: Mapping[str, int]
+) -> tuple[tuple[int, int], ...]:
+    """Return the pairs of account rank and route rank that generations may have, in order."""
+    account_ranks = set(rank_by_account.values()) or {0}
+    route_ranks = {route.rank for route in routes if route.is_generation} or {0}
+    return tuple(sorted((first, second) for first in account_ranks for second in route_ranks))
+
+
 def index_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
     """Return routes by lower-case host name, longest prefix first."""
     found: dict[str, list[Route]] = {}
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -17,6 +17,7 @@
 from sycamoreproxy.registry import Registry
 from sycamoreproxy.routed_entry import Beliefs, Documents
 from sycamoreproxy.routed_settings import RoutedSettings
+from sycamoreproxy.routed_upstream import EXCHANGE
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.task_group import BackgroundTasks
@@ -38,9 +39,12 @@
 #: Chunks asked for at once. Three sources keep the link busy; more would queue before it, and live
 #: requests behind them.
 CHUNKS_IN_FLIGHT = 3
+#: Chunks by which sources in the own zone are preferred: more than a whole version, so that others
+#: are asked only while none in the zone is free.
+OTHER_ZONE_CHUNKS = 100.0
 #: Waits of a transfer, in seconds. All hosts must hold a version within a few seconds, so a source
 #: that does not answer is left much sooner than on deployments with large weights.
-CHUNK_REQUEST_S = 2.0
+CHUNK_REQUEST_S = 1.5
 TAKE_OVER_S = 1.0
 AVOID_FAILED_S = 1.5
 ORIGIN_STALL_S = 1.0
@@ -95,9 +99,7 @@
                 process_id=secrets.token_hex(8),
                 role="entry" if process.role == "routed-entry" else "upstream",
                 availability_zone=process.availability_zone,
-                # Hosts of weights are neighbours within one availability zone: each has a narrow
-                # link to the others.
-                region=process.availability_zone,
+                region=EXCHANGE,
             ),
             client_tls=None,
         )
@@ -252,6 +254,8 @@
             take_over_s=TAKE_OVER_S,
             request_s=CHUNK_REQUEST_S,
             avoid_failed_s=AVOID_FAILED_S,
+            availability_zone=settings.process.availability_zone,
+            other_zone_chunks=OTHER_ZONE_CHUNKS,
             stall_s=ORIGIN_STALL_S,
             quiet_s=QUIET_S,
         ),
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -14,6 +14,7 @@
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
 from sycamoreproxy.caller_request import AnswerHead, Attempt, CallerRequest, Dialect
 from sycamoreproxy.clock import Clock
+from sycamoreproxy.engine_forecast import EngineForecast
 from sycamoreproxy.event_splitter import EventSplitter
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import FIRST_OUTPUT_SECONDS, REFUSALS, REQUESTS
@@ -39,10 +40,12 @@
 GAP_PATIENCE = 3.0
 #: Shortest time left with which a request is sent, in seconds: less does not reach the upstream.
 MIN_TIME_LEFT_S = 0.03
-#: Shortest and longest time after which a refused caller is told to return, in seconds. Callers
-#: return at different times, so that they do not form the next burst.
-RETRY_AFTER_MIN_S = 0.5
-RETRY_AFTER_MAX_S = 2.0
+#: Part of a route's time limit below which the time left shows that the caller was refused before.
+RETURNED_FRACTION = 0.9
+#: Parts of a refused caller's time left after which it is told to return. Callers return at
+#: different times, so that they do not form the next burst, and keep enough time for an answer.
+RETRY_AFTER_MIN_FRACTION = 0.2
+RETRY_AFTER_MAX_FRACTION = 0.33
 #: An answer of an upstream from which it may have run the request and that a caller would read as
 #: a promise that it has not.
 _PROMISES = frozenset({408, 421, 429, 503})
@@ -87,6 +90,8 @@
     service: ServiceSpec
     received_at: float
     deadline: float
+    level: int
+    urgency: float
     splitter: EventSplitter
     excluded: set[str]
     attempts: int = 0
@@ -147,9 +152,9 @@
 
     # Queries
 
-    def count_waiting(self) -> dict[str, dict[int, int]]:
-        """Return the number of waiting requests by service and rank."""
-        return {name: line.count_by_rank() for name, line in self._lines_by_service.items()}
+    def count_waiting(self) -> dict[str, dict[str, int]]:
+        """Return the number of waiting requests by service and level."""
+        return {name: line.count_by_level() for name, line in self._lines_by_service.items()}
 
     # Commands
 
@@ -173,6 +178,7 @@
             self._refuse(request, None, found, reply)
             return
         route, account, service = found
+        level = table.find_level(account, route)
         progress = _Progress(
             request=request,
             route=route,
@@ -180,6 +186,8 @@
             service=service,
             received_at=received_at,
             deadline=received_at + min(request.time_left_s, route.timeout_s),
+            level=level,
+            urgency=1 - level / (len(table.levels) - 1) if len(table.levels) > 1 else 0.0,
             splitter=EventSplitter(last_id=request.last_event_id),
             excluded=set(),
         )
@@ -220,9 +228,6 @@
             if not account:
                 code = codes.UNKNOWN_KEY if request.key else codes.MISSING_KEY
                 return Refusal(code, Executed.NO)
-        rank = table.rank_by_account.get(account, route.rank)
-        if rank != route.rank:
-            route = replace(route, rank=rank)
         name = route.choose_service(request.request_id)
         service = table.services_by_name.get(name) or ServiceSpec(name=name)
         return route, account, service
@@ -288,9 +293,19 @@
             return choice or Refusal(codes.NO_UPSTREAM, Executed.NO)
         line = self._lines_by_service.get(name)
         if line is None:
-            line = WaitingLine(clock=self._clock, place=lambda need: self._choose(name, need))
+            line = WaitingLine(
+                clock=self._clock,
+                place=lambda need: self._choose(name, need),
+                nominal_rate=lambda: self._find_nominal_rate(name),
+            )
             self._lines_by_service[name] = line
-        joined = line.join(need, goal_s=progress.route.goal_s, expires_at=progress.deadline)
+        time_left = progress.deadline - self._clock.monotonic()
+        joined = line.join(
+            need,
+            goal_s=progress.route.goal_s,
+            time_left_s=time_left,
+            has_returned=time_left < RETURNED_FRACTION * progress.route.timeout_s,
+        )
         if isinstance(joined, Overload):
             return Refusal(codes.OVERLOADED, Executed.NO, detail=f"wait {joined.wait_s:.2f} s")
         if isinstance(joined, Waiter):
@@ -306,7 +321,8 @@
         request = progress.request
         is_generation = progress.service.engine is not None
         return Need(
-            rank=progress.route.rank,
+            level=progress.level,
+            urgency=progress.urgency,
             prompt_tokens=request.prompt_tokens,
             model=request.model if is_generation else "",
             minimum_version=self._targets.find_minimum(request.model) if is_generation else 0,
@@ -344,7 +360,7 @@
                     if progress.service.engine is not None
                     else None
                 ),
-                urgency=min(9, route.rank) if progress.service.engine is not None else None,
+                urgency=min(9, progress.level) if progress.service.engine is not None else None,
                 last_event_id=progress.splitter.last_id,
             ),
         )
@@ -422,6 +438,15 @@
             if not exchange.done():
                 exchange.cancel()
 
+    def _find_nominal_rate(self, service: str) -> float:
+        """Return this host's part of the requests a second that a service's engines can take."""
+        spec = self._table().services_by_name.get(service)
+        if spec is None or spec.engine is None:
+            return 0.0
+        engines = len(self._book.list_usable(service))
+        interval = EngineForecast(spec.engine).slot_interval_s()
+        return engines / interval / max(1, self._placer.entry_hosts)
+
     def _client_of(self, choice: Choice) -> HttpClient:
         address = str(choice.record.address)
         client = self._clients_by_address.get(address)
@@ -454,7 +479,9 @@
             return
         retry_after = None
         if refusal.executed is Executed.NO and refusal.code.retry_helps:
-            retry_after = self._random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+            retry_after = request.time_left_s * self._random.uniform(
+                RETRY_AFTER_MIN_FRACTION, RETRY_AFTER_MAX_FRACTION
+            )
         reply.refuse(refusal, retry_after_s=retry_after)
 
     def _report(self, progress: _Progress, refusal: Refusal | None) -> None:
@@ -474,6 +501,7 @@
             route=progress.route.name,
             account=progress.account,
             rank=progress.route.rank,
+            level=progress.level,
             prompt=progress.request.prompt_tokens,
             upstreams=progress.instances.strip(),
             attempts=progress.attempts,
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -26,6 +26,11 @@
 #: Time between two heartbeats to peers, in seconds.
 HEARTBEAT_S = 1.0
 
+#: Name of the group of hosts that exchange chunks with each other.
+EXCHANGE = "exchange"
+#: Hosts that all exchange chunks with each other; with more, each zone is a group of its own.
+MAX_EXCHANGE_HOSTS = 32
+
 _log = get_logger("routed_upstream")
 
 
@@ -111,19 +116,27 @@
         await self._state.close()
 
     def list_neighbours(self) -> Iterable[HostRecord]:
-        """Return the hosts of engines with the same weights, this one included."""
+        """Return the hosts of engines with the same weights, this one included.
+
+        The origin's link carries one copy of a version in a third of the time that a host takes to
+        receive one, so the hosts of all zones share a single copy of the origin.
+        """
         port = self._settings.listen.peer_port
         services = self._beliefs.table.services_by_name
-        for record in self._beliefs.book.list_all():
-            spec = services.get(record.service)
-            if spec is None or spec.engine is None:
-                continue
+        zone = self._settings.process.availability_zone
+        records = [
+            record
+            for record in self._beliefs.book.list_all()
+            if (spec := services.get(record.service)) is not None and spec.engine is not None
+        ]
+        for record in records:
+            is_near = len(records) <= MAX_EXCHANGE_HOSTS or record.availability_zone == zone
             peer = Address(record.address.ip, port)
             yield HostRecord(
                 host=record.address.ip,
                 role="upstream",
                 availability_zone=record.availability_zone,
-                region=record.availability_zone,
+                region=EXCHANGE if is_near else record.availability_zone,
                 peer=peer,
                 admin=peer,
                 state="leaving" if self._beliefs.book.is_leaving(record.instance) else "live",
--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -1,7 +1,9 @@
 """Requests that wait at an entry host for room at an upstream, and which are refused at once.
 
-Answers bursts beyond the capacity: the most urgent are placed first, and a request that could
-only be answered after its goal is refused when it arrives instead of after a wait.
+Answers bursts beyond the capacity, and times without any engine. The most urgent requests that can
+still be on time are placed first. A new request that could only be late is refused when it arrives
+and told when to return. One that has returned is late in any case: it waits behind the others for
+spare room, as long as it can still be answered within its time.
 """
 
 from __future__ import annotations
@@ -18,6 +20,11 @@
 RATE_WINDOW_S = 1.0
 #: Part of a request's goal that it may be forecast to wait; the rest is the engine's part.
 WAIT_FRACTION_OF_GOAL = 0.5
+#: Part of the engines' nominal rate that a host counts on while it places fewer: the nominal rate
+#: is that of a full batch without any disturbance.
+NOMINAL_FRACTION = 0.7
+#: Time that a late request needs after its wait, in seconds: a usual answer under load.
+ANSWER_S = 2.0
 #: Requests that wait at once, whatever the forecast: a bound on memory.
 MAX_WAITING = 256
 
@@ -37,81 +44,103 @@
     """One request that waits.
 
     :param expires_at: monotonic time at which waiting is of no use any more.
+    :param is_late: whether it can't be on time any more.
     """
 
     need: Need
     arrived_at: float
     expires_at: float
+    is_late: bool
     placed: asyncio.Future[Choice | None]
 
 
 Place = Callable[[Need], Choice | None]
+#: Order of waiting requests: whether they are late, then their level.
+_Order = tuple[bool, int]
 
 
 class WaitingLine:
-    """Keeps the waiting requests of one service by rank and places them when there is room.
+    """Keeps the waiting requests of one service in order and places them when there is room.
 
     :param place: chooses an upstream for a need, and counts the request there.
+    :param nominal_rate: returns the requests a second that this host may expect to place.
     """
 
-    def __init__(self, *, clock: Clock, place: Place) -> None:
+    def __init__(self, *, clock: Clock, place: Place, nominal_rate: Callable[[], float]) -> None:
         self._clock = clock
         self._place = place
-        self._waiters_by_rank: dict[int, deque[Waiter]] = {}
+        self._nominal_rate = nominal_rate
+        self._waiters_by_order: dict[_Order, deque[Waiter]] = {}
         self._placed_at: deque[float] = deque()
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return sum(len(waiters) for waiters in self._waiters_by_rank.values())
-
-    def count_by_rank(self) -> dict[int, int]:
-        """Return the number of waiting requests of each rank."""
-        return {rank: len(waiters) for rank, waiters in self._waiters_by_rank.items()}
-
-    def forecast_wait_s(self, rank: int) -> float:
-        """Return the forecast wait of a request of this rank that arrives now."""
-        ahead = sum(len(w) for r, w in self._waiters_by_rank.items() if r <= rank)
+        return sum(len(waiters) for waiters in self._waiters_by_order.values())
+
+    def count_by_level(self) -> dict[str, int]:
+        """Return the number of waiting requests of each level."""
+        return {
+            f"{'late' if late else 'on time'} {level}": len(waiters)
+            for (late, level), waiters in self._waiters_by_order.items()
+        }
+
+    def forecast_wait_s(self, level: int, *, is_late: bool = False) -> float:
+        """Return the forecast wait of a request of this level that arrives now, in seconds."""
+        ahead = sum(
+            len(waiters)
+            for order, waiters in self._waiters_by_order.items()
+            if order <= (is_late, level)
+        )
         if not ahead:
             return 0.0
-        self._expire_rate()
-        rate = max(1.0, len(self._placed_at) / RATE_WINDOW_S)
-        return (ahead + 1) / rate
+        start = self._clock.monotonic() - RATE_WINDOW_S
+        while self._placed_at and self._placed_at[0] < start:
+            self._placed_at.popleft()
+        measured = len(self._placed_at) / RATE_WINDOW_S
+        return (ahead + 1) / max(1.0, measured, NOMINAL_FRACTION * self._nominal_rate())
 
-    def join(self, need: Need, *, goal_s: float, expires_at: float) -> Choice | Waiter | Overload:
+    def join(
+        self, need: Need, *, goal_s: float, time_left_s: float, has_returned: bool
+    ) -> Choice | Waiter | Overload:
         """Place a request, let it wait, or refuse it.
 
         :param goal_s: time to the first token within which the answer is on time, in seconds.
+        :param time_left_s: time that the caller still waits, in seconds.
+        :param has_returned: whether the caller was refused before, so that it is late already.
         """
         self.pump()
-        ahead = any(w for r, w in self._waiters_by_rank.items() if r <= need.rank)
-        if not ahead:
+        order = (has_returned, need.level)
+        if not any(w for o, w in self._waiters_by_order.items() if o <= order):
             choice = self._place(need)
             if choice is not None:
                 self._placed_at.append(self._clock.monotonic())
                 return choice
-        wait = self.forecast_wait_s(need.rank)
-        if wait > goal_s * WAIT_FRACTION_OF_GOAL or len(self) >= MAX_WAITING:
+        wait = self.forecast_wait_s(need.level, is_late=has_returned)
+        limit = time_left_s - ANSWER_S if has_returned else goal_s * WAIT_FRACTION_OF_GOAL
+        if wait > limit or len(self) >= MAX_WAITING:
             return Overload(wait_s=wait)
+        now = self._clock.monotonic()
         waiter = Waiter(
             need=need,
-            arrived_at=self._clock.monotonic(),
-            expires_at=expires_at,
+            arrived_at=now,
+            expires_at=now + max(0.0, time_left_s - ANSWER_S / 2),
+            is_late=has_returned,
             placed=asyncio.get_running_loop().create_future(),
         )
-        self._waiters_by_rank.setdefault(need.rank, deque()).append(waiter)
+        self._waiters_by_order.setdefault(order, deque()).append(waiter)
         return waiter
 
     def leave(self, waiter: Waiter) -> None:
         """Remove a request that no longer waits."""
-        waiters = self._waiters_by_rank.get(waiter.need.rank)
+        waiters = self._waiters_by_order.get((waiter.is_late, waiter.need.level))
         if waiters is not None and waiter in waiters:
             waiters.remove(waiter)
 
     def pump(self) -> None:
         """Place every request that has room, the most urgent first."""
         now = self._clock.monotonic()
-        for rank in sorted(self._waiters_by_rank):
-            waiters = self._waiters_by_rank[rank]
+        for order in sorted(self._waiters_by_order):
+            waiters = self._waiters_by_order[order]
             while waiters:
                 waiter = waiters[0]
                 if waiter.placed.done():
@@ -127,8 +156,3 @@
                 waiters.popleft()
                 self._placed_at.append(now)
                 waiter.placed.set_result(choice)
-
-    def _expire_rate(self) -> None:
-        start = self._clock.monotonic() - RATE_WINDOW_S
-        while self._placed_at and self._placed_at[0] < start:
-            self._placed_at.popleft()
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -20,6 +20,9 @@
 
 #: Longest wait of one watch call, in seconds; the platform allows 30.
 WATCH_WAIT_S = 25.0
+#: Pause after changes before the next watch call, in seconds: each call is priced, and changes of
+#: upstreams come in groups. It is a small part of the bounds of 2 s and more on every change.
+COALESCE_S = 0.25
 #: First and longest pause after a failed call, in seconds. Failed calls are priced like others.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
@@ -183,6 +186,8 @@
                         prefix, after=state.revision, wait_s=WATCH_WAIT_S
                     )
                     self._apply_changes(prefix, changes)
+                    if changes.documents:
+                        await asyncio.sleep(COALESCE_S)
                 pause = RETRY_MIN_S
                 continue
             except HistoryLostError:
