Import each chunk once into a zone, adopt staged chunks, weigh both orders of two versions

Cause: the exchange over all zones moved 3.4 copies between regions for each version, hosts that already served version 1 fetched it again, and the choice to finish a transfer was remade at each step. Change: one host of a zone imports a chunk; staged chunks of the loaded version are adopted; the choice is made once, by the time that would be left without a permitted version. Left: all engines drain for a new version at the same time.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -70,8 +70,9 @@
     :param upload_bytes_per_s: rate of uploads if it differs from ``bytes_per_s``; 0 if not.
     :param upload_slice_bytes: uploads leave in slices of this size, so that live answers on the
         same link wait for one slice instead of one chunk; 0 for whole chunks.
-    :param availability_zone: zone of this host; with ``other_zone_chunks``, a source elsewhere
-        counts as if it had uploaded that many chunks more.
+    :param availability_zone: zone of this host. If it is set, each chunk is imported into the zone
+        by one of its hosts, chosen by rendezvous hash, and passed on within the zone; empty if
+        links between zones are like those within.
     :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
         hosts replaced later need the chunks too.
     """
@@ -97,7 +98,6 @@
     upload_bytes_per_s: float = 0.0
     upload_slice_bytes: int = 0
     availability_zone: str = ""
-    other_zone_chunks: float = 0.0
     quiet_s: float = 30.0
 
 
@@ -274,6 +274,8 @@
         self._duties.assign({host})
         self._first_duties = OriginDuties(manifest)
         self._first_duties.assign({host})
+        self._zone_duties = OriginDuties(manifest)
+        self._zone_duties.assign({host})
         self._region_size = 1
         self._zones = 1
         self._regions = 1
@@ -346,6 +348,8 @@
             self._progress_at_by_host.setdefault(host, now)
         self._region_size = len(records_by_host) + 1
         self._first_duties.assign({*records_by_host, self._host})
+        near = {host for host in records_by_host if self._is_near(host)}
+        self._zone_duties.assign({*near, self._host})
         self._assign()
 
     def note_have(
@@ -595,8 +599,9 @@
         now = self._clock.monotonic()
         sources = self._usable_sources(now)
         available = 0
-        for _, peer in sources:
-            available |= peer.bitmap
+        imports = self._find_imports(now)
+        for host, peer in sources:
+            available |= peer.bitmap if self._is_near(host) else peer.bitmap & imports
         if self._may_ask_origin():
             absent = wanted & self._masks_by_count.get(0, 0) & self._duties.chunks_of(self._host)
             duty = absent & self._first_duties.chunks_of(self._host)
@@ -612,6 +617,17 @@
                 return self._make_fetch(index, self._pick_source(index, sources))
         return self._choose_fallback(wanted, now)
 
+    def _find_imports(self, now: float) -> int:
+        """Return the bitmap of chunks that may come from another zone.
+
+        A host that waits for nothing and has received nothing for a while may import any chunk: the
+        host that should is gone or cut off.
+        """
+        idle_s = now - self._last_arrival_at
+        if not self._in_flight_by_index and idle_s > _FALLBACK_PAUSE_S:
+            return self._planned
+        return self._zone_duties.chunks_of(self._host)
+
     def _choose_fallback(self, wanted: int, now: float) -> Fetch | None:
         """Ask the origin for a chunk whose holders all refuse, if this host waits for nothing else.
 
@@ -720,24 +736,20 @@
         return min(
             (
                 (
-                    peer.uploaded
-                    + peer.in_flight * chunk
-                    + spread * self._random.random()
-                    + self._zone_penalty(host),
+                    not self._is_near(host),
+                    peer.uploaded + peer.in_flight * chunk + spread * self._random.random(),
                     host,
                 )
                 for host, peer in sources
                 if peer.bitmap & bit
             )
-        )[1]
+        )[2]
 
-    def _zone_penalty(self, host: str) -> float:
-        """Return what is added to the bytes that a source in another zone has uploaded."""
+    def _is_near(self, host: str) -> bool:
+        """Return whether a source is in this host's zone, or zones make no difference."""
+        zone = self._limits.availability_zone
         record = self._neighbours_by_host.get(host)
-        limits = self._limits
-        if record is None or record.availability_zone == limits.availability_zone:
-            return 0.0
-        return limits.other_zone_chunks * self.manifest.chunk_bytes
+        return not zone or (record is not None and record.availability_zone == zone)
 
     def _pick_bit(self, bitmap: int) -> int:
         """Return a set bit near a random position, in time independent of the bitmap's density."""
--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -86,20 +86,29 @@
         """Fetch a version and abandon any other."""
 
 
-def should_finish_first(*, progress: float, elapsed_s: float, time_to_bind_s: float) -> bool:
+def should_finish_first(
+    *, progress: float, elapsed_s: float, wanted_binds_in_s: float, newest_binds_in_s: float
+) -> bool:
     """Return whether a transfer is finished before a newer version is fetched.
 
     If versions are named in quick succession and each transfer is abandoned for the next, no host
-    holds any of them when the first one must answer.
+    holds any of them when the first one must answer. The choice leaves the shorter time without
+    any permitted version.
 
     :param progress: part of the transfer that is done, from 0 to 1.
     :param elapsed_s: time since it began, in seconds.
-    :param time_to_bind_s: time until the newer version must answer, in seconds.
+    :param wanted_binds_in_s: time until versions before it may no longer answer, in seconds.
+    :param newest_binds_in_s: time until it may no longer answer itself, in seconds.
     """
     if not 0.0 < progress < 1.0:
         return False
     whole_s = elapsed_s / progress
-    return whole_s * (1 - progress) + whole_s + SWITCH_S <= time_to_bind_s
+    gap_if_skipped = whole_s + SWITCH_S - wanted_binds_in_s
+    gap_if_finished = max(
+        whole_s * (1 - progress) + SWITCH_S - wanted_binds_in_s,
+        whole_s * (2 - progress) + SWITCH_S - newest_binds_in_s,
+    )
+    return max(0.0, gap_if_finished) < max(0.0, gap_if_skipped)
 
 
 class WeightStager:
@@ -132,6 +141,8 @@
         self._clock = clock
         self._wanted = 0
         self._wanted_since = 0.0
+        self._weighed = 0
+        self._finishes = False
         self._staged_version = ""
         self._staged_by_index: dict[int, str] = {}
         self._started_ms = -1
@@ -184,17 +195,54 @@
     def _choose_version(self, model: str, loaded: int) -> int:
         """Return the version to bring into the engine now."""
         newest = self._targets.find_target(model)
-        if newest != self._wanted:
-            keeps = loaded < self._wanted < newest and should_finish_first(
+        if newest == self._wanted:
+            return newest
+        is_pending = loaded < self._wanted < newest
+        if is_pending and self._transfer.progress >= 1.0:
+            return self._wanted
+        if not is_pending or self._weighed != newest:
+            # The choice is made once for each newly named version: a transfer that is abandoned
+            # later has cost its time for nothing.
+            self._weighed = newest
+            self._finishes = is_pending and should_finish_first(
                 progress=self._transfer.progress,
                 elapsed_s=self._clock.monotonic() - self._wanted_since,
-                time_to_bind_s=self._targets.time_to_bind_s(model),
+                wanted_binds_in_s=self._targets.time_to_bind_s(model, self._wanted),
+                newest_binds_in_s=self._targets.time_to_bind_s(model, newest),
             )
-            is_held = loaded < self._wanted < newest and self._transfer.progress >= 1.0
-            if not keeps and not is_held:
-                self._wanted, self._wanted_since = newest, self._clock.monotonic()
+            _log.info(
+                "weights chosen",
+                version=self._wanted if self._finishes else newest,
+                newest=newest,
+                before=self._wanted,
+                loaded=loaded,
+                progress=round(self._transfer.progress, 2),
+            )
+        if not self._finishes:
+            self._wanted, self._wanted_since = newest, self._clock.monotonic()
         return self._wanted
 
+    async def read_staged(self, manifest: Manifest) -> AsyncIterator[tuple[int, bytes]]:
+        """Yield the staged chunks if they may be those of a version.
+
+        Neighbours then need not fetch them from the origin again. What is staged for an engine
+        that serves another version is not read.
+        """
+        report = self._report()
+        number = int(manifest.version.rpartition("/")[2])
+        loaded = dict(report.version_by_model).get(manifest.model, 0) if report is not None else 0
+        if loaded not in (0, number):
+            return
+        for index in range(len(manifest.chunks)):
+            try:
+                data = await self._engine.get_chunk(manifest.model, index)
+            except StageError as error:
+                _log.info("staged chunk not read", chunk=index, error=str(error))
+                return
+            if data is None:
+                return
+            yield index, data
+
     async def _stage(self, manifest: Manifest) -> None:
         """Stage every chunk that has arrived."""
         for index, digest in enumerate(manifest.chunks):
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -31,7 +31,7 @@
 SPREAD_S = 0.01
 #: Added to the forecast of an upstream in another availability zone, in seconds: traffic between
 #: zones is slower and shares narrow links.
-OTHER_ZONE_S = 0.01
+OTHER_ZONE_S = 0.03
 #: Weight of the newest outcome in the mean of failures.
 FAILURE_WEIGHT = 0.15
 #: Added to the forecast per part of failed requests, in seconds.
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -32,16 +32,13 @@
 #: Parts of a host's link that weights may use. Live answers leave over the same link as uploads,
 #: while downloads share it with the much smaller requests.
 DOWNLOAD_LINK_FRACTION = 0.95
-UPLOAD_LINK_FRACTION = 0.75
+UPLOAD_LINK_FRACTION = 0.8
 #: Uploads leave in slices of this size, in bytes: 14 ms of a link of 4.7 Mbit/s, where a whole
 #: chunk of 49,152 bytes would hold up live answers for 84 ms.
 UPLOAD_SLICE_BYTES = 8_192
-#: Chunks asked for at once. Three sources keep the link busy; more would queue before it, and live
+#: Chunks asked for at once. Four sources keep the link busy; more would queue before it, and live
 #: requests behind them.
-CHUNKS_IN_FLIGHT = 3
-#: Chunks by which sources in the own zone are preferred: more than a whole version, so that others
-#: are asked only while none in the zone is free.
-OTHER_ZONE_CHUNKS = 100.0
+CHUNKS_IN_FLIGHT = 4
 #: Waits of a transfer, in seconds. All hosts must hold a version within a few seconds, so a source
 #: that does not answer is left much sooner than on deployments with large weights.
 CHUNK_REQUEST_S = 1.5
@@ -255,12 +252,12 @@
             request_s=CHUNK_REQUEST_S,
             avoid_failed_s=AVOID_FAILED_S,
             availability_zone=settings.process.availability_zone,
-            other_zone_chunks=OTHER_ZONE_CHUNKS,
             stall_s=ORIGIN_STALL_S,
             quiet_s=QUIET_S,
         ),
         clock=parts.clock,
         random_source=random.Random(),
+        read_local=lambda manifest: stager.read_staged(manifest),
     )
     stager = WeightStager(
         engine=engine,
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -20,7 +20,7 @@
 from sycamoreproxy.weight_transfer import WeightTransfer
 
 #: Time between two reads of the engine's report, in seconds. It is free on the engine's own host.
-REPORT_PERIOD_S = 0.1
+REPORT_PERIOD_S = 0.13
 #: An unchanged load is sent again after this time, in seconds.
 UNCHANGED_PERIOD_S = 0.3
 #: Time between two heartbeats to peers, in seconds.
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -67,12 +67,17 @@
         targets = self._targets_by_model.get(model)
         return targets[-1].version if targets else FIRST_VERSION
 
-    def time_to_bind_s(self, model: str) -> float:
-        """Return the time until older versions are no longer used, in seconds; 0 if it is over."""
-        targets = self._targets_by_model.get(model)
-        if not targets:
-            return 0.0
-        return max(0.0, targets[-1].binds_at - self._clock.monotonic())
+    def time_to_bind_s(self, model: str, version: int) -> float:
+        """Return the time until versions before this one are no longer used, in seconds.
+
+        :returns: 0 if it is over, or if nothing is known of the version.
+        """
+        binds_at = [
+            target.binds_at
+            for target in self._targets_by_model.get(model, ())
+            if target.version == version
+        ]
+        return max(0.0, binds_at[0] - self._clock.monotonic()) if binds_at else 0.0
 
     def find_minimum(self, model: str) -> int:
         """Return the lowest version that may begin a request now, 0 for any."""
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 from collections import deque
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -99,6 +99,7 @@
 
     :param hosts: returns the hosts of all regions that take this model's weights.
     :param random_source: breaks ties between chunks and sources.
+    :param read_local: yields chunks of a version that may lie on this host already, not verified.
     """
 
     def __init__(
@@ -111,8 +112,10 @@
         limits: PlanLimits,
         clock: Clock,
         random_source: random.Random,
+        read_local: Callable[[Manifest], AsyncIterator[tuple[int, bytes]]] | None = None,
     ) -> None:
         self._hub = hub
+        self._read_local = read_local
         self._chunks = chunks
         self._origin = origin
         self._hosts = hosts
@@ -320,6 +323,7 @@
                     self._reason = str(error)
                 _log.warning("manifest not read", version=version, error=str(error))
             else:
+                await self._adopt_local(manifest)
                 self._begin(manifest)
                 break
             await asyncio.sleep(pause * (0.5 + self._random.random()))
@@ -327,6 +331,19 @@
         if self._reading == version:
             self._reading = ""
 
+    async def _adopt_local(self, manifest: Manifest) -> None:
+        """Keep the chunks of a version that lie on this host already."""
+        if self._read_local is None or manifest.version != self._wanted:
+            return
+        self._chunks.retain(served=self._served, wanted=manifest)
+        adopted = 0
+        async for index, data in self._read_local(manifest):
+            try:
+                adopted += self._chunks.add(manifest.chunks[index], data)
+            except CorruptChunkError:
+                _log.info("local chunk does not match", version=manifest.version, chunk=index)
+        _log.info("local chunks kept", version=manifest.version, chunks=adopted)
+
     def _ask_peers_for_manifest(self, version: str) -> None:
         """Ask a host that has the version; an empty digest stands for the manifest."""
         holders = [
