Divide chunks evenly, switch every second engine first, and stage ahead

Cause: rendezvous hashing of 48 chunks over 2 to 10 hosts gave some hosts half as much again, and the transfer takes as long as theirs; all engines drained at the same time; the next version waited for the load of the one before. Change: EvenDuties for versions of up to 64 chunks; half of the engines switch first, the others at the latest when older versions may no longer be used; a staged version waits while the next one is fetched.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -37,6 +37,9 @@
 #: Hexadecimal digits of a chunk digest by which chunks are grouped for the assignment.
 _BUCKET_DIGITS = 3
 
+#: Versions of at most this many chunks are divided evenly among the hosts.
+MAX_EVEN_CHUNKS = 64
+
 _MASK = (1 << 64) - 1
 
 
@@ -215,6 +218,34 @@
         return self._chunks_by_host.get(host, 0)
 
 
+class EvenDuties:
+    """Assigns the chunks to hosts in turn, so that no host has more than one above the mean.
+
+    Rendezvous hashing gives some hosts half as much again when there are only a few chunks a host,
+    and the transfer takes as long as the host with the most. Here a host that joins or leaves moves
+    most chunks, which costs little while a version is small.
+    """
+
+    def __init__(self, manifest: Manifest) -> None:
+        self._indexes = sorted(indexes[0] for indexes in manifest.indexes_by_digest.values())
+        self._hosts: set[str] = set()
+        self._chunks_by_host: dict[str, int] = {}
+
+    def assign(self, hosts: set[str]) -> None:
+        """Assign all chunks to these hosts."""
+        if hosts == self._hosts:
+            return
+        self._hosts = set(hosts)
+        self._chunks_by_host = dict.fromkeys(hosts, 0)
+        order = sorted(hosts, key=hash_name)
+        for position, index in enumerate(self._indexes):
+            self._chunks_by_host[order[position % len(order)]] |= 1 << index
+
+    def chunks_of(self, host: str) -> int:
+        """Return the bitmap of a host's chunks."""
+        return self._chunks_by_host.get(host, 0)
+
+
 def encode_bitmap(bitmap: int, chunks: int) -> bytes:
     """Return the bytes of a bitmap, least significant bit first."""
     return bitmap.to_bytes((chunks + 7) // 8, "little")
@@ -270,11 +301,12 @@
         self._held = sum(1 << self._first_index_by_digest[digest] for digest in set(held))
         self._peers_by_host: dict[str, _PeerState] = {}
         self._neighbours_by_host: dict[str, HostRecord] = {}
-        self._duties = OriginDuties(manifest)
+        duties = OriginDuties if len(manifest.chunks) > MAX_EVEN_CHUNKS else EvenDuties
+        self._duties = duties(manifest)
         self._duties.assign({host})
-        self._first_duties = OriginDuties(manifest)
+        self._first_duties = duties(manifest)
         self._first_duties.assign({host})
-        self._zone_duties = OriginDuties(manifest)
+        self._zone_duties = duties(manifest)
         self._zone_duties.assign({host})
         self._region_size = 1
         self._zones = 1
--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -18,6 +18,10 @@
 #: Time between the last chunk and the first request on the new version, in seconds: verification and
 #: loading. Engines that are free load first, so the end of long answers is not waited for.
 SWITCH_S = 0.5
+#: Time before older versions are no longer used at which the last engines switch, in seconds.
+LAST_SWITCH_S = 0.2
+#: Time after which a report must show an accepted order, in seconds; reports come every 0.13 s.
+ORDER_SEEN_S = 1.0
 #: Pause after a failed call, in seconds.
 FAILURE_PAUSE_S = 0.3
 
@@ -111,6 +115,23 @@
     return max(0.0, gap_if_finished) < max(0.0, gap_if_skipped)
 
 
+def may_switch(
+    *, index: int, loaded_versions: Sequence[int], target: int, time_to_bind_s: float
+) -> bool:
+    """Return whether an engine may end its requests and load now.
+
+    Every second engine switches first and the others follow, so that half of them serve meanwhile.
+    The others wait no longer than older versions may be used.
+
+    :param index: place of the engine among those of its service, in an order all hosts agree on.
+    :param loaded_versions: versions that the engines serve, in the same order; 0 for none.
+    :param time_to_bind_s: time until older versions are no longer used, in seconds.
+    """
+    if loaded_versions[index] == 0 or index % 2 == 0 or time_to_bind_s <= LAST_SWITCH_S:
+        return True
+    return all(version >= target for version in loaded_versions[::2] if version)
+
+
 class WeightStager:
     """Owns the staging area of one engine.
 
@@ -119,6 +140,7 @@
 
     :param model: returns the engine's model, empty while no configuration is known.
     :param report: returns the engine's last report, None before the first.
+    :param may_switch: returns whether the engine may load a version now; see :func:`may_switch`.
     """
 
     def __init__(
@@ -130,6 +152,7 @@
         targets: WeightTargets,
         model: Callable[[], str],
         report: Callable[[], EngineReport | None],
+        may_switch: Callable[[str, int], bool],
         clock: Clock,
     ) -> None:
         self._engine = engine
@@ -138,7 +161,12 @@
         self._targets = targets
         self._model = model
         self._report = report
+        self._may_switch = may_switch
         self._clock = clock
+        self._ordered = 0
+        self._orders_before = 0
+        self._ordered_at = 0.0
+        self._staged: Manifest | None = None
         self._wanted = 0
         self._wanted_since = 0.0
         self._weighed = 0
@@ -169,37 +197,66 @@
         if report.started_ms != self._started_ms:
             # What is staged survives a crash of the engine but not a loss of power.
             self._started_ms = report.started_ms
+            self._staged = None
+            self._ordered = 0
             self._staged_by_index.clear()
-        target = self._choose_version(model, dict(report.version_by_model).get(model, 0))
-        version = f"{model}/{target}"
-        if self._staged_version != version:
-            self._staged_version = version
-            self._staged_by_index.clear()
-        self._transfer.want(version)
-        if dict(report.version_by_model).get(model, 0) >= target or report.is_loading:
-            return
+        loaded = dict(report.version_by_model).get(model, 0)
+        target = self._choose_version(model, loaded)
+        self._transfer.want(f"{model}/{target}")
         manifest = self._transfer.manifest
-        if manifest is None or manifest.version != version:
+        is_newest = manifest is not None and _number_of(manifest) == target
+        if self._staged is not None:
+            number = _number_of(self._staged)
+            if loaded >= number or (target > number and self._transfer.progress >= 1.0):
+                self._staged = None
+            elif not report.is_loading and self._may_switch(model, number):
+                await self._switch(self._staged, report)
+            return
+        if manifest is None or not is_newest or loaded >= target:
+            return
+        if self._ordered == target and self._awaits_order(report):
             return
         await self._stage(manifest)
-        if len(self._staged_by_index) == len(manifest.chunks) and await self._verify(manifest):
-            outcome = await self._engine.order_start(model, target, expected=report.orders_accepted)
-            _log.info(
-                "weights ordered",
-                model=model,
-                version=target,
-                outcome=outcome.value,
-                orders_accepted=report.orders_accepted,
-            )
+        if len(self._staged_by_index) == len(manifest.chunks):
+            self._staged = manifest
+
+    def _awaits_order(self, report: EngineReport) -> bool:
+        """Return whether the last order may still be in progress."""
+        if report.is_loading:
+            return True
+        is_old = report.orders_accepted <= self._orders_before
+        return is_old and self._clock.monotonic() - self._ordered_at < ORDER_SEEN_S
+
+    async def _switch(self, manifest: Manifest, report: EngineReport) -> None:
+        """Order the engine to load the staged version if all of it is whole."""
+        if not await self._verify(manifest):
+            self._staged = None
+            return
+        number = _number_of(manifest)
+        outcome = await self._engine.order_start(
+            manifest.model, number, expected=report.orders_accepted
+        )
+        _log.info(
+            "weights ordered",
+            model=manifest.model,
+            version=number,
+            outcome=outcome.value,
+            orders_accepted=report.orders_accepted,
+        )
+        # The engine loads what is staged when it accepts the order; the next version may be staged
+        # from now on.
+        self._staged = None
+        self._ordered = number
+        self._orders_before = report.orders_accepted
+        self._ordered_at = self._clock.monotonic()
 
     def _choose_version(self, model: str, loaded: int) -> int:
         """Return the version to bring into the engine now."""
         newest = self._targets.find_target(model)
         if newest == self._wanted:
             return newest
-        is_pending = loaded < self._wanted < newest
-        if is_pending and self._transfer.progress >= 1.0:
-            return self._wanted
+        staged = _number_of(self._staged) if self._staged is not None else 0
+        is_pending = max(loaded, self._ordered, staged) < self._wanted < newest
         if not is_pending or self._weighed != newest:
             # The choice is made once for each newly named version: a transfer that is abandoned
             # later has cost its time for nothing.
@@ -229,7 +286,7 @@
         that serves another version is not read.
         """
         report = self._report()
-        number = int(manifest.version.rpartition("/")[2])
+        number = _number_of(manifest)
         loaded = dict(report.version_by_model).get(manifest.model, 0) if report is not None else 0
         if loaded not in (0, number):
             return
@@ -245,6 +302,9 @@
 
     async def _stage(self, manifest: Manifest) -> None:
         """Stage every chunk that has arrived."""
+        if self._staged_version != manifest.version:
+            self._staged_version = manifest.version
+            self._staged_by_index.clear()
         for index, digest in enumerate(manifest.chunks):
             if self._staged_by_index.get(index) == digest:
                 continue
@@ -267,3 +327,8 @@
         if bad:
             _log.warning("staged chunks bad", version=manifest.version, chunks=bad)
         return not bad
+
+
+def _number_of(manifest: Manifest) -> int:
+    """Return the number of a version that is named ``MODEL/NUMBER``."""
+    return int(manifest.version.rpartition("/")[2])
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -32,7 +32,7 @@
 #: Parts of a host's link that weights may use. Live answers leave over the same link as uploads,
 #: while downloads share it with the much smaller requests.
 DOWNLOAD_LINK_FRACTION = 0.95
-UPLOAD_LINK_FRACTION = 0.8
+UPLOAD_LINK_FRACTION = 0.85
 #: Uploads leave in slices of this size, in bytes: 14 ms of a link of 4.7 Mbit/s, where a whole
 #: chunk of 49,152 bytes would hold up live answers for 84 ms.
 UPLOAD_SLICE_BYTES = 8_192
@@ -266,6 +266,7 @@
         targets=parts.targets,
         model=lambda: built[0].model,
         report=lambda: built[0].report,
+        may_switch=lambda model, version: built[0].may_switch(model, version),
         clock=parts.clock,
     )
     state = StateServer(
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -6,7 +6,13 @@
 from collections.abc import Iterable
 from functools import partial
 
-from sycamoreproxy.engine_stage import EngineReport, StagedEngine, StageError, WeightStager
+from sycamoreproxy.engine_stage import (
+    EngineReport,
+    StagedEngine,
+    StageError,
+    WeightStager,
+    may_switch,
+)
 from sycamoreproxy.host_list import HostRecord
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import EngineLoad, PeerStatus
@@ -89,6 +95,29 @@
             return ""
         return next(iter(spec.engine.models), "")
 
+    def may_switch(self, model: str, version: int) -> bool:
+        """Return whether the engine may load a version now."""
+        book = self._beliefs.book
+        own = next((r for r in book.list_all() if str(r.address) == self._address), None)
+        if own is None:
+            return True
+        records = sorted(
+            (
+                record
+                for record in book.list_all()
+                if record.service == own.service and not book.is_leaving(record.instance)
+            ),
+            key=lambda record: (record.availability_zone, record.instance),
+        )
+        if own not in records:
+            return True
+        return may_switch(
+            index=records.index(own),
+            loaded_versions=[dict(r.version_by_model).get(model, 0) for r in records],
+            target=version,
+            time_to_bind_s=self._beliefs.targets.time_to_bind_s(model, version),
+        )
+
     def reload(self, settings: RoutedSettings) -> None:
         """Apply changed settings; addresses need a restart."""
         self._settings = settings
