--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,392 @@
+"""Stand-in for the users' platform: store, runners, origin of weights and operator.
+
+Speaks the parts of the platform's published protocol that the product uses. Faults of the store:
+``down`` (503), ``history_lost`` (watches answer 410). Faults of a runner: ``shed`` (fraction refused
+unrun), ``drop_before_answer`` and ``cut_after_events`` (connections closed early), ``fail`` (a
+status with a signature), ``wrong_id`` (fraction answered with another request's id).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import hashlib
+import json
+import secrets
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import tornado.web
+
+from standins._server import FaultHandler, Faults, JsonHandler, make_parser, serve
+
+#: Time between two events of a stream, in seconds.
+EVENT_S = 0.01
+#: Time that a runner takes to load staged weights, in seconds.
+LOAD_S = 0.1
+
+
+@dataclass
+class PlatformStore:
+    """Items with revisions, and their history."""
+
+    revision: int = 1
+    items_by_key: dict[str, dict[str, Any]] = field(default_factory=dict)
+    history: list[dict[str, Any]] = field(default_factory=list)
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    async def put(self, key: str, value: Any) -> int:
+        """Write a JSON value as the operator or a runner does; return the revision."""
+        self.revision += 1
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        before = self.items_by_key.get(key)
+        item = {
+            "key": key,
+            "value": text,
+            "revision": self.revision,
+            "create_rev": before["create_rev"] if before else self.revision,
+            "lease": 0,
+        }
+        self.items_by_key[key] = item
+        await self._publish(item)
+        return self.revision
+
+    async def delete(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        del self.items_by_key[key]
+        await self._publish({"key": key, "revision": self.revision, "deleted": True})
+
+    async def _publish(self, event: dict[str, Any]) -> None:
+        self.history.append(event)
+        async with self.changed:
+            self.changed.notify_all()
+
+
+class _StoreHandler(JsonHandler):
+    def initialize(self, store: PlatformStore, faults: Faults) -> None:
+        """Take the store and its faults."""
+        self._store = store
+        self._faults = faults
+
+    def prepare(self) -> None:
+        """Refuse calls while the store is down."""
+        if self._faults.get("down"):
+            self.write_json({}, 503)
+
+
+class RangeHandler(_StoreHandler):
+    """``GET /kv-range``."""
+
+    def get(self) -> None:
+        """Return the items below a prefix, two a page."""
+        prefix, after = self.get_argument("prefix"), self.get_argument("after", "")
+        keys = sorted(k for k in self._store.items_by_key if k.startswith(prefix) and k > after)
+        page = [self._store.items_by_key[key] for key in keys[:2]]
+        self.write_json(
+            {"items": page, "has_more": len(keys) > 2, "store_revision": self._store.revision}
+        )
+
+
+class WatchHandler(_StoreHandler):
+    """``GET /kv-watch``."""
+
+    async def get(self) -> None:
+        """Return the changes after a revision, at the latest when the wait is over."""
+        if self._faults.get("history_lost"):
+            self.write_json({}, 410)
+            return
+        prefix, after = self.get_argument("prefix"), int(self.get_argument("after"))
+        store = self._store
+
+        def find() -> list[dict[str, Any]]:
+            return [
+                event
+                for event in store.history
+                if event["key"].startswith(prefix) and event["revision"] > after
+            ]
+
+        wait_s = int(self.get_argument("wait_ms")) / 1000
+        async with store.changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await store.changed.wait_for(lambda: bool(find()))
+            except TimeoutError:
+                pass
+        self.write_json({"events": find(), "store_revision": store.revision})
+
+
+@dataclass
+class PlatformRunner:
+    """State of one runner.
+
+    :param origin_version: newest version that the origin has.
+    """
+
+    instance: str
+    model: str = "m1"
+    version: int = 1
+    slots: int = 4
+    started_ms: int = 1
+    running: int = 0
+    orders: int = 0
+    is_loading: bool = False
+    staged: dict[int, bytes] = field(default_factory=dict)
+    ran: Counter[str] = field(default_factory=Counter)
+    received: list[dict[str, str]] = field(default_factory=list)
+    cancelled: int = 0
+
+
+class RunnerHandler(JsonHandler):
+    """Requests of callers."""
+
+    def initialize(self, runner: PlatformRunner, faults: Faults) -> None:
+        """Take the runner and its faults."""
+        self._runner = runner
+        self._faults = faults
+        self._left = False
+
+    def on_connection_close(self) -> None:
+        """Count a request whose caller left."""
+        self._left = True
+        self._runner.cancelled += 1
+
+    async def _run(self) -> None:
+        runner, faults, headers = self._runner, self._faults, self.request.headers
+        request_id = headers.get("Sycamoreproxy-Request-Id", "")
+        runner.received.append(dict(headers.get_all()))
+        self.set_header("Sycamoreproxy-Request-Id", request_id)
+        if headers.get("Sycamoreproxy-Expect-Instance") != runner.instance:
+            self.write_json({}, 421)
+            return
+        expected = headers.get("Sycamoreproxy-Expect-Version")
+        if expected is not None and int(expected) != runner.version:
+            self.write_json({}, 421)
+            return
+        if faults.strikes("shed"):
+            self.set_header("Sycamoreproxy-Not-Executed", "1")
+            self.write_json({}, 503)
+            return
+        runner.ran[request_id] += 1
+        if faults.strikes("drop_before_answer"):
+            self.drop_connection()
+            return
+        if faults.strikes("wrong_id"):
+            self.set_header("Sycamoreproxy-Request-Id", "another")
+        self.set_header("Sycamoreproxy-Response-Signature", f"sig.{runner.instance}")
+        if faults.get("fail"):
+            self.write_json({"error": "fault"}, int(faults.get("fail")))
+            return
+        if headers.get("Sycamoreproxy-Token-Count"):
+            await self._stream()
+            return
+        await asyncio.sleep(float(faults.get("delay_ms", 0)) / 1000)
+        self.write_json({"path": self.request.uri, "body": self.request.body.decode()})
+
+    async def _stream(self) -> None:
+        runner = self._runner
+        first = int(self.request.headers.get("Last-Event-Id", 0)) + 1
+        cut = int(self._faults.get("cut_after_events", 0))
+        self.set_header("Content-Type", "text/event-stream")
+        runner.running += 1
+        try:
+            for number in range(first, 6):
+                if self._left:
+                    return
+                if cut and number > cut:
+                    self.write(f"id: {number}\nda")
+                    await self.flush()
+                    self.drop_connection()
+                    return
+                self.write(f"id: {number}\ndata: token {number}\n\n")
+                await self.flush()
+                await asyncio.sleep(float(self._faults.get("event_s", EVENT_S)))
+            self.finish()
+        finally:
+            runner.running -= 1
+
+    get = post = put = delete = _run  # type: ignore[assignment]
+
+
+class ReportHandler(RunnerHandler):
+    """``GET /report``."""
+
+    def get(self) -> None:  # type: ignore[override]
+        """Return the runner's state."""
+        runner = self._runner
+        models = [{"name": runner.model, "version": runner.version, "adapters": []}]
+        self.write_json(
+            {
+                "stage": "both",
+                "models": models if runner.version else [],
+                "busy": runner.is_loading,
+                "sequence": runner.orders,
+                "waiting": 0,
+                "running": runner.running,
+                "kv_used": 0,
+                "kv_total": 1000,
+                "handles": 0,
+                "born": runner.started_ms,
+                "pace": 1.0,
+            }
+        )
+
+
+class StageHandler(RunnerHandler):
+    """``PUT /stage-put/ID`` and ``GET /stage-get/ID``."""
+
+    def put(self, model: str) -> None:  # type: ignore[override]
+        """Stage one chunk."""
+        self._runner.staged[int(self.get_argument("number"))] = self.request.body
+        self.finish()
+
+    def get(self, model: str) -> None:  # type: ignore[override]
+        """Return one staged chunk."""
+        data = self._runner.staged.get(int(self.get_argument("number")))
+        if data is None:
+            raise tornado.web.HTTPError(404)
+        self.finish(data)
+
+
+class OrderHandler(RunnerHandler):
+    """``POST /order``."""
+
+    async def post(self) -> None:  # type: ignore[override]
+        """Begin to load what is staged."""
+        runner, order = self._runner, self.read_json()
+        if runner.is_loading or order.get("expected", runner.orders) != runner.orders:
+            self.write_json({}, 409)
+            return
+        if order["version"] == runner.version:
+            self.write_json({}, 200)
+            return
+        runner.orders += 1
+        runner.is_loading = True
+        self.write_json({}, 202)
+        await asyncio.sleep(LOAD_S)
+        runner.version, runner.is_loading = order["version"], False
+
+
+def make_chunks(model: str, version: int, *, chunks: int, chunk_bytes: int) -> list[bytes]:
+    """Return the chunks of a version; every version has other bytes."""
+    return [
+        hashlib.sha256(f"{model}/{version}/{index}".encode()).digest() * (chunk_bytes // 32)
+        for index in range(chunks)
+    ]
+
+
+class OriginHandler(JsonHandler):
+    """``GET /manifest/ID`` and ``GET /piece/ID``."""
+
+    def initialize(self, sent: Counter[str], faults: Faults) -> None:
+        """Take the count of what was sent."""
+        self._sent = sent
+        self._faults = faults
+
+    def get(self, what: str, model: str) -> None:
+        """Return a manifest or a piece."""
+        if self._faults.get("down"):
+            raise tornado.web.HTTPError(503)
+        version = int(self.get_argument("version"))
+        chunks = make_chunks(model, version, chunks=8, chunk_bytes=1024)
+        self._sent[what] += 1
+        if what == "manifest":
+            digests = [hashlib.sha256(chunk).hexdigest() for chunk in chunks]
+            self.write_json(
+                {"model": model, "version": version, "chunk_bytes": 1024, "digests": digests}
+            )
+        else:
+            self.finish(chunks[int(self.get_argument("number"))])
+
+
+def make_store_routes(store: PlatformStore, faults: Faults) -> list[Any]:
+    """Return the routes of the store."""
+    options = {"store": store, "faults": faults}
+    return [(r"/kv-range", RangeHandler, options), (r"/kv-watch", WatchHandler, options)]
+
+
+def make_runner_routes(runner: PlatformRunner, faults: Faults) -> list[Any]:
+    """Return the routes of a runner."""
+    options = {"runner": runner, "faults": faults}
+    return [
+        (r"/report", ReportHandler, options),
+        (r"/stage-(?:put|get)/(.*)", StageHandler, options),
+        (r"/order", OrderHandler, options),
+        (r"/standin/faults", FaultHandler, {"faults": faults}),
+        (r"/.*", RunnerHandler, options),
+    ]
+
+
+def make_origin_routes(sent: Counter[str], faults: Faults) -> list[Any]:
+    """Return the routes of the origin."""
+    return [(r"/(manifest|piece)/(.*)", OriginHandler, {"sent": sent, "faults": faults})]
+
+
+def make_configuration(
+    version: int, *, services: list[dict[str, Any]], routes: list[dict[str, Any]]
+) -> dict[str, Any]:
+    """Return a configuration with one account, ``office`` with the key ``office-key``."""
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {"max_body_bytes": 65_536, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "office", "api_keys": ["office-key"], "priority": 1}],
+    }
+
+
+async def _run(options: Any) -> None:
+    store, faults = PlatformStore(), Faults(seed=options.seed)
+    runner = PlatformRunner(
+        instance=f"i-{secrets.token_hex(4)}", started_ms=int(time.time() * 1000)
+    )
+    await store.put(
+        "op/config",
+        make_configuration(
+            1,
+            services=[{"name": "echo", "max_connections": 64}],
+            routes=[
+                {
+                    "name": "r1",
+                    "hostname": "localhost",
+                    "prefix": "/",
+                    "kind": "idempotent",
+                    "service": "echo",
+                    "timeout_ms": 2000,
+                    "target_latency_ms": 200,
+                    "max_attempts": 2,
+                }
+            ],
+        ),
+    )
+    await store.put(
+        f"servers/{runner.instance}",
+        {
+            "service": "echo",
+            "address": f"127.0.0.1:{options.port}",
+            "zone": "z1",
+            "slots": runner.slots,
+            "state": "ready",
+            "born": runner.started_ms,
+        },
+    )
+    await serve(
+        [
+            *make_store_routes(store, faults),
+            *make_origin_routes(Counter(), faults),
+            *make_runner_routes(runner, faults),
+        ],
+        port=options.port,
+        faults=faults,
+    )
+
+
+def main() -> None:
+    """Run a store with one configuration, one runner and an origin on one port."""
+    asyncio.run(_run(make_parser("stand-in for the users' platform").parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -37,7 +37,7 @@
 #: Hexadecimal digits of a chunk digest by which chunks are grouped for the assignment.
 _BUCKET_DIGITS = 3
 
-#: Versions of at most this many chunks are divided evenly among the hosts.
+#: Versions of at most this many chunks are divided evenly among the hosts if the limits say so.
 MAX_EVEN_CHUNKS = 64
 
 _MASK = (1 << 64) - 1
@@ -76,6 +76,7 @@
     :param availability_zone: zone of this host. If it is set, each chunk is imported into the zone
         by one of its hosts, chosen by rendezvous hash, and passed on within the zone; empty if
         links between zones are like those within.
+    :param divides_evenly: whether the chunks of a small version are assigned by ``EvenDuties``.
     :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
         hosts replaced later need the chunks too.
     """
@@ -101,6 +102,7 @@
     upload_bytes_per_s: float = 0.0
     upload_slice_bytes: int = 0
     availability_zone: str = ""
+    divides_evenly: bool = False
     quiet_s: float = 30.0
 
 
@@ -301,7 +303,8 @@
         self._held = sum(1 << self._first_index_by_digest[digest] for digest in set(held))
         self._peers_by_host: dict[str, _PeerState] = {}
         self._neighbours_by_host: dict[str, HostRecord] = {}
-        duties = OriginDuties if len(manifest.chunks) > MAX_EVEN_CHUNKS else EvenDuties
+        is_small = limits.divides_evenly and len(manifest.chunks) <= MAX_EVEN_CHUNKS
+        duties = EvenDuties if is_small else OriginDuties
         self._duties = duties(manifest)
         self._duties.assign({host})
         self._first_duties = duties(manifest)
--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -107,12 +107,11 @@
     if not 0.0 < progress < 1.0:
         return False
     whole_s = elapsed_s / progress
-    gap_if_skipped = whole_s + SWITCH_S - wanted_binds_in_s
-    gap_if_finished = max(
-        whole_s * (1 - progress) + SWITCH_S - wanted_binds_in_s,
-        whole_s * (2 - progress) + SWITCH_S - newest_binds_in_s,
+    gap_if_skipped = max(0.0, whole_s + SWITCH_S - wanted_binds_in_s)
+    gap_if_finished = max(0.0, whole_s * (1 - progress) + SWITCH_S - wanted_binds_in_s) + max(
+        0.0, whole_s * (2 - progress) + SWITCH_S - newest_binds_in_s
     )
-    return max(0.0, gap_if_finished) < max(0.0, gap_if_skipped)
+    return gap_if_finished < gap_if_skipped
 
 
 def may_switch(
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -349,6 +349,7 @@
         time_left = progress.deadline - self._clock.monotonic()
         if time_left < MIN_TIME_LEFT_S:
             return _Ended(Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO), failed=None)
+        progress.splitter.restart()
         headers = self._dialect.write_attempt(
             request,
             Attempt(
--- a/tests/_fake_hub.py
+++ b/tests/_fake_hub.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter, defaultdict, deque
+from types import SimpleNamespace
 from typing import Any
 
 from sycamoreproxy.messages import decode_message, encode_message
@@ -21,6 +22,10 @@
     def on(self, message_type: type, handler: Any) -> None:
         self.handlers[message_type].append(handler)
 
+    def broadcast(self, message: object, *, role: str | None = None) -> None:
+        for peer in sorted(self.peers, key=hash):
+            peer.send(message)
+
 
 class FakePeer:
     """One end of a stream; what is sent waits until the network delivers it."""
@@ -29,6 +34,7 @@
 
     def __init__(self, owner: FakeHub, target: FakeHub, number: int) -> None:
         self.owner, self.target, self.number = owner, target, number
+        self.hello = SimpleNamespace(host=f"h{number}", role="upstream")
         self.is_closed = False
         self.queue: deque[bytes] = deque()
 
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,129 @@
+"""Guards against documents of another shape that name an upstream or stop the process."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from sycamoreproxy.platform.documents import PlatformDocuments
+from sycamoreproxy.route_table import RouteKind
+from sycamoreproxy.watched_documents import DocumentError
+
+RUNNER: dict[str, Any] = {
+    "service": "model",
+    "address": "10.0.0.9:8080",
+    "zone": "z1",
+    "version": "software 7",
+    "slots": 16,
+    "state": "ready",
+    "models": [{"name": "m1", "version": 3, "adapters": []}],
+    "sequence": 4,
+    "born": 17,
+}
+ROUTE: dict[str, Any] = {
+    "name": "r1",
+    "hostname": "office.example",
+    "prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 6000,
+    "target_latency_ms": 404,
+    "priority": 2,
+    "service": "model",
+    "max_attempts": 2,
+    "session_affinity": True,
+    "stream_resume": True,
+    "gap_target_ms": 400,
+}
+CONFIGURATION: dict[str, Any] = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "model", "max_connections": 434}],
+    "limits": {"max_body_bytes": 4096},
+    "tenants": [{"name": "office", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def encode(value: Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+def test_runner_is_decoded() -> None:
+    record = PlatformDocuments().read_upstream("i-1", encode(RUNNER))
+    assert (record.service, str(record.address), record.started_ms) == (
+        "model",
+        "10.0.0.9:8080",
+        17,
+    )
+    assert record.version_by_model == (("m1", 3),) and not record.is_leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": 5},
+        {"address": "nowhere"},
+        {"address": None},
+        {"zone": []},
+        {"slots": "16"},
+        {"slots": True},
+        {"state": "unheard-of"},
+        {"models": [{"name": "m1"}]},
+        {"models": "m1"},
+    ],
+)
+def test_entry_of_another_writer_names_no_runner(change: dict[str, Any]) -> None:
+    with pytest.raises(DocumentError):
+        PlatformDocuments().read_upstream("i-1", encode({**RUNNER, **change}))
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
+def test_bytes_that_are_no_document(value: bytes) -> None:
+    documents = PlatformDocuments()
+    with pytest.raises(DocumentError):
+        documents.read_upstream("i-1", value)
+    with pytest.raises(DocumentError):
+        documents.read_routes(value)
+    with pytest.raises(DocumentError):
+        documents.read_version(value)
+
+
+def test_configuration_is_decoded() -> None:
+    table = PlatformDocuments().read_routes(encode(CONFIGURATION))
+    route = table.match("office.example", "/a/b")
+    assert route is not None and route.kind is RouteKind.STREAMING
+    assert (route.timeout_s, route.goal_s, route.gap_goal_s, route.rank) == (6.0, 0.404, 0.4, 2)
+    assert route.resumes and route.is_generation and route.max_attempts == 2
+    assert table.account_by_key == {"k1": "office", "k2": "office"} and table.needs_keys
+    assert table.bounds.max_body_bytes == 4096 and table.revision == 7
+
+
+@pytest.mark.parametrize("tenants", [None, "absent"])
+def test_configuration_without_accounts_needs_no_keys(tenants: Any) -> None:
+    data = {**CONFIGURATION, "tenants": tenants}
+    if tenants == "absent":
+        del data["tenants"]
+    assert not PlatformDocuments().read_routes(encode(data)).needs_keys
+
+
+@pytest.mark.parametrize("missing", ["version", "routes", "services"])
+def test_incomplete_configuration_is_refused(missing: str) -> None:
+    data = {key: value for key, value in CONFIGURATION.items() if key != missing}
+    with pytest.raises(DocumentError):
+        PlatformDocuments().read_routes(encode(data))
+
+
+@pytest.mark.parametrize(
+    ("key", "routes", "model", "instance"),
+    [
+        ("op/config", True, None, None),
+        ("op/version/m1", False, "m1", None),
+        ("servers/i-1", False, None, "i-1"),
+        ("op/other", False, None, None),
+    ],
+)
+def test_keys(key: str, routes: bool, model: str | None, instance: str | None) -> None:
+    documents = PlatformDocuments()
+    found = (documents.is_routes(key), documents.model_of(key), documents.instance_of(key))
+    assert found == (routes, model, instance)
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,99 @@
+"""Guards against headers that leak, are smuggled, or say something else than the caller did."""
+
+from __future__ import annotations
+
+import pytest
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from sycamoreproxy.caller_request import Attempt, BadRequestError, CallerRequest
+from sycamoreproxy.platform.requests import PlatformDialect
+
+START = RequestStartLine("POST", "/a/b?c=1", "HTTP/1.1")
+HEADERS = {
+    "Host": "office.example",
+    "Sycamoreproxy-Request-Id": "id1",
+    "Sycamoreproxy-Deadline-Ms": "6030",
+    "Sycamoreproxy-Model": "m1",
+    "Sycamoreproxy-Token-Count": "1460,80",
+    "Sycamoreproxy-Prefix-Hash": "5c:800",
+    "X-Api-Key": "secret",
+    "Connection": "keep-alive, X-Hop",
+    "X-Hop": "1",
+    "X-Other": "kept",
+    "Content-Length": "3",
+    "Sycamoreproxy-Tenant": "somebody-else",
+    "Sycamoreproxy-Request-Priority": "0",
+    "Sycamoreproxy-Expect-Instance": "i-9",
+}
+
+
+def read(**changes: str) -> CallerRequest:
+    headers = HTTPHeaders({**HEADERS, **{k.replace("_", "-"): v for k, v in changes.items()}})
+    return PlatformDialect().read_request(START, headers)
+
+
+def write(request: CallerRequest, **fields: object) -> dict[str, str]:
+    attempt = Attempt(instance="i-1", time_left_s=1.5, **fields)  # type: ignore[arg-type]
+    return dict(PlatformDialect().write_attempt(request, attempt).get_all())
+
+
+def test_request_is_decoded_once() -> None:
+    request = read(Last_Event_Id="12")
+    assert (request.prompt_tokens, request.answer_tokens) == (1460, 80)
+    assert (request.target, request.time_left_s, request.key) == ("/a/b?c=1", 6.03, "secret")
+    assert request.last_event_id == 12 and request.model == "m1"
+
+
+@pytest.mark.parametrize("value", ["", "soon", "-5", "0", "nan", "inf"])
+def test_malformed_time_left_is_refused(value: str) -> None:
+    with pytest.raises(BadRequestError):
+        read(Sycamoreproxy_Deadline_Ms=value)
+
+
+def test_upstream_gets_the_callers_headers_and_the_systems_own() -> None:
+    sent = write(read(), account="office", weight_version=3, urgency=1)
+    assert sent["Host"] == "office.example" and sent["X-Other"] == "kept"
+    assert sent["Sycamoreproxy-Request-Id"] == "id1"
+    assert sent["Sycamoreproxy-Token-Count"] == "1460,80"
+    assert sent["Sycamoreproxy-Deadline-Ms"] == "1500"
+    assert sent["Sycamoreproxy-Expect-Instance"] == "i-1"
+    assert sent["Sycamoreproxy-Expect-Version"] == "3"
+    assert sent["Sycamoreproxy-Tenant"] == "office"
+    assert sent["Sycamoreproxy-Request-Priority"] == "1"
+
+
+@pytest.mark.parametrize("name", ["X-Api-Key", "X-Hop", "Connection", "Content-Length"])
+def test_keys_and_connection_headers_are_not_passed_on(name: str) -> None:
+    assert name not in write(read())
+
+
+@pytest.mark.parametrize("name", ["Sycamoreproxy-Tenant", "Sycamoreproxy-Request-Priority"])
+def test_caller_cannot_set_the_systems_headers(name: str) -> None:
+    assert name not in write(read())
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "unrun", "misdirected"),
+    [
+        (200, {}, False, False),
+        (503, {"Sycamoreproxy-Not-Executed": "1"}, True, False),
+        (503, {}, False, False),
+        (421, {}, True, True),
+        (500, {}, False, False),
+    ],
+)
+def test_only_the_upstreams_word_says_that_it_has_not_run(
+    status: int, headers: dict[str, str], unrun: bool, misdirected: bool
+) -> None:
+    head = PlatformDialect().read_answer(status, HTTPHeaders(headers))
+    assert (head.is_unrun, head.is_misdirected) == (unrun, misdirected)
+
+
+@pytest.mark.parametrize(
+    ("text", "load"), [("3,0,8", (3, 0, 8)), ("3,0", None), ("a,b,c", None), ("", None)]
+)
+def test_load_of_an_answer(text: str, load: tuple[int, int, int] | None) -> None:
+    head = PlatformDialect().read_answer(200, HTTPHeaders({"Sycamoreproxy-Server-Load": text}))
+    found = head.load
+    assert (None if found is None else (found.running, found.waiting, found.slots)) == load
+    assert not any(name.startswith("Sycamoreproxy-Server") for name, _ in head.headers)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,88 @@
+"""Guards against changes of the store that are missed, torn or taken for an empty store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from standins._server import Faults
+from standins.platform import PlatformStore as StoreStandIn
+from standins.platform import make_store_routes
+from sycamoreproxy.platform.store import PlatformStore
+from sycamoreproxy.watched_documents import HistoryLostError, SourceUnavailableError
+
+
+def play(action: Callable[[StoreStandIn, Faults, PlatformStore], Awaitable[None]]) -> None:
+    """Run an action against a store with five items."""
+
+    async def run() -> None:
+        stand_in, faults = StoreStandIn(), Faults(seed=1)
+        server = HTTPServer(tornado.web.Application(make_store_routes(stand_in, faults)))
+        socket, port = bind_unused_port()
+        server.add_socket(socket)
+        store = PlatformStore(f"127.0.0.1:{port}")
+        for number in range(5):
+            await stand_in.put(f"servers/{number}", {"n": number})
+        try:
+            async with asyncio.timeout(10):
+                await action(stand_in, faults, store)
+        finally:
+            store.close()
+            server.stop()
+
+    asyncio.run(run())
+
+
+def test_all_pages_are_read() -> None:
+    async def action(stand_in: StoreStandIn, faults: Faults, store: PlatformStore) -> None:
+        snapshot = await store.read_all("servers/")
+        assert [document.key[-1] for document in snapshot.documents] == list("01234")
+        assert snapshot.documents[3].value == b'{"n": 3}' and snapshot.revision == 6
+
+    play(action)
+
+
+def test_watch_returns_changes_and_deletions() -> None:
+    async def action(stand_in: StoreStandIn, faults: Faults, store: PlatformStore) -> None:
+        waiting = asyncio.create_task(store.wait_changes("servers/", after=6, wait_s=5))
+        await asyncio.sleep(0.05)
+        await stand_in.put("op/config", {})
+        await stand_in.delete("servers/2")
+        changes = await waiting
+        assert [(d.key, d.value) for d in changes.documents] == [("servers/2", None)]
+        assert changes.revision == 8
+        quiet = await store.wait_changes("servers/", after=8, wait_s=0.1)
+        assert quiet.documents == () and quiet.revision == 8
+
+    play(action)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error"), [("down", SourceUnavailableError), ("history_lost", HistoryLostError)]
+)
+def test_failures_are_told_apart(fault: str, error: type[Exception]) -> None:
+    async def action(stand_in: StoreStandIn, faults: Faults, store: PlatformStore) -> None:
+        faults.replace({fault: True})
+        with pytest.raises(error):
+            await store.wait_changes("servers/", after=1, wait_s=1)
+        if fault == "down":
+            with pytest.raises(error):
+                await store.read_all("servers/")
+
+    play(action)
+
+
+def test_store_that_is_gone_is_unavailable() -> None:
+    async def action(stand_in: StoreStandIn, faults: Faults, store: PlatformStore) -> None:
+        socket, port = bind_unused_port()
+        socket.close()
+        gone = PlatformStore(f"127.0.0.1:{port}")
+        with pytest.raises(SourceUnavailableError):
+            await gone.read_all("servers/")
+
+    play(action)
--- a/tests/test_chunk_plan.py
+++ b/tests/test_chunk_plan.py
@@ -13,6 +13,7 @@
 from sycamoreproxy.chunk_plan import (
     ORIGIN,
     ChunkPlan,
+    EvenDuties,
     Fetch,
     OriginDuties,
     Pacer,
@@ -285,3 +286,62 @@
     planned = _Planned(held=_ALL, min_upload_bytes=1_000_000)
     answers = {planned.plan.decide_upload(d, queued=0) for d in _DIGESTS * 3}
     assert answers == {""}
+
+
+@pytest.mark.parametrize("hosts", [1, 2, 3, 7, 10])
+def test_even_duties_differ_by_one_chunk_at_most(hosts: int) -> None:
+    """Rendezvous hashing gave single hosts half as many chunks again, and all waited for them."""
+    duties = EvenDuties(_MANIFEST)
+    names = {f"h{number}" for number in range(hosts)}
+    duties.assign(names)
+    bitmaps = [duties.chunks_of(name) for name in names]
+    counts = [bitmap.bit_count() for bitmap in bitmaps]
+    assert max(counts) - min(counts) <= 1 and sum(counts) == len(_DIGESTS)
+    covered = 0
+    for bitmap in bitmaps:
+        assert not covered & bitmap
+        covered |= bitmap
+    assert covered == _ALL
+    duties.assign(names | {"late"})
+    assert duties.chunks_of("late").bit_count() in (
+        len(_DIGESTS) // (hosts + 1),
+        len(_DIGESTS) // (hosts + 1) + 1,
+    )
+
+
+def test_chunk_is_imported_into_a_zone_by_one_host_only() -> None:
+    """Every host of a zone fetched its chunks over the narrow link between regions."""
+    imported = 0
+    for own in ("h0", "h1"):
+        clock = ManualClock()
+        plan = ChunkPlan(
+            host=own,
+            manifest=_MANIFEST,
+            held=[],
+            limits=PlanLimits(
+                bytes_per_s=1e6, in_flight=64, availability_zone="z1", divides_evenly=True
+            ),
+            clock=clock,
+            random_source=random.Random(1),
+        )
+        near = "h1" if own == "h0" else "h0"
+        plan.set_neighbours(
+            [
+                make_record(near, zone="z1"),
+                make_record("far", zone="z2"),
+            ],
+            zones=2,
+            regions=1,
+        )
+        plan.note_have("far", bitmap=_ALL, uploaded=0, closed=False)
+        fetched = 0
+        for _ in range(200):
+            for fetch in plan.choose_fetches():
+                if fetch.source == "far":
+                    assert not fetched >> fetch.index & 1
+                    fetched |= 1 << fetch.index
+                    plan.note_arrived(fetch.digest, "far")
+            clock.advance(0.002)
+        assert fetched and not imported & fetched
+        imported |= fetched
+    assert imported == _ALL
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,147 @@
+"""Guards against requests on engines that are full, empty of weights, leaving or failing."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.placement import LoadReport, Need, Placer
+from tests._upstreams import PROFILE, make_upstream
+
+NEED = Need(level=0, urgency=1.0, prompt_tokens=800, model="m1")
+LAST = Need(level=2, urgency=0.0, prompt_tokens=800, model="m1")
+
+
+def make_placer(*loads: tuple[int, int], version: int = 1) -> tuple[ManualClock, Placer]:
+    """Return a placer with reports ``(running, waiting)`` of engines 1, 2, …"""
+    clock = ManualClock(start=10.0)
+    placer = Placer(clock=clock, availability_zone="z1", random_source=random.Random(1))
+    for number, (running, waiting) in enumerate(loads, start=1):
+        placer.take_report(
+            f"i-{number}",
+            LoadReport(
+                at=clock.monotonic(),
+                running=running,
+                waiting=waiting,
+                version_by_model=(("m1", version),),
+            ),
+        )
+    return clock, placer
+
+
+@pytest.mark.parametrize(
+    ("loads", "need", "expected"),
+    [
+        ([(2, 0), (14, 0)], NEED, "i-1"),
+        ([(16, 0), (15, 0)], LAST, "i-2"),
+        ([(16, 0), (16, 0)], LAST, None),
+        ([(16, 2), (16, 0)], NEED, "i-2"),
+        ([(16, 3), (16, 3)], NEED, None),
+    ],
+)
+def test_request_goes_where_its_first_token_comes_first(
+    loads: list[tuple[int, int]], need: Need, expected: str | None
+) -> None:
+    _, placer = make_placer(*loads)
+    choice = placer.choose([make_upstream(1), make_upstream(2)], need, profile=PROFILE)
+    assert (choice.record.instance if choice else None) == expected
+
+
+def test_load_spreads_over_zones_before_an_engine_fills() -> None:
+    """Engines of the own zone were filled while others stood idle."""
+    _, placer = make_placer((0, 0), (0, 0))
+    records = [make_upstream(1), make_upstream(2, zone="z2")]
+    placed: Counter[str] = Counter()
+    for _ in range(16):
+        choice = placer.choose(records, NEED, profile=PROFILE)
+        assert choice is not None
+        placer.begin(choice, NEED)
+        placed[choice.record.instance] += 1
+    assert placed["i-2"] >= 4 and placed["i-1"] >= placed["i-2"]
+
+
+@pytest.mark.parametrize(
+    ("version", "minimum", "found"), [(0, 0, False), (1, 0, True), (1, 2, False), (2, 2, True)]
+)
+def test_engine_without_a_permitted_version_is_not_chosen(
+    version: int, minimum: int, found: bool
+) -> None:
+    _, placer = make_placer((0, 0), version=version)
+    need = Need(level=0, model="m1", minimum_version=minimum)
+    choice = placer.choose([make_upstream(1, version=version)], need, profile=PROFILE)
+    assert (choice is not None) is found
+
+
+def test_engine_that_loads_takes_nothing() -> None:
+    clock, placer = make_placer((0, 0))
+    report = LoadReport(
+        at=clock.monotonic(),
+        running=3,
+        waiting=0,
+        is_loading=True,
+        version_by_model=(("m1", 1),),
+    )
+    placer.take_report("i-1", report)
+    assert placer.choose([make_upstream(1)], NEED, profile=PROFILE) is None
+
+
+@pytest.mark.parametrize("trouble", ["leaving", "silent", "breaker", "excluded"])
+def test_troubled_engine_is_a_last_resort(trouble: str) -> None:
+    clock, placer = make_placer((0, 0), (12, 0))
+    need, leaving = NEED, frozenset[str]()
+    if trouble == "leaving":
+        leaving = frozenset({"i-1"})
+    elif trouble == "silent":
+        clock.advance(0.7)
+        _, fresh = 0, placer.view("i-2").report
+        assert fresh is not None
+        placer.take_report(
+            "i-2",
+            LoadReport(at=clock.monotonic(), running=12, waiting=0, version_by_model=(("m1", 1),)),
+        )
+    elif trouble == "breaker":
+        for _ in range(5):
+            choice = placer.choose([make_upstream(1)], NEED, profile=PROFILE)
+            assert choice is not None
+            placer.end(placer.begin(choice, NEED), failed=True)
+    else:
+        need = Need(level=0, urgency=1.0, model="m1", excluded=frozenset({"i-1"}))
+    records = [make_upstream(1), make_upstream(2)]
+    choice = placer.choose(records, need, profile=PROFILE, is_leaving=leaving)
+    assert choice is not None and choice.record.instance == "i-2"
+    alone = placer.choose(records[:1], need, profile=PROFILE, is_leaving=leaving)
+    assert (alone is None) is (trouble == "excluded")
+
+
+def test_failing_upstream_gets_a_trickle() -> None:
+    """A grey upstream fails part of its requests while it looks idle."""
+    _, placer = make_placer((0, 0), (4, 0))
+    records = [make_upstream(1), make_upstream(2)]
+    random_source = random.Random(2)
+    placed: Counter[str] = Counter()
+    for _ in range(200):
+        choice = placer.choose(records, NEED, profile=PROFILE)
+        assert choice is not None
+        placed[choice.record.instance] += 1
+        failed = choice.record.instance == "i-1" and random_source.random() < 0.4
+        placer.end(placer.begin(choice, NEED), failed=failed)
+    assert placed["i-1"] < placed["i-2"]
+
+
+def test_own_requests_that_a_report_cannot_hold_are_counted() -> None:
+    clock, placer = make_placer((14, 0))
+    for _ in range(2):
+        choice = placer.choose([make_upstream(1)], LAST, profile=PROFILE)
+        assert choice is not None
+        placer.begin(choice, LAST)
+    assert placer.choose([make_upstream(1)], LAST, profile=PROFILE) is None
+    clock.advance(0.1)
+    placer.take_report(
+        "i-1",
+        LoadReport(at=clock.monotonic(), running=10, waiting=0, version_by_model=(("m1", 1),)),
+    )
+    choice = placer.choose([make_upstream(1)], LAST, profile=PROFILE)
+    assert choice is not None and choice.unseen == 0
--- /dev/null
+++ b/tests/test_route_table.py
@@ -0,0 +1,78 @@
+"""Guards against requests on the wrong route, service or place in the order of urgency."""
+
+from __future__ import annotations
+
+import pytest
+
+from sycamoreproxy.route_table import Route, RouteKind, RouteTable, index_routes, list_levels
+
+
+def make_route(prefix: str, **fields: object) -> Route:
+    values: dict[str, object] = {
+        "name": prefix,
+        "host": "Office.Example",
+        "prefix": prefix,
+        "kind": RouteKind.STREAMING,
+        "timeout_s": 6.0,
+        "goal_s": 0.4,
+        "weight_by_service": {"model": 1.0},
+        "is_generation": True,
+    }
+    return Route(**{**values, **fields})  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("office.example", "/a/b/c", "/a/b/"),
+        ("OFFICE.example:8005", "/a/x", "/a/"),
+        ("office.example", "/a/b/?q=/a/", "/a/b/"),
+        ("office.example", "/a", None),
+        ("office.example", "/b/", None),
+        ("other.example", "/a/", None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(host: str, path: str, expected: str | None) -> None:
+    table = RouteTable(
+        revision=1, routes_by_host=index_routes([make_route("/a/"), make_route("/a/b/")])
+    )
+    route = table.match(host, path)
+    assert (route.prefix if route else None) == expected
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumes", "expected"),
+    [
+        (RouteKind.IDEMPOTENT, False, True),
+        (RouteKind.NON_IDEMPOTENT, True, False),
+        (RouteKind.STREAMING, False, False),
+        (RouteKind.STREAMING, True, True),
+    ],
+)
+def test_only_harmless_repeats_are_allowed(kind: RouteKind, resumes: bool, expected: bool) -> None:
+    assert make_route("/", kind=kind, resumes=resumes).repeatable is expected
+
+
+def test_split_follows_weights_and_never_moves_a_request() -> None:
+    route = make_route("/", weight_by_service={"old": 90.0, "new": 10.0})
+    chosen = [route.choose_service(f"id-{number}") for number in range(2_000)]
+    assert chosen == [route.choose_service(f"id-{number}") for number in range(2_000)]
+    assert 100 < chosen.count("new") < 300
+
+
+@pytest.mark.parametrize(
+    ("ranks", "account", "rank", "expected"),
+    [
+        ({"a": 1, "b": 1}, "a", 0, 0),
+        ({"a": 1, "b": 1}, "b", 2, 2),
+        ({"a": 0, "b": 1}, "a", 2, 2),
+        ({"a": 0, "b": 1}, "b", 0, 3),
+    ],
+)
+def test_account_rank_goes_before_route_rank(
+    ranks: dict[str, int], account: str, rank: int, expected: int
+) -> None:
+    """Accounts that all have one rank must not hide the routes' ranks."""
+    routes = [make_route(f"/{number}/", rank=number) for number in range(3)]
+    table = RouteTable(revision=1, rank_by_account=ranks, levels=list_levels(routes, ranks))
+    assert table.find_level(account, routes[rank]) == expected
--- /dev/null
+++ b/tests/test_routed_entry.py
@@ -0,0 +1,363 @@
+"""Guards what callers get from an entry host: whole answers, true refusals, nothing run twice."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from standins._server import Faults
+from standins.platform import PlatformRunner, make_configuration, make_runner_routes
+from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.placement import Placer
+from sycamoreproxy.platform.documents import PlatformDocuments
+from sycamoreproxy.platform.requests import PlatformDialect
+from sycamoreproxy.resend_budget import ResendBudget
+from sycamoreproxy.routed_dispatch import RoutedDispatcher
+from sycamoreproxy.routed_entry import Beliefs
+from sycamoreproxy.routed_http import RoutedFront
+from sycamoreproxy.upstream_book import UpstreamBook
+from sycamoreproxy.watched_documents import Document, DocumentReplica
+from sycamoreproxy.weight_targets import WeightTargets
+from tests._fake_hub import FakeHub
+
+ENGINE = {
+    "slots": 4,
+    "step_ms": 1.0,
+    "read_per_s": 100_000.0,
+    "stride": 5,
+    "usual": {"prompt": 100, "answer": 20},
+    "models": [{"name": "m1"}],
+    "chunks": 8,
+    "chunk_bytes": 1024,
+}
+
+
+def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "hostname": "office.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 2000,
+        "target_latency_ms": 200,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+ROUTES = [
+    make_route("ask", "streaming", "model", session_affinity=True, stream_resume=True),
+    make_route("once", "streaming", "model", session_affinity=True),
+    make_route("read", "idempotent", "ledger"),
+    make_route("post", "non_idempotent", "ledger", max_attempts=1),
+    make_route("open", "idempotent", "ledger", public=True),
+]
+
+
+class _NoSource:
+    """A store that is never asked."""
+
+
+@dataclass
+class Site:
+    """An entry host before two runners of each service."""
+
+    replica: DocumentReplica
+    front: RoutedFront
+    port: int
+    runners: list[PlatformRunner]
+    faults: list[Faults]
+    servers: list[HTTPServer] = field(default_factory=list)
+
+    async def ask(
+        self, path: str, *, method: str = "POST", body: bytes = b"", **headers: str
+    ) -> tuple[int, dict[str, str], bytes, bool]:
+        """Send one request; return status, headers, body and whether the answer is whole."""
+        values = {
+            "Host": "office.example",
+            "Sycamoreproxy-Request-Id": f"id{random.random()}",
+            "Sycamoreproxy-Deadline-Ms": "1900",
+            "X-Api-Key": "office-key",
+            "Content-Length": str(len(body)),
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        head = "".join(f"{name}: {value}\r\n" for name, value in values.items() if value)
+        writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+        try:
+            return await _read_answer(reader)
+        finally:
+            writer.close()
+
+    def ran(self) -> int:
+        """Return the runs of all runners."""
+        return sum(runner.ran.total() for runner in self.runners)
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, dict[str, str], bytes, bool]:
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    except asyncio.IncompleteReadError:
+        return 0, {}, b"", False
+    lines = head.split("\r\n")
+    headers = dict(line.split(": ", 1) for line in lines[1:] if line)
+    status = int(lines[0].split()[1])
+    if "Content-Length" in headers:
+        return status, headers, await reader.readexactly(int(headers["Content-Length"])), True
+    body = b""
+    while True:
+        line = await reader.readline()
+        if not line:
+            return status, headers, body, False
+        size = int(line, 16)
+        chunk = await reader.readexactly(size + 2)
+        if size == 0:
+            return status, headers, body, True
+        body += chunk[:-2]
+
+
+def play(action: Callable[[Site], Awaitable[None]], *, configured: bool = True) -> None:
+    """Run an action against an entry host; runners 0 and 1 are engines, 2 and 3 the ledger's."""
+
+    async def run() -> None:
+        clock, hub = SystemClock(), FakeHub()
+        documents, dialect = PlatformDocuments(), PlatformDialect()
+        replica = DocumentReplica(
+            source=_NoSource(),  # type: ignore[arg-type]
+            hub=hub,  # type: ignore[arg-type]
+            prefixes=documents.prefixes,
+            clock=clock,
+        )
+        book = UpstreamBook(clock=clock, leave_s=2.0)
+        targets = WeightTargets(clock=clock, bound_s=8.0)
+        beliefs = Beliefs(documents=documents, replica=replica, book=book, targets=targets)
+        budget = ResendBudget(clock=clock, ratio=0.2, slack=104, window_s=10)
+        dispatcher = RoutedDispatcher(
+            dialect=dialect,
+            table=lambda: beliefs.table,
+            book=book,
+            placer=Placer(clock=clock, availability_zone="z1", random_source=random.Random(1)),
+            targets=targets,
+            budget_for=lambda service: budget,
+            clock=clock,
+            random_source=random.Random(1),
+        )
+        front = RoutedFront(dispatcher=dispatcher, dialect=dialect)
+        socket, port = bind_unused_port()
+        socket.close()
+        front.listen("127.0.0.1", port)
+        site = Site(replica, front, port, [], [])
+        for number in range(4):
+            await _add_runner(site, number)
+        if configured:
+            _put(
+                site,
+                "op/config",
+                make_configuration(
+                    1,
+                    services=[{"name": "model", "engine": ENGINE}, {"name": "ledger"}],
+                    routes=ROUTES,
+                ),
+            )
+        try:
+            async with asyncio.timeout(15):
+                await action(site)
+        finally:
+            await front.close(wait_s=0)
+            dispatcher.close()
+            for server in site.servers:
+                server.stop()
+
+    asyncio.run(run())
+
+
+async def _add_runner(site: Site, number: int) -> None:
+    runner, faults = PlatformRunner(f"i-{number}"), Faults(seed=number)
+    server = HTTPServer(tornado.web.Application(make_runner_routes(runner, faults)))
+    socket, port = bind_unused_port()
+    server.add_socket(socket)
+    site.servers.append(server)
+    site.runners.append(runner)
+    site.faults.append(faults)
+    _put(
+        site,
+        f"servers/{runner.instance}",
+        {
+            "service": "model" if number < 2 else "ledger",
+            "address": f"127.0.0.1:{port}",
+            "zone": "z1",
+            "slots": 4,
+            "state": "ready",
+            "models": [{"name": "m1", "version": 1}],
+        },
+    )
+
+
+def _put(site: Site, key: str, value: Any) -> None:
+    held = site.replica.get(key)
+    revision = held.revision + 1 if held is not None else 1
+    site.replica.apply(Document(key, revision, json.dumps(value).encode()), source="test")
+
+
+GENERATION = {"Sycamoreproxy_Model": "m1", "Sycamoreproxy_Token_Count": "100,25"}
+WHOLE = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 6))
+
+
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x"])
+def test_stream_is_passed_on_whole(path: str) -> None:
+    async def action(site: Site) -> None:
+        status, headers, body, whole = await site.ask(path, **GENERATION)
+        assert (status, body, whole) == (200, WHOLE, True)
+        assert headers["Sycamoreproxy-Response-Signature"].startswith("sig.i-")
+
+    play(action)
+
+
+@pytest.mark.parametrize("cut", [1, 2, 4])
+def test_cut_stream_goes_on_elsewhere_without_gap_or_repeat(cut: int) -> None:
+    async def action(site: Site) -> None:
+        site.faults[0].replace({"cut_after_events": cut})
+        for _ in range(6):
+            status, _, body, whole = await site.ask("/ask/x", **GENERATION)
+            assert (status, body, whole) == (200, WHOLE, True)
+        assert site.runners[0].ran and site.runners[1].ran
+
+    play(action)
+
+
+def test_stream_that_may_not_resume_ends_visibly_incomplete() -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"cut_after_events": 2})
+        status, _, body, whole = await site.ask("/once/x", **GENERATION)
+        assert (status, whole) == (200, False) and WHOLE.startswith(body)
+        assert site.ran() == 1
+
+    play(action)
+
+
+@pytest.mark.parametrize(
+    ("path", "fault", "status", "runs"),
+    [
+        ("/post/x", {"drop_before_answer": 1}, 502, 1),
+        ("/post/x", {"fail": 500}, 500, 1),
+        ("/post/x", {"fail": 503}, 502, 1),
+        ("/post/x", {"wrong_id": 1}, 502, 1),
+        ("/post/x", {"shed": 1}, 503, 0),
+        ("/read/x", {"drop_before_answer": 1}, 502, 2),
+        ("/read/x", {"fail": 500}, 500, 2),
+        ("/read/x", {"shed": 1}, 503, 0),
+    ],
+)
+def test_refusal_says_not_run_only_if_it_is_true(
+    path: str, fault: dict[str, Any], status: int, runs: int
+) -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace(fault)
+        found, headers, _, _ = await site.ask(path, body=b"deposit")
+        assert (found, site.ran()) == (status, runs)
+        assert ("Retry-After" in headers) is (status == 503)
+        assert ("Sycamoreproxy-Response-Signature" in headers) is (status == 500)
+
+    play(action)
+
+
+@pytest.mark.parametrize("fault", [{"drop_before_answer": 1}, {"fail": 500}, {"wrong_id": 1}])
+def test_idempotent_request_is_answered_by_another_upstream(fault: dict[str, Any]) -> None:
+    async def action(site: Site) -> None:
+        site.faults[2].replace(fault)
+        for _ in range(4):
+            status, _, body, _ = await site.ask("/read/x?q=1", body=b"b")
+            assert status == 200 and json.loads(body) == {"path": "/read/x?q=1", "body": "b"}
+
+    play(action)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/read/x", "office-key", 200),
+        ("/read/x", "unknown", 401),
+        ("/read/x", "", 401),
+        ("/open/x", "", 200),
+        ("/nowhere/x", "office-key", 404),
+    ],
+)
+def test_routes_and_keys(path: str, key: str, status: int) -> None:
+    async def action(site: Site) -> None:
+        found, _, _, _ = await site.ask(path, X_Api_Key=key)
+        assert found == status
+        received = [headers for runner in site.runners for headers in runner.received]
+        assert all("X-Api-Key" not in headers for headers in received)
+        if status == 200 and key:
+            assert received[0]["Sycamoreproxy-Tenant"] == "office"
+
+    play(action)
+
+
+def test_process_without_a_configuration_refuses_as_not_run() -> None:
+    """A 404 or 401 would tell the caller that its request is wrong."""
+
+    async def action(site: Site) -> None:
+        status, headers, _, _ = await site.ask("/read/x")
+        assert status == 503 and "Retry-After" in headers
+
+    play(action, configured=False)
+
+
+def test_caller_that_leaves_ends_its_run() -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"event_s": 0.5})
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(
+            b"POST /ask/x HTTP/1.1\r\nHost: office.example\r\nSycamoreproxy-Request-Id: a\r\n"
+            b"Sycamoreproxy-Deadline-Ms: 1900\r\nX-Api-Key: office-key\r\nContent-Length: 0\r\n"
+            b"Sycamoreproxy-Model: m1\r\nSycamoreproxy-Token-Count: 10,25\r\n\r\n"
+        )
+        await reader.readuntil(b"token 1")
+        writer.close()
+        await asyncio.sleep(0.3)
+        assert sum(runner.cancelled for runner in site.runners) == 1
+        assert site.front.dispatcher.open_requests == 0
+
+    play(action)
+
+
+def test_time_limit_of_the_route_gives_a_final_answer() -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 5000})
+        status, headers, _, _ = await site.ask("/post/x", Sycamoreproxy_Deadline_Ms="300")
+        assert status == 504 and "Retry-After" not in headers
+
+    play(action)
+
+
+def test_upstream_receives_the_time_that_is_left() -> None:
+    async def action(site: Site) -> None:
+        await site.ask("/read/x", Sycamoreproxy_Deadline_Ms="700")
+        received = [headers for runner in site.runners for headers in runner.received]
+        assert 500 < int(received[0]["Sycamoreproxy-Deadline-Ms"]) <= 700
+
+    play(action)
+
+
+def test_leaving_host_closes_connections_after_their_answer() -> None:
+    async def action(site: Site) -> None:
+        site.front.leave()
+        status, headers, _, _ = await site.ask("/read/x")
+        assert status == 200 and headers["Connection"] == "close"
+
+    play(action)
--- /dev/null
+++ b/tests/test_routed_settings.py
@@ -0,0 +1,99 @@
+"""Guards against settings of a routed deployment that are accepted although it can't run."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from sycamoreproxy.daemon import EXIT_SETTINGS, main
+from sycamoreproxy.routed_settings import is_routed, load_routed_settings
+from sycamoreproxy.settings import SettingsError
+
+ENTRY = """
+[process]
+role = "routed-entry"
+host = "edge-1"
+availability_zone = "z1"
+region = "r1"
+[listen]
+ip = "127.0.0.1"
+callers = "127.0.0.1:8005"
+ready = "127.0.0.1:8002"
+peer_port = 7700
+state_port = 7715
+[store]
+address = "127.0.0.1:8007"
+[bounds]
+leave_ms = 2000
+stop_s = 8
+resend_ratio = 0.2
+resend_slack = 104
+resend_window_s = 10
+version_ms = 8000
+"""
+UPSTREAM = ENTRY.replace("routed-entry", "routed-upstream") + """
+[engine]
+address = "127.0.0.1:8001"
+link_mbps = 4.7
+"""
+
+
+def write(tmp_path: Path, text: str) -> Path:
+    path = tmp_path / "local.toml"
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def test_valid_settings(tmp_path: Path) -> None:
+    entry = load_routed_settings(write(tmp_path, ENTRY))
+    assert (entry.bounds.leave_s, entry.bounds.version_s, entry.engine) == (2.0, 8.0, None)
+    upstream = load_routed_settings(write(tmp_path, UPSTREAM))
+    assert upstream.engine is not None and upstream.engine.link_bytes_per_s == 587_500
+    assert is_routed(write(tmp_path, ENTRY))
+    assert main(["--config", str(write(tmp_path, ENTRY)), "--check"]) == 0
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        (ENTRY.replace("leave_ms = 2000", ""), "bounds.leave_ms"),
+        (ENTRY.replace("leave_ms = 2000", 'leave_ms = "2000"'), "bounds.leave_ms"),
+        (ENTRY.replace("127.0.0.1:8007", "store"), "store.address"),
+        (ENTRY.replace('callers = "127.0.0.1:8005"', ""), "listen"),
+        (UPSTREAM.replace("[engine]", "[engines]"), "engines"),
+        (UPSTREAM.partition("[engine]")[0], "engine"),
+    ],
+)
+def test_unusable_settings_name_the_key(tmp_path: Path, text: str, key: str) -> None:
+    path = write(tmp_path, text)
+    with pytest.raises(SettingsError, match=key):
+        load_routed_settings(path)
+    assert main(["--config", str(path), "--check"]) == EXIT_SETTINGS
+
+
+@pytest.mark.parametrize("text", ["", "process = 3", "[process]\nrole = 'entry'", "["])
+def test_other_settings_are_not_routed(tmp_path: Path, text: str) -> None:
+    assert not is_routed(write(tmp_path, text))
+
+
+@pytest.mark.parametrize("name", ["entry", "upstream"])
+def test_templates_have_the_names_of_the_settings(tmp_path: Path, name: str) -> None:
+    """A renamed setting would be noticed only on the users' machines."""
+    deploy = Path(__file__).parent.parent / "deploy"
+    text = (deploy / f"{name}.toml.template").read_text(encoding="utf-8")
+    filled = {
+        "{{ip}}": "10.0.0.1",
+        "{{listen.front}}": "10.0.0.1:1",
+        "{{listen.ready}}": "10.0.0.1:2",
+        "{{platform.address}}": "10.0.0.2:3",
+        "{{app}}": "10.0.0.1:4",
+    }
+    for placeholder, value in filled.items():
+        text = text.replace(placeholder, value)
+    lines = [
+        line.partition("{{")[0] + ('x"' if '"{{' in line else "1") if "{{" in line else line
+        for line in text.splitlines()
+    ]
+    settings = load_routed_settings(write(tmp_path, "\n".join(lines)))
+    assert settings.process.role == f"routed-{name}"
--- /dev/null
+++ b/tests/test_upstream_book.py
@@ -0,0 +1,67 @@
+"""Guards against requests to upstreams that left, and against losing all of them in an outage."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.streams import Address
+from sycamoreproxy.upstream_book import UpstreamBook, UpstreamRecord
+
+RECORD = UpstreamRecord(
+    instance="i-1",
+    service="model",
+    address=Address("10.0.0.1", 80),
+    availability_zone="z1",
+    slots=4,
+    started_ms=1,
+)
+
+
+def make_book() -> tuple[ManualClock, UpstreamBook]:
+    clock = ManualClock()
+    book = UpstreamBook(clock=clock, leave_s=2.0)
+    book.put(RECORD)
+    return clock, book
+
+
+@pytest.mark.parametrize("removed", [False, True])
+@pytest.mark.parametrize(("after_s", "usable"), [(0.0, True), (1.0, True), (1.3, False)])
+def test_leaving_upstream_is_used_within_the_bound_only(
+    removed: bool, after_s: float, usable: bool
+) -> None:
+    clock, book = make_book()
+    if removed:
+        book.remove("i-1")
+    else:
+        book.put(replace(RECORD, is_leaving=True))
+    clock.advance(after_s)
+    assert book.is_leaving("i-1")
+    assert [r.instance for r in book.list_usable("model")] == (["i-1"] if usable else [])
+
+
+def test_lapsed_entry_that_returns_is_used_again() -> None:
+    """Entries lapse with an outage of the store and are written again after it."""
+    clock, book = make_book()
+    book.remove("i-1")
+    clock.advance(5)
+    book.put(RECORD)
+    assert book.get("i-1") == RECORD and not book.is_leaving("i-1")
+
+
+def test_repeated_notice_does_not_extend_the_time() -> None:
+    clock, book = make_book()
+    book.put(replace(RECORD, is_leaving=True))
+    clock.advance(1.0)
+    book.put(replace(RECORD, is_leaving=True, slots=5))
+    clock.advance(0.5)
+    assert book.list_usable("model") == []
+
+
+def test_forgotten_upstreams_take_no_memory() -> None:
+    clock, book = make_book()
+    book.remove("i-1")
+    clock.advance(61)
+    assert book.list_all() == []
--- /dev/null
+++ b/tests/test_waiting_line.py
@@ -0,0 +1,123 @@
+"""Guards against waits that can't help, and against less urgent requests going first."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.placement import Choice, Need
+from sycamoreproxy.waiting_line import Overload, Waiter, WaitingLine
+from tests._upstreams import make_upstream
+
+CHOICE = Choice(
+    record=make_upstream(1), forecast_s=0.1, running=0, waiting=0, unseen=0, report_age_s=0.0
+)
+
+
+class _Engine:
+    """Has room for a number of requests."""
+
+    def __init__(self, room: int) -> None:
+        self.room = room
+        self.placed: list[int] = []
+
+    def place(self, need: Need) -> Choice | None:
+        if self.room <= 0:
+            return None
+        self.room -= 1
+        self.placed.append(need.level)
+        return CHOICE
+
+
+def make_line(room: int, *, rate: float = 10.0) -> tuple[ManualClock, _Engine, WaitingLine]:
+    clock, engine = ManualClock(start=5.0), _Engine(room)
+    return clock, engine, WaitingLine(clock=clock, place=engine.place, nominal_rate=lambda: rate)
+
+
+def join(
+    line: WaitingLine, level: int, *, goal_s: float = 1.0, left_s: float = 6.0, back: bool = False
+) -> Choice | Waiter | Overload:
+    return line.join(Need(level=level), goal_s=goal_s, time_left_s=left_s, has_returned=back)
+
+
+def test_order_is_urgency_then_arrival_and_late_ones_last() -> None:
+    async def play() -> None:
+        _, engine, line = make_line(0, rate=100.0)
+        for level, back in [(2, False), (0, True), (1, False), (0, False)]:
+            assert isinstance(join(line, level, back=back), Waiter)
+        for _ in range(4):
+            engine.room = 1
+            line.pump()
+        assert engine.placed == [0, 1, 2, 0] and len(line) == 0
+
+    asyncio.run(play())
+
+
+def test_request_that_could_only_be_late_is_refused_at_once() -> None:
+    """Held and refused later, a caller loses the time in which it could have returned."""
+
+    async def play() -> None:
+        _, _, line = make_line(0)
+        outcomes = [type(join(line, 0, goal_s=0.4)) for _ in range(4)]
+        assert outcomes == [Waiter, Overload, Overload, Overload]
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("left_s", "waits"), [(4.0, True), (2.1, False), (1.0, False)])
+def test_returned_caller_waits_while_it_can_still_be_answered(left_s: float, waits: bool) -> None:
+    async def play() -> None:
+        _, _, line = make_line(0)
+        for _ in range(3):
+            join(line, 2, back=True)
+        assert isinstance(join(line, 2, left_s=left_s, back=True), Waiter) is waits
+
+    asyncio.run(play())
+
+
+def test_urgent_request_is_placed_past_the_waiting_ones() -> None:
+    async def play() -> None:
+        _, engine, line = make_line(0)
+        waiter = join(line, 2)
+        assert isinstance(waiter, Waiter)
+        engine.room = 1
+        assert join(line, 0) is CHOICE or waiter.placed.done()
+
+    asyncio.run(play())
+
+
+def test_wait_ends_at_the_callers_time() -> None:
+    async def play() -> None:
+        clock, _, line = make_line(0)
+        waiter = join(line, 0, left_s=3.0)
+        assert isinstance(waiter, Waiter)
+        clock.advance(2.1)
+        line.pump()
+        assert waiter.placed.result() is None and len(line) == 0
+
+    asyncio.run(play())
+
+
+def test_cancelled_waiter_takes_no_place() -> None:
+    async def play() -> None:
+        _, engine, line = make_line(0)
+        first, second = join(line, 1), join(line, 1)
+        assert isinstance(first, Waiter) and isinstance(second, Waiter)
+        first.placed.cancel()
+        line.leave(first)
+        engine.room = 1
+        line.pump()
+        assert second.placed.result() is CHOICE and engine.placed == [1]
+
+    asyncio.run(play())
+
+
+def test_line_is_bounded() -> None:
+    async def play() -> None:
+        _, _, line = make_line(0, rate=1e6)
+        kinds = [type(join(line, 1)) for _ in range(300)]
+        assert kinds.count(Waiter) == 256
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/test_weight_targets.py
@@ -0,0 +1,61 @@
+"""Guards against requests that begin on an old version after its bound."""
+
+from __future__ import annotations
+
+import pytest
+
+from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.weight_targets import WeightTargets
+
+
+def make_targets(
+    *named: tuple[float, int], first_read: bool = False
+) -> tuple[ManualClock, WeightTargets]:
+    """Name versions at these times, in seconds."""
+    clock = ManualClock()
+    targets = WeightTargets(clock=clock, bound_s=8.0)
+    for at, version in named:
+        clock.advance(at - clock.monotonic())
+        targets.set_target("m", version, is_first_read=first_read)
+    return clock, targets
+
+
+@pytest.mark.parametrize(
+    ("named", "at", "minimum"),
+    [
+        ([], 100.0, 0),
+        ([(0, 2)], 7.0, 0),
+        ([(0, 2)], 7.5, 2),
+        ([(0, 2), (4, 3)], 7.5, 2),
+        ([(0, 2), (4, 3)], 11.5, 3),
+        ([(0, 2), (20, 3), (21, 4)], 27.0, 2),
+        ([(0, 3), (1, 2)], 7.5, 3),
+    ],
+)
+def test_older_versions_answer_until_their_bound(
+    named: list[tuple[float, int]], at: float, minimum: int
+) -> None:
+    clock, targets = make_targets(*named)
+    clock.advance(at - clock.monotonic())
+    assert targets.find_minimum("m") == minimum
+
+
+def test_version_found_at_the_start_binds_sooner() -> None:
+    """It may have been named long before the process started."""
+    clock, targets = make_targets((0, 2), first_read=True)
+    clock.advance(2.5)
+    assert targets.find_minimum("m") == 2
+
+
+def test_first_version_is_wanted_before_any_is_named() -> None:
+    """Upstreams that start empty stood idle until the operator named a version."""
+    _, targets = make_targets()
+    assert targets.find_target("m") == 1
+
+
+def test_time_to_bind_is_that_of_the_version() -> None:
+    clock, targets = make_targets((0, 2), (4, 3))
+    assert targets.time_to_bind_s("m", 2) == pytest.approx(3.2)
+    assert targets.time_to_bind_s("m", 3) == pytest.approx(7.2)
+    clock.advance(5)
+    assert targets.time_to_bind_s("m", 2) == 0.0
--- a/tests/test_weight_transfer.py
+++ b/tests/test_weight_transfer.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+import pytest
 import tornado.httpserver
 import tornado.web
 from tornado.testing import bind_unused_port
@@ -49,8 +51,9 @@
 class _Fleet:
     """Upstream processes of one region that share an origin."""
 
-    def __init__(self, origin: Origin) -> None:
+    def __init__(self, origin: Origin, *, limits: PlanLimits = _FAST) -> None:
         self.origin = origin
+        self.limits = limits
         self.records: list[HostRecord] = []
         self.nodes: dict[str, _Node] = {}
 
@@ -68,7 +71,7 @@
                 chunks=chunks,
                 origin=self.origin,
                 hosts=lambda: self.records,
-                limits=_FAST,
+                limits=self.limits,
                 clock=SystemClock(),
                 random_source=random.Random(host),
             )
@@ -89,9 +92,11 @@
             await node.stop()
 
 
-def _run(origin: Origin, action: Callable[[_Fleet], Awaitable[None]]) -> None:
+def _run(
+    origin: Origin, action: Callable[[_Fleet], Awaitable[None]], *, limits: PlanLimits = _FAST
+) -> None:
     async def main() -> None:
-        fleet = _Fleet(origin)
+        fleet = _Fleet(origin, limits=limits)
         try:
             await asyncio.wait_for(action(fleet), 30)
         finally:
@@ -117,6 +122,22 @@
     assert len(origin.reads) <= 24 * 1.5
 
 
+@pytest.mark.parametrize("slice_bytes", [1, 512, 700, 2_000])
+def test_chunks_arrive_whole_from_slices(slice_bytes: int) -> None:
+    """A chunk that leaves at once holds up live answers on the same link."""
+    origin = FakeOrigin()
+    origin.add("v1", _make_chunks(1, 6))
+    limits = dataclasses.replace(_FAST, upload_slice_bytes=slice_bytes, divides_evenly=True)
+
+    async def action(fleet: _Fleet) -> None:
+        fleet.start("h1", "h2", "h3")
+        await asyncio.sleep(0.3)
+        await fleet.fetch("v1")
+
+    _run(origin, action, limits=limits)
+    assert len(origin.reads) <= 6 * 1.5
+
+
 def test_version_from_the_origin_standin_is_loaded_into_the_engine() -> None:
     async def main() -> None:
         state = OriginState(bytes_per_s=0)
