Apply changed settings, and start on deployments that lack a bound

Cause: a bound that a deployment does not have rendered an invalid settings file, and a settings file may change with or without SIGHUP.

--- a/sycamoreproxy/daemon.py
+++ b/sycamoreproxy/daemon.py
@@ -6,6 +6,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from sycamoreproxy.routed_settings import RoutedSettings, is_routed, load_routed_settings
@@ -13,6 +14,8 @@
 
 #: Exit status for settings that can't be used.
 EXIT_SETTINGS = 2
+#: Time between two looks at the settings file, in seconds.
+SETTINGS_PERIOD_S = 2.0
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -88,14 +91,35 @@
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     await process.start()
+    follower = asyncio.create_task(_follow_settings(path, reload))
     log.info("started", role=settings.process.role)
     await stop.wait()
+    follower.cancel()
     log.info("draining")
     await process.drain()
     await process.close()
     log.info("stopped")
 
 
+async def _follow_settings(path: Path, reload: Callable[[], None]) -> None:
+    """Call ``reload`` when the settings file has changed; not every change comes with SIGHUP."""
+    last = _read_bytes(path)
+    while True:
+        await asyncio.sleep(SETTINGS_PERIOD_S)
+        current = _read_bytes(path)
+        if current and current != last:
+            last = current
+            reload()
+
+
+def _read_bytes(path: Path) -> bytes:
+    """Return the content of a file; empty while it is being replaced."""
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b""
+
+
 async def run(settings: Settings) -> None:
     """Run the process of these settings until SIGTERM or SIGINT, then drain it."""
     from sycamoreproxy._resolver import use_number_resolver
--- a/sycamoreproxy/resend_budget.py
+++ b/sycamoreproxy/resend_budget.py
@@ -30,6 +30,10 @@
         self._resends: deque[float] = deque()
         self.entry_hosts = 0
 
+    def set_limits(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Change the budget; what was counted before stays."""
+        self._ratio, self._slack, self._window_s = ratio, slack, window_s
+
     def count_first(self) -> None:
         """Count a request that is sent for the first time."""
         self._firsts.append(self._clock.monotonic())
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -140,11 +140,12 @@
         random_source=random.Random(),
     )
     budgets_by_service: dict[str, ResendBudget] = {}
-    bounds = settings.bounds
+    built: list[RoutedEntry] = []
 
     def budget_for(service: str) -> ResendBudget:
         budget = budgets_by_service.get(service)
         if budget is None:
+            bounds = built[0].settings.bounds
             budget = ResendBudget(
                 clock=parts.clock,
                 ratio=bounds.resend_ratio,
@@ -176,7 +177,7 @@
             "tasks": parts.tasks.list_names,
         }
     )
-    return RoutedEntry(
+    process = RoutedEntry(
         settings=settings,
         documents=parts.documents,
         hub=parts.hub,
@@ -190,6 +191,8 @@
         budgets_by_service=budgets_by_service,
         now=parts.clock.monotonic,
     )
+    built.append(process)
+    return process
 
 
 class _LazyOrigin:
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -19,7 +19,7 @@
 from sycamoreproxy.route_table import RouteTable
 from sycamoreproxy.routed_dispatch import RoutedDispatcher
 from sycamoreproxy.routed_http import RoutedFront
-from sycamoreproxy.routed_settings import RoutedSettings
+from sycamoreproxy.routed_settings import RoutedBounds, RoutedSettings
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import Address
 from sycamoreproxy.task_group import BackgroundTasks
@@ -89,6 +89,11 @@
         self._listeners: list[Callable[[RouteTable], None]] = []
         replica.subscribe(self._take)
 
+    def set_bounds(self, bounds: RoutedBounds) -> None:
+        """Apply changed bounds."""
+        self.book.set_bound(bounds.leave_s)
+        self.targets.set_bound(bounds.version_s)
+
     def subscribe(self, listener: Callable[[RouteTable], None]) -> None:
         """Call ``listener(table)`` after each change of the routes."""
         self._listeners.append(listener)
@@ -159,7 +164,7 @@
         budgets_by_service: dict[str, ResendBudget],
         now: Callable[[], float],
     ) -> None:
-        self._settings = settings
+        self.settings = settings
         self._documents = documents
         self._hub = hub
         self._replica = replica
@@ -184,11 +189,19 @@
 
     def reload(self, settings: RoutedSettings) -> None:
         """Apply changed bounds; addresses need a restart."""
-        self._settings = settings
+        self.settings = settings
+        bounds = settings.bounds
+        self._beliefs.set_bounds(bounds)
+        for budget in self._budgets_by_service.values():
+            budget.set_limits(
+                ratio=bounds.resend_ratio,
+                slack=bounds.resend_slack,
+                window_s=bounds.resend_window_s,
+            )
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
-        listen = self._settings.listen
+        listen = self.settings.listen
         assert listen.callers is not None and listen.ready is not None
         self._front.listen(listen.callers.ip, listen.callers.port)
         self._ready_server.listen(listen.ready.port, listen.ready.ip)
@@ -203,7 +216,7 @@
         self._leaving = True
         self._front.leave()
         await asyncio.sleep(READY_DRAIN_S)
-        wait_s = self._settings.bounds.stop_s - READY_DRAIN_S - STOP_MARGIN_S
+        wait_s = self.settings.bounds.stop_s - READY_DRAIN_S - STOP_MARGIN_S
         await self._front.close(wait_s=max(0.1, wait_s))
 
     async def close(self) -> None:
@@ -247,7 +260,7 @@
     def _update_peers(self) -> None:
         """Keep a stream to the process beside each engine."""
         services = self._beliefs.table.services_by_name
-        port = self._settings.listen.peer_port
+        port = self.settings.listen.peer_port
         self._hub.set_targets(
             {
                 Address(record.address.ip, port)
--- a/sycamoreproxy/routed_settings.py
+++ b/sycamoreproxy/routed_settings.py
@@ -53,22 +53,23 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoutedBounds:
-    """The operator's bounds.
+    """The operator's bounds; the defaults are those of the platform's standard terms.
 
     :param leave_ms: until a leaving upstream receives nothing, in milliseconds.
     :param stop_s: from SIGTERM until the process is killed, in seconds.
     :param resend_ratio: resends per request of a service.
     :param resend_slack: resends of all entry hosts beyond that in one window.
     :param resend_window_s: length of the window, in seconds.
-    :param version_ms: until requests begin only on a newly named version, in milliseconds.
+    :param version_ms: until requests begin only on a newly named version, in milliseconds; 0
+        if older versions may answer for any time.
     """
 
-    leave_ms: float
-    stop_s: float
-    resend_ratio: float
-    resend_slack: float
-    resend_window_s: float
-    version_ms: float
+    leave_ms: float = 2_000.0
+    stop_s: float = 8.0
+    resend_ratio: float = 0.2
+    resend_slack: float = 20.0
+    resend_window_s: float = 10.0
+    version_ms: float = 0.0
 
     @property
     def leave_s(self) -> float:
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -119,8 +119,9 @@
         )
 
     def reload(self, settings: RoutedSettings) -> None:
-        """Apply changed settings; addresses need a restart."""
+        """Apply changed bounds; addresses need a restart."""
         self._settings = settings
+        self._beliefs.set_bounds(settings.bounds)
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -56,6 +56,10 @@
         """Call ``listener(instance)`` after each change of a record."""
         self._listeners.append(listener)
 
+    def set_bound(self, leave_s: float) -> None:
+        """Change the bound on new requests to an upstream that leaves."""
+        self._leave_s = leave_s * LEAVING_FRACTION
+
     def put(self, record: UpstreamRecord) -> None:
         """Take the current record of an upstream."""
         instance = record.instance
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -31,7 +32,8 @@
 class WeightTargets:
     """The named versions of each model.
 
-    :param bound_s: time from the naming of a version until requests begin only on it, in seconds.
+    :param bound_s: time from the naming of a version until requests begin only on it, in seconds;
+        0 if older versions may answer for any time.
     """
 
     def __init__(self, *, clock: Clock, bound_s: float) -> None:
@@ -40,6 +42,10 @@
         self._targets_by_model: dict[str, list[_Target]] = {}
         self._listeners: list[Callable[[str, int], None]] = []
 
+    def set_bound(self, bound_s: float) -> None:
+        """Change the bound for versions that are named from now on."""
+        self._bound_s = bound_s
+
     def subscribe(self, listener: Callable[[str, int], None]) -> None:
         """Call ``listener(model, version)`` for each newly named version."""
         self._listeners.append(listener)
@@ -54,7 +60,8 @@
             return
         now = self._clock.monotonic()
         fraction = OLD_FRACTION_AT_START if is_first_read else OLD_FRACTION
-        targets.append(_Target(version, now + fraction * self._bound_s))
+        binds_at = now + fraction * self._bound_s if self._bound_s else math.inf
+        targets.append(_Target(version, binds_at))
         # Of the targets that bind, only the newest matters.
         while len(targets) > 1 and targets[1].binds_at <= now:
             targets.pop(0)
