Expect the version that an engine holds; bound waits by the time after which callers leave

Change: the expected version is the one of the engine's report; waits end before the caller's patience and before the answer could no longer end in time.

--- a/sycamoreproxy/engine_forecast.py
+++ b/sycamoreproxy/engine_forecast.py
@@ -54,6 +54,15 @@
         profile = self.profile
         return self.request_cost_s(profile.usual_prompt_tokens, profile.usual_answer_tokens)
 
+    def answer_s(self, answer_tokens: float) -> float:
+        """Return the time from the first token to the last while the batch is full.
+
+        Each pass also reads the prompts of the requests that begin in it.
+        """
+        slots = max(1, self.profile.slots)
+        reading = self.prefill_s(self.profile.usual_prompt_tokens) / self.slot_interval_s()
+        return answer_tokens * self.step_s(slots) / max(0.1, 1 - reading)
+
     def first_token_s(self, *, ahead: float, writers: int, prompt_tokens: float) -> float:
         """Return the time from arrival to the first token.
 
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -114,6 +114,7 @@
     :param running: requests in the upstream's batch by its last report.
     :param waiting: requests that it had accepted and not begun by its last report.
     :param unseen: own requests that the report can't contain.
+    :param version: version of the weights that it is believed to hold, 0 for plain services.
     :param number: of the attempt that was begun with it, for :meth:`Placer.end`; 0 if none was.
     """
 
@@ -123,6 +124,7 @@
     waiting: int
     unseen: int
     report_age_s: float | None
+    version: int = 0
     number: int = 0
 
 
@@ -174,11 +176,13 @@
             if record.instance in need.excluded:
                 continue
             view = self.view(record.instance)
-            if need.model and self.find_version(record, need.model) < max(1, need.minimum_version):
+            version = self.find_version(record, need.model) if need.model else 0
+            if need.model and version < max(1, need.minimum_version):
                 continue
             choice = self._weigh(record, view, need, profile, now, any_room)
             if choice is None:
                 continue
+            choice = replace(choice, version=version)
             cost = choice.forecast_s + view.failure_rate * FAILURE_PENALTY_S
             if record.availability_zone != self._zone:
                 cost += OTHER_ZONE_S
--- a/sycamoreproxy/route_table.py
+++ b/sycamoreproxy/route_table.py
@@ -104,6 +104,17 @@
             return self.resumes
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def patience_s(self) -> float:
+        """Time without an event after which callers leave a stream, in seconds.
+
+        The platform's clients wait for the longest of two seconds, four times the goal and eight
+        times the longest pause.
+        """
+        if self.kind is not RouteKind.STREAMING:
+            return self.timeout_s
+        return max(2.0, 4 * self.goal_s, 8 * self.gap_goal_s)
+
     def choose_service(self, request_id: str) -> str:
         """Return the service of a request; the same id always leads to the same service."""
         services = list(self.weight_by_service.items())
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -304,6 +304,8 @@
             need,
             goal_s=progress.route.goal_s,
             time_left_s=time_left,
+            patience_s=progress.route.patience_s - (self._clock.monotonic() - progress.received_at),
+            answer_s=self._forecast_answer_s(progress),
             has_returned=time_left < RETURNED_FRACTION * progress.route.timeout_s,
         )
         if isinstance(joined, Overload):
@@ -409,6 +411,26 @@
             )
         return relay.end()
 
+    def _choose_expected_version(self, model: str, choice: Choice) -> int | None:
+        """Return the version that must answer: the one that the engine is believed to hold.
+
+        An engine that holds any other version refuses the request, a newer one included.
+        """
+        if not choice.version or not self._targets.find_minimum(model):
+            return None
+        return choice.version
+
+    def _forecast_answer_s(self, progress: _Progress) -> float:
+        """Return the time from the first token to the end of the answer."""
+        engine = progress.service.engine
+        if engine is None:
+            return 0.0
+        request = progress.request
+        tokens = request.length_hint or engine.usual_answer_tokens
+        if request.answer_tokens:
+            tokens = min(tokens, request.answer_tokens)
+        return EngineForecast(engine).answer_s(tokens)
+
     async def _watch_over(
         self, exchange: asyncio.Future[None], progress: _Progress, choice: Choice
     ) -> None:
--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -23,8 +23,8 @@
 #: Part of the engines' nominal rate that a host counts on while it places fewer: the nominal rate
 #: is that of a full batch without any disturbance.
 NOMINAL_FRACTION = 0.7
-#: Time that a late request needs after its wait, in seconds: a usual answer under load.
-ANSWER_S = 2.0
+#: Time that a late request needs from its place to the first token, in seconds.
+FIRST_TOKEN_S = 0.7
 #: Requests that wait at once, whatever the forecast: a bound on memory.
 MAX_WAITING = 256
 
@@ -100,12 +100,21 @@
         return (ahead + 1) / max(1.0, measured, NOMINAL_FRACTION * self._nominal_rate())
 
     def join(
-        self, need: Need, *, goal_s: float, time_left_s: float, has_returned: bool
+        self,
+        need: Need,
+        *,
+        goal_s: float,
+        time_left_s: float,
+        patience_s: float,
+        answer_s: float,
+        has_returned: bool,
     ) -> Choice | Waiter | Overload:
         """Place a request, let it wait, or refuse it.
 
         :param goal_s: time to the first token within which the answer is on time, in seconds.
-        :param time_left_s: time that the caller still waits, in seconds.
+        :param time_left_s: time until the answer must have ended, in seconds.
+        :param patience_s: time until the first token after which the caller leaves, in seconds.
+        :param answer_s: time from the first token to the end of the answer, in seconds.
         :param has_returned: whether the caller was refused before, so that it is late already.
         """
         self.pump()
@@ -116,14 +125,15 @@
                 self._placed_at.append(self._clock.monotonic())
                 return choice
         wait = self.forecast_wait_s(need.level, is_late=has_returned)
-        limit = time_left_s - ANSWER_S if has_returned else goal_s * WAIT_FRACTION_OF_GOAL
+        longest = min(time_left_s - answer_s, patience_s) - FIRST_TOKEN_S
+        limit = longest if has_returned else min(longest, goal_s * WAIT_FRACTION_OF_GOAL)
         if wait > limit or len(self) >= MAX_WAITING:
             return Overload(wait_s=wait)
         now = self._clock.monotonic()
         waiter = Waiter(
             need=need,
             arrived_at=now,
-            expires_at=now + max(0.0, time_left_s - ANSWER_S / 2),
+            expires_at=now + longest,
             is_late=has_returned,
             placed=asyncio.get_running_loop().create_future(),
         )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -145,3 +145,12 @@
     )
     choice = placer.choose([make_upstream(1)], LAST, profile=PROFILE)
     assert choice is not None and choice.unseen == 0
+
+
+@pytest.mark.parametrize(("held", "minimum"), [(2, 2), (3, 2), (3, 3)])
+def test_choice_tells_the_version_that_the_engine_holds(held: int, minimum: int) -> None:
+    """An engine with a newer version than the lowest permitted one refused every request."""
+    _, placer = make_placer((0, 0), version=held)
+    need = Need(level=0, model="m1", minimum_version=minimum)
+    choice = placer.choose([make_upstream(1, version=1)], need, profile=PROFILE)
+    assert choice is not None and choice.version == held
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -37,9 +37,22 @@
 
 
 def join(
-    line: WaitingLine, level: int, *, goal_s: float = 1.0, left_s: float = 6.0, back: bool = False
+    line: WaitingLine,
+    level: int,
+    *,
+    goal_s: float = 1.0,
+    left_s: float = 6.0,
+    patience_s: float = 4.0,
+    back: bool = False,
 ) -> Choice | Waiter | Overload:
-    return line.join(Need(level=level), goal_s=goal_s, time_left_s=left_s, has_returned=back)
+    return line.join(
+        Need(level=level),
+        goal_s=goal_s,
+        time_left_s=left_s,
+        patience_s=patience_s,
+        answer_s=1.3,
+        has_returned=back,
+    )
 
 
 def test_order_is_urgency_then_arrival_and_late_ones_last() -> None:
@@ -66,13 +79,23 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize(("left_s", "waits"), [(4.0, True), (2.1, False), (1.0, False)])
-def test_returned_caller_waits_while_it_can_still_be_answered(left_s: float, waits: bool) -> None:
+@pytest.mark.parametrize(
+    ("left_s", "patience_s", "waits"),
+    [(4.0, 4.0, True), (2.1, 4.0, False), (1.0, 4.0, False), (4.0, 1.2, False)],
+)
+def test_returned_caller_waits_while_it_can_still_be_answered(
+    left_s: float, patience_s: float, waits: bool
+) -> None:
+    """Callers leave before their deadline if no token comes; the wait for them was in vain."""
+
     async def play() -> None:
         _, _, line = make_line(0)
         for _ in range(3):
             join(line, 2, back=True)
-        assert isinstance(join(line, 2, left_s=left_s, back=True), Waiter) is waits
+        assert (
+            isinstance(join(line, 2, left_s=left_s, patience_s=patience_s, back=True), Waiter)
+            is waits
+        )
 
     asyncio.run(play())
 
@@ -93,7 +116,7 @@
         clock, _, line = make_line(0)
         waiter = join(line, 0, left_s=3.0)
         assert isinstance(waiter, Waiter)
-        clock.advance(2.1)
+        clock.advance(1.1)
         line.pump()
         assert waiter.placed.result() is None and len(line) == 0
 
