Keep slots free for urgent requests; do not ask a replaced upstream twice

Change: a 421 that names another instance takes the old entry out of use, of two entries at an address the newer one counts; the least urgent and returned requests leave two slots free.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -158,6 +158,7 @@
         request_id = headers.get("Sycamoreproxy-Request-Id", "")
         runner.received.append(dict(headers.get_all()))
         self.set_header("Sycamoreproxy-Request-Id", request_id)
+        self.set_header("Sycamoreproxy-Instance-Id", runner.instance)
         if headers.get("Sycamoreproxy-Expect-Instance") != runner.instance:
             self.write_json({}, 421)
             return
--- a/sycamoreproxy/caller_request.py
+++ b/sycamoreproxy/caller_request.py
@@ -76,6 +76,7 @@
     :param is_unrun: the upstream states that it has not run the request.
     :param is_misdirected: the upstream is not the instance, or has not the weights, asked for.
     :param request_id: the id that the upstream echoes, empty if none.
+    :param instance: the upstream's incarnation as it says itself, empty if it does not.
     :param at_fault: instance that a failure names, empty if none.
     :param headers: headers to pass on to the caller.
     """
@@ -85,6 +86,7 @@
     is_misdirected: bool
     request_id: str
     is_signed: bool
+    instance: str = ""
     at_fault: str = ""
     load: UpstreamLoad | None = None
     weight_version: int | None = None
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -16,9 +16,11 @@
 from sycamoreproxy.route_table import EngineProfile
 from sycamoreproxy.upstream_book import UpstreamRecord
 
-#: Requests beyond the batch that an engine may be given if they are the most urgent. Engines admit
-#: the more urgent first; a few that wait there keep a slot from being idle until the next report.
-URGENT_ROOM = 3
+#: Requests beyond the batch that an engine may be given if they are the most urgent, and if they are
+#: the least urgent. Two free slots bring an urgent request to its first token within a goal of 0.4 s
+#: at a cost of 7 in 100 of the rate: 16 slots give 8.7 requests a second, 14 give 8.1.
+URGENT_ROOM = 2
+LAST_ROOM = -2
 #: A load report is used for this time, in seconds; afterwards own requests are all that is known.
 REPORT_FRESH_S = 1.0
 #: Age of a report on arrival, in seconds: requests sent in this time are not in it yet.
@@ -286,18 +288,19 @@
             # Other entry hosts send about as many as this one.
             occupied = len(view.own_by_number) * max(1, self.entry_hosts)
         slots = max(1, record.slots if profile is None else profile.slots)
-        ahead = max(0, occupied + 1 - slots)
+        over = occupied + 1 - slots
         if profile is None:
             forecast = 0.01 * (1 + occupied / slots)
         else:
-            if ahead > URGENT_ROOM * need.urgency and not any_room:
+            room = LAST_ROOM + (URGENT_ROOM - LAST_ROOM) * need.urgency
+            if over > room and not any_room:
                 return None
             engine = EngineForecast(profile, pace=report.pace if fresh and report else 1.0)
             unread = sum(
                 own.prompt_tokens for own in view.own_by_number.values() if not own.has_output
             )
             forecast = engine.first_token_s(
-                ahead=ahead,
+                ahead=max(0, over),
                 writers=min(occupied, slots),
                 prompt_tokens=need.prompt_tokens + unread,
             )
--- a/sycamoreproxy/platform/requests.py
+++ b/sycamoreproxy/platform/requests.py
@@ -108,6 +108,7 @@
             is_misdirected=status == _MISDIRECTED,
             request_id=headers.get(names.REQUEST_ID, ""),
             is_signed=names.SIGNATURE in headers,
+            instance=headers.get(names.INSTANCE_ID, ""),
             at_fault=headers.get(names.AT_SERVER, ""),
             load=_read_load(headers.get(names.SERVER_LOAD)),
             weight_version=_read_int(headers.get(names.WEIGHT_VERSIONS), None),
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -187,7 +187,7 @@
             received_at=received_at,
             deadline=received_at + min(request.time_left_s, route.timeout_s),
             level=level,
-            urgency=1 - level / (len(table.levels) - 1) if len(table.levels) > 1 else 0.0,
+            urgency=1 - level / (len(table.levels) - 1) if len(table.levels) > 1 else 1.0,
             splitter=EventSplitter(last_id=request.last_event_id),
             excluded=set(),
         )
@@ -300,13 +300,16 @@
             )
             self._lines_by_service[name] = line
         time_left = progress.deadline - self._clock.monotonic()
+        has_returned = time_left < RETURNED_FRACTION * progress.route.timeout_s
+        if has_returned:
+            need = replace(need, urgency=0.0)
         joined = line.join(
             need,
             goal_s=progress.route.goal_s,
             time_left_s=time_left,
             patience_s=progress.route.patience_s - (self._clock.monotonic() - progress.received_at),
             answer_s=self._forecast_answer_s(progress),
-            has_returned=time_left < RETURNED_FRACTION * progress.route.timeout_s,
+            has_returned=has_returned,
         )
         if isinstance(joined, Overload):
             return Refusal(codes.OVERLOADED, Executed.NO, detail=f"wait {joined.wait_s:.2f} s")
@@ -409,7 +412,10 @@
                 failed=True,
                 may_resend=True,
             )
-        return relay.end()
+        ended = relay.end()
+        if relay.replaced_by:
+            self._book.note_replaced(choice.record.instance)
+        return ended
 
     def _choose_expected_version(self, model: str, choice: Choice) -> int | None:
         """Return the version that must answer: the one that the engine is believed to hold.
@@ -580,6 +586,14 @@
         if head.load is not None and self._placer.view(self._choice.record.instance).report is None:
             self._note_load(head)
 
+    @property
+    def replaced_by(self) -> str:
+        """The incarnation that refused a request to another one, empty if none did."""
+        head = self._head
+        if head is None or not head.is_misdirected or not head.instance:
+            return ""
+        return head.instance if head.instance != self._choice.record.instance else ""
+
     def take_data(self, data: bytes) -> None:
         """Take a part of the body."""
         if not self._is_stream:
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -50,6 +50,7 @@
         self._leave_s = leave_s * LEAVING_FRACTION
         self._records_by_instance: dict[str, UpstreamRecord] = {}
         self._leaving_since_by_instance: dict[str, float] = {}
+        self._replaced: dict[str, int] = {}
         self._listeners: list[Callable[[str], None]] = []
 
     def subscribe(self, listener: Callable[[str], None]) -> None:
@@ -66,6 +67,8 @@
         before = self._records_by_instance.get(instance)
         self._records_by_instance[instance] = record
         restarted = before is not None and before.started_ms != record.started_ms
+        if self._replaced.get(instance, record.started_ms) != record.started_ms:
+            del self._replaced[instance]
         if record.is_leaving:
             if restarted or instance not in self._leaving_since_by_instance:
                 self._leaving_since_by_instance[instance] = self._clock.monotonic()
@@ -90,6 +93,18 @@
         _log.info("upstream removed", instance=instance, leaving_s=self._clock.monotonic() - since)
         self._notify(instance)
 
+    def note_replaced(self, instance: str) -> None:
+        """Note that another incarnation answers at an upstream's address.
+
+        The list keeps the old entry for a while, and every request to it would be refused.
+        """
+        record = self._records_by_instance.get(instance)
+        if record is None or instance in self._replaced:
+            return
+        self._replaced[instance] = record.started_ms
+        _log.info("upstream replaced", instance=instance, address=str(record.address))
+        self._notify(instance)
+
     def get(self, instance: str) -> UpstreamRecord | None:
         """Return the record of an upstream that may still be used."""
         record = self._records_by_instance.get(instance)
@@ -102,11 +117,15 @@
     def list_usable(self, service: str) -> list[UpstreamRecord]:
         """Return the upstreams of a service that may receive requests."""
         self._expire()
-        return [
-            record
-            for record in self._records_by_instance.values()
-            if record.service == service and self._is_usable(record.instance)
-        ]
+        newest_by_address: dict[Address, UpstreamRecord] = {}
+        for record in self._records_by_instance.values():
+            if record.service != service or not self._is_usable(record.instance):
+                continue
+            # Of two incarnations at one address the one that started last is there.
+            held = newest_by_address.get(record.address)
+            if held is None or held.started_ms <= record.started_ms:
+                newest_by_address[record.address] = record
+        return list(newest_by_address.values())
 
     def list_all(self) -> list[UpstreamRecord]:
         """Return all records held, those that leave included."""
@@ -114,6 +133,8 @@
         return list(self._records_by_instance.values())
 
     def _is_usable(self, instance: str) -> bool:
+        if instance in self._replaced:
+            return False
         since = self._leaving_since_by_instance.get(instance)
         return since is None or self._clock.monotonic() - since < self._leave_s
 
@@ -126,6 +147,7 @@
         for instance in gone:
             del self._leaving_since_by_instance[instance]
             self._records_by_instance.pop(instance, None)
+            self._replaced.pop(instance, None)
 
     def _notify(self, instance: str) -> None:
         for listener in self._listeners:
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -361,3 +361,14 @@
         assert status == 200 and headers["Connection"] == "close"
 
     play(action)
+
+
+def test_upstream_that_was_replaced_is_asked_once() -> None:
+    async def action(site: Site) -> None:
+        site.runners[2].instance = "i-new"
+        for _ in range(8):
+            status, _, _, _ = await site.ask("/read/x")
+            assert status == 200
+        assert len(site.runners[2].received) <= 1
+
+    play(action)
--- a/tests/test_upstream_book.py
+++ b/tests/test_upstream_book.py
@@ -65,3 +65,20 @@
     book.remove("i-1")
     clock.advance(61)
     assert book.list_all() == []
+
+
+def test_replaced_upstream_is_not_used_until_it_starts_again() -> None:
+    """After a loss of power the list held the old incarnations, and each request got 421."""
+    _, book = make_book()
+    book.note_replaced("i-1")
+    book.put(replace(RECORD, slots=5))
+    assert book.list_usable("model") == []
+    book.put(replace(RECORD, started_ms=2))
+    assert [r.started_ms for r in book.list_usable("model")] == [2]
+
+
+def test_newest_incarnation_at_an_address_is_used() -> None:
+    _, book = make_book()
+    book.put(replace(RECORD, instance="i-2", started_ms=9))
+    book.put(replace(RECORD, instance="i-0", started_ms=0))
+    assert [r.instance for r in book.list_usable("model")] == ["i-2"]
