--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -17,8 +17,8 @@
 from sycamoreproxy.upstream_book import UpstreamRecord
 
 #: Requests beyond the batch that an engine may be given if they are the most urgent, and if they are
-#: the least urgent. Two free slots bring an urgent request to its first token within a goal of 0.4 s
-#: at a cost of 7 in 100 of the rate: 16 slots give 8.7 requests a second, 14 give 8.1.
+#: the least urgent. Free slots bring an urgent request to its first token within a goal of 0.4 s at a
+#: cost of 7 in 100 of the rate: 16 slots give 8.7 requests a second, 14 give 8.1.
 URGENT_ROOM = 2
 LAST_ROOM = -2
 #: A load report is used for this time, in seconds; afterwards own requests are all that is known.
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -108,7 +108,7 @@
                     self.targets.set_target(
                         model,
                         self._documents.read_version(value),
-                        is_first_read=not self._replica.is_connected,
+                        is_first_read=not self._replica.has_read,
                     )
             elif (instance := self._documents.instance_of(key)) is not None:
                 if value is None:
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -99,8 +99,15 @@
 class _Exchange(HTTPMessageDelegate):
     """Receives one request and runs its answer."""
 
-    def __init__(self, front: RoutedFront, connection: HTTP1Connection) -> None:
+    def __init__(
+        self,
+        front: RoutedFront,
+        connection: HTTP1Connection,
+        *,
+        on_head: Callable[[], object],
+    ) -> None:
         self._front = front
+        self._on_head = on_head
         self._connection = connection
         self._request: CallerRequest | None = None
         self._refusal: Refusal | None = None
@@ -111,6 +118,7 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
+        self._on_head()
         try:
             self._request = self._front.dialect.read_request(start_line, headers)
         except BadRequestError as error:
@@ -175,7 +183,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self._leaving = False
         self._server: HTTPServer | None = None
-        self._idle: set[object] = set()
+        #: Connections that wait for the head of a request, by tornado's connection of the server.
+        self._waiting_by_server: dict[object, HTTP1Connection] = {}
 
     def is_leaving(self) -> bool:
         """Return whether connections are closed after their answer."""
@@ -186,10 +195,14 @@
     ) -> HTTPMessageDelegate:
         """Return the receiver of one request."""
         assert isinstance(request_conn, HTTP1Connection)
-        return _Exchange(self, request_conn)
+        self._waiting_by_server[server_conn] = request_conn
+        return _Exchange(
+            self, request_conn, on_head=lambda: self._waiting_by_server.pop(server_conn, None)
+        )
 
     def on_close(self, server_conn: object) -> None:
-        """Take note of a closed connection; its request is cancelled by its own callback."""
+        """Forget a closed connection; its request is cancelled by its own callback."""
+        self._waiting_by_server.pop(server_conn, None)
 
     def listen(self, ip: str, port: int) -> None:
         """Open the listener."""
@@ -215,15 +228,23 @@
         self._leaving = True
 
     async def close(self, *, wait_s: float) -> None:
-        """Stop listening, wait for open requests, and close all connections.
+        """Stop listening, close idle connections, and wait for the requests in progress.
+
+        Callers that keep a connection would otherwise send requests until the process ends.
 
-        :param wait_s: longest wait for open requests, in seconds.
+        :param wait_s: longest wait for requests in progress, in seconds; the rest is cut.
         """
         if self._server is None:
             return
         self._server.stop()
+        for connection in list(self._waiting_by_server.values()):
+            connection.close()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        while self.tasks and loop.time() < deadline:
+            await asyncio.wait(self.tasks, timeout=deadline - loop.time())
         if self.tasks:
-            await asyncio.wait(self.tasks, timeout=wait_s)
+            _log.warning("requests cut at the end of the grace period", requests=len(self.tasks))
         for task in list(self.tasks):
             task.cancel()
         await self._server.close_all_connections()
--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -23,6 +23,8 @@
 #: Part of the engines' nominal rate that a host counts on while it places fewer: the nominal rate
 #: is that of a full batch without any disturbance.
 NOMINAL_FRACTION = 0.7
+#: Lowest rate that a forecast assumes, in requests a second: one engine's, divided among hosts.
+MIN_RATE = 1.0
 #: Time that a late request needs from its place to the first token, in seconds.
 FIRST_TOKEN_S = 0.7
 #: Requests that wait at once, whatever the forecast: a bound on memory.
@@ -71,7 +73,7 @@
         self._place = place
         self._nominal_rate = nominal_rate
         self._waiters_by_order: dict[_Order, deque[Waiter]] = {}
-        self._placed_at: deque[float] = deque()
+        self._placed: deque[tuple[float, _Order]] = deque()
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -93,11 +95,19 @@
         )
         if not ahead:
             return 0.0
+        return (ahead + 1) / self._find_rate((is_late, level))
+
+    def _find_rate(self, order: _Order) -> float:
+        """Return the requests a second of this order that are placed while some wait.
+
+        What more urgent requests take of the rate does not reach this one.
+        """
         start = self._clock.monotonic() - RATE_WINDOW_S
-        while self._placed_at and self._placed_at[0] < start:
-            self._placed_at.popleft()
-        measured = len(self._placed_at) / RATE_WINDOW_S
-        return (ahead + 1) / max(1.0, measured, NOMINAL_FRACTION * self._nominal_rate())
+        while self._placed and self._placed[0][0] < start:
+            self._placed.popleft()
+        total = max(len(self._placed) / RATE_WINDOW_S, NOMINAL_FRACTION * self._nominal_rate())
+        taken = sum(1 for _, placed in self._placed if placed < order) / RATE_WINDOW_S
+        return max(MIN_RATE, total - taken)
 
     def join(
         self,
@@ -122,7 +132,7 @@
         if not any(w for o, w in self._waiters_by_order.items() if o <= order):
             choice = self._place(need)
             if choice is not None:
-                self._placed_at.append(self._clock.monotonic())
+                self._placed.append((self._clock.monotonic(), order))
                 return choice
         wait = self.forecast_wait_s(need.level, is_late=has_returned)
         longest = min(time_left_s - answer_s, patience_s) - FIRST_TOKEN_S
@@ -164,5 +174,5 @@
                 if choice is None:
                     break
                 waiters.popleft()
-                self._placed_at.append(now)
+                self._placed.append((now, order))
                 waiter.placed.set_result(choice)
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -91,11 +91,13 @@
     """What is known of one prefix.
 
     :param revision: the store's revision up to which the documents are complete; 0 before the
-        first read.
+        first read and after a loss of history.
+    :param has_read: whether they were read since the start of the process.
     """
 
     revision: int = 0
     answered_at: float = 0.0
+    has_read: bool = False
     is_connected: bool = False
     failures: int = field(default=0)
 
@@ -132,6 +134,11 @@
         """Whether the last call for every prefix was answered."""
         return all(state.is_connected for state in self._states_by_prefix.values())
 
+    @property
+    def has_read(self) -> bool:
+        """Whether all prefixes were read since the start; what comes before may be old."""
+        return all(state.has_read for state in self._states_by_prefix.values())
+
     def describe(self) -> dict[str, object]:
         """Return the state for a dump."""
         now = self._clock.monotonic()
@@ -231,6 +238,7 @@
             for document in snapshot.documents
             if self.apply(document, source="store")
         }
+        state.has_read = True
         if changed:
             self._hub.broadcast(DocumentAnnounce(changed))
 
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -12,8 +12,9 @@
 #: Part of the operator's bound after which older versions are no longer used. A request that
 #: waits at an engine begins later than it was sent.
 OLD_FRACTION = 0.9
-#: The same for a version that was named before this process started: how long ago is not known.
-OLD_FRACTION_AT_START = 0.3
+#: The same for a version that was named before this process started: how long ago is not known, so
+#: no older one is used.
+OLD_FRACTION_AT_START = 0.0
 
 #: Version of a model before the operator names one; upstreams that start empty need it, too.
 FIRST_VERSION = 1
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -372,3 +372,22 @@
         assert len(site.runners[2].received) <= 1
 
     play(action)
+
+
+def test_stopping_host_cuts_no_request_and_takes_none_on_kept_connections() -> None:
+    """Requests on kept connections came seconds after SIGTERM and were cut with the process."""
+
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 500})
+        idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", site.port)
+        await asyncio.sleep(0.05)
+        running = asyncio.create_task(site.ask("/read/x", Sycamoreproxy_Deadline_Ms="1900"))
+        await asyncio.sleep(0.1)
+        await site.front.close(wait_s=3)
+        status, _, _, whole = await running
+        assert (status, whole) == (200, True)
+        assert await idle_reader.read() == b""
+        idle_writer.close()
+
+    play(action)
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -144,3 +144,17 @@
         assert kinds.count(Waiter) == 256
 
     asyncio.run(play())
+
+
+def test_rate_that_urgent_requests_take_is_not_counted_on() -> None:
+    """In a burst the least urgent waited twice as long as forecast and were late."""
+
+    async def play() -> None:
+        _, _, line = make_line(8, rate=10.0)
+        for _ in range(8):
+            assert join(line, 0) is CHOICE
+        assert isinstance(join(line, 2, goal_s=4.0), Waiter)
+        assert line.forecast_wait_s(0) == 0.0
+        assert line.forecast_wait_s(2) == 2.0
+
+    asyncio.run(play())
--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -153,3 +153,18 @@
 
     asyncio.run(play())
     assert not peer.queue
+
+
+def test_documents_of_the_first_read_are_told_apart() -> None:
+    """A version that a restarted process found in the store counted as named just then."""
+    a = Document("op/a", 1, b"a")
+    _, source, replica = make_replica(
+        Snapshot((a,), 3),
+        Snapshot((Document("op/a", 4, b"b"),), 4),
+        HistoryLostError(),
+        Snapshot((Document("op/a", 9, b"c"),), 9),
+    )
+    seen: list[bool] = []
+    replica.subscribe(lambda document: seen.append(replica.has_read))
+    follow(source, replica)
+    assert seen == [False, True, True]
