--- a/sycamoreproxy/ctl.py
+++ b/sycamoreproxy/ctl.py
@@ -400,6 +400,29 @@
     return ExitStatus.DONE
 
 
+@app.command
+def explain(request_id: str, *logs: Path) -> None:
+    """Show what decided a request, from the logs of several processes in order of time.
+
+    :param request_id: the caller's id of the request.
+    :param logs: files with the standard output of entry hosts and upstream processes.
+    """
+    from sycamoreproxy.log_trace import LogLine, format_line, parse_lines, trace_request
+
+    lines: list[LogLine] = []
+    for path in logs:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as file:
+                lines.extend(parse_lines(file))
+        except OSError as error:
+            raise CommandError(f"{path}: {error.strerror}") from error
+    found = trace_request(request_id, lines)
+    if not found:
+        raise CommandError(f"no line of request {request_id} in {len(logs)} files")
+    for line in found:
+        print(format_line(line))
+
+
 @app.command
 def dump(*, json: Json = False, connection: Connection = _DEFAULT) -> int:
     """Print the state of one process, without secrets.
--- a/sycamoreproxy/metrics.py
+++ b/sycamoreproxy/metrics.py
@@ -14,6 +14,12 @@
 WAITING = Gauge("sycamore_waiting", "Requests in the queue by rank")
 WINDOW = Gauge("sycamore_engine_window", "Requests that the engine may be given at once")
 WEIGHT_BYTES = Counter("sycamore_weight_bytes_total", "Bytes of weights by direction and peer kind")
+RESENDS = Counter(
+    "sycamore_resends_total", "Requests sent to another upstream, by code and service"
+)
+OPEN_REQUESTS = Gauge("sycamore_open_requests", "Requests of callers in progress")
+ROUTES_REVISION = Gauge("sycamore_routes_revision", "Revision of the routes in force")
+WEIGHT_VERSION = Gauge("sycamore_weight_version", "Newest named version of the weights by model")
 FIRST_OUTPUT_SECONDS = Histogram(
     "sycamore_first_output_seconds",
     "Time from the caller's request to the first output by rank",
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -17,7 +17,13 @@
 from sycamoreproxy.engine_forecast import EngineForecast
 from sycamoreproxy.event_splitter import EventSplitter
 from sycamoreproxy.logs import get_logger
-from sycamoreproxy.metrics import FIRST_OUTPUT_SECONDS, REFUSALS, REQUESTS
+from sycamoreproxy.metrics import (
+    FIRST_OUTPUT_SECONDS,
+    OPEN_REQUESTS,
+    REFUSALS,
+    REQUESTS,
+    RESENDS,
+)
 from sycamoreproxy.placement import Choice, LoadReport, Need, Placer
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.result_codes import Executed, Refusal
@@ -192,6 +198,7 @@
             excluded=set(),
         )
         self.open_requests += 1
+        OPEN_REQUESTS.set({}, self.open_requests)
         refusal: Refusal | None = None
         try:
             async with asyncio.timeout_at(
@@ -207,6 +214,7 @@
             raise
         finally:
             self.open_requests -= 1
+            OPEN_REQUESTS.set({}, self.open_requests)
         self._report(progress, refusal)
         if refusal is not None:
             self._refuse(request, progress, refusal, reply)
@@ -260,6 +268,7 @@
             progress.excluded.add(choice.record.instance)
             if not ended.may_resend or not self._may_resend(progress, ended.refusal, budget):
                 return ended.refusal
+            RESENDS.inc({"code": str(ended.refusal.code.number), "service": progress.service.name})
             _log.info(
                 "request resent",
                 request=progress.request.request_id,
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -13,6 +13,7 @@
 
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import EngineLoad, PeerStatus
+from sycamoreproxy.metrics import ROUTES_REVISION
 from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.placement import LoadReport, Placer
 from sycamoreproxy.resend_budget import ResendBudget
@@ -128,6 +129,7 @@
         if table.revision <= self.table.revision:
             return
         before, self.table = self.table, table
+        ROUTES_REVISION.set({}, table.revision)
         _log.info(
             "configuration in force",
             revision=table.revision,
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -8,6 +8,7 @@
 
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.logs import get_logger
+from sycamoreproxy.metrics import WEIGHT_VERSION
 
 #: Part of the operator's bound after which older versions are no longer used. A request that
 #: waits at an engine begins later than it was sent.
@@ -66,6 +67,7 @@
         # Of the targets that bind, only the newest matters.
         while len(targets) > 1 and targets[1].binds_at <= now:
             targets.pop(0)
+        WEIGHT_VERSION.set({"model": model}, version)
         _log.info("weights named", model=model, version=version, at_start=is_first_read)
         for listener in self._listeners:
             listener(model, version)
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -10,7 +10,7 @@
 from sycamoreproxy.settings import Settings
 from sycamoreproxy.table import CELLS
 
-PAGE = (Path(__file__).parent.parent / "docs" / "operations.md").read_text(encoding="utf-8")
+PAGE = (Path(__file__).parent.parent / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 
 
 def _list_keys() -> list[str]:
