Tell entry hosts before an engine switches; keep the chunks of a staged version

Change: a report 'loading' goes out 0.1 s before the order; the transfer keeps the staged version's chunks; a host may upload three copies; the log tells the longest pause of an answer.

--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -20,6 +20,9 @@
 SWITCH_S = 0.5
 #: Time before older versions are no longer used at which the last engines switch, in seconds.
 LAST_SWITCH_S = 0.2
+#: Time between the notice to entry hosts and the order, in seconds: requests that were on their way
+#: arrive within it.
+NOTICE_S = 0.1
 #: Time after which a report must show an accepted order, in seconds; reports come every 0.13 s.
 ORDER_SEEN_S = 1.0
 #: Pause after a failed call, in seconds.
@@ -140,6 +143,7 @@
     :param model: returns the engine's model, empty while no configuration is known.
     :param report: returns the engine's last report, None before the first.
     :param may_switch: returns whether the engine may load a version now; see :func:`may_switch`.
+    :param on_switching: tells entry hosts that the engine takes no more requests.
     """
 
     def __init__(
@@ -152,6 +156,7 @@
         model: Callable[[], str],
         report: Callable[[], EngineReport | None],
         may_switch: Callable[[str, int], bool],
+        on_switching: Callable[[], None],
         clock: Clock,
     ) -> None:
         self._engine = engine
@@ -161,6 +166,8 @@
         self._model = model
         self._report = report
         self._may_switch = may_switch
+        self._on_switching = on_switching
+        self._is_switching = False
         self._clock = clock
         self._ordered = 0
         self._orders_before = 0
@@ -174,6 +181,10 @@
         self._staged_by_index: dict[int, str] = {}
         self._started_ms = -1
 
+    def is_switching(self, report: EngineReport) -> bool:
+        """Return whether an order is about to be sent or was sent and is not yet in the report."""
+        return self._is_switching or (self._ordered != 0 and self._awaits_order(report))
+
     async def run(self) -> None:
         """Follow the named version until cancelled."""
         while True:
@@ -201,7 +212,8 @@
             self._staged_by_index.clear()
         loaded = dict(report.version_by_model).get(model, 0)
         target = self._choose_version(model, loaded)
-        self._transfer.want(f"{model}/{target}")
+        # The chunks of a staged version are kept: what turns bad where it lies is staged again.
+        self._transfer.want(f"{model}/{target}", served=self._staged)
         manifest = self._transfer.manifest
         is_newest = manifest is not None and _number_of(manifest) == target
         if self._staged is not None:
@@ -227,14 +239,27 @@
         return is_old and self._clock.monotonic() - self._ordered_at < ORDER_SEEN_S
 
     async def _switch(self, manifest: Manifest, report: EngineReport) -> None:
-        """Order the engine to load the staged version if all of it is whole."""
-        if not await self._verify(manifest):
-            self._staged = None
-            return
+        """Order the engine to load the staged version if all of it is whole.
+
+        Entry hosts are told before: a request that they send meanwhile would wait at the engine
+        until it has loaded, and might begin after the bound on its version.
+        """
         number = _number_of(manifest)
-        outcome = await self._engine.order_start(
-            manifest.model, number, expected=report.orders_accepted
-        )
+        self._is_switching = True
+        try:
+            self._on_switching()
+            noticed_at = self._clock.monotonic() + NOTICE_S
+            if not await self._verify(manifest):
+                await self._stage(manifest)
+                if len(self._staged_by_index) < len(manifest.chunks):
+                    self._staged = None
+                return
+            await asyncio.sleep(max(0.0, noticed_at - self._clock.monotonic()))
+            outcome = await self._engine.order_start(
+                manifest.model, number, expected=report.orders_accepted
+            )
+        finally:
+            self._is_switching = False
         _log.info(
             "weights ordered",
             model=manifest.model,
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -36,6 +36,9 @@
 #: Uploads leave in slices of this size, in bytes: 14 ms of a link of 4.7 Mbit/s, where a whole
 #: chunk of 49,152 bytes would hold up live answers for 84 ms.
 UPLOAD_SLICE_BYTES = 8_192
+#: Copies of a version that a host uploads at most. The mean is below one; hosts of small zones and
+#: repeats after failures need more, and the rate of the link bounds it in any case.
+UPLOAD_COPIES = 3.0
 #: Chunks asked for at once. Four sources keep the link busy; more would queue before it, and live
 #: requests behind them.
 CHUNKS_IN_FLIGHT = 4
@@ -249,6 +252,7 @@
             bytes_per_s=settings.engine.link_bytes_per_s * DOWNLOAD_LINK_FRACTION,
             upload_bytes_per_s=settings.engine.link_bytes_per_s * UPLOAD_LINK_FRACTION,
             upload_slice_bytes=UPLOAD_SLICE_BYTES,
+            upload_copies=UPLOAD_COPIES,
             in_flight=CHUNKS_IN_FLIGHT,
             in_flight_per_source=1,
             take_over_s=TAKE_OVER_S,
@@ -270,6 +274,7 @@
         model=lambda: built[0].model,
         report=lambda: built[0].report,
         may_switch=lambda model, version: built[0].may_switch(model, version),
+        on_switching=lambda: built[0].send_load(),
         clock=parts.clock,
     )
     state = StateServer(
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -105,6 +105,7 @@
     unrun: int = 0
     first_output_at: float | None = None
     last_output_at: float = 0.0
+    longest_gap_s: float = 0.0
     forecast_s: float = 0.0
     waited_s: float = 0.0
     load: str = ""
@@ -547,6 +548,7 @@
             forecast_ms=round(progress.forecast_s * 1000),
             load=progress.load,
             first_ms=first_ms,
+            longest_gap_ms=round(progress.longest_gap_s * 1000),
             total_ms=round((now - progress.received_at) * 1000),
             code=code,
             executed=None if refusal is None else str(refusal.executed),
@@ -678,6 +680,9 @@
     def _note_output(self) -> None:
         progress = self._progress
         now = self._clock.monotonic()
+        if progress.last_output_at:
+            gap = now - progress.last_output_at
+            progress.longest_gap_s = max(progress.longest_gap_s, gap)
         progress.last_output_at = now
         self._placer.note_output(self._choice)
         if progress.first_output_at is None:
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -174,6 +174,11 @@
                 name=record.service,
             )
 
+    def send_load(self) -> None:
+        """Tell the entry hosts the engine's load now."""
+        if self._report is not None:
+            self._hub.broadcast(self._make_load(self._report), role="entry")
+
     async def _beat(self) -> None:
         while True:
             beat = PeerStatus("ready", self._beliefs.table.revision, "")
@@ -211,7 +216,7 @@
             memory_used=report.memory_used,
             memory_total=report.memory_total,
             pace=report.pace,
-            is_loading=report.is_loading,
+            is_loading=report.is_loading or self._stager.is_switching(report),
             versions=dict(report.version_by_model),
             entry_hosts=sum(1 for peer in self._hub.peers if peer.hello.role == "entry"),
         )
--- a/tests/test_engine_stage.py
+++ b/tests/test_engine_stage.py
@@ -94,8 +94,8 @@
         if not self.wanted or self.wanted[-1] != version:
             self.wanted.append(version)
             self.manifest = make_manifest(int(version.rpartition("/")[2]))
-            self.chunks.retain(served=None, wanted=self.manifest)
             self.progress = 0.0
+        self.chunks.retain(served=served, wanted=self.manifest)
 
     def arrive(self, *indexes: int) -> None:
         """Hold these chunks of the wanted version."""
@@ -114,6 +114,7 @@
         self.transfer = _Transfer(chunks)
         self.targets = WeightTargets(clock=self.clock, bound_s=8.0)
         self.may_switch = True
+        self.notices: list[int] = []
         self.stager = WeightStager(
             engine=self.engine,
             transfer=self.transfer,
@@ -122,6 +123,7 @@
             model=lambda: "m",
             report=self.engine.report,
             may_switch=lambda model, version: self.may_switch,
+            on_switching=lambda: self.notices.append(len(self.engine.orders)),
             clock=self.clock,
         )
 
@@ -165,6 +167,35 @@
     assert world.engine.loaded[0][2] == make_data(2, 2)
 
 
+def test_spoilt_chunk_is_staged_again_while_the_next_version_is_fetched() -> None:
+    """The chunks of the staged version were dropped, and its host served neither version."""
+    world = _World()
+    world.may_switch = False
+    world.name(2)
+    world.step()
+    world.transfer.arrive(0, 1, 2, 3)
+    world.step(2)
+    world.name(3)
+    world.step(2)
+    world.engine.staged[1] = b"spoilt"
+    world.may_switch = True
+    world.step(4)
+    assert world.engine.orders == [2] and world.engine.loaded[0][1] == make_data(2, 1)
+
+
+def test_entry_hosts_are_told_before_the_order() -> None:
+    """Requests waited at an engine until it had loaded, and began on a version out of its bound."""
+    world = _World()
+    world.name(2)
+    world.step()
+    world.transfer.arrive(0, 1, 2, 3)
+    before = world.engine.report()
+    world.step(2)
+    assert world.notices == [0] and world.engine.orders == [2]
+    assert world.stager.is_switching(before)
+    assert not world.stager.is_switching(world.engine.report())
+
+
 def test_engine_that_starts_empty_gets_the_first_version() -> None:
     world = _World(version=0)
     world.step()
