Split the dispatcher; count a request on a stale connection as sent

Found by reading: after a kept connection closed under a request, a failure to connect again was reported as 'not sent', and the refusal said that the request was not run. Change: answer_relay and beliefs are modules of their own; such a failure counts as a lost answer. Measured: the new test fails before (NotSentError) and passes after; tests of the entry host and platform pass.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -149,10 +149,32 @@
             except AnswerLostError as error:
                 if error.received or time.monotonic() - sent_at > STALE_LIMIT_S:
                     raise
+                await self._send_again(on_head, on_data, method, path, headers, body)
+                return
         await self._send(
             await self._connect(), _Delegate(on_head, on_data), method, path, headers, body
         )
 
+    async def _send_again(
+        self,
+        on_head: HeadListener,
+        on_data: DataListener,
+        method: str,
+        path: str,
+        headers: HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        """Send a request on a fresh connection after a kept one closed under it.
+
+        The server may have received it on the kept one, so a failure to connect does not say that
+        no byte was sent.
+        """
+        try:
+            stream = await self._connect()
+        except NotSentError as error:
+            raise AnswerLostError(str(error), received=False) from error
+        await self._send(stream, _Delegate(on_head, on_data), method, path, headers, body)
+
     async def fetch(
         self, *, method: str, path: str, body: bytes = b"", timeout_s: float
     ) -> tuple[int, HTTPHeaders, bytes]:
--- /dev/null
+++ b/sycamoreproxy/answer_relay.py
@@ -0,0 +1,234 @@
+"""Passes one upstream's answer on to the caller, and says how the attempt ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from tornado.httputil import HTTPHeaders
+
+from sycamoreproxy import result_codes as codes
+from sycamoreproxy.caller_request import AnswerHead, CallerRequest, Dialect
+from sycamoreproxy.clock import Clock
+from sycamoreproxy.event_splitter import EventSplitter
+from sycamoreproxy.placement import Choice, LoadReport, Placer
+from sycamoreproxy.result_codes import Executed, Refusal
+from sycamoreproxy.route_table import Route, RouteKind, ServiceSpec
+
+#: An answer of an upstream from which it may have run the request and that a caller would read as
+#: a promise that it has not.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+class Reply(Protocol):
+    """The answer to one caller."""
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the caller may have received a part of the answer."""
+
+    def start(self, status: int, headers: HTTPHeaders, data: bytes) -> None:
+        """Send the head and a first part of the body."""
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer does not look complete."""
+
+    def refuse(self, refusal: Refusal, *, retry_after_s: float | None) -> None:
+        """Send a final answer of the system's own."""
+
+
+class MismatchError(Exception):
+    """The answer belongs to another request or looks like none."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """State of one request over its attempts."""
+
+    request: CallerRequest
+    route: Route
+    account: str
+    service: ServiceSpec
+    received_at: float
+    deadline: float
+    level: int
+    urgency: float
+    splitter: EventSplitter
+    excluded: set[str]
+    attempts: int = 0
+    runs: int = 0
+    unrun: int = 0
+    first_output_at: float | None = None
+    last_output_at: float = 0.0
+    longest_gap_s: float = 0.0
+    forecast_s: float = 0.0
+    waited_s: float = 0.0
+    load: str = ""
+    instances: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """An attempt ended.
+
+    :param refusal: None if the caller has its answer.
+    :param failed: whether the failure speaks against the upstream; None if it says nothing of it.
+    :param may_resend: whether another upstream may take the request.
+    """
+
+    refusal: Refusal | None
+    failed: bool | None = False
+    may_resend: bool = False
+
+
+class AnswerRelay:
+    """Passes one upstream's answer on to the caller."""
+
+    def __init__(
+        self,
+        *,
+        progress: Progress,
+        choice: Choice,
+        reply: Reply,
+        dialect: Dialect,
+        placer: Placer,
+        clock: Clock,
+    ) -> None:
+        self._progress = progress
+        self._choice = choice
+        self._reply = reply
+        self._dialect = dialect
+        self._placer = placer
+        self._clock = clock
+        self._head: AnswerHead | None = None
+        self._is_stream = False
+        self._parts: list[bytes] = []
+
+    def take_head(self, status: int, headers: HTTPHeaders) -> None:
+        """Take the head of the answer.
+
+        :raises MismatchError: if it belongs to another request.
+        """
+        head = self._dialect.read_answer(status, headers)
+        request_id = self._progress.request.request_id
+        if head.request_id and head.request_id != request_id:
+            raise MismatchError(f"answer to {head.request_id}")
+        self._head = head
+        self._is_stream = (
+            self._progress.route.kind is RouteKind.STREAMING
+            and 200 <= status < 300
+            and head.is_signed
+        )
+        if head.load is not None and self._placer.view(self._choice.record.instance).report is None:
+            self._note_load(head)
+
+    @property
+    def replaced_by(self) -> str:
+        """The incarnation that refused a request to another one, empty if none did."""
+        head = self._head
+        if head is None or not head.is_misdirected or not head.instance:
+            return ""
+        return head.instance if head.instance != self._choice.record.instance else ""
+
+    def take_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if not self._is_stream:
+            self._parts.append(data)
+            return
+        events = self._progress.splitter.take(data)
+        if events:
+            self._send(events)
+
+    def end(self) -> Ended:
+        """Finish the answer after its last byte."""
+        head = self._head
+        if head is None:
+            return Ended(Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN), True, True)
+        if self._is_stream:
+            rest = self._progress.splitter.partial
+            if rest:
+                return Ended(
+                    Refusal(codes.ANSWER_INCOMPLETE, Executed.UNKNOWN, detail="half an event"),
+                    True,
+                    True,
+                )
+            if not self._reply.has_started:
+                self._send(b"")
+            self._reply.finish()
+            return Ended(None)
+        if head.is_unrun:
+            return self._end_unrun(head)
+        if self._reply.has_started:
+            # A stream that should have gone on here was answered with a failure.
+            return Ended(Refusal(codes.UPSTREAM_FAILED, Executed.UNKNOWN), True, True)
+        if head.status >= 500 and self._progress.route.repeatable:
+            ended = Ended(
+                Refusal(codes.UPSTREAM_FAILED, Executed.YES, detail=f"status {head.status}"),
+                failed=True,
+                may_resend=True,
+            )
+            if self._progress.runs < self._progress.route.max_attempts:
+                return ended
+        if head.status in _PROMISES or not head.is_signed:
+            return Ended(
+                Refusal(codes.UPSTREAM_FAILED, Executed.UNKNOWN, detail=f"status {head.status}"),
+                failed=True,
+                may_resend=True,
+            )
+        self._note_output()
+        body = b"".join(self._parts)
+        headers = self._caller_headers(head)
+        headers["Content-Length"] = str(len(body))
+        self._reply.start(head.status, headers, body)
+        self._reply.finish()
+        return Ended(None, failed=head.status >= 500)
+
+    def _end_unrun(self, head: AnswerHead) -> Ended:
+        self._progress.runs -= 1
+        # A refusal for want of room or of another instance is no fault of the upstream.
+        return Ended(
+            Refusal(codes.UPSTREAM_REFUSED, Executed.NO, detail=f"status {head.status}"),
+            failed=None,
+            may_resend=True,
+        )
+
+    def _send(self, data: bytes) -> None:
+        self._note_output()
+        if self._reply.has_started:
+            self._reply.write(data)
+        else:
+            assert self._head is not None
+            headers = self._caller_headers(self._head)
+            headers.pop("Content-Length", None)
+            self._reply.start(self._head.status, headers, data)
+
+    def _note_output(self) -> None:
+        progress = self._progress
+        now = self._clock.monotonic()
+        if progress.last_output_at:
+            gap = now - progress.last_output_at
+            progress.longest_gap_s = max(progress.longest_gap_s, gap)
+        progress.last_output_at = now
+        self._placer.note_output(self._choice)
+        if progress.first_output_at is None:
+            progress.first_output_at = now
+
+    def _note_load(self, head: AnswerHead) -> None:
+        load = head.load
+        assert load is not None
+        report = LoadReport(at=self._clock.monotonic(), running=load.running, waiting=load.waiting)
+        if self._progress.service.engine is None:
+            self._placer.take_report(self._choice.record.instance, report)
+
+    @staticmethod
+    def _caller_headers(head: AnswerHead) -> HTTPHeaders:
+        headers = HTTPHeaders()
+        for name, value in head.headers:
+            headers.add(name, value)
+        return headers
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from sycamoreproxy.beliefs import Beliefs, Documents
 from sycamoreproxy.caller_request import Dialect
 from sycamoreproxy.chunk_plan import PlanLimits
 from sycamoreproxy.clock import SystemClock
@@ -15,7 +16,6 @@
 from sycamoreproxy.origins import Origin, OriginError
 from sycamoreproxy.peers import PeerHub
 from sycamoreproxy.registry import Registry
-from sycamoreproxy.routed_entry import Beliefs, Documents
 from sycamoreproxy.routed_settings import RoutedSettings
 from sycamoreproxy.routed_upstream import EXCHANGE
 from sycamoreproxy.state_http import StateServer
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -5,14 +5,12 @@
 import asyncio
 import random
 from collections.abc import Callable, Container
-from dataclasses import dataclass, replace
-from typing import Protocol
-
-from tornado.httputil import HTTPHeaders
+from dataclasses import replace
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
-from sycamoreproxy.caller_request import AnswerHead, Attempt, CallerRequest, Dialect
+from sycamoreproxy.answer_relay import AnswerRelay, Ended, MismatchError, Progress, Reply
+from sycamoreproxy.caller_request import Attempt, CallerRequest, Dialect
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
 from sycamoreproxy.event_splitter import EventSplitter
@@ -24,10 +22,10 @@
     REQUESTS,
     RESENDS,
 )
-from sycamoreproxy.placement import Choice, LoadReport, Need, Placer
+from sycamoreproxy.placement import Choice, Need, Placer
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.result_codes import Executed, Refusal
-from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
+from sycamoreproxy.route_table import Route, RouteTable, ServiceSpec
 from sycamoreproxy.upstream_book import UpstreamBook
 from sycamoreproxy.waiting_line import Overload, Waiter, WaitingLine
 from sycamoreproxy.weight_targets import WeightTargets
@@ -52,80 +50,10 @@
 #: different times, so that they do not form the next burst, and keep enough time for an answer.
 RETRY_AFTER_MIN_FRACTION = 0.2
 RETRY_AFTER_MAX_FRACTION = 0.33
-#: An answer of an upstream from which it may have run the request and that a caller would read as
-#: a promise that it has not.
-_PROMISES = frozenset({408, 421, 429, 503})
 
 _log = get_logger("routed_dispatch")
 
 
-class Reply(Protocol):
-    """The answer to one caller."""
-
-    @property
-    def has_started(self) -> bool:
-        """Whether the caller may have received a part of the answer."""
-
-    def start(self, status: int, headers: HTTPHeaders, data: bytes) -> None:
-        """Send the head and a first part of the body."""
-
-    def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-
-    def finish(self) -> None:
-        """End the answer as complete."""
-
-    def abort(self) -> None:
-        """Close the connection, so that the answer does not look complete."""
-
-    def refuse(self, refusal: Refusal, *, retry_after_s: float | None) -> None:
-        """Send a final answer of the system's own."""
-
-
-class _MismatchError(Exception):
-    """The answer belongs to another request or looks like none."""
-
-
-@dataclass(slots=True)
-class _Progress:
-    """State of one request over its attempts."""
-
-    request: CallerRequest
-    route: Route
-    account: str
-    service: ServiceSpec
-    received_at: float
-    deadline: float
-    level: int
-    urgency: float
-    splitter: EventSplitter
-    excluded: set[str]
-    attempts: int = 0
-    runs: int = 0
-    unrun: int = 0
-    first_output_at: float | None = None
-    last_output_at: float = 0.0
-    longest_gap_s: float = 0.0
-    forecast_s: float = 0.0
-    waited_s: float = 0.0
-    load: str = ""
-    instances: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class _Ended:
-    """An attempt ended.
-
-    :param refusal: None if the caller has its answer.
-    :param failed: whether the failure speaks against the upstream; None if it says nothing of it.
-    :param may_resend: whether another upstream may take the request.
-    """
-
-    refusal: Refusal | None
-    failed: bool | None = False
-    may_resend: bool = False
-
-
 class RoutedDispatcher:
     """Answers callers' requests.
 
@@ -191,7 +119,7 @@
             return
         route, account, service = found
         level = table.find_level(account, route)
-        progress = _Progress(
+        progress = Progress(
             request=request,
             route=route,
             account=account,
@@ -246,7 +174,7 @@
         service = table.services_by_name.get(name) or ServiceSpec(name=name)
         return route, account, service
 
-    async def _run(self, progress: _Progress, reply: Reply) -> Refusal | None:
+    async def _run(self, progress: Progress, reply: Reply) -> Refusal | None:
         """Send a request until it has an answer or no further upstream may take it."""
         budget = self._budget_for(progress.service.name)
         while True:
@@ -285,7 +213,7 @@
                 age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
             )
 
-    def _may_resend(self, progress: _Progress, refusal: Refusal, budget: ResendBudget) -> bool:
+    def _may_resend(self, progress: Progress, refusal: Refusal, budget: ResendBudget) -> bool:
         if refusal.executed is Executed.NO:
             progress.unrun += 1
             if progress.unrun > MAX_UNRUN:
@@ -298,7 +226,7 @@
             and budget.take()
         )
 
-    async def _place(self, progress: _Progress) -> Choice | Refusal:
+    async def _place(self, progress: Progress) -> Choice | Refusal:
         """Return the upstream for the next attempt, after a wait if none has room."""
         need = self._make_need(progress)
         name = progress.service.name
@@ -337,7 +265,7 @@
             return choice or Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO)
         return joined
 
-    def _make_need(self, progress: _Progress) -> Need:
+    def _make_need(self, progress: Progress) -> Need:
         request = progress.request
         is_generation = progress.service.engine is not None
         return Need(
@@ -363,12 +291,12 @@
         )
         return None if choice is None else self._placer.begin(choice, need)
 
-    async def _attempt(self, progress: _Progress, choice: Choice, reply: Reply) -> _Ended:
+    async def _attempt(self, progress: Progress, choice: Choice, reply: Reply) -> Ended:
         """Send a request to one upstream and pass its answer on."""
         request, route = progress.request, progress.route
         time_left = progress.deadline - self._clock.monotonic()
         if time_left < MIN_TIME_LEFT_S:
-            return _Ended(Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO), failed=None)
+            return Ended(Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO), failed=None)
         progress.splitter.restart()
         headers = self._dialect.write_attempt(
             request,
@@ -385,7 +313,7 @@
                 last_event_id=progress.splitter.last_id,
             ),
         )
-        relay = _Relay(
+        relay = AnswerRelay(
             progress=progress,
             choice=choice,
             reply=reply,
@@ -410,19 +338,19 @@
             await self._watch_over(exchange, progress, choice)
         except NotSentError as error:
             progress.runs -= 1
-            return _Ended(
+            return Ended(
                 Refusal(codes.UPSTREAM_LOST, Executed.NO, detail=str(error)),
                 failed=True,
                 may_resend=True,
             )
-        except (AnswerLostError, _MismatchError) as error:
-            return _Ended(
+        except (AnswerLostError, MismatchError) as error:
+            return Ended(
                 Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN, detail=str(error)),
                 failed=True,
                 may_resend=True,
             )
         except TimeoutError:
-            return _Ended(
+            return Ended(
                 Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time"),
                 failed=True,
                 may_resend=True,
@@ -441,7 +369,7 @@
             return None
         return choice.version
 
-    def _forecast_answer_s(self, progress: _Progress) -> float:
+    def _forecast_answer_s(self, progress: Progress) -> float:
         """Return the time from the first token to the end of the answer."""
         engine = progress.service.engine
         if engine is None:
@@ -453,7 +381,7 @@
         return EngineForecast(engine).answer_s(tokens)
 
     async def _watch_over(
-        self, exchange: asyncio.Future[None], progress: _Progress, choice: Choice
+        self, exchange: asyncio.Future[None], progress: Progress, choice: Choice
     ) -> None:
         """Wait for the end of an exchange.
 
@@ -506,7 +434,7 @@
     # Ends
 
     def _refuse(
-        self, request: CallerRequest, progress: _Progress | None, refusal: Refusal, reply: Reply
+        self, request: CallerRequest, progress: Progress | None, refusal: Refusal, reply: Reply
     ) -> None:
         REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
         if progress is None:
@@ -528,7 +456,7 @@
             )
         reply.refuse(refusal, retry_after_s=retry_after)
 
-    def _report(self, progress: _Progress, refusal: Refusal | None) -> None:
+    def _report(self, progress: Progress, refusal: Refusal | None) -> None:
         now = self._clock.monotonic()
         code = refusal.code.number if refusal is not None else 0
         rank = str(progress.route.rank)
@@ -559,150 +487,3 @@
             executed=None if refusal is None else str(refusal.executed),
             detail=None if refusal is None else refusal.detail,
         )
-
-
-class _Relay:
-    """Passes one upstream's answer on to the caller."""
-
-    def __init__(
-        self,
-        *,
-        progress: _Progress,
-        choice: Choice,
-        reply: Reply,
-        dialect: Dialect,
-        placer: Placer,
-        clock: Clock,
-    ) -> None:
-        self._progress = progress
-        self._choice = choice
-        self._reply = reply
-        self._dialect = dialect
-        self._placer = placer
-        self._clock = clock
-        self._head: AnswerHead | None = None
-        self._is_stream = False
-        self._parts: list[bytes] = []
-
-    def take_head(self, status: int, headers: HTTPHeaders) -> None:
-        """Take the head of the answer.
-
-        :raises _MismatchError: if it belongs to another request.
-        """
-        head = self._dialect.read_answer(status, headers)
-        request_id = self._progress.request.request_id
-        if head.request_id and head.request_id != request_id:
-            raise _MismatchError(f"answer to {head.request_id}")
-        self._head = head
-        self._is_stream = (
-            self._progress.route.kind is RouteKind.STREAMING
-            and 200 <= status < 300
-            and head.is_signed
-        )
-        if head.load is not None and self._placer.view(self._choice.record.instance).report is None:
-            self._note_load(head)
-
-    @property
-    def replaced_by(self) -> str:
-        """The incarnation that refused a request to another one, empty if none did."""
-        head = self._head
-        if head is None or not head.is_misdirected or not head.instance:
-            return ""
-        return head.instance if head.instance != self._choice.record.instance else ""
-
-    def take_data(self, data: bytes) -> None:
-        """Take a part of the body."""
-        if not self._is_stream:
-            self._parts.append(data)
-            return
-        events = self._progress.splitter.take(data)
-        if events:
-            self._send(events)
-
-    def end(self) -> _Ended:
-        """Finish the answer after its last byte."""
-        head = self._head
-        if head is None:
-            return _Ended(Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN), True, True)
-        if self._is_stream:
-            rest = self._progress.splitter.partial
-            if rest:
-                return _Ended(
-                    Refusal(codes.ANSWER_INCOMPLETE, Executed.UNKNOWN, detail="half an event"),
-                    True,
-                    True,
-                )
-            if not self._reply.has_started:
-                self._send(b"")
-            self._reply.finish()
-            return _Ended(None)
-        if head.is_unrun:
-            return self._end_unrun(head)
-        if self._reply.has_started:
-            # A stream that should have gone on here was answered with a failure.
-            return _Ended(Refusal(codes.UPSTREAM_FAILED, Executed.UNKNOWN), True, True)
-        if head.status >= 500 and self._progress.route.repeatable:
-            ended = _Ended(
-                Refusal(codes.UPSTREAM_FAILED, Executed.YES, detail=f"status {head.status}"),
-                failed=True,
-                may_resend=True,
-            )
-            if self._progress.runs < self._progress.route.max_attempts:
-                return ended
-        if head.status in _PROMISES or not head.is_signed:
-            return _Ended(
-                Refusal(codes.UPSTREAM_FAILED, Executed.UNKNOWN, detail=f"status {head.status}"),
-                failed=True,
-                may_resend=True,
-            )
-        self._note_output()
-        body = b"".join(self._parts)
-        headers = self._caller_headers(head)
-        headers["Content-Length"] = str(len(body))
-        self._reply.start(head.status, headers, body)
-        self._reply.finish()
-        return _Ended(None, failed=head.status >= 500)
-
-    def _end_unrun(self, head: AnswerHead) -> _Ended:
-        self._progress.runs -= 1
-        # A refusal for want of room or of another instance is no fault of the upstream.
-        return _Ended(
-            Refusal(codes.UPSTREAM_REFUSED, Executed.NO, detail=f"status {head.status}"),
-            failed=None,
-            may_resend=True,
-        )
-
-    def _send(self, data: bytes) -> None:
-        self._note_output()
-        if self._reply.has_started:
-            self._reply.write(data)
-        else:
-            assert self._head is not None
-            headers = self._caller_headers(self._head)
-            headers.pop("Content-Length", None)
-            self._reply.start(self._head.status, headers, data)
-
-    def _note_output(self) -> None:
-        progress = self._progress
-        now = self._clock.monotonic()
-        if progress.last_output_at:
-            gap = now - progress.last_output_at
-            progress.longest_gap_s = max(progress.longest_gap_s, gap)
-        progress.last_output_at = now
-        self._placer.note_output(self._choice)
-        if progress.first_output_at is None:
-            progress.first_output_at = now
-
-    def _note_load(self, head: AnswerHead) -> None:
-        load = head.load
-        assert load is not None
-        report = LoadReport(at=self._clock.monotonic(), running=load.running, waiting=load.waiting)
-        if self._progress.service.engine is None:
-            self._placer.take_report(self._choice.record.instance, report)
-
-    @staticmethod
-    def _caller_headers(head: AnswerHead) -> HTTPHeaders:
-        headers = HTTPHeaders()
-        for name, value in head.headers:
-            headers.add(name, value)
-        return headers
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -3,30 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest, ResponseStartLine
 
-from sycamoreproxy.logs import get_logger
+from sycamoreproxy.beliefs import Beliefs, Documents
 from sycamoreproxy.messages import EngineLoad, PeerStatus
-from sycamoreproxy.metrics import ROUTES_REVISION
 from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.placement import LoadReport, Placer
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.route_table import RouteTable
 from sycamoreproxy.routed_dispatch import RoutedDispatcher
 from sycamoreproxy.routed_http import RoutedFront
-from sycamoreproxy.routed_settings import RoutedBounds, RoutedSettings
+from sycamoreproxy.routed_settings import RoutedSettings
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import Address
 from sycamoreproxy.task_group import BackgroundTasks
-from sycamoreproxy.upstream_book import UpstreamBook, UpstreamRecord
-from sycamoreproxy.watched_documents import Document, DocumentError, DocumentReplica
-from sycamoreproxy.weight_targets import WeightTargets
+from sycamoreproxy.watched_documents import DocumentReplica
 
 #: Time between two heartbeats to peers, in seconds.
 HEARTBEAT_S = 1.0
@@ -38,109 +33,6 @@
 #: Time of the grace period that is left for closing connections, in seconds.
 STOP_MARGIN_S = 1.0
 
-_log = get_logger("routed_entry")
-
-
-class Documents(Protocol):
-    """Decodes the store's documents; every ``read`` raises ``DocumentError``."""
-
-    @property
-    def prefixes(self) -> tuple[str, ...]:
-        """Return the prefixes of the store's keys to watch."""
-
-    def is_routes(self, key: str) -> bool:
-        """Return whether a key holds the routes."""
-
-    def model_of(self, key: str) -> str | None:
-        """Return the model whose version a key names."""
-
-    def instance_of(self, key: str) -> str | None:
-        """Return the upstream that a key describes."""
-
-    def read_routes(self, value: bytes) -> RouteTable:
-        """Return the routes."""
-
-    def read_version(self, value: bytes) -> int:
-        """Return a named version."""
-
-    def read_upstream(self, instance: str, value: bytes) -> UpstreamRecord:
-        """Return the record of an upstream."""
-
-
-class Beliefs:
-    """What a process believes of routes, versions and upstreams, taken from documents.
-
-    :param book: upstreams.
-    :param targets: named versions.
-    """
-
-    def __init__(
-        self,
-        *,
-        documents: Documents,
-        replica: DocumentReplica,
-        book: UpstreamBook,
-        targets: WeightTargets,
-    ) -> None:
-        self._documents = documents
-        self._replica = replica
-        self.book = book
-        self.targets = targets
-        self.table = RouteTable()
-        self._listeners: list[Callable[[RouteTable], None]] = []
-        replica.subscribe(self._take)
-
-    def set_bounds(self, bounds: RoutedBounds) -> None:
-        """Apply changed bounds."""
-        self.book.set_bound(bounds.leave_s)
-        self.targets.set_bound(bounds.version_s)
-
-    def subscribe(self, listener: Callable[[RouteTable], None]) -> None:
-        """Call ``listener(table)`` after each change of the routes."""
-        self._listeners.append(listener)
-
-    def _take(self, document: Document) -> None:
-        key, value = document.key, document.value
-        try:
-            if self._documents.is_routes(key):
-                self._take_routes(value)
-            elif (model := self._documents.model_of(key)) is not None:
-                if value is not None:
-                    self.targets.set_target(
-                        model,
-                        self._documents.read_version(value),
-                        is_first_read=not self._replica.has_read,
-                    )
-            elif (instance := self._documents.instance_of(key)) is not None:
-                if value is None:
-                    self.book.remove(instance)
-                else:
-                    self.book.put(self._documents.read_upstream(instance, value))
-        except DocumentError as error:
-            _log.warning(
-                "document not usable", key=key, revision=document.revision, error=str(error)
-            )
-
-    def _take_routes(self, value: bytes | None) -> None:
-        if value is None:
-            _log.warning("configuration deleted; the last one stays in force")
-            return
-        table = self._documents.read_routes(value)
-        if table.revision <= self.table.revision:
-            return
-        before, self.table = self.table, table
-        ROUTES_REVISION.set({}, table.revision)
-        _log.info(
-            "configuration in force",
-            revision=table.revision,
-            before=before.revision,
-            hosts=len(table.routes_by_host),
-            keys=len(table.account_by_key),
-            accounts_by_rank=dict(Counter(table.rank_by_account.values())),
-        )
-        for listener in self._listeners:
-            listener(table)
-
 
 class RoutedEntry:
     """Owns the tasks of an entry host.
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from functools import partial
 
+from sycamoreproxy.beliefs import Beliefs, Documents
 from sycamoreproxy.engine_stage import (
     EngineReport,
     StagedEngine,
@@ -17,7 +18,6 @@
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import EngineLoad, PeerStatus
 from sycamoreproxy.peers import PeerHub
-from sycamoreproxy.routed_entry import Beliefs, Documents
 from sycamoreproxy.routed_settings import RoutedSettings
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import Address, MessageServer
--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -21,7 +21,7 @@
 #: Part of a request's goal that it may be forecast to wait; the rest is the engine's part.
 WAIT_FRACTION_OF_GOAL = 0.5
 #: Part of the engines' nominal rate that a host counts on while it places fewer: the nominal rate
-#: is that of a full batch without any disturbance.
+#: is that of a full batch without any fault.
 NOMINAL_FRACTION = 0.7
 #: Lowest rate that a forecast assumes, in requests a second: one engine's, divided among hosts.
 MIN_RATE = 1.0
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -89,3 +89,28 @@
             await _exchange(client, repeatable=False)
 
     asyncio.run(_with_server([long], action))
+
+
+def test_request_on_a_kept_connection_counts_as_sent_if_the_server_is_then_gone() -> None:
+    """The refusal said that the request was not run, though the server had received it."""
+
+    async def main() -> None:
+        received: list[bytes] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            received.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(WHOLE)
+            received.append(await reader.readuntil(b"\r\n\r\n"))
+            server.close()
+            writer.close()
+
+        socket, port = bind_unused_port()
+        server = await asyncio.start_server(serve, sock=socket)
+        client = HttpClient(f"http://127.0.0.1:{port}", max_body_bytes=100)
+        assert await _exchange(client, repeatable=True) == b"ok"
+        with pytest.raises(AnswerLostError):
+            await _exchange(client, repeatable=True)
+        assert len(received) == 2
+        client.close()
+
+    asyncio.run(main())
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -16,13 +16,13 @@
 
 from standins._server import Faults
 from standins.platform import PlatformRunner, make_configuration, make_runner_routes
+from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.placement import Placer
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.routed_dispatch import RoutedDispatcher
-from sycamoreproxy.routed_entry import Beliefs
 from sycamoreproxy.routed_http import RoutedFront
 from sycamoreproxy.upstream_book import UpstreamBook
 from sycamoreproxy.watched_documents import Document, DocumentReplica
