Leave more room before the bound on versions; count entry hosts of all zones

Found by reading: in a zone that is cut off each host took the budget of a third of the hosts; plain services kept requests in the zone until three full sets of slots waited. Change: older versions are used for 0.85 of the bound (0.9); the highest number of entry hosts counts; a forecast for plain services.

--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -34,6 +34,9 @@
 #: Added to the forecast of an upstream in another availability zone, in seconds: traffic between
 #: zones is slower and shares narrow links.
 OTHER_ZONE_S = 0.03
+#: Forecast of a request to a plain service, whose timings are not published, in seconds: a usual
+#: look-up; each full set of slots before it adds as much.
+PLAIN_SERVICE_S = 0.05
 #: Weight of the newest outcome in the mean of failures.
 FAILURE_WEIGHT = 0.15
 #: Added to the forecast per part of failed requests, in seconds.
@@ -290,7 +293,7 @@
         slots = max(1, record.slots if profile is None else profile.slots)
         over = occupied + 1 - slots
         if profile is None:
-            forecast = 0.01 * (1 + occupied / slots)
+            forecast = PLAIN_SERVICE_S * (1 + occupied / slots)
         else:
             room = LAST_ROOM + (URGENT_ROOM - LAST_ROOM) * need.urgency
             if over > room and not any_room:
--- a/sycamoreproxy/resend_budget.py
+++ b/sycamoreproxy/resend_budget.py
@@ -30,6 +30,14 @@
         self._resends: deque[float] = deque()
         self.entry_hosts = 0
 
+    def note_entry_hosts(self, count: int) -> None:
+        """Take the number of entry hosts that one process sees.
+
+        The highest number counts: in a zone that is cut off, a process sees only that zone's hosts
+        while those of the other zones go on sending.
+        """
+        self.entry_hosts = max(self.entry_hosts, count)
+
     def set_limits(self, *, ratio: float, slack: float, window_s: float) -> None:
         """Change the budget; what was counted before stays."""
         self._ratio, self._slack, self._window_s = ratio, slack, window_s
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -182,7 +182,7 @@
         )
         self._placer.entry_hosts = max(1, load.entry_hosts)
         for budget in self._budgets_by_service.values():
-            budget.entry_hosts = load.entry_hosts
+            budget.note_entry_hosts(load.entry_hosts)
         for record in self._beliefs.book.list_all():
             if str(record.address) == load.address:
                 self._placer.take_report(record.instance, report)
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -11,8 +11,8 @@
 from sycamoreproxy.metrics import WEIGHT_VERSION
 
 #: Part of the operator's bound after which older versions are no longer used. A request that
-#: waits at an engine begins later than it was sent.
-OLD_FRACTION = 0.9
+#: waits at an engine begins later than it was sent: behind more urgent ones, up to 1.2 s later.
+OLD_FRACTION = 0.85
 #: The same for a version that was named before this process started: how long ago is not known, so
 #: no older one is used.
 OLD_FRACTION_AT_START = 0.0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -168,3 +168,16 @@
     placer.end(running, failed=False)
     placer.retain(set())
     assert placer.describe() == {}
+
+
+@pytest.mark.parametrize(("own", "expected"), [(0, "i-1"), (6, "i-1"), (16, "i-2")])
+def test_plain_service_leaves_the_zone_when_its_upstream_is_busy(own: int, expected: str) -> None:
+    _, placer = make_placer()
+    need = Need(level=0)
+    near, far = make_upstream(1), make_upstream(2, zone="z2")
+    for _ in range(own):
+        choice = placer.choose([near], need, profile=None)
+        assert choice is not None
+        placer.begin(choice, need)
+    choice = placer.choose([near, far], need, profile=None)
+    assert choice is not None and choice.record.instance == expected
