Say 'not run' only if no attempt may have run; expect the version that the engine holds

Cause: found by reading. Change: the first failure after which a request may have run decides the answer; the version of the engine's report is expected; the place of a caller that left is given back.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -177,10 +177,12 @@
     async def _run(self, progress: Progress, reply: Reply) -> Refusal | None:
         """Send a request until it has an answer or no further upstream may take it."""
         budget = self._budget_for(progress.service.name)
+        # The first failure after which the request may have run; a later refusal does not undo it.
+        maybe_run: Refusal | None = None
         while True:
             choice = await self._place(progress)
             if isinstance(choice, Refusal):
-                return choice
+                return maybe_run or choice
             progress.attempts += 1
             progress.forecast_s = choice.forecast_s
             progress.load = (
@@ -200,8 +202,10 @@
             if ended.refusal is None:
                 return None
             progress.excluded.add(choice.record.instance)
+            if maybe_run is None and ended.refusal.executed is not Executed.NO:
+                maybe_run = ended.refusal
             if not ended.may_resend or not self._may_resend(progress, ended.refusal, budget):
-                return ended.refusal
+                return maybe_run or ended.refusal
             RESENDS.inc({"code": str(ended.refusal.code.number), "service": progress.service.name})
             _log.info(
                 "request resent",
@@ -259,6 +263,11 @@
         if isinstance(joined, Waiter):
             try:
                 choice = await joined.placed
+            except asyncio.CancelledError:
+                # The caller may leave in the same turn of the event loop in which it got its place.
+                if not joined.placed.cancelled() and (lost := joined.placed.result()) is not None:
+                    self._placer.end(lost, failed=None)
+                raise
             finally:
                 line.leave(joined)
             progress.waited_s = self._clock.monotonic() - joined.arrived_at
@@ -304,11 +313,7 @@
                 instance=choice.record.instance,
                 time_left_s=time_left,
                 account=progress.account,
-                weight_version=(
-                    self._targets.find_minimum(request.model) or None
-                    if progress.service.engine is not None
-                    else None
-                ),
+                weight_version=self._choose_expected_version(request.model, choice),
                 urgency=min(9, progress.level) if progress.service.engine is not None else None,
                 last_event_id=progress.splitter.last_id,
             ),
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -18,7 +18,7 @@
 from standins.platform import PlatformRunner, make_configuration, make_runner_routes
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
-from sycamoreproxy.placement import Placer
+from sycamoreproxy.placement import Need, Placer
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
 from sycamoreproxy.resend_budget import ResendBudget
@@ -391,3 +391,72 @@
         idle_writer.close()
 
     play(action)
+
+
+@pytest.mark.parametrize("second", [{"shed": 1}, None])
+def test_refusal_after_a_run_does_not_say_not_run(second: dict[str, Any] | None) -> None:
+    """The second upstream refused unrun, or there was none, but the first one had run the request."""
+
+    async def action(site: Site) -> None:
+        for faults in site.faults[2:]:
+            faults.replace({"drop_before_answer": 1})
+        if second is None:
+            site.replica.apply(Document("servers/i-3", 2, None), source="test")
+            site.front.dispatcher._book.note_replaced("i-3")
+        else:
+            site.faults[3].replace(second)
+        statuses = set()
+        for _ in range(4):
+            before = site.ran()
+            status, headers, _, _ = await site.ask("/read/x")
+            if site.ran() > before:
+                statuses.add(status)
+                assert "Retry-After" not in headers
+        assert statuses == {502}
+
+    play(action)
+
+
+def test_engine_with_a_newer_version_than_the_lowest_permitted_one_is_used() -> None:
+    """Requests expected the lowest permitted version, and engines with a newer one refused them."""
+
+    async def action(site: Site) -> None:
+        for number in range(2):
+            site.runners[number].version = 3
+            value = json.loads(site.replica.get(f"servers/i-{number}").value)  # type: ignore
+            value["models"] = [{"name": "m1", "version": 3}]
+            _put(site, f"servers/i-{number}", value)
+        _put(site, "op/version/m1", {"model": "m1", "version": 2})
+        status, _, body, whole = await site.ask("/ask/x", **GENERATION)
+        assert (status, body, whole) == (200, WHOLE, True)
+        assert sum(len(runner.received) for runner in site.runners) == 1
+        received = [headers for runner in site.runners for headers in runner.received]
+        assert received[0]["Sycamoreproxy-Expect-Version"] == "3"
+
+    play(action)
+
+
+def test_caller_that_leaves_while_it_gets_its_place_leaves_no_load_behind() -> None:
+    """Its request counted as load of the engine for the life of the process."""
+
+    async def action(site: Site) -> None:
+        dispatcher = site.front.dispatcher
+        placer = dispatcher._placer
+        for _ in range(20):
+            assert dispatcher._choose("model", Need(level=0, model="m1"), any_room=True) is not None
+        held = sum(len(placer.view(f"i-{number}").own_by_number) for number in range(2))
+        asking = asyncio.create_task(site.ask("/ask/x", **GENERATION))
+        await asyncio.sleep(0.1)
+        (line,) = dispatcher._lines_by_service.values()
+        assert len(line) == 1
+        (task,) = site.front.tasks
+        view = placer.view("i-0")
+        view.own_by_number.clear()
+        line.pump()
+        task.cancel()
+        await asyncio.sleep(0.05)
+        left = sum(len(placer.view(f"i-{number}").own_by_number) for number in range(2))
+        assert left < held and not view.own_by_number
+        asking.cancel()
+
+    play(action)
