Use tornado's reason phrases and name what a stop changes

Cause: read as a newcomer: a table of reason phrases stood beside the library's, and two imports hid in functions. Change: no behaviour but the phrase of statuses that the table lacked.

--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from sycamoreproxy.beliefs import Beliefs, Documents
 from sycamoreproxy.messages import EngineLoad, PeerStatus
@@ -124,8 +124,6 @@
     def _answer_ready(self, request: HTTPServerRequest) -> None:
         assert request.connection is not None
         status, reason = (200, "OK") if self.is_ready else (503, "Service Unavailable")
-        from tornado.httputil import HTTPHeaders
-
         request.connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, reason), HTTPHeaders({"Content-Length": "0"})
         )
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import replace
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -15,6 +16,7 @@
     HTTPServerConnectionDelegate,
     RequestStartLine,
     ResponseStartLine,
+    responses,
 )
 from tornado.iostream import StreamClosedError
 
@@ -28,17 +30,6 @@
 #: Margin over the idle time that callers may use, in seconds, so that a connection is not closed
 #: while a request is on its way.
 IDLE_MARGIN_S = 5.0
-#: Reason phrases of the statuses that the system answers with itself.
-_REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
 _log = get_logger("routed_http")
 
 
@@ -56,7 +47,7 @@
         self.has_started = True
         if self._is_leaving():
             headers["Connection"] = "close"
-        reason = _REASONS.get(status, "Unknown")
+        reason = responses.get(status, "Unknown")
         _ignore(
             self._connection.write_headers(
                 ResponseStartLine("HTTP/1.1", status, reason), headers, data or None
@@ -71,6 +62,7 @@
         """End the answer as complete."""
         self.is_finished = True
         if self._is_leaving():
+            # tornado decides this when it reads the request, which may have been before the stop.
             self._connection._disconnect_on_finish = True
         self._connection.finish()
 
@@ -97,7 +89,10 @@
 
 
 class _Exchange(HTTPMessageDelegate):
-    """Receives one request and runs its answer."""
+    """Receives one request and runs its answer.
+
+    :param on_head: called when the head of the request has arrived.
+    """
 
     def __init__(
         self,
@@ -136,7 +131,7 @@
             return
         request = self._request
         if self._parts:
-            request = _with_body(request, b"".join(self._parts))
+            request = replace(request, body=b"".join(self._parts))
         self._task = asyncio.create_task(self._answer(request, reply))
         self._connection.set_close_callback(self._cancel)
         self._front.tasks.add(self._task)
@@ -165,12 +160,6 @@
                 reply.abort()
 
 
-def _with_body(request: CallerRequest, body: bytes) -> CallerRequest:
-    from dataclasses import replace
-
-    return replace(request, body=body)
-
-
 class RoutedFront(HTTPServerConnectionDelegate):
     """Takes callers' requests.
 
