Answer requests that are being received when a host stops

The trace of the first: the request's body came while the last connections were closed, as no request was in progress; it was passed on and its connection closed 1 ms later. Change: a stop also waits for requests whose head has arrived. Measured: the test fails before and passes after.

--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -30,6 +30,9 @@
 #: Margin over the idle time that callers may use, in seconds, so that a connection is not closed
 #: while a request is on its way.
 IDLE_MARGIN_S = 5.0
+#: Time between two looks at requests that are still being received at a stop, in seconds.
+RECEIVING_PAUSE_S = 0.01
+
 _log = get_logger("routed_http")
 
 
@@ -114,6 +117,7 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._on_head()
+        self._front.receiving.add(self)
         try:
             self._request = self._front.dialect.read_request(start_line, headers)
         except BadRequestError as error:
@@ -123,6 +127,7 @@
         self._parts.append(chunk)
 
     def finish(self) -> None:
+        self._front.receiving.discard(self)
         reply = CallerReply(self._connection, is_leaving=self._front.is_leaving)
         if self._request is None:
             reply.refuse(
@@ -138,6 +143,7 @@
         self._task.add_done_callback(self._front.tasks.discard)
 
     def on_connection_close(self) -> None:
+        self._front.receiving.discard(self)
         self._cancel()
 
     def _cancel(self) -> None:
@@ -170,6 +176,8 @@
         self.dispatcher = dispatcher
         self.dialect = dialect
         self.tasks: set[asyncio.Task[None]] = set()
+        #: Requests whose head has arrived and whose body has not.
+        self.receiving: set[_Exchange] = set()
         self._leaving = False
         self._server: HTTPServer | None = None
         #: Connections that wait for the head of a request, by tornado's connection of the server.
@@ -230,8 +238,11 @@
             connection.close()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
-        while self.tasks and loop.time() < deadline:
-            await asyncio.wait(self.tasks, timeout=deadline - loop.time())
+        while (self.tasks or self.receiving) and loop.time() < deadline:
+            if self.tasks and not self.receiving:
+                await asyncio.wait(self.tasks, timeout=deadline - loop.time())
+            else:
+                await asyncio.sleep(RECEIVING_PAUSE_S)
         if self.tasks:
             _log.warning("requests cut at the end of the grace period", requests=len(self.tasks))
         for task in list(self.tasks):
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -460,3 +460,24 @@
         asking.cancel()
 
     play(action)
+
+
+def test_request_that_is_being_received_at_a_stop_is_answered() -> None:
+    """Its connection was closed right after it had been passed on, as no request was in progress."""
+
+    async def action(site: Site) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(
+            b"POST /read/x HTTP/1.1\r\nHost: office.example\r\nSycamoreproxy-Request-Id: a\r\n"
+            b"Sycamoreproxy-Deadline-Ms: 1900\r\nX-Api-Key: office-key\r\nContent-Length: 4\r\n\r\n"
+        )
+        await asyncio.sleep(0.1)
+        closing = asyncio.create_task(site.front.close(wait_s=3))
+        await asyncio.sleep(0.1)
+        writer.write(b"body")
+        status, _, body, _ = await _read_answer(reader)
+        assert status == 200 and json.loads(body)["body"] == "body"
+        await closing
+        writer.close()
+
+    play(action)
