Do not pass on a request whose connection has closed

A stop closed an idle connection whose next request had just been read; tornado still delivered it, and a deposit was run at 17.314 s, 11 ms after its caller saw the connection closed. Change: a request is dropped if its connection is closed when its last byte is delivered. Measured: the test fails before and passes after.

--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -128,6 +128,10 @@
 
     def finish(self) -> None:
         self._front.receiving.discard(self)
+        stream = self._connection.stream
+        if stream is None or stream.closed():
+            # What was read before the connection closed is still delivered; its caller is gone.
+            return
         reply = CallerReply(self._connection, is_leaving=self._front.is_leaving)
         if self._request is None:
             reply.refuse(
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -481,3 +481,24 @@
         writer.close()
 
     play(action)
+
+
+def test_request_on_a_closed_connection_is_not_passed_on() -> None:
+    """A deposit that had been read when a stop closed its connection was run without an answer."""
+
+    async def action(site: Site) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(
+            b"POST /post/x HTTP/1.1\r\nHost: office.example\r\nSycamoreproxy-Request-Id: a\r\n"
+            b"Sycamoreproxy-Deadline-Ms: 1900\r\nX-Api-Key: office-key\r\nContent-Length: 4\r\n\r\n"
+        )
+        await asyncio.sleep(0.1)
+        (exchange,) = site.front.receiving
+        exchange._connection.close()
+        exchange.data_received(b"body")
+        exchange.finish()
+        await asyncio.sleep(0.1)
+        assert site.ran() == 0 and not site.front.tasks
+        writer.close()
+
+    play(action)
