Make the test of a closed connection fail without its guard

Change: the test lets the close be handled before the last byte is delivered. Measured: fails on the code before the guard, passes after. Conclusion: the guard is tested now.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -495,6 +495,7 @@
         await asyncio.sleep(0.1)
         (exchange,) = site.front.receiving
         exchange._connection.close()
+        await asyncio.sleep(0.05)
         exchange.data_received(b"body")
         exchange.finish()
         await asyncio.sleep(0.1)
