Take a request back from an engine before the bound of its version

A request reached an engine 0.5 s after it was sent, over a link that weights filled, waited 2.1 s there and began 8.58 s after the next version was named. Change: a request without output is taken back 0.5 s before the bound and sent elsewhere or refused; only requests that may be repeated, as streams that resume.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -170,6 +170,9 @@
             self.set_header("Sycamoreproxy-Not-Executed", "1")
             self.write_json({}, 503)
             return
+        await asyncio.sleep(float(faults.get("stall_s", 0)))
+        if self._left:
+            return
         runner.ran[request_id] += 1
         if faults.strikes("drop_before_answer"):
             self.drop_connection()
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -42,6 +42,9 @@
 PATIENCE_S = 1.0
 #: A stream that resumes goes on elsewhere after this many of its longest pauses without an event.
 GAP_PATIENCE = 3.0
+#: A request that has not begun is taken back from an engine this time before its version may no longer
+#: begin a request, in seconds: a link that weights fill delays the close by up to half of it.
+VERSION_MARGIN_S = 0.5
 #: Shortest time left with which a request is sent, in seconds: less does not reach the upstream.
 MIN_TIME_LEFT_S = 0.03
 #: Part of a route's time limit below which the time left shows that the caller was refused before.
@@ -396,6 +399,9 @@
         first_limit = started_at + (
             choice.forecast_s + PATIENCE_GOALS * progress.route.goal_s + PATIENCE_S
         )
+        if choice.version:
+            ends_at = self._targets.find_end(progress.request.model, choice.version)
+            first_limit = min(first_limit, ends_at - VERSION_MARGIN_S)
         try:
             if not progress.route.repeatable:
                 await exchange
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -25,10 +25,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Target:
-    """A named version; from ``binds_at`` (monotonic seconds) on no older one may answer."""
+    """A named version.
+
+    :param binds_at: monotonic time from which on no request is sent to an older one, in seconds.
+    :param ends_at: monotonic time from which on no request may begin on an older one, in seconds.
+    """
 
     version: int
     binds_at: float
+    ends_at: float
 
 
 class WeightTargets:
@@ -63,7 +68,8 @@
         now = self._clock.monotonic()
         fraction = OLD_FRACTION_AT_START if is_first_read else OLD_FRACTION
         binds_at = now + fraction * self._bound_s if self._bound_s else math.inf
-        targets.append(_Target(version, binds_at))
+        ends_at = now if is_first_read else now + self._bound_s
+        targets.append(_Target(version, binds_at, ends_at if self._bound_s else math.inf))
         # Of the targets that bind, only the newest matters.
         while len(targets) > 1 and targets[1].binds_at <= now:
             targets.pop(0)
@@ -89,6 +95,11 @@
         ]
         return max(0.0, binds_at[0] - self._clock.monotonic()) if binds_at else 0.0
 
+    def find_end(self, model: str, version: int) -> float:
+        """Return the monotonic time from which on no request may begin on a version, in seconds."""
+        targets = self._targets_by_model.get(model, ())
+        return min((t.ends_at for t in targets if t.version > version), default=math.inf)
+
     def find_minimum(self, model: str) -> int:
         """Return the lowest version that may begin a request now, 0 for any."""
         now = self._clock.monotonic()
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -503,3 +504,19 @@
         writer.close()
 
     play(action)
+
+
+def test_request_that_has_not_begun_is_taken_back_before_the_bound_of_its_version() -> None:
+    """It waited 2.1 s at a full engine and began 0.6 s after the bound."""
+
+    async def action(site: Site) -> None:
+        for faults in site.faults[:2]:
+            faults.replace({"stall_s": 5})
+        site.front.dispatcher._targets.set_bound(0.8)
+        site.front.dispatcher._targets.set_target("m1", 2, is_first_read=False)
+        asked_at = time.monotonic()
+        status, _, _, _ = await site.ask("/ask/x", **GENERATION)
+        assert status == 504 and time.monotonic() - asked_at < 0.8
+        assert sum(runner.ran.total() for runner in site.runners[:2]) == 0
+
+    play(action)
--- a/tests/test_weight_targets.py
+++ b/tests/test_weight_targets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from sycamoreproxy.clock import ManualClock
@@ -58,3 +60,10 @@
     assert targets.time_to_bind_s("m", 3) == pytest.approx(6.8)
     clock.advance(5)
     assert targets.time_to_bind_s("m", 2) == 0.0
+
+
+@pytest.mark.parametrize(("version", "expected"), [(1, 8.0), (2, 12.0), (3, math.inf)])
+def test_end_of_a_version_is_the_bound_of_the_next(version: int, expected: float) -> None:
+    """A request that waited at an engine began on a version after its bound."""
+    _, targets = make_targets((0, 2), (4, 3))
+    assert targets.find_end("m", version) == expected
