--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import random
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -514,9 +513,9 @@
             faults.replace({"stall_s": 5})
         site.front.dispatcher._targets.set_bound(0.8)
         site.front.dispatcher._targets.set_target("m1", 2, is_first_read=False)
-        asked_at = time.monotonic()
         status, _, _, _ = await site.ask("/ask/x", **GENERATION)
-        assert status == 504 and time.monotonic() - asked_at < 0.8
+        assert status == 504
+        assert [len(runner.received) for runner in site.runners[:2]] == [1, 1]
         assert sum(runner.ran.total() for runner in site.runners[:2]) == 0
 
     play(action)
