Make the test of a request that is taken back fail without its change

Change: the caller's deadline is shorter than the patience. Measured: fails without the change (code 1307), passes with it. Conclusion: the change is tested now.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -513,8 +513,8 @@
             faults.replace({"stall_s": 5})
         site.front.dispatcher._targets.set_bound(0.8)
         site.front.dispatcher._targets.set_target("m1", 2, is_first_read=False)
-        status, _, body, _ = await site.ask("/ask/x", **GENERATION)
-        # Without it, the route's time limit ends the request (1307).
+        # Without it, the caller's deadline ends the request (1307).
+        status, _, body, _ = await site.ask("/ask/x", Sycamoreproxy_Deadline_Ms="900", **GENERATION)
         assert status == 504 and json.loads(body)["error"]["code"] == 1303
         assert sum(runner.ran.total() for runner in site.runners[:2]) == 0
 
