Add a fault soak of real processes

The older soak plays the parts in model time.

Checks of what callers and upstreams saw are a registry too.

--- /dev/null
+++ b/bench/soak_checks.py
@@ -0,0 +1,168 @@
+"""Promises that the fault soak checks from what callers and upstreams saw."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+
+from bench.soak_callers import STREAM, Outcome
+from bench.soak_site import CONFIG_S, LEAVE_S, TIMEOUT_S, Site
+from sycamoreproxy.registry import Registry
+
+#: Time beyond a route's limit after which a request must have its end, in seconds: the users' bound.
+LATE_S = 0.5
+
+Check = Callable[[Site, list[Outcome]], Iterator[str]]
+
+#: Checks by the promise that they guard.
+checks: Registry[Check] = Registry("check")
+
+
+def find_violations(site: Site, outcomes: list[Outcome]) -> list[str]:
+    """Return what was seen against a promise, as ``PROMISE: what``."""
+    return [
+        f"{name}: {what}"
+        for name in checks.list_names()
+        for what in checks.get(name)(site, outcomes)
+    ]
+
+
+def _count_runs(site: Site) -> Counter[str]:
+    runs: Counter[str] = Counter()
+    for upstream in (*site.upstreams, *site.retired):
+        runs.update(upstream.runner.ran)
+    return runs
+
+
+@checks.register("answers are whole and belong to their requests")
+def check_answers(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """No success may be unsigned, changed, incomplete or another request's."""
+    for seen in outcomes:
+        if seen.echoed_id and seen.echoed_id != seen.request_id:
+            yield f"{seen.request_id} got the answer of {seen.echoed_id}"
+        if not 200 <= seen.status < 300:
+            continue
+        if not seen.is_signed:
+            yield f"{seen.request_id} got a success that no runner signed"
+        if seen.is_whole and seen.body != seen.expected_body:
+            yield f"{seen.request_id} got {seen.body!r} as a whole answer"
+        if seen.kind == "ask" and not STREAM.startswith(seen.body):
+            yield f"{seen.request_id} got events out of order: {seen.body!r}"
+
+
+@checks.register("non-idempotent requests run once at most")
+def check_runs(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """A post that ran twice books twice."""
+    runs = _count_runs(site)
+    for seen in outcomes:
+        if seen.kind == "post" and runs[seen.request_id] > 1:
+            yield f"{seen.request_id} ran {runs[seen.request_id]} times"
+
+
+@checks.register("a refusal that says not run is true")
+def check_refusals(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """A caller repeats a request that was refused so."""
+    runs = _count_runs(site)
+    for seen in outcomes:
+        if seen.kind == "post" and seen.status in (408, 421, 429, 503) and runs[seen.request_id]:
+            yield f"{seen.request_id} was answered {seen.status} and has run"
+
+
+@checks.register("only callers' requests run, for their account")
+def check_requests(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """No run without a caller, and no key beyond the entry hosts."""
+    asked = {seen.request_id for seen in outcomes}
+    for request_id in _count_runs(site):
+        if request_id and request_id not in asked:
+            yield f"{request_id} ran and was not asked for"
+    for upstream in (*site.upstreams, *site.retired):
+        for headers in upstream.runner.received:
+            if "X-Api-Key" in headers:
+                yield f"{upstream.runner.instance} received a key"
+            if headers.get("Sycamoreproxy-Request-Id") and (
+                headers.get("Sycamoreproxy-Tenant") != "office"
+            ):
+                yield f"{headers['Sycamoreproxy-Request-Id']} came without its account"
+
+
+@checks.register("a request that was passed on is answered while its process lives")
+def check_lost(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """A stop, a reload or a fault of others is no reason to close a connection in silence."""
+    arrived = {
+        request_id
+        for upstream in (*site.upstreams, *site.retired)
+        for _, request_id in upstream.runner.arrived
+    }
+    for seen in outcomes:
+        was_killed = seen.ended_at >= seen.host.killed_at.get(seen.lifetime, math.inf)
+        if seen.status == 0 and seen.request_id in arrived and not was_killed:
+            yield f"{seen.request_id} was passed on by {seen.host.name} and not answered"
+
+
+@checks.register("every request ends by its route's time limit")
+def check_time_limits(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """A caller that hangs can't turn elsewhere."""
+    for seen in outcomes:
+        if seen.took_s > TIMEOUT_S + LATE_S and not _was_disturbed(seen):
+            yield f"{seen.request_id} at {seen.host.name} took {seen.took_s:.2f} s"
+
+
+def _was_disturbed(seen: Outcome) -> bool:
+    return seen.host.was_disturbed(seen.sent_at, seen.ended_at)
+
+
+@checks.register("no process goes back to an older configuration")
+def check_regress(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """Once a process has served a new route it must know that route."""
+    newest: dict[tuple[str, int], int] = defaultdict(int)
+    for seen in sorted(outcomes, key=lambda seen: seen.sent_at):
+        if not seen.kind.startswith("new-"):
+            continue
+        version = int(seen.kind.removeprefix("new-"))
+        life = (seen.host.name, seen.lifetime)
+        if seen.status == 200:
+            newest[life] = max(newest[life], version)
+        elif seen.status == 404 and version <= newest[life]:
+            yield f"{seen.request_id}: {seen.host.name} forgot route {seen.kind}"
+
+
+@checks.register("configurations are in force in time")
+def check_configurations(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """Hosts that nothing disturbs serve a new route within the bound."""
+    for seen in outcomes:
+        if not seen.kind.startswith("new-") or seen.status != 404:
+            continue
+        since = seen.sent_at - site.acknowledged_at[int(seen.kind.removeprefix("new-"))]
+        if since > CONFIG_S and not _was_disturbed(seen):
+            yield f"{seen.request_id}: {seen.host.name} refused {seen.kind} {since:.2f} s after its ack"
+
+
+@checks.register("a runner that leaves gets nothing after the bound")
+def check_draining(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """The operator takes the runner away after that time."""
+    by_id = {seen.request_id: seen for seen in outcomes}
+    for upstream in (*site.upstreams, *site.retired):
+        if not upstream.draining_since:
+            continue
+        for at, request_id in upstream.runner.arrived:
+            seen = by_id.get(request_id)
+            if seen is None or _was_disturbed(seen) or at <= upstream.draining_since + LEAVE_S:
+                continue
+            yield f"{request_id} reached {upstream.runner.instance} {at - upstream.draining_since:.2f} s"
+
+
+@checks.register("engines load whole versions only")
+def check_weights(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """A missing, spoilt or foreign chunk makes wrong answers."""
+    for upstream in (*site.upstreams, *site.retired):
+        for version in upstream.runner.broken_loads:
+            yield f"{upstream.runner.instance} was ordered to load {version} from bad chunks"
+
+
+@checks.register("processes end only when told to, and then in order")
+def check_exits(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """A process that ends by itself takes its requests with it."""
+    for host in site.hosts:
+        for what in host.bad_exits:
+            yield f"{host.name}: {what}"
--- /dev/null
+++ b/bench/soak_faults.py
@@ -0,0 +1,193 @@
+"""Faults of the fault soak, each a coroutine that disturbs, waits and sets right again."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from bench.relay import Relay
+from bench.soak_site import STOP_S, Host, Site, Upstream
+from sycamoreproxy.registry import Registry
+
+#: Longest pause of a process and longest fault of a connection or of the store, in seconds.
+MAX_FAULT_S = 4.0
+
+Fault = Callable[[Site, random.Random], Awaitable[None]]
+
+#: Faults by name.
+faults: Registry[Fault] = Registry("fault")
+
+
+@faults.register("kill")
+async def kill(site: Site, draw: random.Random) -> None:
+    """Kill a process, perhaps one that is stopping."""
+    host = draw.choice(site.hosts)
+    host.restart_after_s = draw.uniform(0.0, 1.5)
+    host.kill()
+
+
+@faults.register("herd kill")
+async def kill_herd(site: Site, draw: random.Random) -> None:
+    """Kill most processes at once."""
+    for host in draw.sample(site.hosts, k=max(2, len(site.hosts) * 2 // 3)):
+        host.restart_after_s = draw.uniform(0.0, 1.0)
+        host.kill()
+
+
+@faults.register("stop")
+async def stop(site: Site, draw: random.Random) -> None:
+    """Stop a process by SIGTERM."""
+    await _stop(draw.choice(site.hosts))
+
+
+@faults.register("rolling restart")
+async def restart_in_turn(site: Site, draw: random.Random) -> None:
+    """Stop the entry hosts one after the other, while others are still draining."""
+    tasks = []
+    for host in draw.sample(site.entries, k=len(site.entries)):
+        tasks.append(asyncio.create_task(_stop(host)))
+        await asyncio.sleep(draw.uniform(0.5, 2.0))
+    await asyncio.gather(*tasks)
+
+
+async def _stop(host: Host) -> None:
+    lifetime, stopped_at = host.lifetime, time.monotonic()
+    host.restart_after_s = 0.1
+    host.stop()
+    while host.lifetime == lifetime and host.is_running:
+        await asyncio.sleep(0.1)
+        now = time.monotonic()
+        # A process that was paused meanwhile has lost that time.
+        if now - stopped_at > STOP_S + 1.0 and not host.was_disturbed(stopped_at, now):
+            host.bad_exits.append(f"lifetime {lifetime} runs {STOP_S + 1} s after SIGTERM")
+            return
+
+
+@faults.register("pause")
+async def pause(site: Site, draw: random.Random) -> None:
+    """Stop a process from running for a time."""
+    host, for_s = draw.choice(site.hosts), draw.uniform(0.2, MAX_FAULT_S)
+    host.disturb(for_s)
+    host.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(for_s)
+    host.send_signal(signal.SIGCONT)
+
+
+@faults.register("hang up")
+async def hang_up(site: Site, draw: random.Random) -> None:
+    """Tell processes to read their settings again, some of them twice."""
+    for host in draw.choices(site.hosts, k=3):
+        host.send_signal(signal.SIGHUP)
+        await asyncio.sleep(draw.uniform(0.0, 0.3))
+
+
+@faults.register("store path")
+async def disturb_store_path(site: Site, draw: random.Random) -> None:
+    """Disturb the connections between a process and the store."""
+    host, for_s = draw.choice(site.hosts), draw.uniform(0.5, MAX_FAULT_S)
+    host.disturb(for_s)
+    await _disturb(host.store, draw, for_s)
+
+
+@faults.register("peer path")
+async def disturb_peer_path(site: Site, draw: random.Random) -> None:
+    """Disturb the streams between the entry hosts and the process beside an engine."""
+    host, for_s = draw.choice(site.engine_hosts), draw.uniform(0.5, MAX_FAULT_S)
+    assert host.peers is not None
+    await _disturb(host.peers, draw, for_s)
+
+
+@faults.register("runner path")
+async def disturb_runner_path(site: Site, draw: random.Random) -> None:
+    """Disturb the connections to a runner."""
+    await _disturb(draw.choice(site.upstreams).relay, draw, draw.uniform(0.5, MAX_FAULT_S))
+
+
+async def _disturb(relay: Relay, draw: random.Random, for_s: float) -> None:
+    way = draw.choice(["delay", "reset", "cut", "to target", "to caller", "both"])
+    if way == "delay":
+        relay.delay_s = draw.uniform(0.02, 0.4)
+    elif way == "reset":
+        relay.reset()
+    elif way == "cut":
+        relay.cut()
+    else:
+        relay.silence(to_target=way != "to caller", to_caller=way != "to target")
+    await asyncio.sleep(for_s)
+    if way in ("to target", "to caller", "both") and draw.random() < 0.5:
+        # A path that was lost for long ends with a reset about as often as it recovers.
+        relay.reset()
+    relay.delay_s = 0.0
+    relay.let_through()
+    relay.join()
+
+
+@faults.register("store")
+async def disturb_store(site: Site, draw: random.Random) -> None:
+    """Take the store away or drop its history."""
+    for_s = draw.uniform(0.5, MAX_FAULT_S)
+    for host in site.hosts:
+        host.disturb(for_s)
+    site.store_faults.replace({draw.choice(["down", "history_lost"]): 1})
+    await asyncio.sleep(for_s)
+    site.store_faults.replace({})
+
+
+@faults.register("origin")
+async def disturb_origin(site: Site, draw: random.Random) -> None:
+    """Take the origin of weights away."""
+    site.origin_faults.replace({"down": 1})
+    await asyncio.sleep(draw.uniform(0.5, MAX_FAULT_S))
+    site.origin_faults.replace({})
+
+
+@faults.register("runner")
+async def disturb_runner(site: Site, draw: random.Random) -> None:
+    """Let a runner fail, refuse, answer for others, break off or stall."""
+    upstream = draw.choice(site.upstreams)
+    upstream.faults.replace(
+        draw.choice(
+            [
+                {"fail": 500},
+                {"fail": 503},
+                {"shed": 0.5},
+                {"drop_before_answer": 0.5},
+                {"wrong_id": 0.3},
+                {"cut_after_events": 2},
+                {"stall_s": 1.0},
+                {"event_s": 0.2, "delay_ms": 300},
+            ]
+        )
+    )
+    await asyncio.sleep(draw.uniform(0.5, MAX_FAULT_S))
+    upstream.faults.replace({})
+
+
+@faults.register("configuration")
+async def change_configuration(site: Site, draw: random.Random) -> None:
+    """Put configurations into force in quick succession."""
+    for _ in range(draw.randint(1, 4)):
+        await site.configure()
+        await asyncio.sleep(draw.uniform(0.0, 0.8))
+
+
+@faults.register("weights")
+async def name_weights(site: Site, draw: random.Random) -> None:
+    """Name one or two versions of the weights."""
+    for _ in range(draw.randint(1, 2)):
+        await site.name_weights()
+        await asyncio.sleep(draw.uniform(0.2, 3.0))
+
+
+@faults.register("replacement")
+async def replace_runner(site: Site, draw: random.Random) -> None:
+    """Let a runner leave and another incarnation take its address."""
+    upstream: Upstream = draw.choice(site.upstreams)
+    if upstream.draining_since:
+        return
+    await site.drain_upstream(upstream)
+    await asyncio.sleep(draw.uniform(0.5, MAX_FAULT_S))
+    await site.replace_upstream(upstream)
--- /dev/null
+++ b/bench/soak_processes.py
@@ -0,0 +1,200 @@
+"""Fault soak of real processes: random faults from outside while callers keep asking.
+
+``python -m bench.soak_processes --seed 7`` plays one seed, ``--seeds 50`` fresh seeds one after the
+other. The faults and their times follow from the seed; the order of events within a run does not.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Coroutine, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.soak_callers import Caller, Outcome
+from bench.soak_checks import find_violations
+from bench.soak_faults import faults
+from bench.soak_site import START_S, VERSION_S, Site
+
+#: Time in which faults begin, in seconds.
+FAULTS_S = 14.0
+#: Time after the last fault until the site serves everything again, in seconds: the users' bound.
+RECOVERY_S = 12.0
+#: Faults that begin in one run, fewest and most.
+FAULTS_MIN, FAULTS_MAX = 6, 14
+#: Callers of each entry host.
+CALLERS = 4
+#: Requests to each entry host after the recovery, all of which must be served.
+FINAL_REQUESTS = 8
+#: Pause between two requests of the caller that asks for the newest route, in seconds.
+PROBE_S = 0.2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """Result of one run.
+
+    :param faults: names of the faults in the order of their start.
+    :param violations: what was seen against a promise.
+    """
+
+    seed: int
+    faults: tuple[str, ...]
+    violations: tuple[str, ...]
+    by_status: dict[int, int]
+    took_s: float
+    directory: Path
+
+    def __str__(self) -> str:
+        """Return the result in lines of text."""
+        statuses = ", ".join(f"{status}: {n}" for status, n in sorted(self.by_status.items()))
+        lines = [
+            f"seed {self.seed}: {len(self.violations)} violations in {self.took_s:.0f} s;"
+            f" answers {statuses}; faults {', '.join(self.faults)}"
+        ]
+        lines += [f"  {violation}" for violation in self.violations]
+        if self.violations:
+            lines.append(f"  logs: {self.directory}")
+        return "\n".join(lines)
+
+
+async def play(seed: int, *, entries: int = 3, engines: int = 4) -> Result:
+    """Play one seed.
+
+    :raises TimeoutError: if the site does not serve before the first fault.
+    """
+    draw = random.Random(seed)
+    started = time.monotonic()
+    directory = Path(tempfile.mkdtemp(prefix=f"sycamore-soak-{seed}-"))
+    site = Site(octet=20 + os.getpid() % 200, directory=directory, entries=entries, engines=engines)
+    outcomes: list[Outcome] = []
+    tasks: list[asyncio.Task[None]] = []
+    is_over = asyncio.Event()
+    try:
+        await site.start()
+        await _wait_serving(site)
+        callers = _start_callers(site, outcomes, draw, until=is_over)
+        tasks = [asyncio.create_task(caller) for caller in callers]
+        names = await _play_faults(site, draw)
+        violations = await _check_recovery(site, outcomes)
+        is_over.set()
+        await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await site.close()
+    violations += find_violations(site, outcomes)
+    if not violations:
+        shutil.rmtree(directory)
+    return Result(
+        seed=seed,
+        faults=tuple(names),
+        violations=tuple(violations),
+        by_status=dict(Counter(seen.status for seen in outcomes)),
+        took_s=time.monotonic() - started,
+        directory=directory,
+    )
+
+
+async def _wait_serving(site: Site) -> None:
+    """Wait until every entry host serves; this is before the first fault."""
+    seen: list[Outcome] = []
+    async with asyncio.timeout(30):
+        for host in site.entries:
+            caller = Caller(name=f"start-{host.name}", host=host, outcomes=seen)
+            while (outcome := await caller.ask("ask")) is None or outcome.status != 200:
+                await asyncio.sleep(0.1)
+            caller.close()
+    for host in site.hosts:
+        host.disturbed.clear()
+    for upstream in site.upstreams:
+        upstream.runner.ran.clear()
+        upstream.runner.received.clear()
+        upstream.runner.arrived.clear()
+
+
+def _start_callers(
+    site: Site, outcomes: list[Outcome], draw: random.Random, *, until: asyncio.Event
+) -> Iterator[Coroutine[None, None, None]]:
+    for host in site.entries:
+        for number in range(CALLERS):
+            caller = Caller(name=f"{host.name}-{number}", host=host, outcomes=outcomes)
+            yield caller.run(random.Random(draw.random()), until=until)
+        prober = Caller(name=f"{host.name}-probe", host=host, outcomes=outcomes)
+        yield _probe(site, prober, until=until)
+
+
+async def _probe(site: Site, caller: Caller, *, until: asyncio.Event) -> None:
+    """Ask for the newest route, each time on the connection that is open."""
+    while not until.is_set():
+        await caller.ask(f"new-{site.config_version}")
+        await asyncio.sleep(PROBE_S)
+
+
+async def _play_faults(site: Site, draw: random.Random) -> list[str]:
+    """Begin faults at random times and wait until all are over; return their names."""
+    names = faults.list_names()
+    plan = sorted(
+        (draw.uniform(0.0, FAULTS_S), draw.choice(names), draw.random())
+        for _ in range(draw.randint(FAULTS_MIN, FAULTS_MAX))
+    )
+
+    async def begin(at: float, name: str, part: float) -> None:
+        await asyncio.sleep(at)
+        await faults.get(name)(site, random.Random(part))
+
+    await asyncio.gather(*(begin(*item) for item in plan))
+    return [name for _, name, _ in plan]
+
+
+async def _check_recovery(site: Site, outcomes: list[Outcome]) -> list[str]:
+    """Return what is not served a recovery's time after the last fault."""
+    await asyncio.sleep(max(RECOVERY_S, VERSION_S + START_S))
+    found = []
+    for host in site.entries:
+        caller = Caller(name=f"final-{host.name}", host=host, outcomes=outcomes)
+        for number in range(FINAL_REQUESTS):
+            kind = ("ask", "read", "post", f"new-{site.config_version}")[number % 4]
+            seen = await caller.ask(kind)
+            if seen is None or seen.status != 200 or not seen.is_whole:
+                status = "no connection" if seen is None else f"status {seen.status}"
+                found.append(f"recovery: {kind} at {host.name}: {status}")
+        caller.close()
+    for upstream in site.upstreams:
+        runner = upstream.runner
+        if upstream.service == "model" and runner.version != site.weight_version:
+            found.append(
+                f"recovery: {runner.instance} serves weights {runner.version},"
+                f" {site.weight_version} are named"
+            )
+    return found
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Play seeds; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description="fault soak of real processes")
+    parser.add_argument("--seed", type=int, help="the only seed, or the first")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument("--entries", type=int, default=3, help="entry hosts")
+    parser.add_argument("--engines", type=int, default=4, help="hosts of engines")
+    options = parser.parse_args(arguments)
+    first = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 31)
+    broken = 0
+    for seed in range(first, first + options.seeds):
+        result = asyncio.run(play(seed, entries=options.entries, engines=options.engines))
+        print(result, flush=True)
+        broken += bool(result.violations)
+    print(f"{options.seeds} seeds from {first}, {broken} with violations")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
