Bound the engines that a host follows; send nothing more to a mute engine

Cause: (1) load reports went from every engine to every entry host 20 times a second, so their number grew with the product of both.

An engine with two overdue requests and no output since, or with an open breaker, gets only trials while others answer: waiting for room comes first.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -80,7 +80,7 @@
     is_over = asyncio.Event()
     try:
         await site.start()
-        await _wait_serving(site)
+        await _wait_serving(site, outcomes)
         callers = _start_callers(site, outcomes, draw, until=is_over)
         tasks = [asyncio.create_task(caller) for caller in callers]
         names = await _play_faults(site, draw)
@@ -92,9 +92,7 @@
             task.cancel()
         await site.close()
     violations += find_violations(site, outcomes)
-    if not violations:
-        shutil.rmtree(directory)
-    return Result(
+    result = Result(
         seed=seed,
         faults=tuple(names),
         violations=tuple(violations),
@@ -102,23 +100,21 @@
         took_s=time.monotonic() - started,
         directory=directory,
     )
+    if violations:
+        (directory / "result.txt").write_text(f"{result}\n", encoding="utf-8")
+    else:
+        shutil.rmtree(directory)
+    return result
 
 
-async def _wait_serving(site: Site) -> None:
+async def _wait_serving(site: Site, outcomes: list[Outcome]) -> None:
     """Wait until every entry host serves; this is before the first fault."""
-    seen: list[Outcome] = []
     async with asyncio.timeout(30):
         for host in site.entries:
-            caller = Caller(name=f"start-{host.name}", host=host, outcomes=seen)
+            caller = Caller(name=f"start-{host.name}", host=host, outcomes=outcomes)
             while (outcome := await caller.ask("ask")) is None or outcome.status != 200:
                 await asyncio.sleep(0.1)
             caller.close()
-    for host in site.hosts:
-        host.disturbed.clear()
-    for upstream in site.upstreams:
-        upstream.runner.ran.clear()
-        upstream.runner.received.clear()
-        upstream.runner.arrived.clear()
 
 
 def _start_callers(
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -484,7 +484,6 @@
     :param address: ``IP:PORT`` of the engine.
     :param running: requests in the batch.
     :param waiting: requests that the engine has accepted and not begun.
-    :param memory_used: tokens in the KV cache.
     :param pace: factor on the published timings; over 1 is slower.
     :param is_loading: whether the engine takes no new requests because it loads weights.
     :param versions: versions of the weights by model.
@@ -494,8 +493,6 @@
     address: str
     running: int
     waiting: int
-    memory_used: int
-    memory_total: int
     pace: float
     is_loading: bool
     versions: IntByName = field(default_factory=dict)
--- a/sycamoreproxy/peers.py
+++ b/sycamoreproxy/peers.py
@@ -156,10 +156,13 @@
         """Call ``listener(peer)`` after a stream closed."""
         self._close_listeners.append(listener)
 
-    def broadcast(self, message: object, *, role: str | None = None) -> None:
-        """Send a message to every peer, or to every peer of a role."""
+    def broadcast(
+        self, message: object, *, role: str | None = None, availability_zone: str | None = None
+    ) -> None:
+        """Send a message to every peer, or to those of a role and of an availability zone."""
         for peer in list(self._peers):
-            if role is None or peer.hello.role == role:
+            hello = peer.hello
+            if role in (None, hello.role) and availability_zone in (None, hello.availability_zone):
                 peer.send(message)
 
     def set_targets(self, addresses: set[Address]) -> None:
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from sycamoreproxy.clock import Clock
@@ -41,6 +41,15 @@
 FAILURE_WEIGHT = 0.15
 #: Added to the forecast per part of failed requests, in seconds.
 FAILURE_PENALTY_S = 1.0
+#: Time beyond its forecast after which a request without output is overdue, in seconds: more than a
+#: prompt that is read before it takes, less than callers of urgent requests wait.
+OVERDUE_S = 0.5
+#: Overdue requests with which an engine that sent nothing since is taken for mute; a single one may
+#: be a lost answer.
+MUTE_OVERDUE = 2
+#: Added to the forecast of an upstream that is mute or fails every request, in seconds: more than any
+#: wait, so that it is used only where no other upstream exists.
+LAST_RESORT_S = 10.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,8 +64,6 @@
     at: float
     running: int
     waiting: int
-    memory_used: int = 0
-    memory_total: int = 0
     pace: float = 1.0
     is_loading: bool = False
     version_by_model: tuple[tuple[str, int], ...] = ()
@@ -68,6 +75,7 @@
 
     sent_at: float
     prompt_tokens: int
+    overdue_at: float
     has_output: bool = False
 
 
@@ -76,6 +84,7 @@
     """What this host knows of one upstream.
 
     :param failure_rate: moving mean of failed requests.
+    :param output_at: monotonic time of the last output of any request.
     """
 
     instance: str
@@ -83,6 +92,19 @@
     report: LoadReport | None = None
     own_by_number: dict[int, OwnAttempt] = field(default_factory=dict)
     failure_rate: float = 0.0
+    output_at: float = 0.0
+
+    def is_mute(self, now: float) -> bool:
+        """Return whether requests are overdue and nothing has come since the first was sent.
+
+        Its reports and health answers may look well meanwhile.
+        """
+        overdue = [
+            own.sent_at
+            for own in self.own_by_number.values()
+            if not own.has_output and now >= own.overdue_at
+        ]
+        return len(overdue) >= MUTE_OVERDUE and self.output_at < min(overdue)
 
     def count_unseen(self) -> int:
         """Return own requests that the last report can't contain."""
@@ -147,7 +169,10 @@
         self._random = random_source
         self._views_by_instance: dict[str, UpstreamView] = {}
         self._number = 0
+        #: Entry hosts that send to the same engines, this one included.
         self.entry_hosts = 1
+        #: Addresses of the engines whose load reports come here.
+        self.followed: frozenset[str] = frozenset()
 
     # Queries
 
@@ -159,6 +184,18 @@
             self._views_by_instance[instance] = view
         return view
 
+    def list_followed(
+        self, records: Sequence[UpstreamRecord], need: Need
+    ) -> Sequence[UpstreamRecord]:
+        """Return the engines whose load is known, or all if none of those may serve a request."""
+        followed = [
+            record
+            for record in records
+            if str(record.address) in self.followed
+            and self.find_version(record, need.model) >= max(1, need.minimum_version)
+        ]
+        return followed or records
+
     def choose(
         self,
         records: Iterable[UpstreamRecord],
@@ -177,6 +214,9 @@
         """
         now = self._clock.monotonic()
         choices: list[tuple[float, Choice]] = []
+        # Whether an upstream that answers has no room now: waiting for it is better than sending
+        # to one that does not.
+        may_wait = False
         for record in records:
             if record.instance in need.excluded:
                 continue
@@ -184,21 +224,25 @@
             version = self.find_version(record, need.model) if need.model else 0
             if need.model and version < max(1, need.minimum_version):
                 continue
+            is_last_resort = not view.breaker.allows() or view.is_mute(now)
             choice = self._weigh(record, view, need, profile, now, any_room)
             if choice is None:
+                may_wait = may_wait or not is_last_resort
                 continue
             choice = replace(choice, version=version)
             cost = choice.forecast_s + view.failure_rate * FAILURE_PENALTY_S
             if record.availability_zone != self._zone:
                 cost += OTHER_ZONE_S
-            if not view.breaker.allows():
-                cost += 10.0
+            if is_last_resort:
+                cost += LAST_RESORT_S
             if record.instance in is_leaving or self._is_silent(view, now):
                 cost += 5.0
             choices.append((cost, choice))
         if not choices:
             return None
         best = min(cost for cost, _ in choices)
+        if best >= LAST_RESORT_S and may_wait:
+            return None
         return self._random.choice([c for cost, c in choices if cost <= best + SPREAD_S])
 
     def find_version(self, record: UpstreamRecord, model: str) -> int:
@@ -241,14 +285,19 @@
         self._number += 1
         view = self.view(choice.record.instance)
         view.breaker.count_attempt()
-        view.own_by_number[self._number] = OwnAttempt(self._clock.monotonic(), need.prompt_tokens)
+        now = self._clock.monotonic()
+        view.own_by_number[self._number] = OwnAttempt(
+            now, need.prompt_tokens, overdue_at=now + choice.forecast_s + OVERDUE_S
+        )
         return replace(choice, number=self._number)
 
     def note_output(self, choice: Choice) -> None:
-        """Note that the first output of a request arrived."""
-        own = self.view(choice.record.instance).own_by_number.get(choice.number)
+        """Note that output of a request arrived."""
+        view = self.view(choice.record.instance)
+        own = view.own_by_number.get(choice.number)
         if own is not None:
             own.has_output = True
+            view.output_at = self._clock.monotonic()
 
     def end(self, choice: Choice, *, failed: bool | None) -> None:
         """Note that a request ended.
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Sequence
 from dataclasses import replace
 
 from sycamoreproxy import result_codes as codes
@@ -26,7 +26,7 @@
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteTable, ServiceSpec
-from sycamoreproxy.upstream_book import UpstreamBook
+from sycamoreproxy.upstream_book import UpstreamBook, UpstreamRecord
 from sycamoreproxy.waiting_line import Overload, Waiter, WaitingLine
 from sycamoreproxy.weight_targets import WeightTargets
 
@@ -290,8 +290,10 @@
         )
 
     def _choose(self, service: str, need: Need, *, any_room: bool = False) -> Choice | None:
-        records = self._book.list_usable(service)
+        records: Sequence[UpstreamRecord] = self._book.list_usable(service)
         spec = self._table().services_by_name.get(service)
+        if spec is not None and spec.engine is not None:
+            records = self._placer.list_followed(records, need)
         choice = self._placer.choose(
             records,
             need,
@@ -426,7 +428,7 @@
         spec = self._table().services_by_name.get(service)
         if spec is None or spec.engine is None:
             return 0.0
-        engines = len(self._book.list_usable(service))
+        engines = len(self._placer.followed) or len(self._book.list_usable(service))
         interval = EngineForecast(spec.engine).slot_interval_s()
         return engines / interval / max(1, self._placer.entry_hosts)
 
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -21,6 +22,7 @@
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import Address
 from sycamoreproxy.task_group import BackgroundTasks
+from sycamoreproxy.upstream_subset import choose_followed
 from sycamoreproxy.watched_documents import DocumentReplica
 
 #: Time between two heartbeats to peers, in seconds.
@@ -72,6 +74,7 @@
         self._now = now
         self._ready_server = HTTPServer(self._answer_ready)
         self._leaving = False
+        self._engines = 0
         hub.on(EngineLoad, self._take_load)
         beliefs.subscribe(self._take_table)
         beliefs.book.subscribe(self._take_upstream)
@@ -155,16 +158,22 @@
         self._dispatcher.retain({str(record.address) for record in records})
 
     def _update_peers(self) -> None:
-        """Keep a stream to the process beside each engine."""
+        """Keep a stream to the process beside each engine that this host follows."""
         services = self._beliefs.table.services_by_name
         port = self.settings.listen.peer_port
-        self._hub.set_targets(
-            {
-                Address(record.address.ip, port)
-                for record in self._beliefs.book.list_all()
-                if (spec := services.get(record.service)) is not None and spec.engine is not None
-            }
+        engines = [
+            record
+            for record in self._beliefs.book.list_all()
+            if (spec := services.get(record.service)) is not None and spec.engine is not None
+        ]
+        self._engines = len(engines)
+        followed = choose_followed(
+            engines,
+            host=self.settings.listen.ip,
+            availability_zone=self.settings.process.availability_zone,
         )
+        self._placer.followed = followed
+        self._hub.set_targets({Address(Address.parse(item).ip, port) for item in followed})
 
     def _take_load(self, peer: Peer, load: EngineLoad) -> None:
         now = self._now()
@@ -172,15 +181,18 @@
             at=now,
             running=load.running,
             waiting=load.waiting,
-            memory_used=load.memory_used,
-            memory_total=load.memory_total,
             pace=load.pace,
             is_loading=load.is_loading,
             version_by_model=tuple(load.versions.items()),
         )
         self._placer.entry_hosts = max(1, load.entry_hosts)
+        # The sender sees only its own followers, about the same part of all hosts as this host
+        # follows of all engines.
+        entry_hosts = math.ceil(
+            load.entry_hosts * self._engines / max(1, len(self._placer.followed))
+        )
         for budget in self._budgets_by_service.values():
-            budget.note_entry_hosts(load.entry_hosts)
+            budget.note_entry_hosts(entry_hosts)
         for record in self._beliefs.book.list_all():
             if str(record.address) == load.address:
                 self._placer.take_report(record.instance, report)
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Iterable
 from functools import partial
 
@@ -28,6 +29,9 @@
 #: Time between two reads of the engine's report, in seconds. It is free on the engine's own host. Entry
 #: hosts that see a full engine for longer all hold their requests, and all send them at the next report.
 REPORT_PERIOD_S = 0.05
+#: Time between two load reports to entry hosts of other availability zones, in seconds. They send less
+#: here, and the links between regions are narrow and priced.
+FAR_REPORT_PERIOD_S = 0.15
 #: An unchanged load is sent again after this time, in seconds.
 UNCHANGED_PERIOD_S = 0.3
 #: Time between two heartbeats to peers, in seconds.
@@ -35,12 +39,36 @@
 
 #: Name of the group of hosts that exchange chunks with each other.
 EXCHANGE = "exchange"
-#: Hosts that all exchange chunks with each other; with more, each zone is a group of its own.
-MAX_EXCHANGE_HOSTS = 32
+#: Hosts that all exchange chunks with each other; with more, each zone is a group of its own and takes
+#: its own copy from the origin. At 192 hosts announcements to other zones come every 1.4 s.
+MAX_EXCHANGE_HOSTS = 192
 
 _log = get_logger("routed_upstream")
 
 
+class _ZoneReports:
+    """Sends load reports to entry hosts: often to those of the own zone, less often to others."""
+
+    def __init__(self, hub: PeerHub, *, own_zone: str) -> None:
+        self._hub = hub
+        self._own_zone = own_zone
+        self._last_by_zone: dict[str, tuple[float, EngineLoad]] = {}
+
+    def send(self, load: EngineLoad, *, now: float) -> None:
+        """Send a report to each zone where one is due.
+
+        :param now: monotonic time.
+        """
+        hellos = [peer.hello for peer in self._hub.peers]
+        for zone in {hello.availability_zone for hello in hellos if hello.role == "entry"}:
+            at, last = self._last_by_zone.get(zone, (-math.inf, None))
+            period = 0.0 if zone == self._own_zone else FAR_REPORT_PERIOD_S
+            if now - at < (period if load != last else UNCHANGED_PERIOD_S):
+                continue
+            self._hub.broadcast(load, role="entry", availability_zone=zone)
+            self._last_by_zone[zone] = (now, load)
+
+
 class RoutedUpstream:
     """Owns the tasks of the process beside an engine.
 
@@ -187,9 +215,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _follow_engine(self) -> None:
-        last: EngineLoad | None = None
-        last_at = 0.0
-        loop = asyncio.get_running_loop()
+        zones = _ZoneReports(self._hub, own_zone=self._settings.process.availability_zone)
         while True:
             try:
                 report = await self._engine.read_report()
@@ -203,10 +229,7 @@
                     _log.info("engine reached", failures=self._failures)
                     self._failures = 0
                 self._report = report
-                load = self._make_load(report)
-                if load != last or loop.time() - last_at >= UNCHANGED_PERIOD_S:
-                    self._hub.broadcast(load, role="entry")
-                    last, last_at = load, loop.time()
+                zones.send(self._make_load(report), now=asyncio.get_running_loop().time())
             await asyncio.sleep(REPORT_PERIOD_S)
 
     def _make_load(self, report: EngineReport) -> EngineLoad:
@@ -214,8 +237,6 @@
             address=self._address,
             running=report.running,
             waiting=report.waiting,
-            memory_used=report.memory_used,
-            memory_total=report.memory_total,
             pace=report.pace,
             is_loading=report.is_loading or self._stager.is_switching(report),
             versions=dict(report.version_by_model),
--- a/tests/_fake_hub.py
+++ b/tests/_fake_hub.py
@@ -22,7 +22,9 @@
     def on(self, message_type: type, handler: Any) -> None:
         self.handlers[message_type].append(handler)
 
-    def broadcast(self, message: object, *, role: str | None = None) -> None:
+    def broadcast(
+        self, message: object, *, role: str | None = None, availability_zone: str | None = None
+    ) -> None:
         for peer in sorted(self.peers, key=hash):
             peer.send(message)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,9 @@
 import pytest
 
 from sycamoreproxy.clock import ManualClock
-from sycamoreproxy.placement import LoadReport, Need, Placer
+from sycamoreproxy.placement import Choice, LoadReport, Need, Placer
+from sycamoreproxy.retries import BREAKER_MIN_S
+from sycamoreproxy.upstream_book import UpstreamRecord
 from tests._upstreams import PROFILE, make_upstream
 
 NEED = Need(level=0, urgency=1.0, prompt_tokens=800, model="m1")
@@ -181,3 +183,93 @@
         placer.begin(choice, need)
     choice = placer.choose([near, far], need, profile=None)
     assert choice is not None and choice.record.instance == expected
+
+
+def _send(placer: Placer, records: list[UpstreamRecord], *, times: int = 1) -> list[Choice]:
+    sent = []
+    for _ in range(times):
+        choice = placer.choose(records, NEED, profile=PROFILE)
+        assert choice is not None
+        sent.append(placer.begin(choice, NEED))
+    return sent
+
+
+def _report(clock: ManualClock, placer: Placer, instance: str, *, running: int) -> None:
+    placer.take_report(
+        instance,
+        LoadReport(at=clock.monotonic(), running=running, waiting=0, version_by_model=(("m1", 1),)),
+    )
+
+
+@pytest.mark.parametrize(
+    ("answered", "other_running", "expected"),
+    [
+        (False, 4, "i-2"),  # A busy engine that answers comes before an idle one that is mute.
+        (False, 30, None),  # Waiting for room comes before it, too.
+        (True, 30, "i-1"),  # One lost answer among others says nothing of the engine.
+    ],
+)
+def test_engine_that_answers_nothing_gets_no_more_requests(
+    answered: bool, other_running: int, expected: str | None
+) -> None:
+    """A frozen or mute engine took every request of a burst while its reports looked idle."""
+    clock, placer = make_placer((0, 0), (other_running, 0))
+    records = [make_upstream(1), make_upstream(2)]
+    sent = _send(placer, records[:1], times=3)
+    clock.advance(1.5)
+    if answered:
+        placer.note_output(sent[1])
+    _report(clock, placer, "i-1", running=0)
+    _report(clock, placer, "i-2", running=other_running)
+    choice = placer.choose(records, NEED, profile=PROFILE)
+    assert (choice.record.instance if choice else None) == expected
+
+
+def test_mute_engine_is_tried_again_and_used_once_it_answers() -> None:
+    """An engine that was frozen for a while would never serve again."""
+    clock, placer = make_placer((0, 0), (30, 0))
+    records = [make_upstream(1), make_upstream(2)]
+    first = _send(placer, records[:1], times=2)
+    clock.advance(1.5)
+    for instance, running in (("i-1", 0), ("i-2", 30)):
+        _report(clock, placer, instance, running=running)
+    assert placer.choose(records, NEED, profile=PROFILE) is None
+    alone = placer.choose(records[:1], NEED, profile=PROFILE)
+    assert alone is not None and alone.record.instance == "i-1"
+    placer.note_output(first[0])
+    assert _send(placer, records)[0].record.instance == "i-1"
+
+
+def test_request_waits_rather_than_goes_to_an_engine_that_fails() -> None:
+    """Failing engines are always free, so each burst went to them."""
+    clock, placer = make_placer((0, 0), (30, 0))
+    records = [make_upstream(1), make_upstream(2)]
+    for choice in _send(placer, records[:1], times=5):
+        placer.end(choice, failed=True)
+    assert placer.choose(records, NEED, profile=PROFILE) is None
+    clock.advance(BREAKER_MIN_S + 0.01)
+    for instance, running in (("i-1", 0), ("i-2", 30)):
+        _report(clock, placer, instance, running=running)
+    trial = _send(placer, records)[0]
+    assert trial.record.instance == "i-1"
+    assert placer.choose(records, NEED, profile=PROFILE) is None
+    placer.end(trial, failed=False)
+    assert _send(placer, records)[0].record.instance == "i-1"
+
+
+@pytest.mark.parametrize(
+    ("followed", "version_of_followed", "expected"),
+    [({1}, 1, {1}), ({1}, 0, {1, 2, 3}), (set(), 1, {1, 2, 3})],
+)
+def test_engines_without_reports_are_used_only_if_no_other_may_serve(
+    followed: set[int], version_of_followed: int, expected: set[int]
+) -> None:
+    """An engine of which nothing is known looks idle."""
+    _, placer = make_placer()
+    records = [
+        make_upstream(number, version=version_of_followed if number in followed else 1)
+        for number in (1, 2, 3)
+    ]
+    placer.followed = frozenset(str(records[number - 1].address) for number in followed)
+    found = placer.list_followed(records, NEED)
+    assert {record.instance for record in found} == {f"i-{number}" for number in expected}
