Let requests that can still be on time pass those that can't

Cause: a request that waited longer than forecast stayed ahead of newer ones of its level, so after a fall of the rate each request waited behind late ones.

Change: a waiting request that can't be on time any more moves behind those that can.

Measured: the test of the order fails before.

--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -2,8 +2,9 @@
 
 Answers bursts beyond the capacity, and times without any engine. The most urgent requests that can
 still be on time are placed first. A new request that could only be late is refused when it arrives
-and told when to return. One that has returned is late in any case: it waits behind the others for
-spare room, as long as it can still be answered within its time.
+and told when to return. One that has returned is late in any case, and so is one that waited too
+long because the rate fell: they wait behind the others for spare room, as long as they can still be
+answered within their time.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.placement import Choice, Need
@@ -25,6 +26,9 @@
 NOMINAL_FRACTION = 0.7
 #: Lowest rate that a forecast assumes, in requests a second: one engine's, divided among hosts.
 MIN_RATE = 1.0
+#: Time that a request on time needs from its place to the first token, in seconds: some passes of a busy
+#: engine and the reading of the prompt.
+ON_TIME_FIRST_TOKEN_S = 0.15
 #: Time that a late request needs from its place to the first token, in seconds.
 FIRST_TOKEN_S = 0.7
 #: Requests that wait at once, whatever the forecast: a bound on memory.
@@ -45,12 +49,14 @@
 class Waiter:
     """One request that waits.
 
+    :param late_at: monotonic time at which it can't be on time any more.
     :param expires_at: monotonic time at which waiting is of no use any more.
-    :param is_late: whether it can't be on time any more.
+    :param is_late: whether it waits behind those that can be on time.
     """
 
     need: Need
     arrived_at: float
+    late_at: float
     expires_at: float
     is_late: bool
     placed: asyncio.Future[Choice | None]
@@ -143,6 +149,7 @@
         waiter = Waiter(
             need=need,
             arrived_at=now,
+            late_at=now + goal_s - ON_TIME_FIRST_TOKEN_S,
             expires_at=now + longest,
             is_late=has_returned,
             placed=asyncio.get_running_loop().create_future(),
@@ -156,9 +163,26 @@
         if waiters is not None and waiter in waiters:
             waiters.remove(waiter)
 
+    def _demote_late(self, now: float) -> None:
+        """Move requests that can't be on time any more behind those that can.
+
+        The first of a level are the oldest, but goals differ from route to route.
+        """
+        for is_late, level in list(self._waiters_by_order):
+            if is_late:
+                continue
+            waiters = self._waiters_by_order[is_late, level]
+            late = [waiter for waiter in waiters if waiter.late_at <= now]
+            for waiter in late:
+                waiters.remove(waiter)
+                waiter.is_late = True
+                waiter.need = replace(waiter.need, urgency=0.0)
+                self._waiters_by_order.setdefault((True, level), deque()).append(waiter)
+
     def pump(self) -> None:
         """Place every request that has room, the most urgent first."""
         now = self._clock.monotonic()
+        self._demote_late(now)
         for order in sorted(self._waiters_by_order):
             waiters = self._waiters_by_order[order]
             while waiters:
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -8,7 +8,7 @@
 
 from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.placement import Choice, Need
-from sycamoreproxy.waiting_line import Overload, Waiter, WaitingLine
+from sycamoreproxy.waiting_line import ON_TIME_FIRST_TOKEN_S, Overload, Waiter, WaitingLine
 from tests._upstreams import make_upstream
 
 CHOICE = Choice(
@@ -158,3 +158,48 @@
         assert line.forecast_wait_s(2) == 2.0
 
     asyncio.run(play())
+
+
+def test_waiter_that_can_only_be_late_lets_the_others_pass() -> None:
+    """After one second at half the rate every request was late, as each waited behind late ones."""
+
+    async def play() -> None:
+        clock, engine, line = make_line(0, rate=100.0)
+        old = [join(line, 1, goal_s=0.4) for _ in range(3)]
+        clock.advance(0.35)
+        new = join(line, 1, goal_s=0.4)
+        assert isinstance(new, Waiter)
+        engine.room = 1
+        line.pump()
+        assert new.placed.done()
+        assert not any(isinstance(waiter, Waiter) and waiter.placed.done() for waiter in old)
+        engine.room = 3
+        line.pump()
+        assert all(isinstance(waiter, Waiter) and waiter.placed.done() for waiter in old)
+
+    asyncio.run(play())
+
+
+def test_half_the_rate_keeps_half_the_requests_on_time() -> None:
+    """Plays two seconds of 40 requests a second on engines that take 20."""
+
+    async def play() -> None:
+        clock, engine, line = make_line(0, rate=20.0)
+        arrived: list[tuple[float, Waiter]] = []
+        on_time = 0
+        for step in range(80):
+            joined = join(line, 1, goal_s=0.4)
+            if isinstance(joined, Waiter):
+                arrived.append((clock.monotonic(), joined))
+            elif joined is CHOICE:
+                on_time += 1
+            engine.room = min(1, engine.room + step % 2)
+            line.pump()
+            for at, waiter in list(arrived):
+                if waiter.placed.done():
+                    on_time += clock.monotonic() - at <= 0.4 - ON_TIME_FIRST_TOKEN_S
+                    arrived.remove((at, waiter))
+            clock.advance(0.025)
+        assert on_time >= 34
+
+    asyncio.run(play())
