Share between entry hosts what an engine can take when many requests wait

Cause: after each rollout, restart and burst all hosts sent what waited to the first engine with room.

Change: entry hosts tell the process beside an engine what they have there and what of it is unread; load reports carry the sums. A request that waited is sent only within the host's random share of three unread prompts an engine and report; others count half of what this host sent since the report for each other host. A request goes only where its forecast still meets its goal.

--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -488,6 +488,9 @@
     :param is_loading: whether the engine takes no new requests because it loads weights.
     :param versions: versions of the weights by model.
     :param entry_hosts: entry hosts that the sender has a stream with.
+    :param open_requests: requests at the engine by what its entry hosts said last. The engine's own
+        figures are older: 200 ms on the users' machines.
+    :param unread_tokens: prompt tokens of those without output so far.
     """
 
     address: str
@@ -497,6 +500,21 @@
     is_loading: bool
     versions: IntByName = field(default_factory=dict)
     entry_hosts: int = 0
+    open_requests: int = 0
+    unread_tokens: int = 0
+
+
+@message(74)
+@dataclass(frozen=True, slots=True)
+class EngineUse:
+    """An entry host's requests at the engine beside the receiver; replaces what it said before.
+
+    :param open_requests: requests sent and not ended.
+    :param unread_tokens: prompt tokens of those without output so far.
+    """
+
+    open_requests: int
+    unread_tokens: int
 
 
 @message(71)
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
+from sycamoreproxy.messages import EngineUse
 from sycamoreproxy.retries import Breaker
 from sycamoreproxy.route_table import EngineProfile
 from sycamoreproxy.upstream_book import UpstreamRecord
@@ -25,6 +27,13 @@
 REPORT_FRESH_S = 1.0
 #: Age of a report on arrival, in seconds: requests sent in this time are not in it yet.
 REPORT_DELAY_S = 0.02
+#: Part of the own requests since a report that each other entry host is taken to have sent since, too.
+#: Hosts see the same reports: an engine that has just loaded gets requests of all of them at once.
+HERD_FRACTION = 0.5
+#: Prompts of usual length that all hosts' waiting requests may add to what an engine still has to read.
+#: It reads them all before its next events: three take 125 ms, sixteen would stop its running streams
+#: for longer than their longest pause.
+BACKLOG_PROMPTS = 3.0
 #: An engine whose reports stopped for this long is used only if no other has room, in seconds.
 #: Reports come every 0.1 s, so this is no jitter of the network.
 REPORT_LOST_S = 0.6
@@ -52,6 +61,10 @@
 LAST_RESORT_S = 10.0
 
 
+#: Use of an engine by a host that has nothing there.
+NO_USE = EngineUse(0, 0)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport:
     """Load of an upstream at one time.
@@ -59,6 +72,7 @@
     :param at: monotonic time of receipt.
     :param running: requests being processed.
     :param waiting: requests accepted and not begun.
+    :param use_elsewhere: what other entry hosts have at the engine; None if not told.
     """
 
     at: float
@@ -67,6 +81,7 @@
     pace: float = 1.0
     is_loading: bool = False
     version_by_model: tuple[tuple[str, int], ...] = ()
+    use_elsewhere: EngineUse | None = None
 
 
 @dataclass(slots=True)
@@ -85,6 +100,8 @@
 
     :param failure_rate: moving mean of failed requests.
     :param output_at: monotonic time of the last output of any request.
+    :param allowance: requests that waited and may be sent until the next report.
+    :param told: the own use that the process beside the engine was told last.
     """
 
     instance: str
@@ -93,6 +110,16 @@
     own_by_number: dict[int, OwnAttempt] = field(default_factory=dict)
     failure_rate: float = 0.0
     output_at: float = 0.0
+    allowance: float = math.inf
+    told: EngineUse = NO_USE
+
+    @property
+    def own_use(self) -> EngineUse:
+        """What this host has at the upstream."""
+        return EngineUse(
+            len(self.own_by_number),
+            sum(own.prompt_tokens for own in self.own_by_number.values() if not own.has_output),
+        )
 
     def is_mute(self, now: float) -> bool:
         """Return whether requests are overdue and nothing has come since the first was sent.
@@ -108,10 +135,21 @@
 
     def count_unseen(self) -> int:
         """Return own requests that the last report can't contain."""
+        return len(self._list_unseen())
+
+    def estimate_herd(self, entry_hosts: int) -> EngineUse:
+        """Return what other entry hosts are taken to have sent since the last report."""
+        unseen = self._list_unseen()
+        others = (entry_hosts - 1) * HERD_FRACTION
+        return EngineUse(
+            round(others * len(unseen)), round(others * sum(own.prompt_tokens for own in unseen))
+        )
+
+    def _list_unseen(self) -> list[OwnAttempt]:
         if self.report is None:
-            return len(self.own_by_number)
+            return list(self.own_by_number.values())
         seen_until = self.report.at - REPORT_DELAY_S
-        return sum(1 for own in self.own_by_number.values() if own.sent_at >= seen_until)
+        return [own for own in self.own_by_number.values() if own.sent_at >= seen_until]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -122,6 +160,9 @@
     :param urgency: the same as a part from 1 (first) to 0 (last).
     :param model: model whose weights must be loaded; empty for plain services.
     :param minimum_version: lowest version of the weights that may answer.
+    :param longest_forecast_s: longest forecast time to the first token with which it is sent, in
+        seconds; with a longer one it waits for another engine or for those before it.
+    :param has_waited: whether it waited for room, as requests at other hosts did.
     :param excluded: instances that this request was sent to before.
     """
 
@@ -130,6 +171,8 @@
     prompt_tokens: int = 0
     model: str = ""
     minimum_version: int = 0
+    longest_forecast_s: float = math.inf
+    has_waited: bool = False
     excluded: frozenset[str] = frozenset()
 
 
@@ -141,6 +184,7 @@
     :param running: requests in the upstream's batch by its last report.
     :param waiting: requests that it had accepted and not begun by its last report.
     :param unseen: own requests that the report can't contain.
+    :param occupied: requests believed to be there, from whichever source is newer.
     :param version: version of the weights that it is believed to hold, 0 for plain services.
     :param number: of the attempt that was begun with it, for :meth:`Placer.end`; 0 if none was.
     """
@@ -151,6 +195,7 @@
     waiting: int
     unseen: int
     report_age_s: float | None
+    occupied: int = 0
     version: int = 0
     number: int = 0
 
@@ -276,9 +321,44 @@
 
     # Commands
 
-    def take_report(self, instance: str, report: LoadReport) -> None:
-        """Take a newer load report."""
-        self.view(instance).report = report
+    def take_report(
+        self, instance: str, report: LoadReport, *, profile: EngineProfile | None = None
+    ) -> None:
+        """Take a newer load report.
+
+        :param profile: timings of the engine; None if the report is no engine's.
+        """
+        view = self.view(instance)
+        view.report = report
+        view.allowance = math.inf
+        if profile is not None and report.use_elsewhere is not None:
+            share = self._share_backlog(view, report.use_elsewhere, profile)
+            # Hosts that draw at random take the right number together without any agreement.
+            view.allowance = int(share) + (self._random.random() < share % 1)
+
+    def _share_backlog(
+        self, view: UpstreamView, elsewhere: EngineUse, profile: EngineProfile
+    ) -> float:
+        """Return this host's part, in requests, of what waiting requests may add at an engine."""
+        unread = view.own_use.unread_tokens + elsewhere.unread_tokens
+        prompts = BACKLOG_PROMPTS - unread / max(1.0, profile.usual_prompt_tokens)
+        return max(0.0, prompts) / max(1, self.entry_hosts)
+
+    def take_changed_uses(self) -> list[tuple[str, EngineUse]]:
+        """Return the own use by instance where it changed since the last call."""
+        changed = []
+        for view in self._views_by_instance.values():
+            use = view.own_use
+            if use != view.told:
+                view.told = use
+                changed.append((view.instance, use))
+        return changed
+
+    def forget_told(self, instance: str) -> None:
+        """Tell the own use again: the process beside the engine may not know it."""
+        view = self._views_by_instance.get(instance)
+        if view is not None:
+            view.told = NO_USE
 
     def begin(self, choice: Choice, need: Need) -> Choice:
         """Note that a request is sent; return the choice with its number."""
@@ -286,6 +366,8 @@
         view = self.view(choice.record.instance)
         view.breaker.count_attempt()
         now = self._clock.monotonic()
+        if need.has_waited:
+            view.allowance -= 1
         view.own_by_number[self._number] = OwnAttempt(
             now, need.prompt_tokens, overdue_at=now + choice.forecast_s + OVERDUE_S
         )
@@ -332,13 +414,23 @@
         report = view.report
         age = None if report is None else now - report.at
         fresh = report is not None and age is not None and age < REPORT_FRESH_S
+        own = view.own_use
+        unread = own.unread_tokens
         if fresh and report is not None:
-            occupied = report.running + report.waiting + view.count_unseen()
             if report.is_loading and not any_room:
                 return None
+            if need.has_waited and view.allowance < 1 and not any_room:
+                return None
+            if report.use_elsewhere is not None:
+                herd = view.estimate_herd(self.entry_hosts)
+                elsewhere = report.use_elsewhere
+                occupied = own.open_requests + elsewhere.open_requests + herd.open_requests
+                unread += elsewhere.unread_tokens + herd.unread_tokens
+            else:
+                occupied = report.running + report.waiting + view.count_unseen()
         else:
             # Other entry hosts send about as many as this one.
-            occupied = len(view.own_by_number) * max(1, self.entry_hosts)
+            occupied = own.open_requests * max(1, self.entry_hosts)
         slots = max(1, record.slots if profile is None else profile.slots)
         over = occupied + 1 - slots
         if profile is None:
@@ -348,14 +440,13 @@
             if over > room and not any_room:
                 return None
             engine = EngineForecast(profile, pace=report.pace if fresh and report else 1.0)
-            unread = sum(
-                own.prompt_tokens for own in view.own_by_number.values() if not own.has_output
-            )
             forecast = engine.first_token_s(
                 ahead=max(0, over),
                 writers=min(occupied, slots),
                 prompt_tokens=need.prompt_tokens + unread,
             )
+            if forecast > need.longest_forecast_s and not any_room:
+                return None
         return Choice(
             record=record,
             forecast_s=forecast,
@@ -363,6 +454,7 @@
             waiting=report.waiting if report is not None else 0,
             unseen=view.count_unseen(),
             report_age_s=age,
+            occupied=occupied,
         )
 
     def _is_silent(self, view: UpstreamView, now: float) -> bool:
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -189,7 +189,8 @@
             progress.attempts += 1
             progress.forecast_s = choice.forecast_s
             progress.load = (
-                f"running {choice.running} waiting {choice.waiting} unseen {choice.unseen}"
+                f"occupied {choice.occupied} running {choice.running} waiting {choice.waiting}"
+                f" unseen {choice.unseen}"
                 f" age {round((choice.report_age_s or 0.0) * 1000)} ms"
             )
             progress.instances += f" {choice.record.instance}"
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from sycamoreproxy.beliefs import Beliefs, Documents
-from sycamoreproxy.messages import EngineLoad, PeerStatus
+from sycamoreproxy.messages import EngineLoad, EngineUse, PeerStatus
 from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.placement import LoadReport, Placer
 from sycamoreproxy.resend_budget import ResendBudget
@@ -22,6 +22,7 @@
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import Address
 from sycamoreproxy.task_group import BackgroundTasks
+from sycamoreproxy.upstream_book import UpstreamRecord
 from sycamoreproxy.upstream_subset import choose_followed
 from sycamoreproxy.watched_documents import DocumentReplica
 
@@ -76,6 +77,7 @@
         self._leaving = False
         self._engines = 0
         hub.on(EngineLoad, self._take_load)
+        hub.on_open(self._tell_again)
         beliefs.subscribe(self._take_table)
         beliefs.book.subscribe(self._take_upstream)
 
@@ -141,8 +143,27 @@
     async def _pump(self) -> None:
         while True:
             self._dispatcher.pump()
+            self._tell_uses()
             await asyncio.sleep(PUMP_S)
 
+    def _tell_uses(self) -> None:
+        """Tell the processes beside engines what this host has there."""
+        changed = self._placer.take_changed_uses()
+        if not changed:
+            return
+        ip_by_instance = {r.instance: r.address.ip for r in self._beliefs.book.list_all()}
+        peers_by_host = {peer.hello.host: peer for peer in self._hub.peers}
+        for instance, use in changed:
+            peer = peers_by_host.get(ip_by_instance.get(instance, ""))
+            if peer is not None:
+                peer.send(use)
+
+    def _tell_again(self, peer: Peer) -> None:
+        """Tell a process that may have restarted what this host has at its engine."""
+        for record in self._beliefs.book.list_all():
+            if record.address.ip == peer.hello.host:
+                self._placer.forget_told(record.instance)
+
     def _take_table(self, table: RouteTable) -> None:
         self._front.set_bounds(table.bounds)
         self._update_peers()
@@ -177,14 +198,6 @@
 
     def _take_load(self, peer: Peer, load: EngineLoad) -> None:
         now = self._now()
-        report = LoadReport(
-            at=now,
-            running=load.running,
-            waiting=load.waiting,
-            pace=load.pace,
-            is_loading=load.is_loading,
-            version_by_model=tuple(load.versions.items()),
-        )
         self._placer.entry_hosts = max(1, load.entry_hosts)
         # The sender sees only its own followers, about the same part of all hosts as this host
         # follows of all engines.
@@ -195,5 +208,25 @@
             budget.note_entry_hosts(entry_hosts)
         for record in self._beliefs.book.list_all():
             if str(record.address) == load.address:
-                self._placer.take_report(record.instance, report)
+                spec = self._beliefs.table.services_by_name.get(record.service)
+                self._placer.take_report(
+                    record.instance,
+                    self._make_report(record, load, now),
+                    profile=spec.engine if spec is not None else None,
+                )
         self._dispatcher.pump()
+
+    def _make_report(self, record: UpstreamRecord, load: EngineLoad, now: float) -> LoadReport:
+        told = self._placer.view(record.instance).told
+        return LoadReport(
+            at=now,
+            running=load.running,
+            waiting=load.waiting,
+            pace=load.pace,
+            is_loading=load.is_loading,
+            version_by_model=tuple(load.versions.items()),
+            use_elsewhere=EngineUse(
+                max(0, load.open_requests - told.open_requests),
+                max(0, load.unread_tokens - told.unread_tokens),
+            ),
+        )
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -17,8 +17,8 @@
 )
 from sycamoreproxy.host_list import HostRecord
 from sycamoreproxy.logs import get_logger
-from sycamoreproxy.messages import EngineLoad, PeerStatus
-from sycamoreproxy.peers import PeerHub
+from sycamoreproxy.messages import EngineLoad, EngineUse, PeerStatus
+from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.routed_settings import RoutedSettings
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import Address, MessageServer
@@ -105,6 +105,9 @@
         self._tasks = tasks
         self._report: EngineReport | None = None
         self._failures = 0
+        self._use_by_peer: dict[Peer, EngineUse] = {}
+        hub.on(EngineUse, self._take_use)
+        hub.on_close(self._forget_use)
 
     @property
     def report(self) -> EngineReport | None:
@@ -232,6 +235,13 @@
                 zones.send(self._make_load(report), now=asyncio.get_running_loop().time())
             await asyncio.sleep(REPORT_PERIOD_S)
 
+    def _take_use(self, peer: Peer, use: EngineUse) -> None:
+        self._use_by_peer[peer] = use
+
+    def _forget_use(self, peer: Peer) -> None:
+        # A host whose stream is lost sends nothing more, and its requests end within seconds.
+        self._use_by_peer.pop(peer, None)
+
     def _make_load(self, report: EngineReport) -> EngineLoad:
         return EngineLoad(
             address=self._address,
@@ -241,4 +251,6 @@
             is_loading=report.is_loading or self._stager.is_switching(report),
             versions=dict(report.version_by_model),
             entry_hosts=sum(1 for peer in self._hub.peers if peer.hello.role == "entry"),
+            open_requests=sum(use.open_requests for use in self._use_by_peer.values()),
+            unread_tokens=sum(use.unread_tokens for use in self._use_by_peer.values()),
         )
--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -31,6 +31,9 @@
 ON_TIME_FIRST_TOKEN_S = 0.15
 #: Time that a late request needs from its place to the first token, in seconds.
 FIRST_TOKEN_S = 0.7
+#: Longest forecast of the first token with which a late request is sent, in seconds. Those on time get
+#: the engine's reading first: some prompts of 800 tokens take 42 ms each.
+LATE_FORECAST_S = 0.4
 #: Requests that wait at once, whatever the forecast: a bound on memory.
 MAX_WAITING = 256
 
@@ -135,19 +138,20 @@
         """
         self.pump()
         order = (has_returned, need.level)
+        now = self._clock.monotonic()
+        in_goal = replace(need, longest_forecast_s=LATE_FORECAST_S if has_returned else goal_s)
         if not any(w for o, w in self._waiters_by_order.items() if o <= order):
-            choice = self._place(need)
+            choice = self._place(in_goal)
             if choice is not None:
-                self._placed.append((self._clock.monotonic(), order))
+                self._placed.append((now, order))
                 return choice
         wait = self.forecast_wait_s(need.level, is_late=has_returned)
         longest = min(time_left_s - answer_s, patience_s) - FIRST_TOKEN_S
         limit = longest if has_returned else min(longest, goal_s * WAIT_FRACTION_OF_GOAL)
         if wait > limit or len(self) >= MAX_WAITING:
             return Overload(wait_s=wait)
-        now = self._clock.monotonic()
         waiter = Waiter(
-            need=need,
+            need=replace(in_goal, has_waited=True),
             arrived_at=now,
             late_at=now + goal_s - ON_TIME_FIRST_TOKEN_S,
             expires_at=now + longest,
@@ -176,7 +180,7 @@
             for waiter in late:
                 waiters.remove(waiter)
                 waiter.is_late = True
-                waiter.need = replace(waiter.need, urgency=0.0)
+                waiter.need = replace(waiter.need, urgency=0.0, longest_forecast_s=LATE_FORECAST_S)
                 self._waiters_by_order.setdefault((True, level), deque()).append(waiter)
 
     def pump(self) -> None:
@@ -194,9 +198,17 @@
                     waiters.popleft()
                     waiter.placed.set_result(None)
                     continue
-                choice = self._place(waiter.need)
+                choice = self._place(_shorten(waiter, now))
                 if choice is None:
                     break
                 waiters.popleft()
                 self._placed.append((now, order))
                 waiter.placed.set_result(choice)
+
+
+def _shorten(waiter: Waiter, now: float) -> Need:
+    """Return the need of a request with what is left of the time to its first token."""
+    if waiter.is_late:
+        return waiter.need
+    left = waiter.late_at + ON_TIME_FIRST_TOKEN_S - now
+    return replace(waiter.need, longest_forecast_s=left)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,10 +4,12 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
 from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.messages import EngineUse
 from sycamoreproxy.placement import Choice, LoadReport, Need, Placer
 from sycamoreproxy.retries import BREAKER_MIN_S
 from sycamoreproxy.upstream_book import UpstreamRecord
@@ -273,3 +275,95 @@
     placer.followed = frozenset(str(records[number - 1].address) for number in followed)
     found = placer.list_followed(records, NEED)
     assert {record.instance for record in found} == {f"i-{number}" for number in expected}
+
+
+@pytest.mark.parametrize(
+    ("elsewhere", "own", "expected"),
+    [
+        (EngineUse(0, 0), 0, "i-1"),
+        (EngineUse(14, 8_000), 0, "i-2"),  # Other hosts filled it since its report.
+        (EngineUse(3, 16_000), 0, "i-2"),  # Prompts that wait there would be read first.
+        (EngineUse(0, 0), 8, "i-2"),
+    ],
+)
+def test_requests_of_all_hosts_count_before_the_engine_reports_them(
+    elsewhere: EngineUse, own: int, expected: str
+) -> None:
+    """Eight hosts sent 40 requests to the first engine that had loaded: its reports lag 200 ms."""
+    _, placer = make_placer((0, 0), (0, 0))
+    for number, use in ((1, elsewhere), (2, EngineUse(6, 800))):
+        report = placer.view(f"i-{number}").report
+        assert report is not None
+        placer.take_report(f"i-{number}", replace(report, use_elsewhere=use))
+    _send(placer, [make_upstream(1)], times=own)
+    choice = placer.choose([make_upstream(1), make_upstream(2)], NEED, profile=PROFILE)
+    assert choice is not None and choice.record.instance == expected
+
+
+def test_own_use_is_told_when_it_changes_and_to_new_processes() -> None:
+    _, placer = make_placer((0, 0))
+    sent = _send(placer, [make_upstream(1)], times=2)
+    assert placer.take_changed_uses() == [("i-1", EngineUse(2, 1_600))]
+    assert placer.take_changed_uses() == []
+    placer.note_output(sent[0])
+    placer.end(sent[1], failed=False)
+    assert placer.take_changed_uses() == [("i-1", EngineUse(1, 0))]
+    placer.forget_told("i-1")
+    assert placer.take_changed_uses() == [("i-1", EngineUse(1, 0))]
+
+
+def test_hosts_that_see_the_same_report_do_not_fill_an_engine_twice() -> None:
+    """Eight hosts each sent eight requests to an engine that reported to be idle."""
+    _, placer = make_placer((0, 0))
+    placer.entry_hosts = 8
+    report = placer.view("i-1").report
+    assert report is not None
+    placer.take_report("i-1", replace(report, use_elsewhere=EngineUse(0, 0)))
+    sent = 0
+    while (choice := placer.choose([make_upstream(1)], LAST, profile=PROFILE)) is not None:
+        placer.begin(choice, LAST)
+        sent += 1
+    assert 2 <= sent <= 4
+
+
+@pytest.mark.parametrize(("longest_s", "is_sent"), [(0.4, True), (0.1, False)])
+def test_request_is_not_sent_where_it_would_be_late(longest_s: float, is_sent: bool) -> None:
+    """It would take the engine's reading time from requests that can be on time."""
+    _, placer = make_placer((0, 0))
+    report = placer.view("i-1").report
+    assert report is not None
+    placer.take_report("i-1", replace(report, use_elsewhere=EngineUse(3, 2_400)))
+    need = replace(NEED, longest_forecast_s=longest_s)
+    choice = placer.choose([make_upstream(1)], need, profile=PROFILE)
+    assert (choice is not None) is is_sent
+    assert placer.choose([make_upstream(1)], need, profile=PROFILE, any_room=True) is not None
+
+
+@pytest.mark.parametrize(
+    ("unread", "fewest", "most"), [(0, 1.5, 4.5), (1_954, 0.3, 2.0), (4_000, 0.0, 0.0)]
+)
+def test_hosts_that_wait_share_what_an_engine_can_read(
+    unread: int, fewest: float, most: float
+) -> None:
+    """All hosts sent what waited to the first engine that had loaded; its streams stopped 0.6 s."""
+    sent = 0
+    for seed in range(40):
+        placer = Placer(
+            clock=ManualClock(start=10.0),
+            availability_zone="z1",
+            random_source=random.Random(seed),
+        )
+        placer.entry_hosts = 8
+        report = LoadReport(
+            at=10.0,
+            running=0,
+            waiting=0,
+            version_by_model=(("m1", 1),),
+            use_elsewhere=EngineUse(4, unread),
+        )
+        placer.take_report("i-1", report, profile=PROFILE)
+        need = replace(NEED, has_waited=True)
+        while (choice := placer.choose([make_upstream(1)], need, profile=PROFILE)) is not None:
+            placer.begin(choice, need)
+            sent += 1
+    assert fewest <= sent / 5 <= most  # 40 draws are those of 8 hosts, five times.
