Read changes of upstreams in larger groups

Change: after changes of upstreams a process pauses 0.3 of the bound on leaving upstreams (0.6 s here, 0.25 s before). A leaving upstream is used for 0.5 of the bound (0.6 before), so that hearing late and using it stay within 0.8; the test of that bound follows (used at 0.9 s, not at 1.1 s, of a bound of 2 s).

--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -24,6 +24,9 @@
     def prefixes(self) -> tuple[str, ...]:
         """Return the prefixes of the store's keys to watch."""
 
+    def is_of_upstreams(self, prefix: str) -> bool:
+        """Return whether the keys below a prefix describe upstreams."""
+
     def is_routes(self, key: str) -> bool:
         """Return whether a key holds the routes."""
 
--- a/sycamoreproxy/platform/documents.py
+++ b/sycamoreproxy/platform/documents.py
@@ -30,6 +30,10 @@
 
     prefixes = (names.OPERATOR_PREFIX, names.RUNNER_PREFIX)
 
+    def is_of_upstreams(self, prefix: str) -> bool:
+        """Return whether the keys below a prefix describe runners."""
+        return prefix == names.RUNNER_PREFIX
+
     def is_routes(self, key: str) -> bool:
         """Return whether a key holds the configuration."""
         return key == names.CONFIG_KEY
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -22,7 +22,12 @@
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.task_group import BackgroundTasks
 from sycamoreproxy.upstream_book import UpstreamBook
-from sycamoreproxy.watched_documents import DocumentReplica, DocumentSource
+from sycamoreproxy.watched_documents import (
+    COALESCE_S,
+    UPSTREAM_COALESCE_FRACTION,
+    DocumentReplica,
+    DocumentSource,
+)
 from sycamoreproxy.weight_targets import WeightTargets
 
 if TYPE_CHECKING:
@@ -108,6 +113,7 @@
             hub=self.hub,
             prefixes=self.documents.prefixes,
             clock=self.clock,
+            pause_s=self._find_pause_s,
         )
         self.book = UpstreamBook(clock=self.clock, leave_s=settings.bounds.leave_s)
         self.targets = WeightTargets(clock=self.clock, bound_s=settings.bounds.version_s)
@@ -116,6 +122,11 @@
         )
         self.tasks = BackgroundTasks()
 
+    def _find_pause_s(self, prefix: str) -> float:
+        if self.documents.is_of_upstreams(prefix):
+            return self.book.leave_bound_s * UPSTREAM_COALESCE_FRACTION
+        return COALESCE_S
+
 
 def build_routed_process(settings: RoutedSettings) -> RoutedProcess:
     """Return the process of these settings, not started."""
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -9,9 +9,9 @@
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.streams import Address
 
-#: Part of the operator's bound after which a leaving upstream receives nothing, so that a request
-#: which is already on its way arrives within the bound.
-LEAVING_FRACTION = 0.6
+#: Part of the operator's bound after which a leaving upstream receives nothing. A process may hear of it
+#: after 0.3 of the bound (``UPSTREAM_COALESCE_FRACTION``), and requests on their way need the rest.
+LEAVING_FRACTION = 0.5
 
 _log = get_logger("upstream_book")
 
@@ -47,7 +47,7 @@
 
     def __init__(self, *, clock: Clock, leave_s: float) -> None:
         self._clock = clock
-        self._leave_s = leave_s * LEAVING_FRACTION
+        self.leave_bound_s = leave_s
         self._records_by_instance: dict[str, UpstreamRecord] = {}
         self._leaving_since_by_instance: dict[str, float] = {}
         self._replaced: dict[str, int] = {}
@@ -59,7 +59,7 @@
 
     def set_bound(self, leave_s: float) -> None:
         """Change the bound on new requests to an upstream that leaves."""
-        self._leave_s = leave_s * LEAVING_FRACTION
+        self.leave_bound_s = leave_s
 
     def put(self, record: UpstreamRecord) -> None:
         """Take the current record of an upstream."""
@@ -136,7 +136,9 @@
         if instance in self._replaced:
             return False
         since = self._leaving_since_by_instance.get(instance)
-        return since is None or self._clock.monotonic() - since < self._leave_s
+        return (
+            since is None or self._clock.monotonic() - since < self.leave_bound_s * LEAVING_FRACTION
+        )
 
     def _expire(self) -> None:
         gone = [
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -21,9 +21,12 @@
 
 #: Longest wait of one watch call, in seconds; the platform allows 30.
 WATCH_WAIT_S = 25.0
-#: Pause after changes before the next watch call, in seconds: each call is priced, and changes of
-#: upstreams come in groups. It is a small part of the bounds of 2 s and more on every change.
+#: Pause after changes before the next watch call, in seconds: each call is priced, and changes come in
+#: groups. It is a small part of the bounds of 2 s and more on every change.
 COALESCE_S = 0.25
+#: The same for documents of upstreams, as a part of the bound on leaving ones: a rollout changes each of
+#: them twice, and every change in a call of its own would be a call of every process.
+UPSTREAM_COALESCE_FRACTION = 0.3
 #: First and longest pause after a failed call, in seconds. Failed calls are priced like others.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
@@ -110,11 +113,19 @@
     """Holds the newest known documents below some prefixes.
 
     :param prefixes: what to watch.
+    :param pause_s: returns the pause after changes below a prefix, in seconds.
     """
 
     def __init__(
-        self, *, source: DocumentSource, hub: PeerHub, prefixes: tuple[str, ...], clock: Clock
+        self,
+        *,
+        source: DocumentSource,
+        hub: PeerHub,
+        prefixes: tuple[str, ...],
+        clock: Clock,
+        pause_s: Callable[[str], float] = lambda prefix: COALESCE_S,
     ) -> None:
+        self._pause_s = pause_s
         self._source = source
         self._hub = hub
         self._clock = clock
@@ -210,7 +221,7 @@
                     )
                     self._apply_changes(prefix, changes)
                     if changes.documents:
-                        await asyncio.sleep(COALESCE_S)
+                        await asyncio.sleep(self._pause_s(prefix))
                 pause = RETRY_MIN_S
                 continue
             except HistoryLostError:
--- a/tests/test_upstream_book.py
+++ b/tests/test_upstream_book.py
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize("removed", [False, True])
-@pytest.mark.parametrize(("after_s", "usable"), [(0.0, True), (1.0, True), (1.3, False)])
+@pytest.mark.parametrize(("after_s", "usable"), [(0.0, True), (0.9, True), (1.1, False)])
 def test_leaving_upstream_is_used_within_the_bound_only(
     removed: bool, after_s: float, usable: bool
 ) -> None:
--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -179,3 +179,34 @@
         replica.apply(Document(f"op/{number}", 2 * number + 2, None), source="test")
     assert replica.describe()["documents"] == MAX_DELETED
     assert replica.get("op/0") is None and replica.get(f"op/{MAX_DELETED}") is not None
+
+
+def test_changes_that_come_in_groups_are_read_together() -> None:
+    """Each runner that loaded weights cost every process a call of the store."""
+
+    class _Counting(_Source):
+        async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Snapshot:
+            self.calls.append("wait")
+            return Snapshot((Document(f"{prefix}x", after + 1, b""),), after + 1)
+
+    async def play() -> None:
+        source = _Counting(Snapshot((), 1))
+        replica = DocumentReplica(
+            source=source,
+            hub=FakeHub(),  # type: ignore[arg-type]
+            prefixes=("op/", "servers/"),
+            clock=ManualClock(),
+            pause_s=lambda prefix: 0.0 if prefix == "op/" else 30.0,
+        )
+        tasks = [asyncio.create_task(replica.watch(prefix)) for prefix in ("op/", "servers/")]
+        source.answers.append(Snapshot((), 1))
+        async with asyncio.timeout(5):
+            while source.calls.count("wait") < 20:
+                await asyncio.sleep(0)
+        for task in tasks:
+            task.cancel()
+        documents = [replica.get("op/x"), replica.get("servers/x")]
+        revisions = [document.revision if document else 0 for document in documents]
+        assert revisions[0] >= 19 and revisions[1] == 2
+
+    asyncio.run(play())
