Read manifests soon after an outage of the origin

Change: the longest pause is a limit, 0.4 s on routed deployments; a host without the manifest asks the first peer that announces the version.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -77,6 +77,7 @@
         by one of its hosts, chosen by rendezvous hash, and passed on within the zone; empty if
         links between zones are like those within.
     :param divides_evenly: whether the chunks of a small version are assigned by ``EvenDuties``.
+    :param manifest_retry_s: longest pause before a manifest that could not be read is asked for again.
     :param quiet_s: a rollout ends after this time without traffic, and the budgets are renewed:
         hosts replaced later need the chunks too.
     """
@@ -103,6 +104,7 @@
     upload_slice_bytes: int = 0
     availability_zone: str = ""
     divides_evenly: bool = False
+    manifest_retry_s: float = 5.0
     quiet_s: float = 30.0
 
 
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -54,6 +54,9 @@
 AVOID_FAILED_S = 1.5
 ORIGIN_STALL_S = 1.0
 QUIET_S = 5.0
+#: Longest pause before a manifest is asked for again, in seconds: the origin may be back for only a few
+#: seconds in which all hosts must take a version, and a refused call costs next to nothing.
+MANIFEST_RETRY_S = 0.4
 
 
 class RoutedProcess(Protocol):
@@ -272,6 +275,7 @@
             availability_zone=settings.process.availability_zone,
             stall_s=ORIGIN_STALL_S,
             quiet_s=QUIET_S,
+            manifest_retry_s=MANIFEST_RETRY_S,
         ),
         clock=parts.clock,
         random_source=random.Random(),
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -52,9 +52,8 @@
 ZONE_ANNOUNCE_FRACTION = 0.05
 #: The same for announcements to other zones, of which a host fetches only its part.
 FAR_ANNOUNCE_FRACTION = 0.02
-#: First and longest pause before a manifest is asked for again, in seconds.
+#: First pause before a manifest is asked for again, in seconds; the longest is in the limits.
 MANIFEST_RETRY_MIN_S = 0.2
-MANIFEST_RETRY_MAX_S = 5.0
 
 #: Bytes of a frame besides the data of its chunk.
 _FRAME_ROOM_BYTES = 1_000
@@ -360,7 +359,7 @@
                 self._begin(manifest)
                 break
             await asyncio.sleep(pause * (0.5 + self._random.random()))
-            pause = min(2 * pause, MANIFEST_RETRY_MAX_S)
+            pause = min(2 * pause, self._limits.manifest_retry_s)
         if self._reading == version:
             self._reading = ""
 
@@ -472,7 +471,13 @@
     def _handle_have(self, peer: Peer, have: ChunkHave) -> None:
         host = peer.hello.host
         if self._peers_by_host.get(host) is peer:
+            is_first = host not in self._haves_by_host or (
+                self._haves_by_host[host].version != have.version
+            )
             self._haves_by_host[host] = have
+            if self._manifest is None and is_first and have.version == self._wanted:
+                # The origin may be down, and this process's next attempt may be far.
+                peer.send(ChunkRequest(have.version, ""))
             self._apply_have(host, have)
 
     def _apply_have(self, host: str, have: ChunkHave) -> None:
--- a/tests/test_weight_transfer.py
+++ b/tests/test_weight_transfer.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from types import SimpleNamespace
 
 import pytest
 import tornado.httpserver
@@ -358,3 +359,46 @@
     assert not announcer.is_due(0.3)
     clock.advance(HEARTBEAT_S)
     assert announcer.is_due(0.3)
+
+
+def test_manifest_is_asked_of_the_first_peer_that_has_the_version() -> None:
+    """After an outage of the origin hosts waited up to 5 s for their next attempt at the manifest."""
+
+    async def play() -> None:
+        origin = FakeOrigin()
+        origin.down = True
+        fleet = _Fleet(origin)
+        fleet.start("h1")
+        transfer = fleet.nodes["h1"].transfer
+        transfer.want("v2")
+        sent: list[object] = []
+        peer = SimpleNamespace(
+            hello=Hello("h2", "h2", "upstream", "a", "r"),
+            send=lambda message: sent.append(message) or True,
+        )
+        transfer._peers_by_host["h2"] = peer  # type: ignore[assignment]
+        for version in ("v1", "v2", "v2"):
+            transfer._handle_have(peer, ChunkHave(version, b""))  # type: ignore[arg-type]
+        asked = [message for message in sent if message == ChunkRequest("v2", "")]
+        assert len(asked) == 1
+        await fleet.stop()
+
+    asyncio.run(play())
+
+
+def test_manifest_is_read_soon_after_the_origin_is_back() -> None:
+    origin = FakeOrigin()
+    origin.add("v1", _make_chunks(1, 4))
+    limits = dataclasses.replace(_FAST, manifest_retry_s=0.2)
+
+    async def action(fleet: _Fleet) -> None:
+        origin.down = True
+        fleet.start("h1")
+        node = fleet.nodes["h1"]
+        node.transfer.want("v1")
+        await asyncio.sleep(3.0)
+        origin.down = False
+        async with asyncio.timeout(1.5):
+            await node.transfer.wait_done("v1")
+
+    _run(origin, action, limits=limits)
