Send what would be late anywhere to an engine without backlog

Cause: found in reading the diff: a request was held while its forecast exceeded its goal, or 0.4 s once late. With engines that all run slow, or with a long prompt, the forecast never falls below that, and it waited until its time was over.

Change: the limit is at least the forecast of the request alone on the engine.

Measured: two of the four cases of the test fail before and pass after.

--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -445,7 +445,11 @@
                 writers=min(occupied, slots),
                 prompt_tokens=need.prompt_tokens + unread,
             )
-            if forecast > need.longest_forecast_s and not any_room:
+            alone = engine.first_token_s(
+                ahead=0, writers=min(occupied, slots), prompt_tokens=need.prompt_tokens
+            )
+            # What is late even without others before it would otherwise wait in vain.
+            if forecast > max(need.longest_forecast_s, alone) and not any_room:
                 return None
         return Choice(
             record=record,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -367,3 +367,26 @@
             placer.begin(choice, need)
             sent += 1
     assert fewest <= sent / 5 <= most  # 40 draws are those of 8 hosts, five times.
+
+
+@pytest.mark.parametrize(
+    ("pace", "prompt_tokens", "unread", "is_sent"),
+    [
+        (8.0, 800, 0, True),  # Every engine is slow: nothing would ever be sent.
+        (1.0, 20_000, 0, True),  # A long prompt is late on any engine.
+        (8.0, 800, 1_600, False),
+        (1.0, 800, 9_000, False),
+    ],
+)
+def test_request_that_is_late_anywhere_is_sent_to_an_engine_without_backlog(
+    pace: float, prompt_tokens: int, unread: int, is_sent: bool
+) -> None:
+    """Large requests and all requests to slow engines waited until their time was over."""
+    _, placer = make_placer((0, 0))
+    report = placer.view("i-1").report
+    assert report is not None
+    use = EngineUse(2, unread)
+    placer.take_report("i-1", replace(report, pace=pace, use_elsewhere=use))
+    need = replace(NEED, prompt_tokens=prompt_tokens, longest_forecast_s=0.3)
+    choice = placer.choose([make_upstream(1)], need, profile=PROFILE)
+    assert (choice is not None) is is_sent
