--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import sys
 import time
@@ -265,6 +266,20 @@
             host.disturb(host.restart_after_s)
             await asyncio.sleep(host.restart_after_s)
 
+    async def wait_ready(self, host: Host, *, within_s: float) -> bool:
+        """Return whether an entry host says within a time that it is ready."""
+        deadline = time.monotonic() + within_s
+        while time.monotonic() < deadline:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection(host.ip, READY_PORT)
+                writer.write(b"GET / HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")
+                is_ready = b" 200 " in await reader.readuntil(b"\r\n")
+                writer.close()
+                if is_ready:
+                    return True
+            await asyncio.sleep(0.05)
+        return False
+
     # The operator
 
     async def configure(self) -> int:
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -767,10 +767,16 @@
 def main() -> int:
     """Start an example deployment and stay until Ctrl-C or SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--deployment", choices=("plovdiv", "sicily"), default="plovdiv")
+    parser.add_argument(
+        "--deployment", choices=("plovdiv", "sicily", "platform"), default="plovdiv"
+    )
     parser.add_argument("--dir", type=Path, help="directory for settings and logs")
     options = parser.parse_args()
     directory = options.dir or Path(tempfile.mkdtemp(prefix=f"sycamore-{options.deployment}-"))
+    if options.deployment == "platform":
+        from tools.launch_platform import run_platform
+
+        return run_platform(directory)
     deployment = make_example(options.deployment, directory)
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, _interrupt)
