--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -172,6 +172,9 @@
 class Site:
     """Hosts, upstreams, store and origin of one run.
 
+    Addresses are ``127.OCTET.GROUP.NUMBER``: groups 1 and 2 are hosts (2 with the relays before their
+    runners), 3 the runners themselves, 9 store and origin; 1x is the relay of host x to the store.
+
     :param octet: second part of the addresses, so that runs don't meet.
     :param directory: where settings and logs are written.
     """
@@ -192,7 +195,7 @@
         self.weight_version = 1
         #: Monotonic time at which the store acknowledged a version of the configuration.
         self.acknowledged_at: dict[int, float] = {}
-        self._servers: list[HTTPServer] = []
+        self._server_by_ip: dict[str, HTTPServer] = {}
         self._relays: list[asyncio.Server] = []
         self._instances = 0
         self._supervisors: list[asyncio.Task[None]] = []
@@ -231,7 +234,7 @@
         await asyncio.gather(*(h.process.wait() for h in self.hosts if h.process is not None))
         for server in self._relays:
             server.close()
-        for http in self._servers:
+        for http in self._server_by_ip.values():
             http.stop()
 
     # Processes
@@ -327,7 +330,7 @@
             staged=old.staged,
         )
         upstream.relay.reset()
-        server = self._servers_by_ip[upstream.relay.target_ip]
+        server = self._server_by_ip[upstream.relay.target_ip]
         new = Upstream(
             runner=runner,
             service=upstream.service,
@@ -345,17 +348,10 @@
 
     # Parts
 
-    @property
-    def _servers_by_ip(self) -> dict[str, HTTPServer]:
-        return {
-            str(next(iter(server._sockets.values())).getsockname()[0]): server
-            for server in self._servers
-        }
-
     def _serve(self, routes: list[Any], ip: str, port: int) -> None:
         server = HTTPServer(tornado.web.Application(routes, log_function=lambda handler: None))
         server.listen(port, ip)
-        self._servers.append(server)
+        self._server_by_ip[ip] = server
 
     async def _open_relay(self, ip: str, port: int, target_ip: str, target: int) -> Relay:
         relay = Relay(port=port, target=target, target_ip=target_ip)
