--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -104,12 +104,12 @@
 def check_time_limits(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
     """A caller that hangs can't turn elsewhere."""
     for seen in outcomes:
-        if seen.took_s > TIMEOUT_S + LATE_S and not _was_disturbed(seen):
+        if seen.took_s > TIMEOUT_S + LATE_S and not _had_fault(seen):
             yield f"{seen.request_id} at {seen.host.name} took {seen.took_s:.2f} s"
 
 
-def _was_disturbed(seen: Outcome) -> bool:
-    return seen.host.was_disturbed(seen.sent_at, seen.ended_at)
+def _had_fault(seen: Outcome) -> bool:
+    return seen.host.had_fault(seen.sent_at, seen.ended_at)
 
 
 @checks.register("no process goes back to an older configuration")
@@ -134,7 +134,7 @@
         if not seen.kind.startswith("new-") or seen.status != 404:
             continue
         since = seen.sent_at - site.acknowledged_at[int(seen.kind.removeprefix("new-"))]
-        if since > CONFIG_S and not _was_disturbed(seen):
+        if since > CONFIG_S and not _had_fault(seen):
             yield f"{seen.request_id}: {seen.host.name} refused {seen.kind} {since:.2f} s after its ack"
 
 
@@ -147,7 +147,7 @@
             continue
         for at, request_id in upstream.runner.arrived:
             seen = by_id.get(request_id)
-            if seen is None or _was_disturbed(seen) or at <= upstream.draining_since + LEAVE_S:
+            if seen is None or _had_fault(seen) or at <= upstream.draining_since + LEAVE_S:
                 continue
             yield f"{request_id} reached {upstream.runner.instance} {at - upstream.draining_since:.2f} s"
 
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -61,7 +61,7 @@
         await asyncio.sleep(0.1)
         now = time.monotonic()
         # A process that was paused meanwhile has lost that time.
-        if now - stopped_at > STOP_S + 1.0 and not host.was_disturbed(stopped_at, now):
+        if now - stopped_at > STOP_S + 1.0 and not host.had_fault(stopped_at, now):
             host.bad_exits.append(f"lifetime {lifetime} runs {STOP_S + 1} s after SIGTERM")
             return
 
@@ -70,7 +70,7 @@
 async def pause(site: Site, draw: random.Random) -> None:
     """Stop a process from running for a time."""
     host, for_s = draw.choice(site.hosts), draw.uniform(0.2, MAX_FAULT_S)
-    host.disturb(for_s)
+    host.note_fault(for_s)
     host.send_signal(signal.SIGSTOP)
     await asyncio.sleep(for_s)
     host.send_signal(signal.SIGCONT)
@@ -88,7 +88,7 @@
 async def disturb_store_path(site: Site, draw: random.Random) -> None:
     """Disturb the connections between a process and the store."""
     host, for_s = draw.choice(site.hosts), draw.uniform(0.5, MAX_FAULT_S)
-    host.disturb(for_s)
+    host.note_fault(for_s)
     await _disturb(host.store, draw, for_s)
 
 
@@ -130,7 +130,7 @@
     """Take the store away or drop its history."""
     for_s = draw.uniform(0.5, MAX_FAULT_S)
     for host in site.hosts:
-        host.disturb(for_s)
+        host.note_fault(for_s)
     site.store_faults.replace({draw.choice(["down", "history_lost"]): 1})
     await asyncio.sleep(for_s)
     site.store_faults.replace({})
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -26,6 +26,7 @@
     PlatformStore,
     make_configuration,
     make_origin_routes,
+    make_route,
     make_runner_routes,
     make_store_routes,
 )
@@ -44,11 +45,11 @@
 LEAVE_S = 2.0
 CONFIG_S = 2.0
 VERSION_S = 8.0
-#: Time after a disturbance in which bounds on time don't hold, in seconds.
+#: Time after a fault in which bounds on time don't hold, in seconds.
 CONTACT_S = 3.0
 #: Time that a process may take to start on a busy machine, in seconds; callers don't see it.
 START_S = 2.0
-#: Time limit of every route, in seconds.
+#: Time limit of every route of the stand-in, in seconds.
 TIMEOUT_S = 2.0
 ZONES = ("z1", "z2")
 MODEL = "m1"
@@ -100,7 +101,7 @@
     :param store: relay between the process and the store.
     :param peers: relay before the process's streams, on hosts of engines.
     :param lifetime: number of starts.
-    :param disturbed: spans of monotonic time in which bounds on time don't hold for it.
+    :param fault_spans: spans of monotonic time in which bounds on time don't hold for it.
     :param killed_at: time of the kill by lifetime.
     :param stopped_at: time of the first SIGTERM by lifetime.
     :param bad_exits: ends that nothing had asked for, in words.
@@ -115,7 +116,7 @@
     process: Process | None = None
     lifetime: int = 0
     restart_after_s: float = 0.1
-    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    fault_spans: list[tuple[float, float]] = field(default_factory=list)
     killed_at: dict[int, float] = field(default_factory=dict)
     stopped_at: dict[int, float] = field(default_factory=dict)
     bad_exits: list[str] = field(default_factory=list)
@@ -130,14 +131,14 @@
         """Whether the process was told to end."""
         return self.lifetime in self.stopped_at or self.lifetime in self.killed_at
 
-    def disturb(self, for_s: float) -> None:
-        """Note a disturbance from now on, in seconds; the time after it counts in."""
+    def note_fault(self, for_s: float) -> None:
+        """Note a fault that begins now and lasts ``for_s`` seconds; ``CONTACT_S`` is added."""
         now = time.monotonic()
-        self.disturbed.append((now, now + for_s + CONTACT_S))
+        self.fault_spans.append((now, now + for_s + CONTACT_S))
 
-    def was_disturbed(self, start: float, end: float) -> bool:
-        """Return whether a disturbance fell into a span of monotonic time."""
-        return any(begin <= end and start <= until for begin, until in self.disturbed)
+    def had_fault(self, start: float, end: float) -> bool:
+        """Return whether a fault fell into a span of monotonic time."""
+        return any(begin <= end and start <= until for begin, until in self.fault_spans)
 
     def stop(self) -> None:
         """Tell the process to end in order."""
@@ -147,7 +148,7 @@
     def kill(self) -> None:
         """Kill the process."""
         self.killed_at.setdefault(self.lifetime, time.monotonic())
-        self.disturb(self.restart_after_s)
+        self.note_fault(self.restart_after_s)
         self.send_signal(signal.SIGKILL)
 
     def send_signal(self, number: signal.Signals) -> None:
@@ -253,7 +254,7 @@
                     stderr=output,
                 )
             host.lifetime += 1
-            host.disturb(START_S)
+            host.note_fault(START_S)
             written = host.log.stat().st_size
             status = await host.process.wait()
             expected = set()
@@ -266,7 +267,7 @@
                 expected.add(-signal.SIGKILL)
             if status not in expected:
                 host.bad_exits.append(f"lifetime {host.lifetime} ended with status {status}")
-            host.disturb(host.restart_after_s)
+            host.note_fault(host.restart_after_s)
             await asyncio.sleep(host.restart_after_s)
 
     async def wait_ready(self, host: Host, *, within_s: float) -> bool:
@@ -290,10 +291,10 @@
         self.config_version += 1
         version = self.config_version
         routes = [
-            _make_route("ask", "streaming", "model", session_affinity=True, stream_resume=True),
-            _make_route("read", "idempotent", "ledger"),
-            _make_route("post", "non_idempotent", "ledger", max_attempts=1),
-            *(_make_route(f"new-{n}", "idempotent", "ledger") for n in range(1, version + 1)),
+            make_route("ask", "streaming", "model", session_affinity=True, stream_resume=True),
+            make_route("read", "idempotent", "ledger"),
+            make_route("post", "non_idempotent", "ledger", max_attempts=1),
+            *(make_route(f"new-{n}", "idempotent", "ledger") for n in range(1, version + 1)),
         ]
         services: list[dict[str, Any]] = [
             {"name": "model", "engine": ENGINE, "origin": f"{self._ip(9, 2)}:{ORIGIN_PORT}"},
@@ -435,17 +436,3 @@
             log=self._directory / f"{name}.log",
             store=await self._open_relay(store_ip, STORE_PORT, self.store_address, STORE_PORT),
         )
-
-
-def _make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
-    return {
-        "name": name,
-        "hostname": "office.example",
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "service": service,
-        "timeout_ms": TIMEOUT_S * 1000,
-        "target_latency_ms": 200,
-        "max_attempts": 2,
-        **fields,
-    }
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -349,6 +349,21 @@
     return [(r"/(manifest|piece)/(.*)", OriginHandler, {"sent": sent, "faults": faults})]
 
 
+def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of ``office.example`` below ``/NAME/`` with a limit of 2 s."""
+    return {
+        "name": name,
+        "hostname": "office.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 2000,
+        "target_latency_ms": 200,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
 def make_configuration(
     version: int, *, services: list[dict[str, Any]], routes: list[dict[str, Any]]
 ) -> dict[str, Any]:
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -15,7 +15,12 @@
 from tornado.testing import bind_unused_port
 
 from standins._server import Faults
-from standins.platform import PlatformRunner, make_configuration, make_runner_routes
+from standins.platform import (
+    PlatformRunner,
+    make_configuration,
+    make_route,
+    make_runner_routes,
+)
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.placement import Need, Placer
@@ -41,20 +46,6 @@
 }
 
 
-def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
-    return {
-        "name": name,
-        "hostname": "office.example",
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "service": service,
-        "timeout_ms": 2000,
-        "target_latency_ms": 200,
-        "max_attempts": 2,
-        **fields,
-    }
-
-
 ROUTES = [
     make_route("ask", "streaming", "model", session_affinity=True, stream_resume=True),
     make_route("once", "streaming", "model", session_affinity=True),
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -85,9 +85,9 @@
 
 
 def test_a_fault_excuses_only_bounds_on_time(tmp_path: Path) -> None:
-    """A host under disturbance may be late, but may not answer wrongly."""
+    """A host under a fault may be late, but may not answer wrongly."""
     site, host = _make_site(tmp_path)
-    host.disturbed.append((0.0, 100.0))
+    host.fault_spans.append((0.0, 100.0))
     late = Outcome(
         request_id="a", kind="post", host=host, lifetime=1, sent_at=1.0, ended_at=9.0, status=200
     )
