Tell on which weights a stream began, and when an engine changed its own

Change: 'request ended' has the version that the answer names; 'answer began on an ended version' with how late it began, how long before it was sent and what the host believed; 'weights in use' at the process beside the engine; a counter. The stand-in's streams name their version. No decision changes.

Measured: test_stream_that_begins_on_an_ended_version_is_told; tests of the routed modules, the operations page and the platform pass.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -202,6 +202,7 @@
         first = int(self.request.headers.get("Last-Event-Id", 0)) + 1
         cut = int(self._faults.get("cut_after_events", 0))
         self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Sycamoreproxy-Weight-Versions", str(runner.version))
         runner.running += 1
         try:
             for number in range(first, 6):
--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -49,7 +50,10 @@
 
 @dataclass(slots=True)
 class Progress:
-    """State of one request over its attempts."""
+    """State of one request over its attempts.
+
+    :param version: version of the weights on which the last stream began; None if it names none.
+    """
 
     request: CallerRequest
     route: Route
@@ -64,6 +68,7 @@
     attempts: int = 0
     runs: int = 0
     unrun: int = 0
+    version: int | None = None
     first_output_at: float | None = None
     last_output_at: float = 0.0
     longest_gap_s: float = 0.0
@@ -88,7 +93,10 @@
 
 
 class AnswerRelay:
-    """Passes one upstream's answer on to the caller."""
+    """Passes one upstream's answer on to the caller.
+
+    :param on_begin: called when a stream begins, with the version of the weights that it names.
+    """
 
     def __init__(
         self,
@@ -99,6 +107,7 @@
         dialect: Dialect,
         placer: Placer,
         clock: Clock,
+        on_begin: Callable[[int], None] = lambda version: None,
     ) -> None:
         self._progress = progress
         self._choice = choice
@@ -106,6 +115,7 @@
         self._dialect = dialect
         self._placer = placer
         self._clock = clock
+        self._on_begin = on_begin
         self._head: AnswerHead | None = None
         self._is_stream = False
         self._parts: list[bytes] = []
@@ -125,6 +135,9 @@
             and 200 <= status < 300
             and head.is_signed
         )
+        if self._is_stream and head.weight_version is not None:
+            self._progress.version = head.weight_version
+            self._on_begin(head.weight_version)
         if head.load is not None and self._placer.view(self._choice.record.instance).report is None:
             self._note_load(head)
 
--- a/sycamoreproxy/log_trace.py
+++ b/sycamoreproxy/log_trace.py
@@ -28,6 +28,7 @@
         "upstream listed",
         "upstream removed",
         "upstream replaced",
+        "weights in use",
         "weights named",
         "weights ordered",
     }
--- a/sycamoreproxy/metrics.py
+++ b/sycamoreproxy/metrics.py
@@ -20,6 +20,10 @@
 OPEN_REQUESTS = Gauge("sycamore_open_requests", "Requests of callers in progress")
 ROUTES_REVISION = Gauge("sycamore_routes_revision", "Revision of the routes in force")
 WEIGHT_VERSION = Gauge("sycamore_weight_version", "Newest named version of the weights by model")
+ENDED_VERSION_ANSWERS = Counter(
+    "sycamore_ended_version_answers_total",
+    "Streams that began on weights older than the operator's bound permits, by model",
+)
 FIRST_OUTPUT_SECONDS = Histogram(
     "sycamore_first_output_seconds",
     "Time from the caller's request to the first output by rank",
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -16,6 +16,7 @@
 from sycamoreproxy.event_splitter import EventSplitter
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import (
+    ENDED_VERSION_ANSWERS,
     FIRST_OUTPUT_SECONDS,
     OPEN_REQUESTS,
     REFUSALS,
@@ -313,6 +314,7 @@
         if time_left < MIN_TIME_LEFT_S:
             return Ended(Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO), failed=None)
         progress.splitter.restart()
+        sent_at = self._clock.monotonic()
         headers = self._dialect.write_attempt(
             request,
             Attempt(
@@ -331,6 +333,7 @@
             dialect=self._dialect,
             placer=self._placer,
             clock=self._clock,
+            on_begin=lambda version: self._note_begin(progress, choice, version, sent_at),
         )
         client = self._client_of(choice)
         exchange = asyncio.ensure_future(
@@ -371,6 +374,28 @@
             self._book.note_replaced(choice.record.instance)
         return ended
 
+    def _note_begin(self, progress: Progress, choice: Choice, version: int, sent_at: float) -> None:
+        """Tell of a stream that began on weights that no request may begin on any more."""
+        model = progress.request.model
+        now = self._clock.monotonic()
+        ended_at = self._targets.find_end(model, version)
+        if now < ended_at:
+            return
+        ENDED_VERSION_ANSWERS.inc({"model": model})
+        _log.warning(
+            "answer began on an ended version",
+            request=progress.request.request_id,
+            upstream=choice.record.instance,
+            version=version,
+            believed=choice.version,
+            newest=self._targets.find_target(model),
+            ended_ms_ago=round((now - ended_at) * 1000),
+            sent_ms_ago=round((now - sent_at) * 1000),
+            waited_ms=round(progress.waited_s * 1000),
+            forecast_ms=round(choice.forecast_s * 1000),
+            report_age_ms=round((choice.report_age_s or 0.0) * 1000),
+        )
+
     def _choose_expected_version(self, model: str, choice: Choice) -> int | None:
         """Return the version that must answer: the one that the engine is believed to hold.
 
@@ -495,6 +520,7 @@
             forecast_ms=round(progress.forecast_s * 1000),
             load=progress.load,
             first_ms=first_ms,
+            version=progress.version,
             longest_gap_ms=round(progress.longest_gap_s * 1000),
             total_ms=round((now - progress.received_at) * 1000),
             code=code,
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -231,10 +231,23 @@
                 if self._report is None:
                     _log.info("engine reached", failures=self._failures)
                     self._failures = 0
+                self._note_versions(self._report, report)
                 self._report = report
                 zones.send(self._make_load(report), now=asyncio.get_running_loop().time())
             await asyncio.sleep(REPORT_PERIOD_S)
 
+    @staticmethod
+    def _note_versions(before: EngineReport | None, now: EngineReport) -> None:
+        """Tell of weights that the engine has loaded."""
+        if before is None or before.version_by_model != now.version_by_model:
+            _log.info(
+                "weights in use",
+                versions=dict(now.version_by_model),
+                before=None if before is None else dict(before.version_by_model),
+                running=now.running,
+                waiting=now.waiting,
+            )
+
     def _take_use(self, peer: Peer, use: EngineUse) -> None:
         self._use_by_peer[peer] = use
 
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import pytest
+import structlog
 import tornado.web
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
@@ -510,3 +511,20 @@
         assert sum(runner.ran.total() for runner in site.runners[:2]) == 0
 
     play(action)
+
+
+def test_stream_that_begins_on_an_ended_version_is_told() -> None:
+    """Users saw answers of ended weights, and no log told which request began on which weights."""
+
+    async def action(site: Site) -> None:
+        for faults in site.faults[:2]:
+            faults.replace({"stall_s": 0.4})
+        site.front.dispatcher._targets.set_bound(0.2)
+        site.front.dispatcher._targets.set_target("m1", 2, is_first_read=False)
+        with structlog.testing.capture_logs() as lines:
+            await site.ask("/once/x", **GENERATION)
+        (line,) = [item for item in lines if item["event"].startswith("answer began")]
+        assert (line["version"], line["newest"]) == (1, 2)
+        assert 150 <= line["ended_ms_ago"] < line["sent_ms_ago"]
+
+    play(action)
