Reproduce a request that waits and is then sent to an ended version

Cause: the lowest permitted version is found when a request arrives, and a request may wait for room for up to 5 s before an engine is chosen with it.

Measured: the test fails at: the request is sent to version 1 after version 2 binds, and its answer names version 1.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -22,6 +22,7 @@
     make_route,
     make_runner_routes,
 )
+from sycamoreproxy import weight_targets
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.placement import Need, Placer
@@ -528,3 +529,35 @@
         assert 150 <= line["ended_ms_ago"] < line["sent_ms_ago"]
 
     play(action)
+
+
+def test_request_that_waited_is_not_sent_to_an_ended_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The lowest permitted version was found on arrival and kept while the request waited."""
+    monkeypatch.setattr(weight_targets, "OLD_FRACTION", 0.1)
+
+    async def action(site: Site) -> None:
+        dispatcher = site.front.dispatcher
+        placer = dispatcher._placer
+        for _ in range(20):
+            dispatcher._choose("model", Need(level=0, model="m1"), any_room=True)
+        asking = asyncio.create_task(site.ask("/ask/x", **GENERATION))
+        await asyncio.sleep(0.05)
+        dispatcher._targets.set_bound(1.0)
+        dispatcher._targets.set_target("m1", 2, is_first_read=False)
+        await asyncio.sleep(0.15)
+        placer.view("i-0").own_by_number.clear()
+        dispatcher.pump()
+        await asyncio.sleep(0.1)
+        assert not asking.done() and not site.runners[0].received
+        site.runners[1].version = 2
+        value = json.loads(site.replica.get("servers/i-1").value)  # type: ignore
+        _put(site, "servers/i-1", value | {"models": [{"name": "m1", "version": 2}]})
+        placer.view("i-1").own_by_number.clear()
+        dispatcher.pump()
+        status, _, body, whole = await asking
+        assert (status, body, whole) == (200, WHOLE, True)
+        assert site.runners[1].received[0]["Sycamoreproxy-Expect-Version"] == "2"
+
+    play(action)
