Find the lowest permitted version when an upstream is chosen

Callers could get answers of ended weights after they had waited for room.

Cause: a request took the lowest permitted version with it when it arrived and kept it while it waited, up to 5 s; a version that came into force meanwhile did not count. The class is a fact that is read before a wait and used after it.

Evidence: test_request_that_waited_is_not_sent_to_an_ended_version failed at: version 1 answered 0.1 s after version 2 was due.

Change: the version is read in the step that chooses. The other facts of a waiting request (goal, time left, excluded upstreams) do not change while it waits.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -287,11 +287,13 @@
             urgency=progress.urgency,
             prompt_tokens=request.prompt_tokens,
             model=request.model if is_generation else "",
-            minimum_version=self._targets.find_minimum(request.model) if is_generation else 0,
             excluded=frozenset(progress.excluded),
         )
 
     def _choose(self, service: str, need: Need, *, any_room: bool = False) -> Choice | None:
+        if need.model:
+            # A version may have come into force while the request waited.
+            need = replace(need, minimum_version=self._targets.find_minimum(need.model))
         records: Sequence[UpstreamRecord] = self._book.list_usable(service)
         spec = self._table().services_by_name.get(service)
         if spec is not None and spec.engine is not None:
