Read configurations from the store by two processes of a zone

Callers saw answers of ended weights on a deployment of 80 processes.

Cause: every process read each configuration from the store itself, through one watch for configurations and versions. The 25 processes of a zone share one link of 15 Mbit/s to the store's region; a configuration of 1,200 routes filled it for 3 to 4 s, and a series of configurations sends every value of the history to every process. A version named behind it was heard as much later, and its bound counts from when it is heard; requests, and the closes that take them back, wait on the same link. This is a class of fault: what every process fetches for itself over a link that the others share.

Change: versions have a watch of their own. Two processes beside engines of each zone follow the configuration in the store, tell the zone how far they are each 0.4 s, and the others fetch it from them and from each other, compressed. A process whose readers are silent for 1 s follows the store itself. A series of large changes, and a watch that keeps failing, is read anew instead of by its history. Streams to the readers open before the configuration is known.

--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -24,6 +24,10 @@
     def prefixes(self) -> tuple[str, ...]:
         """Return the prefixes of the store's keys to watch."""
 
+    @property
+    def shared_prefixes(self) -> tuple[str, ...]:
+        """Return those prefixes whose documents are large."""
+
     def is_of_upstreams(self, prefix: str) -> bool:
         """Return whether the keys below a prefix describe upstreams."""
 
@@ -88,7 +92,7 @@
                     self.targets.set_target(
                         model,
                         self._documents.read_version(value),
-                        is_first_read=not self._replica.has_read,
+                        is_first_read=not self._replica.has_read(key),
                     )
             elif (instance := self._documents.instance_of(key)) is not None:
                 if value is None:
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -525,6 +525,20 @@
     revisions: IntByName
 
 
+@message(75)
+@dataclass(frozen=True, slots=True)
+class DocumentProgress:
+    """The sender follows a prefix in the store; sent to processes of its availability zone.
+
+    :param revision: the store's revision up to which the sender's documents are complete.
+    :param revisions: revisions of the documents below the prefix, by key.
+    """
+
+    prefix: str
+    revision: int
+    revisions: IntByName
+
+
 @message(72)
 @dataclass(frozen=True, slots=True)
 class DocumentFetch:
--- a/sycamoreproxy/platform/documents.py
+++ b/sycamoreproxy/platform/documents.py
@@ -28,7 +28,9 @@
 class PlatformDocuments:
     """Decodes the store's documents into the product's types."""
 
-    prefixes = (names.OPERATOR_PREFIX, names.RUNNER_PREFIX)
+    prefixes = (names.VERSION_PREFIX, names.CONFIG_KEY, names.RUNNER_PREFIX)
+    # A configuration holds all routes and keys; the others take some hundred bytes each.
+    shared_prefixes = (names.CONFIG_KEY,)
 
     def is_of_upstreams(self, prefix: str) -> bool:
         """Return whether the keys below a prefix describe runners."""
@@ -115,6 +117,8 @@
                 version_by_model=tuple(
                     (str(item["name"]), int(item["version"])) for item in data.get("models") or ()
                 ),
+                # Only model runners tell a stage or models, the latter empty while they load.
+                is_engine="models" in data or "stage" in data,
             )
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise DocumentError(repr(error)) from error
--- a/sycamoreproxy/platform/names.py
+++ b/sycamoreproxy/platform/names.py
@@ -23,7 +23,6 @@
 #: Store keys: the configuration, the named weights, and the runners.
 CONFIG_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
-OPERATOR_PREFIX = "op/"
 RUNNER_PREFIX = "servers/"
 
 #: State of a runner that takes no new work soon.
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -22,6 +22,7 @@
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.task_group import BackgroundTasks
 from sycamoreproxy.upstream_book import UpstreamBook
+from sycamoreproxy.upstream_subset import choose_readers
 from sycamoreproxy.watched_documents import (
     COALESCE_S,
     UPSTREAM_COALESCE_FRACTION,
@@ -99,6 +100,7 @@
 
     def __init__(self, settings: RoutedSettings, adapter: PlatformAdapter) -> None:
         process = settings.process
+        self._zone = process.availability_zone
         self.clock = SystemClock()
         self.documents = adapter.documents()
         self.hub = PeerHub(
@@ -117,14 +119,28 @@
             prefixes=self.documents.prefixes,
             clock=self.clock,
             pause_s=self._find_pause_s,
+            shared_prefixes=self.documents.shared_prefixes,
+            find_readers=self.find_readers,
         )
         self.book = UpstreamBook(clock=self.clock, leave_s=settings.bounds.leave_s)
+        self._readers: frozenset[str] | None = None
+        self.book.subscribe(self._forget_readers)
         self.targets = WeightTargets(clock=self.clock, bound_s=settings.bounds.version_s)
         self.beliefs = Beliefs(
             documents=self.documents, replica=self.replica, book=self.book, targets=self.targets
         )
         self.tasks = BackgroundTasks()
 
+    def find_readers(self) -> frozenset[str] | None:
+        """Return the hosts that read large documents for this zone; None while none is known."""
+        if self._readers is None and (records := self.book.list_all()):
+            engines = [r for r in records if r.is_engine and not self.book.is_leaving(r.instance)]
+            self._readers = choose_readers(engines, availability_zone=self._zone)
+        return self._readers
+
+    def _forget_readers(self, instance: str) -> None:
+        self._readers = None
+
     def _find_pause_s(self, prefix: str) -> float:
         if self.documents.is_of_upstreams(prefix):
             return self.book.leave_bound_s * UPSTREAM_COALESCE_FRACTION
@@ -207,6 +223,7 @@
         tasks=parts.tasks,
         budgets_by_service=budgets_by_service,
         now=parts.clock.monotonic,
+        find_readers=parts.find_readers,
     )
     built.append(process)
     return process
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -43,6 +43,7 @@
     All parts are built by :mod:`sycamoreproxy.routed_composition`.
 
     :param budgets_by_service: resend budgets, filled as services are used.
+    :param find_readers: returns the hosts that read large documents for the own zone.
     """
 
     def __init__(
@@ -60,7 +61,9 @@
         tasks: BackgroundTasks,
         budgets_by_service: dict[str, ResendBudget],
         now: Callable[[], float],
+        find_readers: Callable[[], frozenset[str] | None],
     ) -> None:
+        self._find_readers = find_readers
         self.settings = settings
         self._documents = documents
         self._hub = hub
@@ -106,7 +109,7 @@
         self._ready_server.listen(listen.ready.port, listen.ready.ip)
         self._state.listen(listen.ip, listen.state_port)
         for prefix in self._documents.prefixes:
-            self._tasks.start(f"watch {prefix}", partial(self._replica.watch, prefix))
+            self._tasks.start(f"watch {prefix}", partial(self._replica.follow, prefix))
         self._tasks.start("heartbeat", self._beat)
         self._tasks.start("pump", self._pump)
 
@@ -180,13 +183,8 @@
 
     def _update_peers(self) -> None:
         """Keep a stream to the process beside each engine that this host follows."""
-        services = self._beliefs.table.services_by_name
         port = self.settings.listen.peer_port
-        engines = [
-            record
-            for record in self._beliefs.book.list_all()
-            if (spec := services.get(record.service)) is not None and spec.engine is not None
-        ]
+        engines = [record for record in self._beliefs.book.list_all() if record.is_engine]
         self._engines = len(engines)
         followed = choose_followed(
             engines,
@@ -194,7 +192,8 @@
             availability_zone=self.settings.process.availability_zone,
         )
         self._placer.followed = followed
-        self._hub.set_targets({Address(Address.parse(item).ip, port) for item in followed})
+        hosts = {Address.parse(item).ip for item in followed} | (self._find_readers() or set())
+        self._hub.set_targets({Address(host, port) for host in hosts})
 
     def _take_load(self, peer: Peer, load: EngineLoad) -> None:
         now = self._now()
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -161,7 +161,7 @@
         self._peer_server.listen(listen.peer_port, listen.ip)
         self._state.listen(listen.ip, listen.state_port)
         for prefix in self._documents.prefixes:
-            self._tasks.start(f"watch {prefix}", partial(self._replica.watch, prefix))
+            self._tasks.start(f"watch {prefix}", partial(self._replica.follow, prefix))
         self._tasks.start("heartbeat", self._beat)
         self._tasks.start("load reports", self._follow_engine)
         self._tasks.start("weights", self._transfer.run)
@@ -184,13 +184,8 @@
         receive one, so the hosts of all zones share a single copy of the origin.
         """
         port = self._settings.listen.peer_port
-        services = self._beliefs.table.services_by_name
         zone = self._settings.process.availability_zone
-        records = [
-            record
-            for record in self._beliefs.book.list_all()
-            if (spec := services.get(record.service)) is not None and spec.engine is not None
-        ]
+        records = [record for record in self._beliefs.book.list_all() if record.is_engine]
         for record in records:
             is_near = len(records) <= MAX_EXCHANGE_HOSTS or record.availability_zone == zone
             peer = Address(record.address.ip, port)
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -24,6 +24,7 @@
     :param is_leaving: whether it has announced its end.
     :param started_ms: start of the incarnation, Unix milliseconds; 0 if not told.
     :param version_by_model: versions of the weights that it holds.
+    :param is_engine: whether it is a model engine, with a process of the system on its host.
     """
 
     instance: str
@@ -34,6 +35,7 @@
     is_leaving: bool = False
     started_ms: int = 0
     version_by_model: tuple[tuple[str, int], ...] = ()
+    is_engine: bool = False
 
 
 class UpstreamBook:
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -2,11 +2,16 @@
 
 Every document keeps the store's revision of its last change, and a process only ever moves to a
 higher one, so no source can take it back.
+
+Large documents are read from the store by a few processes of each availability zone, which the others
+follow: read by every process, a configuration of 200 KB filled the links between regions for four
+seconds, and what was sent meanwhile came as late.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import zlib
 from collections import deque
@@ -16,7 +21,12 @@
 
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.logs import get_logger
-from sycamoreproxy.messages import DocumentAnnounce, DocumentData, DocumentFetch
+from sycamoreproxy.messages import (
+    DocumentAnnounce,
+    DocumentData,
+    DocumentFetch,
+    DocumentProgress,
+)
 from sycamoreproxy.peers import Peer, PeerHub
 
 #: Longest wait of one watch call, in seconds; the platform allows 30.
@@ -34,6 +44,25 @@
 #: fetches the document from the peer: in normal operation the watch is as fast.
 RELAY_DELAY_S = 0.3
 
+#: Time between two progress reports of a zone's reader, in seconds.
+PROGRESS_PERIOD_S = 0.4
+#: A process whose zone's readers have all been silent for this time follows the store itself, in seconds:
+#: two reports are lost, and less than the bounds of 2 s and more on every change.
+PROGRESS_FRESH_S = 1.0
+#: Longest wait for a zone's readers after the start, in seconds: streams to them open within it.
+READERS_WAIT_S = 1.5
+#: Longest pause before a document is fetched that the zone's readers announce, in seconds: the processes
+#: of a zone do not all ask at once, and those that have it by then share the sending.
+ZONE_RELAY_DELAY_S = 0.2
+#: A fetch that is not answered in this time is repeated at the next announcement, in seconds.
+FETCH_TIMEOUT_S = 0.6
+#: Bytes of values that were replaced within one answer from which on the prefix is read anew: the store
+#: sends every value of its history, and a series of changes of a large document has many.
+SUPERSEDED_BYTES = 32 * 1024
+#: Failed watches in a row after which the prefix is read anew: what has changed meanwhile may be more than
+#: one answer can hold.
+FAILURES_TO_READ = 3
+
 #: Deleted documents that are remembered: a day of restarts of all runners at the target size.
 MAX_DELETED = 2_000
 
@@ -100,6 +129,7 @@
     :param revision: the store's revision up to which the documents are complete; 0 before the
         first read and after a loss of history.
     :param has_read: whether they were read since the start of the process.
+    :param relayed_at: monotonic time of the last progress report of a zone's reader.
     """
 
     revision: int = 0
@@ -107,6 +137,7 @@
     has_read: bool = False
     is_connected: bool = False
     failures: int = field(default=0)
+    relayed_at: float = -math.inf
 
 
 class DocumentReplica:
@@ -114,6 +145,8 @@
 
     :param prefixes: what to watch.
     :param pause_s: returns the pause after changes below a prefix, in seconds.
+    :param shared_prefixes: those that a few readers of each availability zone follow for the others.
+    :param find_readers: returns the hosts of the own zone's readers; None while they are not known.
     """
 
     def __init__(
@@ -124,8 +157,13 @@
         prefixes: tuple[str, ...],
         clock: Clock,
         pause_s: Callable[[str], float] = lambda prefix: COALESCE_S,
+        shared_prefixes: tuple[str, ...] = (),
+        find_readers: Callable[[], frozenset[str] | None] = frozenset,
     ) -> None:
         self._pause_s = pause_s
+        self._shared_prefixes = shared_prefixes
+        self._find_readers = find_readers
+        self._fetched_at_by_key: dict[str, float] = {}
         self._source = source
         self._hub = hub
         self._clock = clock
@@ -137,6 +175,7 @@
         hub.on(DocumentAnnounce, self._handle_announce)
         hub.on(DocumentFetch, self._handle_fetch)
         hub.on(DocumentData, self._handle_data)
+        hub.on(DocumentProgress, self._handle_progress)
         hub.on_open(self._handle_open)
 
     # Queries
@@ -150,10 +189,21 @@
         """Whether the last call for every prefix was answered."""
         return all(state.is_connected for state in self._states_by_prefix.values())
 
-    @property
-    def has_read(self) -> bool:
-        """Whether all prefixes were read since the start; what comes before may be old."""
-        return all(state.has_read for state in self._states_by_prefix.values())
+    def has_read(self, key: str) -> bool:
+        """Return whether a key's prefix was read since the start; what comes before may be old."""
+        return all(
+            state.has_read
+            for prefix, state in self._states_by_prefix.items()
+            if key.startswith(prefix)
+        )
+
+    def is_relayed(self, prefix: str) -> bool:
+        """Return whether the zone's readers follow a prefix for this process."""
+        if prefix not in self._shared_prefixes or self._is_reader():
+            return False
+        return (
+            self._clock.monotonic() - self._states_by_prefix[prefix].relayed_at < PROGRESS_FRESH_S
+        )
 
     def describe(self) -> dict[str, object]:
         """Return the state for a dump."""
@@ -164,6 +214,7 @@
                 prefix: {
                     "revision": state.revision,
                     "connected": state.is_connected,
+                    "relayed": self.is_relayed(prefix),
                     "answered_s_ago": round(now - state.answered_at, 3),
                     "failures": state.failures,
                 }
@@ -207,8 +258,55 @@
             if held is not None and held.value is None and oldest not in self._deleted:
                 del self._documents_by_key[oldest]
 
+    async def follow(self, prefix: str) -> None:
+        """Follow the documents below a prefix until cancelled, by the zone's readers if it is shared."""
+        if prefix not in self._shared_prefixes:
+            await self.watch(prefix)
+            return
+        await self._await_readers(prefix)
+        watching: asyncio.Task[None] | None = None
+        try:
+            while True:
+                if self.is_relayed(prefix):
+                    if watching is not None:
+                        watching.cancel()
+                        watching = None
+                elif watching is None:
+                    watching = asyncio.create_task(self.watch(prefix))
+                elif watching.done():
+                    watching.result()
+                self._report_progress(prefix)
+                await asyncio.sleep(PROGRESS_PERIOD_S)
+        finally:
+            if watching is not None:
+                watching.cancel()
+
+    async def _await_readers(self, prefix: str) -> None:
+        """Wait until the zone's readers are heard, or it is known that there are none to wait for."""
+        until = self._clock.monotonic() + READERS_WAIT_S
+        while self._clock.monotonic() < until and not self.is_relayed(prefix):
+            readers = self._find_readers()
+            if readers is not None and (not readers or self._is_reader()):
+                return
+            await asyncio.sleep(RETRY_MIN_S)
+
+    def _is_reader(self) -> bool:
+        return self._hub.hello.host in (self._find_readers() or frozenset())
+
+    def _report_progress(self, prefix: str) -> None:
+        """Tell the processes of the own zone how far this process follows the store, if it does."""
+        state = self._states_by_prefix[prefix]
+        if not (state.is_connected and state.revision and self._is_reader()):
+            return
+        held = self._documents_by_key.items()
+        revisions = {key: item.revision for key, item in held if key.startswith(prefix)}
+        self._hub.broadcast(
+            DocumentProgress(prefix, state.revision, revisions),
+            availability_zone=self._hub.hello.availability_zone,
+        )
+
     async def watch(self, prefix: str) -> None:
-        """Follow the documents below a prefix until cancelled."""
+        """Follow the documents below a prefix in the store until cancelled."""
         state = self._states_by_prefix[prefix]
         pause = RETRY_MIN_S
         while True:
@@ -222,6 +320,8 @@
                     self._apply_changes(prefix, changes)
                     if changes.documents:
                         await asyncio.sleep(self._pause_s(prefix))
+                    if _count_superseded(changes) > SUPERSEDED_BYTES:
+                        state.revision = 0
                 pause = RETRY_MIN_S
                 continue
             except HistoryLostError:
@@ -232,6 +332,8 @@
                 if state.is_connected or state.failures == 1:
                     _log.warning("store lost", prefix=prefix, error=str(error))
                 state.is_connected = False
+                if state.failures >= FAILURES_TO_READ:
+                    state.revision = 0
                 # Jitter spreads the processes that lost the store at the same moment.
                 await asyncio.sleep(pause * (0.5 + random.random()))
                 pause = min(RETRY_MAX_S, pause * 2)
@@ -268,6 +370,8 @@
         state.has_read = True
         if changed:
             self._hub.broadcast(DocumentAnnounce(changed))
+            if prefix in self._shared_prefixes:
+                self._report_progress(prefix)
 
     # Messages
 
@@ -280,15 +384,46 @@
             )
 
     def _handle_announce(self, peer: Peer, announce: DocumentAnnounce) -> None:
-        if self._list_newer(announce.revisions):
-            task = asyncio.create_task(self._fetch_later(peer, announce.revisions))
+        is_near = peer.hello.availability_zone == self._hub.hello.availability_zone
+        relayed = {
+            key: revision
+            for key, revision in announce.revisions.items()
+            if any(key.startswith(p) and self.is_relayed(p) for p in self._shared_prefixes)
+        }
+        others = {k: r for k, r in announce.revisions.items() if k not in relayed}
+        self._fetch(peer, others, delay_s=RELAY_DELAY_S)
+        if is_near:
+            # Another zone's copy would cross the link that the readers spare.
+            self._fetch(peer, relayed, delay_s=random.uniform(0, ZONE_RELAY_DELAY_S))
+
+    def _handle_progress(self, peer: Peer, progress: DocumentProgress) -> None:
+        if progress.prefix not in self._shared_prefixes:
+            return
+        state = self._states_by_prefix[progress.prefix]
+        state.relayed_at = self._clock.monotonic()
+        if not self._list_newer(progress.revisions):
+            state.revision = max(state.revision, progress.revision)
+            state.has_read = True
+            return
+        self._fetch(peer, progress.revisions, delay_s=random.uniform(0, ZONE_RELAY_DELAY_S))
+
+    def _fetch(self, peer: Peer, revisions: dict[str, int], *, delay_s: float) -> None:
+        """Fetch those documents from a peer that are still older after a pause."""
+        if self._list_newer(revisions):
+            task = asyncio.create_task(self._fetch_later(peer, revisions, delay_s))
             self._fetches.add(task)
             task.add_done_callback(self._fetches.discard)
 
-    async def _fetch_later(self, peer: Peer, revisions: dict[str, int]) -> None:
-        await asyncio.sleep(RELAY_DELAY_S)
-        if missing := self._list_newer(revisions):
-            peer.send(DocumentFetch(tuple(missing)))
+    async def _fetch_later(self, peer: Peer, revisions: dict[str, int], delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        now = self._clock.monotonic()
+        missing = [
+            key
+            for key in self._list_newer(revisions)
+            if now - self._fetched_at_by_key.get(key, -math.inf) > FETCH_TIMEOUT_S
+        ]
+        if missing and peer.send(DocumentFetch(tuple(missing))):
+            self._fetched_at_by_key.update(dict.fromkeys(missing, now))
 
     def _list_newer(self, revisions: dict[str, int]) -> list[str]:
         held = self._documents_by_key
@@ -311,5 +446,16 @@
         except zlib.error as error:
             _log.warning("document not readable", key=data.key, error=str(error))
             return
+        self._fetched_at_by_key.pop(data.key, None)
         if self.apply(Document(data.key, data.revision, value), source=peer.hello.host):
             self._hub.broadcast(DocumentAnnounce({data.key: data.revision}))
+
+
+def _count_superseded(changes: Snapshot) -> int:
+    """Return the bytes of values that a later change in the same answer replaced."""
+    newest = {document.key: document for document in changes.documents}
+    return sum(
+        len(document.value or b"")
+        for document in changes.documents
+        if document is not newest[document.key]
+    )
--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import chain
 
 import pytest
 
 from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.messages import DocumentAnnounce, DocumentData, DocumentFetch
+from sycamoreproxy.routed_dispatch import VERSION_MARGIN_S
 from sycamoreproxy.watched_documents import (
+    FAILURES_TO_READ,
     MAX_DELETED,
+    PROGRESS_FRESH_S,
+    SUPERSEDED_BYTES,
     Document,
     DocumentReplica,
     HistoryLostError,
@@ -17,6 +22,7 @@
     SourceUnavailableError,
 )
 from tests._fake_hub import FakeHub, FakeNetwork, FakePeer
+from tests._virtual_time import LoopClock, in_virtual_time
 
 
 class _Source:
@@ -166,7 +172,7 @@
         Snapshot((Document("op/a", 9, b"c"),), 9),
     )
     seen: list[bool] = []
-    replica.subscribe(lambda document: seen.append(replica.has_read))
+    replica.subscribe(lambda document: seen.append(replica.has_read(document.key)))
     follow(source, replica)
     assert seen == [False, True, True]
 
@@ -210,3 +216,175 @@
         assert revisions[0] >= 19 and revisions[1] == 2
 
     asyncio.run(play())
+
+
+#: The link between two regions on the users' large deployment, in bytes a second.
+LINK_BYTES_PER_S = 15e6 / 8
+#: A configuration of 1,200 routes, in bytes as the store sends it.
+LARGE_BYTES = 285_000
+
+
+class _FarStore:
+    """A store behind one link, which carries the answers to all processes of a zone in turn."""
+
+    def __init__(self) -> None:
+        self.documents: list[Document] = [Document("op/config", 1, b"small")]
+        self.revision = 1
+        self.reads = 0
+        self._link_free_at = 0.0
+
+    def put(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        self.documents.append(Document(key, self.revision, value))
+
+    async def read_all(self, prefix: str) -> Snapshot:
+        newest = {d.key: d for d in self.documents if d.key.startswith(prefix)}
+        return await self._send(tuple(newest.values()))
+
+    async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Snapshot:
+        while True:
+            changes = [d for d in self.documents if d.key.startswith(prefix) and d.revision > after]
+            if changes:
+                return await self._send(tuple(changes))
+            await asyncio.sleep(0.01)
+
+    async def _send(self, documents: tuple[Document, ...]) -> Snapshot:
+        revision = self.revision
+        size = sum(len(document.value or b"") for document in documents)
+        self.reads += any(document.key == "op/config" for document in documents)
+        now = asyncio.get_running_loop().time()
+        self._link_free_at = max(now, self._link_free_at) + size / LINK_BYTES_PER_S
+        await asyncio.sleep(self._link_free_at - now)
+        return Snapshot(documents, revision)
+
+
+class _Zone:
+    """Processes of one zone that follow a far store; all have streams to the readers."""
+
+    def __init__(self, *, processes: int, readers: int) -> None:
+        self.store = _FarStore()
+        self.network = FakeNetwork(seed=1)
+        self.readers = frozenset(f"h{number}" for number in range(readers))
+        self.hubs = [FakeHub(host=f"h{number}", zone="z1") for number in range(processes)]
+        self.replicas = [
+            DocumentReplica(
+                source=self.store,
+                hub=hub,  # type: ignore[arg-type]
+                prefixes=("op/config", "op/version/"),
+                clock=LoopClock(),
+                shared_prefixes=("op/config",),
+                find_readers=lambda: self.readers,
+            )
+            for hub in self.hubs
+        ]
+        self.streams = [
+            self.network.link(hub, other)
+            for index, hub in enumerate(self.hubs[:readers])
+            for other in self.hubs[index + 1 :]
+        ]
+        self.tasks = [
+            [asyncio.create_task(replica.follow(p)) for p in ("op/config", "op/version/")]
+            for replica in self.replicas
+        ]
+        self._delivering = asyncio.create_task(self._deliver())
+
+    async def _deliver(self) -> None:
+        while True:
+            self.network.deliver()
+            await asyncio.sleep(0.002)
+
+    def count_holding(self, key: str, revision: int) -> int:
+        documents = [replica.get(key) for replica in self.replicas]
+        return sum(document is not None and document.revision >= revision for document in documents)
+
+    def stop(self) -> None:
+        self._delivering.cancel()
+        for task in chain.from_iterable(self.tasks):
+            task.cancel()
+
+
+@in_virtual_time
+async def test_version_is_heard_in_time_behind_a_large_configuration() -> None:
+    """Every process read the configuration itself; versions named behind it came 4 s late."""
+    zone = _Zone(processes=24, readers=2)
+    await asyncio.sleep(3)
+    zone.store.put("op/config", b"x" * LARGE_BYTES)
+    await asyncio.sleep(0.1)
+    zone.store.put("op/version/m", b"2")
+    await asyncio.sleep(VERSION_MARGIN_S)
+    assert zone.count_holding("op/version/m", 3) == 24
+    await asyncio.sleep(0.5)
+    assert zone.count_holding("op/config", 2) == 24
+    zone.stop()
+
+
+@in_virtual_time
+async def test_large_documents_are_read_by_the_readers_of_a_zone_only() -> None:
+    zone = _Zone(processes=12, readers=2)
+    await asyncio.sleep(3)
+    before = zone.store.reads
+    for _ in range(3):
+        zone.store.put("op/config", b"x" * LARGE_BYTES)
+        await asyncio.sleep(2)
+    assert zone.store.reads - before == 6
+    assert zone.count_holding("op/config", 4) == 12
+    zone.stop()
+
+
+@in_virtual_time
+async def test_processes_follow_the_store_when_their_readers_fall_silent() -> None:
+    """A change that is made while both readers are frozen must not wait for them."""
+    zone = _Zone(processes=6, readers=2)
+    await asyncio.sleep(3)
+    for task in chain.from_iterable(zone.tasks[:2]):
+        task.cancel()
+    zone.replicas = zone.replicas[2:]
+    zone.store.put("op/config", b"y" * 1000)
+    await asyncio.sleep(PROGRESS_FRESH_S + 0.5)
+    assert zone.count_holding("op/config", 2) == 4
+    zone.stop()
+
+
+@in_virtual_time
+async def test_zone_without_readers_follows_the_store() -> None:
+    zone = _Zone(processes=3, readers=0)
+    await asyncio.sleep(0.5)
+    assert zone.count_holding("op/config", 1) == 3
+    zone.stop()
+
+
+@in_virtual_time
+async def test_copy_of_another_zone_is_not_fetched_while_the_readers_live() -> None:
+    zone = _Zone(processes=4, readers=2)
+    await asyncio.sleep(3)
+    far = FakePeer(FakeHub(zone="z2"), zone.hubs[3], 99)
+    far.back = FakePeer(zone.hubs[3], FakeHub(zone="z2"), 98)
+    for handler in zone.hubs[3].handlers[DocumentAnnounce]:
+        handler(far.back, DocumentAnnounce({"op/config": 9}))
+    await asyncio.sleep(1)
+    assert not far.back.queue
+    zone.stop()
+
+
+def test_series_of_large_changes_is_read_anew() -> None:
+    """The store sends every value of its history: 25 changes in 2 s were 7 MB for each process."""
+    large = b"x" * (SUPERSEDED_BYTES + 1)
+    _, source, replica = make_replica(
+        Snapshot((Document("op/a", 1, b"a"),), 1),
+        Snapshot((Document("op/a", 2, large), Document("op/a", 3, large)), 3),
+        Snapshot((Document("op/a", 9, large),), 9),
+    )
+    follow(source, replica)
+    assert source.calls == ["read", "wait 1", "read"]
+
+
+def test_watch_that_keeps_failing_is_replaced_by_a_read() -> None:
+    """What has changed in an outage may be more than an answer may hold, in every try."""
+    failures = [SourceUnavailableError("too large")] * FAILURES_TO_READ
+    _, source, replica = make_replica(
+        Snapshot((Document("op/a", 1, b"a"),), 1),
+        *failures,
+        Snapshot((Document("op/a", 9, b"b"),), 9),
+    )
+    follow(source, replica)
+    assert source.calls == ["read", *["wait 1"] * FAILURES_TO_READ, "read"]
