Close the connection of an answer that is rejected, instead of reading it on

Cause: an exception of a listener (an answer to another request, mixed versions) was kept until the end of the answer. An answer without an end was read up to the client's limit, 64 MiB, or until the caller left.

Change: the connection is closed when a listener raises. tests/_raw_upstream.py is a loopback server that sends the same bytes until the other end closes.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -58,11 +58,15 @@
 
 
 class _Delegate(HTTPMessageDelegate):
-    """Passes the parts of one answer on and keeps what a listener raised."""
+    """Passes the parts of one answer on and keeps what a listener raised.
 
-    def __init__(self, on_head: HeadListener, on_data: DataListener) -> None:
+    :param stream: closed when a listener raises, because the rest of the answer may have no end.
+    """
+
+    def __init__(self, on_head: HeadListener, on_data: DataListener, *, stream: IOStream) -> None:
         self._on_head = on_head
         self._on_data = on_data
+        self._stream = stream
         self.received = False
         self.is_whole = False
         self.keeps_open = True
@@ -95,6 +99,7 @@
             action()
         except Exception as error:
             self.error = error
+            self._stream.close()
 
 
 class HttpClient:
@@ -138,10 +143,11 @@
             one closes before any part of the answer; others always get a fresh connection.
         :raises NotSentError: if there is no connection.
         :raises AnswerLostError: if the answer is absent, cut or malformed.
+        :raises Exception: what a listener raises; the connection is closed.
         """
         stream = self._take_idle() if repeatable else None
         if stream is not None:
-            delegate = _Delegate(on_head, on_data)
+            delegate = _Delegate(on_head, on_data, stream=stream)
             sent_at = time.monotonic()
             try:
                 await self._send(stream, delegate, method, path, headers, body)
@@ -151,8 +157,9 @@
                     raise
                 await self._send_again(on_head, on_data, method, path, headers, body)
                 return
+        stream = await self._connect()
         await self._send(
-            await self._connect(), _Delegate(on_head, on_data), method, path, headers, body
+            stream, _Delegate(on_head, on_data, stream=stream), method, path, headers, body
         )
 
     async def _send_again(
@@ -173,7 +180,8 @@
             stream = await self._connect()
         except NotSentError as error:
             raise AnswerLostError(str(error), received=False) from error
-        await self._send(stream, _Delegate(on_head, on_data), method, path, headers, body)
+        delegate = _Delegate(on_head, on_data, stream=stream)
+        await self._send(stream, delegate, method, path, headers, body)
 
     async def fetch(
         self, *, method: str, path: str, body: bytes = b"", timeout_s: float
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -10,6 +10,7 @@
 from tornado.testing import bind_unused_port
 
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
+from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -114,3 +115,47 @@
         client.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("head", "piece"),
+    [
+        (b"", b"x" * PIECE_BYTES),
+        (b"Transfer-Encoding: chunked\r\n", b"10000\r\n" + b"x" * PIECE_BYTES + b"\r\n"),
+        (b"Content-Length: 60000000\r\n", b"x" * PIECE_BYTES),
+    ],
+)
+@pytest.mark.parametrize("listener", ["head", "data"])
+def test_answer_that_a_listener_rejects_is_not_read_to_its_end(
+    head: bytes, piece: bytes, listener: str
+) -> None:
+    """An answer to another request was read until its end, up to 64 MiB."""
+
+    async def main() -> None:
+        upstream = RawUpstream(head=SIGNED + head + b"\r\n", piece=piece)
+        await upstream.start()
+        client = HttpClient(f"http://127.0.0.1:{upstream.port}", max_body_bytes=64 * 1024 * 1024)
+
+        def reject(*arguments: object) -> None:
+            raise LookupError
+
+        try:
+            with pytest.raises(LookupError):
+                await client.exchange(
+                    method="GET",
+                    path="/",
+                    headers=HTTPHeaders(),
+                    body=b"",
+                    on_head=reject if listener == "head" else lambda status, headers: None,
+                    on_data=reject,
+                    repeatable=False,
+                )
+            async with asyncio.timeout(8):
+                await upstream.wait_closed(1)
+            # What the kernel holds on its way is sent too.
+            assert upstream.sent < 32 * 1024 * 1024
+        finally:
+            client.close()
+            upstream.stop()
+
+    asyncio.run(main())
