Cut a stream whose event has no end within 256 KiB

Cause: EventSplitter kept what had come of an event without a bound, and copied it with each part. One request (1.9 s) grew the process from 44 to 66 MiB and six to 94 MiB, with the event loop busy with copies.

Change: MAX_EVENT_BYTES; a longer event ends the attempt with the new code 1308, never as not run. A stream that may be resumed goes on elsewhere after its last whole event; others end visibly incomplete. One log line, 'answer cut for its size', tells request, upstream and bytes.

Measured: ten of the new tests failed before: the six of the table of endless events and the four of test_event_without_an_end_* (no cut; 504 or a late resume). They pass now. Peak on loopback: one request 45 MiB, six 49 MiB, 40 at once 50 MiB. An event that is sent slowly ended in time before, too.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -11,7 +11,8 @@
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.caller_request import AnswerHead, CallerRequest, Dialect
 from sycamoreproxy.clock import Clock
-from sycamoreproxy.event_splitter import EventSplitter
+from sycamoreproxy.event_splitter import EventSplitter, EventTooLongError
+from sycamoreproxy.logs import get_logger
 from sycamoreproxy.placement import Choice, LoadReport, Placer
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, ServiceSpec
@@ -20,6 +21,8 @@
 #: a promise that it has not.
 _PROMISES = frozenset({408, 421, 429, 503})
 
+_log = get_logger("answer_relay")
+
 
 class Reply(Protocol):
     """The answer to one caller."""
@@ -48,6 +51,10 @@
     """The answer belongs to another request or looks like none."""
 
 
+class AnswerTooLongError(Exception):
+    """The answer is longer than permitted."""
+
+
 @dataclass(slots=True)
 class Progress:
     """State of one request over its attempts.
@@ -119,6 +126,7 @@
         self._head: AnswerHead | None = None
         self._is_stream = False
         self._parts: list[bytes] = []
+        self._received = 0
 
     def take_head(self, status: int, headers: HTTPHeaders) -> None:
         """Take the head of the answer.
@@ -150,14 +158,36 @@
         return head.instance if head.instance != self._choice.record.instance else ""
 
     def take_data(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Take a part of the body.
+
+        :raises AnswerTooLongError: if the answer is longer than permitted.
+        """
+        self._received += len(data)
         if not self._is_stream:
             self._parts.append(data)
             return
-        events = self._progress.splitter.take(data)
+        try:
+            events = self._progress.splitter.take(data)
+        except EventTooLongError as error:
+            raise AnswerTooLongError(str(error)) from error
         if events:
             self._send(events)
 
+    def cut(self, error: AnswerTooLongError) -> Ended:
+        """End an answer that is longer than permitted."""
+        _log.warning(
+            "answer cut for its size",
+            request=self._progress.request.request_id,
+            upstream=self._choice.record.instance,
+            bytes=self._received,
+            reason=str(error),
+        )
+        return Ended(
+            Refusal(codes.ANSWER_TOO_LONG, Executed.UNKNOWN, detail=str(error)),
+            failed=True,
+            may_resend=True,
+        )
+
     def end(self) -> Ended:
         """Finish the answer after its last byte."""
         head = self._head
--- a/sycamoreproxy/result_codes.py
+++ b/sycamoreproxy/result_codes.py
@@ -116,6 +116,7 @@
 ANSWER_INCOMPLETE = _define(1304, "answer_incomplete", 502, "The answer is not whole.")
 MIXED_VERSIONS = _define(1305, "mixed_versions", 502, "The answer mixed two model versions.")
 TIMED_OUT = _define(1307, "timed_out", 504, "The route's time limit is over.")
+ANSWER_TOO_LONG = _define(1308, "answer_too_long", 502, "The answer exceeds the size limit.")
 CALLER_GONE = _define(1306, "caller_gone", 499, "The caller closed the connection.")
 
 # 14xx: claims of non-idempotent requests.
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -9,7 +9,14 @@
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
-from sycamoreproxy.answer_relay import AnswerRelay, Ended, MismatchError, Progress, Reply
+from sycamoreproxy.answer_relay import (
+    AnswerRelay,
+    AnswerTooLongError,
+    Ended,
+    MismatchError,
+    Progress,
+    Reply,
+)
 from sycamoreproxy.caller_request import Attempt, CallerRequest, Dialect
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
@@ -363,6 +370,8 @@
                 failed=True,
                 may_resend=True,
             )
+        except AnswerTooLongError as error:
+            return relay.cut(error)
         except TimeoutError:
             return Ended(
                 Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time"),
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamoreproxy.event_splitter import EventSplitter
+from sycamoreproxy.event_splitter import MAX_EVENT_BYTES, EventSplitter, EventTooLongError
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\nsycamore: x\ndata: b\n\nid: 3\ndata: c\n\n"
 
@@ -35,3 +35,28 @@
 @pytest.mark.parametrize(("last_id", "expected"), [(None, None), (12, 12)])
 def test_caller_may_begin_in_the_middle(last_id: int | None, expected: int | None) -> None:
     assert EventSplitter(last_id=last_id).last_id == expected
+
+
+@pytest.mark.parametrize("size", [1000, 65_536, MAX_EVENT_BYTES + 1])
+@pytest.mark.parametrize("before", [b"", b"id: 1\ndata: a\n\n"])
+def test_event_without_an_end_is_not_kept(size: int, before: bytes) -> None:
+    """An upstream that sent a stream without the end of an event filled the host's memory."""
+    splitter = EventSplitter(last_id=None)
+    splitter.take(before)
+    with pytest.raises(EventTooLongError):
+        for _ in range(MAX_EVENT_BYTES // size + 1):
+            splitter.take(b"x" * size)
+    assert len(splitter.partial) <= MAX_EVENT_BYTES
+
+
+def test_longest_event_passes_unchanged() -> None:
+    event = b"id: 7\ndata: " + b"x" * (MAX_EVENT_BYTES - 13) + b"\n\n"
+    splitter = EventSplitter(last_id=None)
+    passed = [splitter.take(event[at : at + 10_000]) for at in range(0, len(event), 10_000)]
+    assert b"".join(passed) == event and splitter.last_id == 7
+
+
+def test_long_series_of_events_in_one_part_passes() -> None:
+    splitter = EventSplitter(last_id=None)
+    series = b"id: 1\ndata: a\n\n" * (MAX_EVENT_BYTES // 8)
+    assert splitter.take(series + b"id: 2") == series and splitter.partial == b"id: 2"
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -24,6 +24,7 @@
 )
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
 from sycamoreproxy.placement import Need, Placer
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
@@ -34,6 +35,7 @@
 from sycamoreproxy.watched_documents import Document, DocumentReplica
 from sycamoreproxy.weight_targets import WeightTargets
 from tests._fake_hub import FakeHub
+from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
 
 ENGINE = {
     "slots": 4,
@@ -181,11 +183,15 @@
     site.servers.append(server)
     site.runners.append(runner)
     site.faults.append(faults)
+    _put_upstream(site, runner.instance, "model" if number < 2 else "ledger", port)
+
+
+def _put_upstream(site: Site, instance: str, service: str, port: int) -> None:
     _put(
         site,
-        f"servers/{runner.instance}",
+        f"servers/{instance}",
         {
-            "service": "model" if number < 2 else "ledger",
+            "service": service,
             "address": f"127.0.0.1:{port}",
             "zone": "z1",
             "slots": 4,
@@ -201,6 +207,26 @@
     site.replica.apply(Document(key, revision, json.dumps(value).encode()), source="test")
 
 
+async def _replace_runners(site: Site, numbers: Sequence[int], upstream: RawUpstream) -> None:
+    """Put an upstream in trouble in the place of runners of one service."""
+    await upstream.start()
+    for number in numbers:
+        instance = f"i-{number}"
+        service = "model" if number < 2 else "ledger"
+        site.replica.apply(Document(f"servers/{instance}", 2, None), source="test")
+        site.front.dispatcher._book.note_replaced(instance)
+        _put_upstream(site, f"raw-{number}", service, upstream.port)
+
+
+def _check_cuts(lines: Sequence[Any], count: int, *, limit: int) -> None:
+    """Check that answers were cut and told when they had passed a limit (bytes), not later."""
+    cuts = [line for line in lines if line["event"] == "answer cut for its size"]
+    assert len(cuts) == count
+    for line in cuts:
+        assert line["upstream"].startswith("raw-") and line["request"].startswith("id")
+        assert limit < line["bytes"] <= limit + PIECE_BYTES
+
+
 GENERATION = {"Sycamoreproxy_Model": "m1", "Sycamoreproxy_Token_Count": "100,25"}
 WHOLE = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -528,3 +554,59 @@
         assert 150 <= line["ended_ms_ago"] < line["sent_ms_ago"]
 
     play(action)
+
+
+STREAM_HEAD = SIGNED + b"Sycamoreproxy-Weight-Versions: 1\r\n\r\n"
+
+
+@pytest.mark.parametrize("begun", [b"", b"id: 1\ndata: token 1\n\n"])
+def test_event_without_an_end_is_cut_and_the_stream_goes_on_elsewhere(begun: bytes) -> None:
+    """The host kept the event up to 64 MiB, until its caller left."""
+
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD + begun, piece=b"x" * PIECE_BYTES)
+        await _replace_runners(site, [0], upstream)
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(6):
+                status, _, body, whole = await site.ask("/ask/x", **GENERATION)
+                assert (status, body, whole) == (200, WHOLE, True)
+        asked = len(upstream.requests)
+        assert asked >= 1
+        await upstream.wait_closed(asked)
+        _check_cuts(lines, asked, limit=len(begun) + MAX_EVENT_BYTES)
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize("begun", [b"", b"id: 1\ndata: token 1\n\n"])
+def test_event_without_an_end_leaves_a_stream_that_may_not_resume_incomplete(begun: bytes) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD + begun, piece=b"x" * PIECE_BYTES)
+        await _replace_runners(site, [0, 1], upstream)
+        with structlog.testing.capture_logs() as lines:
+            status, headers, body, whole = await site.ask("/once/x", **GENERATION)
+        if begun:
+            assert (status, body, whole) == (200, begun, False)
+        else:
+            assert (status, json.loads(body)["error"]["code"]) == (502, 1308)
+            assert "Retry-After" not in headers
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1
+        _check_cuts(lines, 1, limit=len(begun) + MAX_EVENT_BYTES)
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x"])
+def test_event_sent_slowly_without_end_ends_in_time(path: str) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD, piece=b"x", pause_s=0.01)
+        await _replace_runners(site, [0, 1], upstream)
+        status, headers, _, _ = await site.ask(path, **GENERATION)
+        assert status == 504 and "Retry-After" not in headers
+        await upstream.wait_closed(len(upstream.requests))
+        upstream.stop()
+
+    play(action)
