Cut a plain answer of over 8 MiB

Cause: an answer that is no stream is held whole until its end, up to the client's limit of 64 MiB a request: peak 109 MiB for one endless answer, 445 MiB for six and 830 MiB for twelve at once.

Change: MAX_BODY_BYTES; a longer answer ends the attempt with 1308. What is held is one buffer instead of a list of parts, whose objects take many times the bytes of an answer that comes in small parts.

Measured: test_endless_answer_of_an_idempotent_request_* and test_endless_answer_of_a_deposit_* failed six times of six before (67 MB received, code 1302); they pass now, and an answer of 8 MiB is passed on unchanged. An answer sent slowly ended in time before, too. Peak: 53 MiB for one, 93 for six, 145 for twelve, 289 MiB for thirty.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -20,6 +20,9 @@
 #: An answer of an upstream from which it may have run the request and that a caller would read as
 #: a promise that it has not.
 _PROMISES = frozenset({408, 421, 429, 503})
+#: Longest body of an answer that is no stream, in bytes. It is held whole, so that a repeatable
+#: request can go on elsewhere; the answers of the users' services have 800 bytes.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 
 _log = get_logger("answer_relay")
 
@@ -125,7 +128,7 @@
         self._on_begin = on_begin
         self._head: AnswerHead | None = None
         self._is_stream = False
-        self._parts: list[bytes] = []
+        self._body = bytearray()
         self._received = 0
 
     def take_head(self, status: int, headers: HTTPHeaders) -> None:
@@ -164,7 +167,9 @@
         """
         self._received += len(data)
         if not self._is_stream:
-            self._parts.append(data)
+            if self._received > MAX_BODY_BYTES:
+                raise AnswerTooLongError(f"a body of over {MAX_BODY_BYTES} bytes")
+            self._body += data
             return
         try:
             events = self._progress.splitter.take(data)
@@ -225,7 +230,8 @@
                 may_resend=True,
             )
         self._note_output()
-        body = b"".join(self._parts)
+        body = bytes(self._body)
+        self._body.clear()
         headers = self._caller_headers(head)
         headers["Content-Length"] = str(len(body))
         self._reply.start(head.status, headers, body)
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -22,6 +22,7 @@
     make_route,
     make_runner_routes,
 )
+from sycamoreproxy.answer_relay import MAX_BODY_BYTES
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
@@ -556,6 +557,73 @@
     play(action)
 
 
+#: What an upstream in trouble sends without end: the rest of the head, and a piece of the body.
+ENDLESS_BODIES = [
+    (b"", b"x" * PIECE_BYTES),
+    (b"Transfer-Encoding: chunked\r\n", b"10000\r\n" + b"x" * PIECE_BYTES + b"\r\n"),
+    (b"Content-Length: 60000000\r\n", b"x" * PIECE_BYTES),
+]
+#: Bytes that the kernel may hold between two ends on loopback, besides what a process has read.
+KERNEL_BYTES = 16 * 1024 * 1024
+
+
+@pytest.mark.parametrize(("head", "piece"), ENDLESS_BODIES)
+def test_endless_answer_of_an_idempotent_request_is_cut_and_given_elsewhere(
+    head: bytes, piece: bytes
+) -> None:
+    """The host kept up to 64 MiB for each request, until its caller left."""
+
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=SIGNED + head + b"\r\n", piece=piece)
+        await _replace_runners(site, [2], upstream)
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(6):
+                status, _, body, _ = await site.ask("/read/x?q=1", body=b"b")
+                assert status == 200 and json.loads(body) == {"path": "/read/x?q=1", "body": "b"}
+        asked = len(upstream.requests)
+        assert asked >= 1
+        await upstream.wait_closed(asked)
+        assert upstream.sent < asked * (MAX_BODY_BYTES + KERNEL_BYTES)
+        _check_cuts(lines, asked, limit=MAX_BODY_BYTES)
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize(("head", "piece"), ENDLESS_BODIES)
+def test_endless_answer_of_a_deposit_is_cut_and_not_told_as_not_run(
+    head: bytes, piece: bytes
+) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=SIGNED + head + b"\r\n", piece=piece)
+        await _replace_runners(site, [2, 3], upstream)
+        status, headers, body, _ = await site.ask("/post/x", body=b"deposit")
+        error = json.loads(body)["error"]
+        assert (status, error["code"], error["executed"]) == (502, 1308, "unknown")
+        assert "Retry-After" not in headers
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1
+        assert upstream.sent < MAX_BODY_BYTES + KERNEL_BYTES
+        upstream.stop()
+
+    play(action)
+
+
+def test_longest_plain_answer_is_passed_on_unchanged() -> None:
+    async def action(site: Site) -> None:
+        head = SIGNED + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
+        upstream = RawUpstream(
+            head=head, piece=bytes(range(256)) * 256, pieces=MAX_BODY_BYTES // PIECE_BYTES
+        )
+        await _replace_runners(site, [2, 3], upstream)
+        status, _, body, whole = await site.ask("/post/x", body=b"deposit")
+        assert (status, whole) == (200, True)
+        assert body == bytes(range(256)) * (MAX_BODY_BYTES // 256)
+        upstream.stop()
+
+    play(action)
+
+
 STREAM_HEAD = SIGNED + b"Sycamoreproxy-Weight-Versions: 1\r\n\r\n"
 
 
@@ -599,6 +667,28 @@
     play(action)
 
 
+@pytest.mark.parametrize(
+    ("path", "status", "code"), [("/read/x", 200, None), ("/post/x", 504, 1307)]
+)
+def test_answer_sent_slowly_without_end_ends_in_time(
+    path: str, status: int, code: int | None
+) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=SIGNED + b"\r\n", piece=b"x", pause_s=0.01)
+        await _replace_runners(site, [2, 3] if code else [2], upstream)
+        while not upstream.requests:
+            found, headers, body, _ = await site.ask(path)
+            assert found == status and "Retry-After" not in headers
+        if code:
+            error = json.loads(body)["error"]
+            assert (error["code"], error["executed"]) == (code, "unknown")
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1
+        upstream.stop()
+
+    play(action)
+
+
 @pytest.mark.parametrize("path", ["/ask/x", "/once/x"])
 def test_event_sent_slowly_without_end_ends_in_time(path: str) -> None:
     async def action(site: Site) -> None:
