Bound what the answers of all requests hold together

Cause: bodies of up to 8 MiB and events of up to 256 KiB are held for each request. Thirty endless answers at once took 245 MiB more than a process without requests; entry hosts have 160 to 552 MB.

Change: HeldBytes, 32 MiB in sum; 16 KiB of each answer don't count, so short answers are given while long ones fill it. An answer for which there is no room is cut (1308) and lets go of its part at once; this doesn't count as a failure of its upstream, which may be sound. What is cut for its own length does.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -12,6 +12,7 @@
 from sycamoreproxy.caller_request import AnswerHead, CallerRequest, Dialect
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.event_splitter import EventSplitter, EventTooLongError
+from sycamoreproxy.held_bytes import HeldBytes
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.placement import Choice, LoadReport, Placer
 from sycamoreproxy.result_codes import Executed, Refusal
@@ -55,7 +56,14 @@
 
 
 class AnswerTooLongError(Exception):
-    """The answer is longer than permitted."""
+    """The answer is longer than permitted.
+
+    :param failed: whether that speaks against the upstream; None if it says nothing of it.
+    """
+
+    def __init__(self, reason: str, *, failed: bool | None = True) -> None:
+        super().__init__(reason)
+        self.failed = failed
 
 
 @dataclass(slots=True)
@@ -105,6 +113,7 @@
 class AnswerRelay:
     """Passes one upstream's answer on to the caller.
 
+    :param held: what the answers of all requests hold together.
     :param on_begin: called when a stream begins, with the version of the weights that it names.
     """
 
@@ -117,6 +126,7 @@
         dialect: Dialect,
         placer: Placer,
         clock: Clock,
+        held: HeldBytes,
         on_begin: Callable[[int], None] = lambda version: None,
     ) -> None:
         self._progress = progress
@@ -125,11 +135,13 @@
         self._dialect = dialect
         self._placer = placer
         self._clock = clock
+        self._held = held
         self._on_begin = on_begin
         self._head: AnswerHead | None = None
         self._is_stream = False
         self._body = bytearray()
         self._received = 0
+        self._held_size = 0
 
     def take_head(self, status: int, headers: HTTPHeaders) -> None:
         """Take the head of the answer.
@@ -169,6 +181,7 @@
         if not self._is_stream:
             if self._received > MAX_BODY_BYTES:
                 raise AnswerTooLongError(f"a body of over {MAX_BODY_BYTES} bytes")
+            self._hold(self._received)
             self._body += data
             return
         try:
@@ -177,6 +190,12 @@
             raise AnswerTooLongError(str(error)) from error
         if events:
             self._send(events)
+        self._hold(len(self._progress.splitter.partial))
+
+    def release(self) -> None:
+        """Count nothing of this answer among the bytes held any more."""
+        self._held.resize(self._held_size, 0)
+        self._held_size = 0
 
     def cut(self, error: AnswerTooLongError) -> Ended:
         """End an answer that is longer than permitted."""
@@ -189,7 +208,7 @@
         )
         return Ended(
             Refusal(codes.ANSWER_TOO_LONG, Executed.UNKNOWN, detail=str(error)),
-            failed=True,
+            failed=error.failed,
             may_resend=True,
         )
 
@@ -238,6 +257,16 @@
         self._reply.finish()
         return Ended(None, failed=head.status >= 500)
 
+    def _hold(self, size: int) -> None:
+        if not self._held.resize(self._held_size, size):
+            # Makes room now: the exchange ends some turns of the event loop later, and all other
+            # long answers would be cut until then.
+            self._body.clear()
+            self._progress.splitter.restart()
+            self.release()
+            raise AnswerTooLongError("answers hold too much together", failed=None)
+        self._held_size = size
+
     def _end_unrun(self, head: AnswerHead) -> Ended:
         self._progress.runs -= 1
         # A refusal for want of room or of another instance is no fault of the upstream.
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -21,6 +21,7 @@
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
 from sycamoreproxy.event_splitter import EventSplitter
+from sycamoreproxy.held_bytes import HeldBytes
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import (
     ENDED_VERSION_ANSWERS,
@@ -94,6 +95,7 @@
         self._random = random_source
         self._clients_by_address: dict[str, HttpClient] = {}
         self._lines_by_service: dict[str, WaitingLine] = {}
+        self.held = HeldBytes()
         self.open_requests = 0
 
     # Queries
@@ -340,6 +342,7 @@
             dialect=self._dialect,
             placer=self._placer,
             clock=self._clock,
+            held=self.held,
             on_begin=lambda version: self._note_begin(progress, choice, version, sent_at),
         )
         client = self._client_of(choice)
@@ -378,6 +381,8 @@
                 failed=True,
                 may_resend=True,
             )
+        finally:
+            relay.release()
         ended = relay.end()
         if relay.replaced_by:
             self._book.note_replaced(choice.record.instance)
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -26,6 +27,7 @@
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
+from sycamoreproxy.held_bytes import FREE_BYTES, MAX_HELD_BYTES
 from sycamoreproxy.placement import Need, Placer
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
@@ -667,6 +669,76 @@
     play(action)
 
 
+def test_long_answers_at_once_are_bounded_together() -> None:
+    """Each was within its own bound, and thirty of them filled the memory of a host."""
+
+    async def action(site: Site) -> None:
+        # Nearly the longest body, after which the upstream sends nothing more; four fit.
+        upstream = RawUpstream(
+            head=SIGNED + b"\r\n",
+            piece=b"x" * PIECE_BYTES,
+            pieces=MAX_BODY_BYTES // PIECE_BYTES - 1,
+        )
+        await _replace_runners(site, [2, 3], upstream)
+        held = site.front.dispatcher.held
+        asking = [asyncio.create_task(site.ask("/post/x")) for _ in range(12)]
+        most = 0
+        while not all(task.done() for task in asking):
+            most = max(most, held.total)
+            await asyncio.sleep(0.01)
+        assert MAX_HELD_BYTES - MAX_BODY_BYTES < most <= MAX_HELD_BYTES
+        answers = [(task.result()[0], json.loads(task.result()[2])["error"]) for task in asking]
+        assert Counter((status, error["code"]) for status, error in answers) == {
+            (502, 1308): 8,
+            (504, 1307): 4,
+        }
+        assert {error["executed"] for _, error in answers} == {"unknown"}
+        await upstream.wait_closed(12)
+        assert held.total == 0
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize("size", [FREE_BYTES, FREE_BYTES + 1])
+def test_short_answers_are_given_while_long_ones_fill_the_host(size: int) -> None:
+    """An upstream in trouble must not cost the answers of the others."""
+
+    async def action(site: Site) -> None:
+        assert site.front.dispatcher.held.resize(0, MAX_HELD_BYTES + FREE_BYTES)
+        head = SIGNED + b"Content-Length: %d\r\n\r\n" % size
+        upstream = RawUpstream(head=head, piece=b"x" * size, pieces=1)
+        await _replace_runners(site, [2, 3], upstream)
+        status, headers, body, _ = await site.ask("/post/x")
+        if size <= FREE_BYTES:
+            assert (status, body) == (200, b"x" * size)
+        else:
+            error = json.loads(body)["error"]
+            assert (status, error["code"], error["executed"]) == (502, 1308, "unknown")
+            assert "Retry-After" not in headers
+        assert site.front.dispatcher.held.total == MAX_HELD_BYTES
+        status, _, body, whole = await site.ask("/ask/x", **GENERATION)
+        assert (status, body, whole) == (200, WHOLE, True)
+        upstream.stop()
+
+    play(action)
+
+
+def test_event_that_is_not_whole_counts_among_the_bytes_held() -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD, piece=b"x" * PIECE_BYTES, pieces=2)
+        await _replace_runners(site, [0, 1], upstream)
+        held = site.front.dispatcher.held
+        asking = asyncio.create_task(site.ask("/once/x", **GENERATION))
+        while held.total < 2 * PIECE_BYTES - FREE_BYTES:
+            await asyncio.sleep(0.01)
+        status, _, _, _ = await asking
+        assert (status, held.total) == (504, 0)
+        upstream.stop()
+
+    play(action)
+
+
 @pytest.mark.parametrize(
     ("path", "status", "code"), [("/read/x", 200, None), ("/post/x", 504, 1307)]
 )
