--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -11,7 +11,9 @@
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.caller_request import AnswerHead, CallerRequest, Dialect
 from sycamoreproxy.clock import Clock
-from sycamoreproxy.event_splitter import EventSplitter
+from sycamoreproxy.event_splitter import EventSplitter, EventTooLongError
+from sycamoreproxy.held_bytes import HeldBytes
+from sycamoreproxy.logs import get_logger
 from sycamoreproxy.placement import Choice, LoadReport, Placer
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, ServiceSpec
@@ -19,6 +21,12 @@
 #: An answer of an upstream from which it may have run the request and that a caller would read as
 #: a promise that it has not.
 _PROMISES = frozenset({408, 421, 429, 503})
+#: Longest body of an answer, in bytes. One that is no stream is held whole, so that a repeatable
+#: request can go on elsewhere; the answers of the users' services have 800 bytes, their streams 21
+#: events.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+_log = get_logger("answer_relay")
 
 
 class Reply(Protocol):
@@ -48,6 +56,19 @@
     """The answer belongs to another request or looks like none."""
 
 
+class AnswerTooLongError(Exception):
+    """The answer is longer than permitted.
+
+    :param failed: whether that speaks against the upstream; None if it says nothing of it.
+    :param may_resend: whether another upstream may take the request.
+    """
+
+    def __init__(self, reason: str, *, failed: bool | None = True, may_resend: bool = True) -> None:
+        super().__init__(reason)
+        self.failed = failed
+        self.may_resend = may_resend
+
+
 @dataclass(slots=True)
 class Progress:
     """State of one request over its attempts.
@@ -95,6 +116,7 @@
 class AnswerRelay:
     """Passes one upstream's answer on to the caller.
 
+    :param held: what the answers of all requests hold together.
     :param on_begin: called when a stream begins, with the version of the weights that it names.
     """
 
@@ -107,6 +129,7 @@
         dialect: Dialect,
         placer: Placer,
         clock: Clock,
+        held: HeldBytes,
         on_begin: Callable[[int], None] = lambda version: None,
     ) -> None:
         self._progress = progress
@@ -115,10 +138,13 @@
         self._dialect = dialect
         self._placer = placer
         self._clock = clock
+        self._held = held
         self._on_begin = on_begin
         self._head: AnswerHead | None = None
         self._is_stream = False
-        self._parts: list[bytes] = []
+        self._body = bytearray()
+        self._received = 0
+        self._held_size = 0
 
     def take_head(self, status: int, headers: HTTPHeaders) -> None:
         """Take the head of the answer.
@@ -150,13 +176,47 @@
         return head.instance if head.instance != self._choice.record.instance else ""
 
     def take_data(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Take a part of the body.
+
+        :raises AnswerTooLongError: if the answer is longer than permitted.
+        """
+        self._received += len(data)
+        if self._received > MAX_BODY_BYTES:
+            # A stream with false ids would end as complete at an upstream that has no later ones.
+            raise AnswerTooLongError(
+                f"a body of over {MAX_BODY_BYTES} bytes", may_resend=not self._is_stream
+            )
         if not self._is_stream:
-            self._parts.append(data)
+            self._hold(self._received)
+            self._body += data
             return
-        events = self._progress.splitter.take(data)
+        try:
+            events = self._progress.splitter.take(data)
+        except EventTooLongError as error:
+            raise AnswerTooLongError(str(error)) from error
         if events:
             self._send(events)
+        self._hold(len(self._progress.splitter.partial))
+
+    def release(self) -> None:
+        """Count nothing of this answer among the bytes held any more."""
+        self._held.resize(self._held_size, 0)
+        self._held_size = 0
+
+    def cut(self, error: AnswerTooLongError) -> Ended:
+        """End an answer that is longer than permitted."""
+        _log.warning(
+            "answer cut for its size",
+            request=self._progress.request.request_id,
+            upstream=self._choice.record.instance,
+            bytes=self._received,
+            reason=str(error),
+        )
+        return Ended(
+            Refusal(codes.ANSWER_TOO_LONG, Executed.UNKNOWN, detail=str(error)),
+            failed=error.failed,
+            may_resend=error.may_resend,
+        )
 
     def end(self) -> Ended:
         """Finish the answer after its last byte."""
@@ -195,13 +255,24 @@
                 may_resend=True,
             )
         self._note_output()
-        body = b"".join(self._parts)
+        body = bytes(self._body)
+        self._body.clear()
         headers = self._caller_headers(head)
         headers["Content-Length"] = str(len(body))
         self._reply.start(head.status, headers, body)
         self._reply.finish()
         return Ended(None, failed=head.status >= 500)
 
+    def _hold(self, size: int) -> None:
+        if not self._held.resize(self._held_size, size):
+            # Makes room now: the exchange ends some turns of the event loop later, and all other
+            # long answers would be cut until then.
+            self._body.clear()
+            self._progress.splitter.restart()
+            self.release()
+            raise AnswerTooLongError("answers hold too much together", failed=None)
+        self._held_size = size
+
     def _end_unrun(self, head: AnswerHead) -> Ended:
         self._progress.runs -= 1
         # A refusal for want of room or of another instance is no fault of the upstream.
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -9,11 +9,19 @@
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
-from sycamoreproxy.answer_relay import AnswerRelay, Ended, MismatchError, Progress, Reply
+from sycamoreproxy.answer_relay import (
+    AnswerRelay,
+    AnswerTooLongError,
+    Ended,
+    MismatchError,
+    Progress,
+    Reply,
+)
 from sycamoreproxy.caller_request import Attempt, CallerRequest, Dialect
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
 from sycamoreproxy.event_splitter import EventSplitter
+from sycamoreproxy.held_bytes import HeldBytes
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import (
     ENDED_VERSION_ANSWERS,
@@ -87,6 +95,7 @@
         self._random = random_source
         self._clients_by_address: dict[str, HttpClient] = {}
         self._lines_by_service: dict[str, WaitingLine] = {}
+        self.held = HeldBytes()
         self.open_requests = 0
 
     # Queries
@@ -335,6 +344,7 @@
             dialect=self._dialect,
             placer=self._placer,
             clock=self._clock,
+            held=self.held,
             on_begin=lambda version: self._note_begin(progress, choice, version, sent_at),
         )
         client = self._client_of(choice)
@@ -365,12 +375,16 @@
                 failed=True,
                 may_resend=True,
             )
+        except AnswerTooLongError as error:
+            return relay.cut(error)
         except TimeoutError:
             return Ended(
                 Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time"),
                 failed=True,
                 may_resend=True,
             )
+        finally:
+            relay.release()
         ended = relay.end()
         if relay.replaced_by:
             self._book.note_replaced(choice.record.instance)
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -5,7 +5,8 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -23,8 +24,11 @@
     make_runner_routes,
 )
 from sycamoreproxy import weight_targets
+from sycamoreproxy.answer_relay import MAX_BODY_BYTES
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
+from sycamoreproxy.held_bytes import FREE_BYTES, MAX_HELD_BYTES
 from sycamoreproxy.placement import Need, Placer
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
@@ -35,6 +39,7 @@
 from sycamoreproxy.watched_documents import Document, DocumentReplica
 from sycamoreproxy.weight_targets import WeightTargets
 from tests._fake_hub import FakeHub
+from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
 
 ENGINE = {
     "slots": 4,
@@ -182,11 +187,15 @@
     site.servers.append(server)
     site.runners.append(runner)
     site.faults.append(faults)
+    _put_upstream(site, runner.instance, "model" if number < 2 else "ledger", port)
+
+
+def _put_upstream(site: Site, instance: str, service: str, port: int) -> None:
     _put(
         site,
-        f"servers/{runner.instance}",
+        f"servers/{instance}",
         {
-            "service": "model" if number < 2 else "ledger",
+            "service": service,
             "address": f"127.0.0.1:{port}",
             "zone": "z1",
             "slots": 4,
@@ -202,6 +211,26 @@
     site.replica.apply(Document(key, revision, json.dumps(value).encode()), source="test")
 
 
+async def _replace_runners(site: Site, numbers: Sequence[int], upstream: RawUpstream) -> None:
+    """Put an upstream in trouble in the place of runners of one service."""
+    await upstream.start()
+    for number in numbers:
+        instance = f"i-{number}"
+        service = "model" if number < 2 else "ledger"
+        site.replica.apply(Document(f"servers/{instance}", 2, None), source="test")
+        site.front.dispatcher._book.note_replaced(instance)
+        _put_upstream(site, f"raw-{number}", service, upstream.port)
+
+
+def _check_cuts(lines: Sequence[Any], count: int, *, limit: int) -> None:
+    """Check that answers were cut and told when they had passed a limit (bytes), not later."""
+    cuts = [line for line in lines if line["event"] == "answer cut for its size"]
+    assert len(cuts) == count
+    for line in cuts:
+        assert line["upstream"].startswith("raw-") and line["request"].startswith("id")
+        assert limit < line["bytes"] <= limit + PIECE_BYTES
+
+
 GENERATION = {"Sycamoreproxy_Model": "m1", "Sycamoreproxy_Token_Count": "100,25"}
 WHOLE = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -561,3 +590,246 @@
         assert site.runners[1].received[0]["Sycamoreproxy-Expect-Version"] == "2"
 
     play(action)
+
+
+#: What an upstream in trouble sends without end: the rest of the head, and a piece of the body.
+ENDLESS_BODIES = [
+    (b"", b"x" * PIECE_BYTES),
+    (b"Transfer-Encoding: chunked\r\n", b"10000\r\n" + b"x" * PIECE_BYTES + b"\r\n"),
+    (b"Content-Length: 60000000\r\n", b"x" * PIECE_BYTES),
+]
+#: Bytes that the kernel may hold between two ends on loopback, besides what a process has read.
+KERNEL_BYTES = 16 * 1024 * 1024
+
+
+@pytest.mark.parametrize(("head", "piece"), ENDLESS_BODIES)
+def test_endless_answer_of_an_idempotent_request_is_cut_and_given_elsewhere(
+    head: bytes, piece: bytes
+) -> None:
+    """The host kept up to 64 MiB for each request, until its caller left."""
+
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=SIGNED + head + b"\r\n", piece=piece)
+        await _replace_runners(site, [2], upstream)
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(6):
+                status, _, body, _ = await site.ask("/read/x?q=1", body=b"b")
+                assert status == 200 and json.loads(body) == {"path": "/read/x?q=1", "body": "b"}
+        asked = len(upstream.requests)
+        assert asked >= 1
+        await upstream.wait_closed(asked)
+        assert upstream.sent < asked * (MAX_BODY_BYTES + KERNEL_BYTES)
+        _check_cuts(lines, asked, limit=MAX_BODY_BYTES)
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize(("head", "piece"), ENDLESS_BODIES)
+def test_endless_answer_of_a_deposit_is_cut_and_not_told_as_not_run(
+    head: bytes, piece: bytes
+) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=SIGNED + head + b"\r\n", piece=piece)
+        await _replace_runners(site, [2, 3], upstream)
+        status, headers, body, _ = await site.ask("/post/x", body=b"deposit")
+        error = json.loads(body)["error"]
+        assert (status, error["code"], error["executed"]) == (502, 1308, "unknown")
+        assert "Retry-After" not in headers
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1
+        assert upstream.sent < MAX_BODY_BYTES + KERNEL_BYTES
+        upstream.stop()
+
+    play(action)
+
+
+def test_longest_plain_answer_is_passed_on_unchanged() -> None:
+    async def action(site: Site) -> None:
+        head = SIGNED + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
+        upstream = RawUpstream(
+            head=head, piece=bytes(range(256)) * 256, pieces=MAX_BODY_BYTES // PIECE_BYTES
+        )
+        await _replace_runners(site, [2, 3], upstream)
+        status, _, body, whole = await site.ask("/post/x", body=b"deposit")
+        assert (status, whole) == (200, True)
+        assert body == bytes(range(256)) * (MAX_BODY_BYTES // 256)
+        upstream.stop()
+
+    play(action)
+
+
+STREAM_HEAD = SIGNED + b"Sycamoreproxy-Weight-Versions: 1\r\n\r\n"
+
+
+@pytest.mark.parametrize("begun", [b"", b"id: 1\ndata: token 1\n\n"])
+def test_event_without_an_end_is_cut_and_the_stream_goes_on_elsewhere(begun: bytes) -> None:
+    """The host kept the event up to 64 MiB, until its caller left."""
+
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD + begun, piece=b"x" * PIECE_BYTES)
+        await _replace_runners(site, [0], upstream)
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(6):
+                status, _, body, whole = await site.ask("/ask/x", **GENERATION)
+                assert (status, body, whole) == (200, WHOLE, True)
+        asked = len(upstream.requests)
+        assert asked >= 1
+        await upstream.wait_closed(asked)
+        _check_cuts(lines, asked, limit=len(begun) + MAX_EVENT_BYTES)
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize("begun", [b"", b"id: 1\ndata: token 1\n\n"])
+def test_event_without_an_end_leaves_a_stream_that_may_not_resume_incomplete(begun: bytes) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD + begun, piece=b"x" * PIECE_BYTES)
+        await _replace_runners(site, [0, 1], upstream)
+        with structlog.testing.capture_logs() as lines:
+            status, headers, body, whole = await site.ask("/once/x", **GENERATION)
+        if begun:
+            assert (status, body, whole) == (200, begun, False)
+        else:
+            assert (status, json.loads(body)["error"]["code"]) == (502, 1308)
+            assert "Retry-After" not in headers
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1
+        _check_cuts(lines, 1, limit=len(begun) + MAX_EVENT_BYTES)
+        upstream.stop()
+
+    play(action)
+
+
+def test_long_answers_at_once_are_bounded_together() -> None:
+    """Each was within its own bound, and thirty of them filled the memory of a host."""
+
+    async def action(site: Site) -> None:
+        # Nearly the longest body, after which the upstream sends nothing more; four fit.
+        upstream = RawUpstream(
+            head=SIGNED + b"\r\n",
+            piece=b"x" * PIECE_BYTES,
+            pieces=MAX_BODY_BYTES // PIECE_BYTES - 1,
+        )
+        await _replace_runners(site, [2, 3], upstream)
+        held = site.front.dispatcher.held
+        asking = [asyncio.create_task(site.ask("/post/x")) for _ in range(12)]
+        most = 0
+        while not all(task.done() for task in asking):
+            most = max(most, held.total)
+            await asyncio.sleep(0.01)
+        assert MAX_HELD_BYTES - MAX_BODY_BYTES < most <= MAX_HELD_BYTES
+        answers = [(task.result()[0], json.loads(task.result()[2])["error"]) for task in asking]
+        assert Counter((status, error["code"]) for status, error in answers) == {
+            (502, 1308): 8,
+            (504, 1307): 4,
+        }
+        assert {error["executed"] for _, error in answers} == {"unknown"}
+        await upstream.wait_closed(12)
+        assert held.total == 0
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize("size", [FREE_BYTES, FREE_BYTES + 1])
+def test_short_answers_are_given_while_long_ones_fill_the_host(size: int) -> None:
+    """An upstream in trouble must not cost the answers of the others."""
+
+    async def action(site: Site) -> None:
+        assert site.front.dispatcher.held.resize(0, MAX_HELD_BYTES + FREE_BYTES)
+        head = SIGNED + b"Content-Length: %d\r\n\r\n" % size
+        upstream = RawUpstream(head=head, piece=b"x" * size, pieces=1)
+        await _replace_runners(site, [2, 3], upstream)
+        status, headers, body, _ = await site.ask("/post/x")
+        if size <= FREE_BYTES:
+            assert (status, body) == (200, b"x" * size)
+        else:
+            error = json.loads(body)["error"]
+            assert (status, error["code"], error["executed"]) == (502, 1308, "unknown")
+            assert "Retry-After" not in headers
+        assert site.front.dispatcher.held.total == MAX_HELD_BYTES
+        status, _, body, whole = await site.ask("/ask/x", **GENERATION)
+        assert (status, body, whole) == (200, WHOLE, True)
+        upstream.stop()
+
+    play(action)
+
+
+def test_event_that_is_not_whole_counts_among_the_bytes_held() -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD, piece=b"x" * PIECE_BYTES, pieces=2)
+        await _replace_runners(site, [0, 1], upstream)
+        held = site.front.dispatcher.held
+        asking = asyncio.create_task(site.ask("/once/x", **GENERATION))
+        while held.total < 2 * PIECE_BYTES - FREE_BYTES:
+            await asyncio.sleep(0.01)
+        status, _, _, _ = await asking
+        assert (status, held.total) == (504, 0)
+        upstream.stop()
+
+    play(action)
+
+
+#: Whole events without end, a little under the size of a piece.
+ENDLESS_EVENTS = b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, 2700))
+
+
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x"])
+def test_endless_series_of_events_is_cut_and_does_not_look_complete(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Another upstream has no events after the last id, and would end the stream as complete."""
+    limit = 16 * PIECE_BYTES
+    monkeypatch.setattr("sycamoreproxy.answer_relay.MAX_BODY_BYTES", limit)
+
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD, piece=ENDLESS_EVENTS)
+        await _replace_runners(site, [0], upstream)
+        with structlog.testing.capture_logs() as lines:
+            while not upstream.requests:
+                status, _, body, whole = await site.ask(path, **GENERATION)
+        assert (status, whole) == (200, False)
+        assert len(body) <= limit and body.startswith(ENDLESS_EVENTS)
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1
+        _check_cuts(lines, 1, limit=limit)
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize(
+    ("path", "status", "code"), [("/read/x", 200, None), ("/post/x", 504, 1307)]
+)
+def test_answer_sent_slowly_without_end_ends_in_time(
+    path: str, status: int, code: int | None
+) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=SIGNED + b"\r\n", piece=b"x", pause_s=0.01)
+        await _replace_runners(site, [2, 3] if code else [2], upstream)
+        while not upstream.requests:
+            found, headers, body, _ = await site.ask(path)
+            assert found == status and "Retry-After" not in headers
+        if code:
+            error = json.loads(body)["error"]
+            assert (error["code"], error["executed"]) == (code, "unknown")
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1
+        upstream.stop()
+
+    play(action)
+
+
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x"])
+def test_event_sent_slowly_without_end_ends_in_time(path: str) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD, piece=b"x", pause_s=0.01)
+        await _replace_runners(site, [0, 1], upstream)
+        status, headers, _, _ = await site.ask(path, **GENERATION)
+        assert status == 504 and "Retry-After" not in headers
+        await upstream.wait_closed(len(upstream.requests))
+        upstream.stop()
+
+    play(action)
