Count the time in which a host is suspended

Callers could get answers of ended weights from a host that had been suspended: every bound of the process stood still meanwhile.

Cause: time.monotonic does not count suspended time.

Change: the system clock reads CLOCK_BOOTTIME. Timers of the event loop keep its clock; they are only compared with themselves.

--- a/sycamoreproxy/clock.py
+++ b/sycamoreproxy/clock.py
@@ -10,7 +10,7 @@
     """Reads the time in seconds."""
 
     def monotonic(self) -> float:
-        """Return seconds since an arbitrary start; never goes back."""
+        """Return seconds since an arbitrary start; never goes back, and counts suspended time."""
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
@@ -20,8 +20,11 @@
     """Reads the clocks of the operating system."""
 
     def monotonic(self) -> float:
-        """Return the monotonic clock in seconds."""
-        return time.monotonic()
+        """Return the clock since boot in seconds.
+
+        ``time.monotonic`` stands still while the host is suspended, and every bound with it.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return the wall clock in seconds since the Unix epoch."""
