Count the bound of a version from before an interruption

Callers could get answers of ended weights from hosts that heard of a version late: after a cut, or after the host had stood still.

Cause: the bound counts from when a process hears of a version. A watch that was interrupted is noticed after 3 s and repeated up to 1 s later, and a frozen process hears of everything when it wakes up.

Evidence: three of five cases of test_bound_counts_from_when_a_version_may_have_been_named fail when the lag is left out (short and long interruption, frozen meanwhile).

Change: a version that is heard of at the end of an interruption counts as named up to 4 s earlier, but not before the last answer of the store; one that is heard of right after a stall of the process, by the length of the stall.

--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -93,6 +93,7 @@
                         model,
                         self._documents.read_version(value),
                         is_first_read=not self._replica.has_read(key),
+                        lag_s=self._replica.find_lag_s(key),
                     )
             elif (instance := self._documents.instance_of(key)) is not None:
                 if value is None:
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -18,6 +18,7 @@
 from sycamoreproxy.registry import Registry
 from sycamoreproxy.routed_settings import RoutedSettings
 from sycamoreproxy.routed_upstream import EXCHANGE
+from sycamoreproxy.stalls import StallMeter
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.task_group import BackgroundTasks
@@ -102,6 +103,7 @@
         process = settings.process
         self._zone = process.availability_zone
         self.clock = SystemClock()
+        self.stalls = StallMeter(clock=self.clock)
         self.documents = adapter.documents()
         self.hub = PeerHub(
             hello=Hello(
@@ -121,6 +123,7 @@
             pause_s=self._find_pause_s,
             shared_prefixes=self.documents.shared_prefixes,
             find_readers=self.find_readers,
+            stall_lag_s=lambda: self.stalls.lag_s,
         )
         self.book = UpstreamBook(clock=self.clock, leave_s=settings.bounds.leave_s)
         self._readers: frozenset[str] | None = None
@@ -130,6 +133,7 @@
             documents=self.documents, replica=self.replica, book=self.book, targets=self.targets
         )
         self.tasks = BackgroundTasks()
+        self.tasks.start("stalls", self.stalls.run)
 
     def find_readers(self) -> frozenset[str] | None:
         """Return the hosts that read large documents for this zone; None while none is known."""
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -63,6 +63,10 @@
 #: one answer can hold.
 FAILURES_TO_READ = 3
 
+#: Longest time after which a change is heard of once the store can be reached again, in seconds: a silent
+#: connection is noticed after 3 s, and the pause before the next call takes up to 1 s.
+INTERRUPTION_LAG_S = 4.0
+
 #: Deleted documents that are remembered: a day of restarts of all runners at the target size.
 MAX_DELETED = 2_000
 
@@ -129,6 +133,7 @@
     :param revision: the store's revision up to which the documents are complete; 0 before the
         first read and after a loss of history.
     :param has_read: whether they were read since the start of the process.
+    :param lag_s: time for which changes that are being applied may have been made before, in seconds.
     :param relayed_at: monotonic time of the last progress report of a zone's reader.
     """
 
@@ -137,6 +142,7 @@
     has_read: bool = False
     is_connected: bool = False
     failures: int = field(default=0)
+    lag_s: float = 0.0
     relayed_at: float = -math.inf
 
 
@@ -147,6 +153,7 @@
     :param pause_s: returns the pause after changes below a prefix, in seconds.
     :param shared_prefixes: those that a few readers of each availability zone follow for the others.
     :param find_readers: returns the hosts of the own zone's readers; None while they are not known.
+    :param stall_lag_s: returns the time for which an arrival may have waited for this process, in seconds.
     """
 
     def __init__(
@@ -159,7 +166,9 @@
         pause_s: Callable[[str], float] = lambda prefix: COALESCE_S,
         shared_prefixes: tuple[str, ...] = (),
         find_readers: Callable[[], frozenset[str] | None] = frozenset,
+        stall_lag_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._stall_lag_s = stall_lag_s
         self._pause_s = pause_s
         self._shared_prefixes = shared_prefixes
         self._find_readers = find_readers
@@ -197,6 +206,22 @@
             if key.startswith(prefix)
         )
 
+    def find_lag_s(self, key: str) -> float:
+        """Return the longest time for which a change heard of now may have been made before, in seconds.
+
+        0 while the store's answers come without interruption. Bounds that count from a change would
+        otherwise end late by the time in which this process could not hear of it.
+        """
+        lags = [
+            state.lag_s if state.is_connected else self._find_interruption_s(state)
+            for prefix, state in self._states_by_prefix.items()
+            if key.startswith(prefix)
+        ]
+        return max(*lags, self._stall_lag_s(), 0.0)
+
+    def _find_interruption_s(self, state: _PrefixState) -> float:
+        return min(INTERRUPTION_LAG_S, self._clock.monotonic() - state.answered_at)
+
     def is_relayed(self, prefix: str) -> bool:
         """Return whether the zone's readers follow a prefix for this process."""
         if prefix not in self._shared_prefixes or self._is_reader():
@@ -358,6 +383,7 @@
                 revision=snapshot.revision,
                 failures=state.failures,
             )
+        state.lag_s = 0.0 if state.is_connected else self._find_interruption_s(state)
         state.is_connected = True
         state.failures = 0
         state.answered_at = self._clock.monotonic()
@@ -368,6 +394,7 @@
             if self.apply(document, source="store")
         }
         state.has_read = True
+        state.lag_s = 0.0
         if changed:
             self._hub.broadcast(DocumentAnnounce(changed))
             if prefix in self._shared_prefixes:
--- a/sycamoreproxy/weight_targets.py
+++ b/sycamoreproxy/weight_targets.py
@@ -57,24 +57,34 @@
         """Call ``listener(model, version)`` for each newly named version."""
         self._listeners.append(listener)
 
-    def set_target(self, model: str, version: int, *, is_first_read: bool) -> None:
+    def set_target(
+        self, model: str, version: int, *, is_first_read: bool, lag_s: float = 0.0
+    ) -> None:
         """Take the named version of a model; an older one than the last is ignored.
 
         :param is_first_read: whether it was found at the start and may have been named earlier.
+        :param lag_s: time for which it may have been named before it was heard of, in seconds.
         """
         targets = self._targets_by_model.setdefault(model, [])
         if targets and targets[-1].version >= version:
             return
         now = self._clock.monotonic()
         fraction = OLD_FRACTION_AT_START if is_first_read else OLD_FRACTION
-        binds_at = now + fraction * self._bound_s if self._bound_s else math.inf
-        ends_at = now if is_first_read else now + self._bound_s
+        named_at = now - lag_s
+        binds_at = named_at + fraction * self._bound_s if self._bound_s else math.inf
+        ends_at = now if is_first_read else named_at + self._bound_s
         targets.append(_Target(version, binds_at, ends_at if self._bound_s else math.inf))
         # Of the targets that bind, only the newest matters.
         while len(targets) > 1 and targets[1].binds_at <= now:
             targets.pop(0)
         WEIGHT_VERSION.set({"model": model}, version)
-        _log.info("weights named", model=model, version=version, at_start=is_first_read)
+        _log.info(
+            "weights named",
+            model=model,
+            version=version,
+            at_start=is_first_read,
+            lag_ms=round(lag_s * 1000),
+        )
         for listener in self._listeners:
             listener(model, version)
 
