Find the record of a load report by its address, and tell only touched uses

Cause: an entry host walked all 50 records for each of about 190 load reports a second, and asked each upstream's view for its own use 50 times a second, whether or not a request had come or gone. Change: the book keeps an index of records by address that each change drops; the placer notes the views that a request touched, and only these are compared with what was told. The book's expiry does nothing while no upstream leaves. Seeded tests compare the index with a walk of all records, and the uses told with those of all views, after every change.

--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -213,6 +213,8 @@
         self._zone = availability_zone
         self._random = random_source
         self._views_by_instance: dict[str, UpstreamView] = {}
+        #: Views whose own use may differ from what was told, in the order of the changes.
+        self._touched_by_instance: dict[str, UpstreamView] = {}
         self._number = 0
         #: Entry hosts that send to the same engines, this one included.
         self.entry_hosts = 1
@@ -347,7 +349,8 @@
     def take_changed_uses(self) -> list[tuple[str, EngineUse]]:
         """Return the own use by instance where it changed since the last call."""
         changed = []
-        for view in self._views_by_instance.values():
+        touched, self._touched_by_instance = self._touched_by_instance, {}
+        for view in touched.values():
             use = view.own_use
             if use != view.told:
                 view.told = use
@@ -359,6 +362,11 @@
         view = self._views_by_instance.get(instance)
         if view is not None:
             view.told = NO_USE
+            self._touch(view)
+
+    def _touch(self, view: UpstreamView) -> None:
+        """Note that the own use of an upstream may differ from what was told."""
+        self._touched_by_instance[view.instance] = view
 
     def begin(self, choice: Choice, need: Need) -> Choice:
         """Note that a request is sent; return the choice with its number."""
@@ -371,6 +379,7 @@
         view.own_by_number[self._number] = OwnAttempt(
             now, need.prompt_tokens, overdue_at=now + choice.forecast_s + OVERDUE_S
         )
+        self._touch(view)
         return replace(choice, number=self._number)
 
     def note_output(self, choice: Choice) -> None:
@@ -378,7 +387,9 @@
         view = self.view(choice.record.instance)
         own = view.own_by_number.get(choice.number)
         if own is not None:
-            own.has_output = True
+            if not own.has_output:
+                own.has_output = True
+                self._touch(view)
             view.output_at = self._clock.monotonic()
 
     def end(self, choice: Choice, *, failed: bool | None) -> None:
@@ -388,6 +399,7 @@
         """
         view = self.view(choice.record.instance)
         view.own_by_number.pop(choice.number, None)
+        self._touch(view)
         if failed is None:
             return
         view.failure_rate += FAILURE_WEIGHT * (float(failed) - view.failure_rate)
@@ -401,6 +413,7 @@
         for instance, view in list(self._views_by_instance.items()):
             if instance not in instances and not view.own_by_number:
                 del self._views_by_instance[instance]
+                self._touched_by_instance.pop(instance, None)
 
     def _weigh(
         self,
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -151,10 +151,10 @@
         changed = self._placer.take_changed_uses()
         if not changed:
             return
-        ip_by_instance = {r.instance: r.address.ip for r in self._beliefs.book.list_all()}
         peers_by_host = {peer.hello.host: peer for peer in self._hub.peers}
         for instance, use in changed:
-            peer = peers_by_host.get(ip_by_instance.get(instance, ""))
+            record = self._beliefs.book.find(instance)
+            peer = peers_by_host.get(record.address.ip) if record is not None else None
             if peer is not None:
                 peer.send(use)
 
@@ -206,14 +206,13 @@
         )
         for budget in self._budgets_by_service.values():
             budget.note_entry_hosts(entry_hosts)
-        for record in self._beliefs.book.list_all():
-            if str(record.address) == load.address:
-                spec = self._beliefs.table.services_by_name.get(record.service)
-                self._placer.take_report(
-                    record.instance,
-                    self._make_report(record, load, now),
-                    profile=spec.engine if spec is not None else None,
-                )
+        for record in self._beliefs.book.list_at(load.address):
+            spec = self._beliefs.table.services_by_name.get(record.service)
+            self._placer.take_report(
+                record.instance,
+                self._make_report(record, load, now),
+                profile=spec.engine if spec is not None else None,
+            )
         self._dispatcher.pump()
 
     def _make_report(self, record: UpstreamRecord, load: EngineLoad, now: float) -> LoadReport:
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -51,6 +51,8 @@
         self._records_by_instance: dict[str, UpstreamRecord] = {}
         self._leaving_since_by_instance: dict[str, float] = {}
         self._replaced: dict[str, int] = {}
+        #: Records by ``IP:PORT``; None after a change, until it is asked for.
+        self._records_by_address: dict[str, tuple[UpstreamRecord, ...]] | None = None
         self._listeners: list[Callable[[str], None]] = []
 
     def subscribe(self, listener: Callable[[str], None]) -> None:
@@ -66,6 +68,8 @@
         instance = record.instance
         before = self._records_by_instance.get(instance)
         self._records_by_instance[instance] = record
+        if before != record:
+            self._records_by_address = None
         restarted = before is not None and before.started_ms != record.started_ms
         if self._replaced.get(instance, record.started_ms) != record.started_ms:
             del self._replaced[instance]
@@ -132,6 +136,25 @@
         self._expire()
         return list(self._records_by_instance.values())
 
+    def find(self, instance: str) -> UpstreamRecord | None:
+        """Return the record of an upstream, one that leaves included."""
+        self._expire()
+        return self._records_by_instance.get(instance)
+
+    def list_at(self, address: str) -> tuple[UpstreamRecord, ...]:
+        """Return all records of an address, those that leave included.
+
+        :param address: ``IP:PORT``.
+        """
+        self._expire()
+        if self._records_by_address is None:
+            found: dict[str, tuple[UpstreamRecord, ...]] = {}
+            for record in self._records_by_instance.values():
+                text = str(record.address)
+                found[text] = (*found.get(text, ()), record)
+            self._records_by_address = found
+        return self._records_by_address.get(address, ())
+
     def _is_usable(self, instance: str) -> bool:
         if instance in self._replaced:
             return False
@@ -141,14 +164,18 @@
         )
 
     def _expire(self) -> None:
+        if not self._leaving_since_by_instance:
+            return
+        now = self._clock.monotonic()
         gone = [
             instance
             for instance, since in self._leaving_since_by_instance.items()
-            if self._clock.monotonic() - since > 60.0
+            if now - since > 60.0
         ]
         for instance in gone:
             del self._leaving_since_by_instance[instance]
             self._records_by_instance.pop(instance, None)
+            self._records_by_address = None
             self._replaced.pop(instance, None)
 
     def _notify(self, instance: str) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,7 @@
 
 from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.messages import EngineUse
-from sycamoreproxy.placement import Choice, LoadReport, Need, Placer
+from sycamoreproxy.placement import NO_USE, Choice, LoadReport, Need, Placer
 from sycamoreproxy.retries import BREAKER_MIN_S
 from sycamoreproxy.upstream_book import UpstreamRecord
 from tests._upstreams import PROFILE, make_upstream
@@ -390,3 +390,39 @@
     need = replace(NEED, prompt_tokens=prompt_tokens, longest_forecast_s=0.3)
     choice = placer.choose([make_upstream(1)], need, profile=PROFILE)
     assert (choice is not None) is is_sent
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_every_change_of_the_own_use_is_told_once(seed: int) -> None:
+    """An engine of which a change was not told looks fuller or emptier to all other entry hosts."""
+    source = random.Random(seed)
+    placer = Placer(clock=ManualClock(), availability_zone="z1", random_source=source)
+    records = [make_upstream(number) for number in range(1, 4)]
+    told = {record.instance: NO_USE for record in records}
+    open_choices: list[Choice] = []
+    for _ in range(300):
+        action = source.randrange(6)
+        if action <= 1 or not open_choices:
+            record = source.choice(records)
+            choice = placer.choose([record], NEED, profile=PROFILE, any_room=True)
+            assert choice is not None
+            open_choices.append(placer.begin(choice, NEED))
+        elif action == 2:
+            placer.note_output(source.choice(open_choices))
+        elif action == 3:
+            choice = open_choices.pop(source.randrange(len(open_choices)))
+            placer.end(choice, failed=source.choice([None, False]))
+        elif action == 4:
+            instance = source.choice(records).instance
+            placer.forget_told(instance)
+            told[instance] = NO_USE
+        else:
+            kept = {record.instance for record in records if source.random() < 0.7}
+            used = {choice.record.instance for choice in open_choices}
+            placer.retain(kept)
+            told.update(dict.fromkeys(told.keys() - kept - used, NO_USE))
+        if source.random() < 0.5:
+            uses = {record.instance: placer.view(record.instance).own_use for record in records}
+            expected = {name: use for name, use in uses.items() if use != told[name]}
+            assert dict(placer.take_changed_uses()) == expected
+            told.update(expected)
--- a/tests/test_upstream_book.py
+++ b/tests/test_upstream_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
@@ -82,3 +83,35 @@
     book.put(replace(RECORD, instance="i-2", started_ms=9))
     book.put(replace(RECORD, instance="i-0", started_ms=0))
     assert [r.instance for r in book.list_usable("model")] == ["i-2"]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_records_by_address_follow_every_change(seed: int) -> None:
+    """An index that lags behind the records loses load reports or gives them to a replaced one."""
+    source = random.Random(seed)
+    clock = ManualClock()
+    book = UpstreamBook(clock=clock, leave_s=2.0)
+    addresses = [Address(f"10.0.0.{number}", 80) for number in range(3)]
+    for _ in range(200):
+        instance = f"i-{source.randrange(5)}"
+        action = source.randrange(4)
+        if action == 0:
+            book.remove(instance)
+        elif action == 1:
+            clock.advance(source.choice([0.1, 30.0, 61.0]))
+        else:
+            book.put(
+                replace(
+                    RECORD,
+                    instance=instance,
+                    address=source.choice(addresses),
+                    slots=source.randrange(2),
+                    is_leaving=source.random() < 0.3,
+                )
+            )
+        records = book.list_all()
+        for address in addresses:
+            expected = [record for record in records if record.address == address]
+            assert list(book.list_at(str(address))) == expected
+        found = [record for n in range(5) if (record := book.find(f"i-{n}")) is not None]
+        assert sorted(found, key=str) == sorted(records, key=str)
