--- a/sycamoreproxy/log_trace.py
+++ b/sycamoreproxy/log_trace.py
@@ -21,6 +21,7 @@
         "engine reached",
         "history lost",
         "log lines dropped",
+        "process stalled",
         "settings reloaded",
         "started",
         "store connected",
