Do not send a request that would be taken back before it begins

Callers lost up to half a second at an engine whose weights were about to end: a request was sent until 1.2 to 1.5 s before the bound and taken back 0.5 s before it if it had not begun.

Cause: the choice of an engine did not compare the forecast of the first token with the end of the engine's version. The margin of 0.5 s also did not count that the version may be heard of late.

Change: an engine is left out if the forecast ends after the time at which the request would be taken back, now 0.8 s before the end; a stream that goes on takes any engine as before.

Measured: test_request_that_would_be_taken_back_is_not_sent; tests of placement and the routed entry host pass.

--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from sycamoreproxy.clock import Clock
@@ -251,6 +251,7 @@
         profile: EngineProfile | None,
         is_leaving: frozenset[str] = frozenset(),
         any_room: bool = False,
+        begin_by: Callable[[int], float] = lambda version: math.inf,
     ) -> Choice | None:
         """Return the upstream for a request, or None while none has room.
 
@@ -258,6 +259,8 @@
         :param profile: timings of the engines; None for plain services.
         :param is_leaving: instances that are used only if no other has room.
         :param any_room: whether an upstream without room may be chosen.
+        :param begin_by: returns the monotonic time until which a request may begin on a version; one that
+            is forecast to begin later would be taken back, so it waits for another engine.
         """
         now = self._clock.monotonic()
         choices: list[tuple[float, Choice]] = []
@@ -276,6 +279,8 @@
             if choice is None:
                 may_wait = may_wait or not is_last_resort
                 continue
+            if need.model and not any_room and now + choice.forecast_s > begin_by(version):
+                continue
             choice = replace(choice, version=version)
             cost = choice.forecast_s + view.failure_rate * FAILURE_PENALTY_S
             if record.availability_zone != self._zone:
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -52,8 +52,9 @@
 #: A stream that resumes goes on elsewhere after this many of its longest pauses without an event.
 GAP_PATIENCE = 3.0
 #: A request that has not begun is taken back from an engine this time before its version may no longer
-#: begin a request, in seconds: a link that weights fill delays the close by up to half of it.
-VERSION_MARGIN_S = 0.5
+#: begin a request, in seconds: the version may be heard of 0.3 s late behind a large configuration, and
+#: the close may wait as long behind weights on the link.
+VERSION_MARGIN_S = 0.8
 #: Shortest time left with which a request is sent, in seconds: less does not reach the upstream.
 MIN_TIME_LEFT_S = 0.03
 #: Part of a route's time limit below which the time left shows that the caller was refused before.
@@ -315,6 +316,7 @@
                 record.instance for record in records if self._book.is_leaving(record.instance)
             ),
             any_room=any_room,
+            begin_by=lambda version: self._find_begin_by(need.model, version),
         )
         return None if choice is None else self._placer.begin(choice, need)
 
@@ -421,6 +423,10 @@
             return None
         return choice.version
 
+    def _find_begin_by(self, model: str, version: int) -> float:
+        """Return the monotonic time at which a request that has not begun on a version is taken back."""
+        return self._targets.find_end(model, version) - VERSION_MARGIN_S
+
     def _forecast_answer_s(self, progress: Progress) -> float:
         """Return the time from the first token to the end of the answer."""
         engine = progress.service.engine
@@ -444,8 +450,8 @@
             choice.forecast_s + PATIENCE_GOALS * progress.route.goal_s + PATIENCE_S
         )
         if choice.version:
-            ends_at = self._targets.find_end(progress.request.model, choice.version)
-            first_limit = min(first_limit, ends_at - VERSION_MARGIN_S)
+            begin_by = self._find_begin_by(progress.request.model, choice.version)
+            first_limit = min(first_limit, begin_by)
         try:
             if not progress.route.repeatable:
                 await exchange
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -81,6 +81,26 @@
     assert (choice is not None) is found
 
 
+@pytest.mark.parametrize(
+    ("left_s", "any_room", "found"),
+    [(0.01, False, False), (1.0, False, True), (0.01, True, True)],
+    ids=["too late", "in time", "a stream that goes on"],
+)
+def test_request_that_would_be_taken_back_is_not_sent(
+    left_s: float, any_room: bool, found: bool
+) -> None:
+    """Sent to an engine whose version ends before it can begin, a request lost the time there."""
+    clock, placer = make_placer((3, 0))
+    choice = placer.choose(
+        [make_upstream(1)],
+        NEED,
+        profile=PROFILE,
+        any_room=any_room,
+        begin_by=lambda version: clock.monotonic() + left_s,
+    )
+    assert (choice is not None) is found
+
+
 def test_engine_that_loads_takes_nothing() -> None:
     clock, placer = make_placer((0, 0))
     report = LoadReport(
