Cut, refuse and silence the store of single processes in tests of a zone

Cause: the zone's tests could only end processes, not their way to the store, and counted reads of all processes together.

Change: each process reaches the far store by a path of its own; a watch without changes ends after its wait, as the platform's does; a store may have discarded its history; reads are counted by host when their sending begins.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections import Counter
+from collections.abc import Coroutine
 from itertools import chain
+from typing import Any
 
 import pytest
 
 from sycamoreproxy.clock import ManualClock
-from sycamoreproxy.messages import DocumentAnnounce, DocumentData, DocumentFetch
+from sycamoreproxy.messages import (
+    DocumentAnnounce,
+    DocumentData,
+    DocumentFetch,
+    DocumentProgress,
+)
 from sycamoreproxy.routed_dispatch import VERSION_MARGIN_S
 from sycamoreproxy.watched_documents import (
     FAILURES_TO_READ,
@@ -230,9 +239,16 @@
     def __init__(self) -> None:
         self.documents: list[Document] = [Document("op/config", 1, b"small")]
         self.revision = 1
-        self.reads = 0
+        #: Revisions before this one are no longer in the history.
+        self.oldest = 0
+        self.reads_by_host: Counter[str] = Counter()
         self._link_free_at = 0.0
 
+    @property
+    def reads(self) -> int:
+        """Answers with a configuration that were sent to any process."""
+        return self.reads_by_host.total()
+
     def put(self, key: str, value: bytes) -> None:
         self.revision += 1
         self.documents.append(Document(key, self.revision, value))
@@ -242,6 +258,8 @@
         return await self._send(tuple(newest.values()))
 
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Snapshot:
+        if after < self.oldest:
+            raise HistoryLostError
         while True:
             changes = [d for d in self.documents if d.key.startswith(prefix) and d.revision > after]
             if changes:
@@ -251,35 +269,79 @@
     async def _send(self, documents: tuple[Document, ...]) -> Snapshot:
         revision = self.revision
         size = sum(len(document.value or b"") for document in documents)
-        self.reads += any(document.key == "op/config" for document in documents)
+        task = asyncio.current_task()
+        assert task is not None
+        if any(document.key == "op/config" for document in documents):
+            self.reads_by_host[task.get_name()] += 1
         now = asyncio.get_running_loop().time()
         self._link_free_at = max(now, self._link_free_at) + size / LINK_BYTES_PER_S
         await asyncio.sleep(self._link_free_at - now)
         return Snapshot(documents, revision)
 
 
+class _Path:
+    """One process's way to a store; calls on it can be cut, refused or left without an answer."""
+
+    def __init__(self, store: _FarStore, host: str) -> None:
+        self._store = store
+        self._host = host
+        self._cuts = 0
+        self.is_refused = False
+        self.is_silent = False
+
+    def cut(self) -> None:
+        """Fail the calls in progress; later ones are answered."""
+        self._cuts += 1
+
+    async def read_all(self, prefix: str) -> Snapshot:
+        return await self._call(self._store.read_all(prefix), math.inf)
+
+    async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Snapshot:
+        return await self._call(
+            self._store.wait_changes(prefix, after=after, wait_s=wait_s), wait_s
+        )
+
+    async def _call(self, answer: Coroutine[Any, Any, Snapshot], wait_s: float) -> Snapshot:
+        call, cuts = asyncio.create_task(answer, name=self._host), self._cuts
+        until = asyncio.get_running_loop().time() + wait_s
+        try:
+            while self.is_silent or not call.done():
+                if self.is_refused or self._cuts != cuts:
+                    raise SourceUnavailableError("cut")
+                if not self.is_silent and asyncio.get_running_loop().time() >= until:
+                    return Snapshot((), self._store.revision)
+                await asyncio.sleep(0.01)
+            return call.result()
+        finally:
+            call.cancel()
+
+
 class _Zone:
-    """Processes of one zone that follow a far store; all have streams to the readers."""
+    """Processes of one zone that follow a far store; all have streams to the readers.
+
+    :param linked: hosts to which all have streams; the readers if not told.
+    """
 
-    def __init__(self, *, processes: int, readers: int) -> None:
+    def __init__(self, *, processes: int, readers: int, linked: int | None = None) -> None:
         self.store = _FarStore()
         self.network = FakeNetwork(seed=1)
         self.readers = frozenset(f"h{number}" for number in range(readers))
         self.hubs = [FakeHub(host=f"h{number}", zone="z1") for number in range(processes)]
+        self.paths = [_Path(self.store, hub.hello.host) for hub in self.hubs]
         self.replicas = [
             DocumentReplica(
-                source=self.store,
+                source=path,
                 hub=hub,  # type: ignore[arg-type]
                 prefixes=("op/config", "op/version/"),
                 clock=LoopClock(),
                 shared_prefixes=("op/config",),
                 find_readers=lambda: self.readers,
             )
-            for hub in self.hubs
+            for hub, path in zip(self.hubs, self.paths, strict=True)
         ]
         self.streams = [
             self.network.link(hub, other)
-            for index, hub in enumerate(self.hubs[:readers])
+            for index, hub in enumerate(self.hubs[: linked or readers])
             for other in self.hubs[index + 1 :]
         ]
         self.tasks = [
@@ -297,6 +359,16 @@
         documents = [replica.get(key) for replica in self.replicas]
         return sum(document is not None and document.revision >= revision for document in documents)
 
+    def kill(self, numbers: range) -> None:
+        """End the processes with these numbers; their streams stay silent."""
+        for number in numbers:
+            for task in self.tasks[number]:
+                task.cancel()
+
+    def count_reads(self, numbers: range) -> int:
+        """Return the answers with a configuration that the store sent to these processes."""
+        return sum(self.store.reads_by_host[f"h{number}"] for number in numbers)
+
     def stop(self) -> None:
         self._delivering.cancel()
         for task in chain.from_iterable(self.tasks):
