Reproduce a reader that is silent for 25 s after one cut watch

Cause: a reader reports progress only while state.is_connected, which a failed call clears and only the next answer sets. After a cut watch the next call is again a watch, which without changes is answered after 25 s. After 1 s all processes of the zone follow the store themselves.

Change: a failing test.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -460,3 +460,17 @@
     )
     follow(source, replica)
     assert source.calls == ["read", *["wait 1"] * FAILURES_TO_READ, "read"]
+
+
+@in_virtual_time
+async def test_cut_watch_does_not_silence_the_readers_of_a_zone() -> None:
+    """A watch waits for up to 25 s: after a cut one, a reader told nothing until the next change."""
+    zone = _Zone(processes=12, readers=2)
+    await asyncio.sleep(3)
+    for path in zone.paths[:2]:
+        path.cut()
+    await asyncio.sleep(2)
+    zone.store.put("op/config", b"x" * LARGE_BYTES)
+    await asyncio.sleep(3)
+    assert zone.count_reads(range(2, 12)) == 0
+    zone.stop()
