Reproduce new readers of a zone that are silent until the next change

Cause: a process that becomes a reader holds a forwarded revision, so its first call of the store is a watch, which without changes takes 25 s to answer; until then is_connected is false and it reports nothing.

Change: a failing test.

Measured: fails at: 8 of 8 other processes read the configuration 3 s after both readers changed.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -474,3 +474,17 @@
     await asyncio.sleep(3)
     assert zone.count_reads(range(2, 12)) == 0
     zone.stop()
+
+
+@in_virtual_time
+async def test_new_readers_of_a_zone_report_before_the_next_change() -> None:
+    """Their first watch waits for up to 25 s, and what it would tell is known already."""
+    zone = _Zone(processes=12, readers=2, linked=4)
+    await asyncio.sleep(3)
+    zone.kill(range(2))
+    zone.readers = frozenset({"h2", "h3"})
+    await asyncio.sleep(3)
+    zone.store.put("op/config", b"x" * LARGE_BYTES)
+    await asyncio.sleep(3)
+    assert zone.count_reads(range(4, 12)) == 0
+    zone.stop()
