Reproduce the reading of a configuration by all after an outage

Cause: in an outage the readers report nothing, so every process watches the store itself; three failures (about 1 s) set its revision to 0, and all read the whole prefix at once when the store is back, though nothing changed. Before the watch went on from the revision held and cost nothing.

Change: a failing test.

Measured: fails at: 10 of 10 other processes read it after 4 s of outage instead of 0.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -488,3 +488,20 @@
     await asyncio.sleep(3)
     assert zone.count_reads(range(4, 12)) == 0
     zone.stop()
+
+
+@in_virtual_time
+async def test_configuration_is_not_read_by_all_after_an_outage_of_the_store() -> None:
+    """All follow the store in an outage; each read 285 KB when it ended, though nothing had changed."""
+    zone = _Zone(processes=12, readers=2)
+    zone.store.put("op/config", b"x" * LARGE_BYTES)
+    await asyncio.sleep(5)
+    before = zone.count_reads(range(2, 12))
+    for path in zone.paths:
+        path.is_refused = True
+    await asyncio.sleep(4)
+    for path in zone.paths:
+        path.is_refused = False
+    await asyncio.sleep(5)
+    assert zone.count_reads(range(2, 12)) == before
+    zone.stop()
