Reproduce a late version while both readers of a zone are down

Cause: a zone has exactly two readers, chosen from the listed engines whether their processes live or not. If both are down, the others all follow the store for as long as that lasts.

Change: a failing test.

Conclusion: the loss of two hosts, which the settings call tolerated (fault_tolerance.machines), brings the incident back.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -505,3 +505,19 @@
     await asyncio.sleep(5)
     assert zone.count_reads(range(2, 12)) == before
     zone.stop()
+
+
+@in_virtual_time
+async def test_version_is_heard_in_time_while_both_readers_are_down() -> None:
+    """Two hosts may fail; all others then read a large configuration at once."""
+    zone = _Zone(processes=24, readers=2, linked=8)
+    await asyncio.sleep(3)
+    zone.kill(range(2))
+    zone.replicas = zone.replicas[2:]
+    await asyncio.sleep(3)
+    zone.store.put("op/config", b"x" * LARGE_BYTES)
+    await asyncio.sleep(0.1)
+    zone.store.put("op/version/m", b"2")
+    await asyncio.sleep(VERSION_MARGIN_S)
+    assert zone.count_holding("op/version/m", 3) == 22
+    zone.stop()
