Reproduce a document that is announced by several peers and never fetched

Cause: a fetch that was sent to one peer suppresses those to others for 0.6 s (_fetched_at_by_key), and nothing fetches afterwards: only configurations are announced again, versions and upstreams are announced once.

Change: a failing test.

Conclusion: the relay, which is what brings a version to a process whose own watch hangs, now depends on the first peer that announces.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -521,3 +521,51 @@
     await asyncio.sleep(VERSION_MARGIN_S)
     assert zone.count_holding("op/version/m", 3) == 22
     zone.stop()
+
+
+def _announce(network: FakeNetwork, hub: FakeHub, revision: int, *, is_mute: bool = False) -> None:
+    """Link a peer that announces a revision of a version; a mute one answers no fetch."""
+    peer_hub = FakeHub(host="peer")
+    if not is_mute:
+        peer = DocumentReplica(
+            source=_Source(),
+            hub=peer_hub,  # type: ignore[arg-type]
+            prefixes=("op/version/",),
+            clock=LoopClock(),
+        )
+        peer.apply(Document("op/version/m", revision, b"2"), source="test")
+    network.link(peer_hub, hub)
+    if is_mute:
+        for peer in peer_hub.peers:
+            peer.send(DocumentAnnounce({"op/version/m": revision}))
+
+
+async def _deliver_for(network: FakeNetwork, duration_s: float) -> None:
+    until = asyncio.get_running_loop().time() + duration_s
+    while asyncio.get_running_loop().time() < until:
+        network.deliver()
+        await asyncio.sleep(0.01)
+
+
+def _make_versions() -> tuple[FakeHub, DocumentReplica]:
+    hub = FakeHub(host="h0", zone="z1")
+    replica = DocumentReplica(
+        source=_Source(),
+        hub=hub,  # type: ignore[arg-type]
+        prefixes=("op/version/",),
+        clock=LoopClock(),
+    )
+    return hub, replica
+
+
+@in_virtual_time
+async def test_document_is_fetched_from_another_peer_if_the_first_does_not_answer() -> None:
+    """A version is announced once by each peer: those dropped during a fetch were never asked."""
+    hub, replica = _make_versions()
+    network = FakeNetwork(seed=1)
+    _announce(network, hub, 9, is_mute=True)
+    network.deliver()
+    await asyncio.sleep(0.01)
+    _announce(network, hub, 9)
+    await _deliver_for(network, 3.0)
+    assert replica.get("op/version/m") is not None
