Reproduce a newer revision that is announced during a fetch and lost

Cause: the suppression of fetches counts keys, not revisions: an announcement of a newer revision is dropped while an older one is being fetched.

Change: a failing test.

Measured: fails at: revision 5 is held, revision 6 never.

Conclusion: hits two versions, or two changes of an upstream, in quick succession.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -569,3 +569,20 @@
     _announce(network, hub, 9)
     await _deliver_for(network, 3.0)
     assert replica.get("op/version/m") is not None
+
+
+@in_virtual_time
+async def test_newer_revision_that_is_announced_during_a_fetch_is_fetched() -> None:
+    """The answer to the fetch has the older revision, and the newer one is not announced again."""
+    hub, replica = _make_versions()
+    network = FakeNetwork(seed=1)
+    _announce(network, hub, 5)
+    network.deliver()
+    await asyncio.sleep(0.05)
+    _announce(network, hub, 6)
+    network.deliver()
+    # The first fetch leaves after 0.3 s, and its answer takes 0.1 s.
+    await asyncio.sleep(0.35)
+    await _deliver_for(network, 3.0)
+    held = replica.get("op/version/m")
+    assert held is not None and held.revision == 6
