Reproduce readers whose watch hangs and that still report progress

Cause: a reader counts as connected from its last answer on, however old. A watch whose answer is lost, or that the store does not answer, hangs for up to 27 s (3 s if the path itself is dead), and its zone relies on it meanwhile.

Change: a failing test.

Conclusion: a reader's report must tell when the store last answered it.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -586,3 +586,16 @@
     await _deliver_for(network, 3.0)
     held = replica.get("op/version/m")
     assert held is not None and held.revision == 6
+
+
+@in_virtual_time
+async def test_readers_that_get_no_answers_do_not_hold_up_their_zone() -> None:
+    """They told that they follow the store for as long as a watch may wait (27 s)."""
+    zone = _Zone(processes=6, readers=2)
+    await asyncio.sleep(3)
+    for path in zone.paths[:2]:
+        path.is_silent = True
+    zone.store.put("op/config", b"y" * 1000)
+    await asyncio.sleep(2)
+    assert zone.count_holding("op/config", 2) >= 4
+    zone.stop()
