Reproduce an announcement of another zone that a zone ignores for good

Cause: while readers report, announcements of shared documents by other zones are dropped. They come once, so they are lost even if the readers never bring that revision.

Change: a failing test.

Conclusion: such an announcement shows that the readers are behind; it should be kept and fetched if they have not brought it after a while.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -599,3 +599,26 @@
     await asyncio.sleep(2)
     assert zone.count_holding("op/config", 2) >= 4
     zone.stop()
+
+
+@in_virtual_time
+async def test_copy_of_another_zone_is_fetched_if_the_readers_do_not_bring_it() -> None:
+    """Announcements of other zones come once; the hosts of a zone ignored them."""
+    zone = _Zone(processes=4, readers=2)
+    await asyncio.sleep(3)
+    for path in zone.paths[:2]:
+        path.is_silent = True
+    far_hub = FakeHub(host="far", zone="z2")
+    far = DocumentReplica(
+        source=_Source(),
+        hub=far_hub,  # type: ignore[arg-type]
+        prefixes=("op/config", "op/version/"),
+        clock=LoopClock(),
+    )
+    zone.network.link(zone.hubs[3], far_hub)
+    far.apply(Document("op/config", 9, b"z"), source="test")
+    for peer in far_hub.peers:
+        peer.send(DocumentAnnounce({"op/config": 9}))
+    await asyncio.sleep(2)
+    assert zone.count_holding("op/config", 9) >= 1
+    zone.stop()
