Reproduce forwarded revisions that are older than the store's history

Cause: readers advance their revision only when a watch is answered, which without changes takes 25 s; the platform keeps 20 s of history and may keep less. Processes that then follow the store themselves get 410 and read all.

Change: a failing test.

Measured: fails at: 10 of 10 other processes read the configuration when both readers end 22 s after the last change of it.

Conclusion: WATCH_WAIT_S must be well below history_s, at least for readers.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -622,3 +622,20 @@
     await asyncio.sleep(2)
     assert zone.count_holding("op/config", 9) >= 1
     zone.stop()
+
+
+@in_virtual_time
+async def test_revision_told_by_readers_is_not_older_than_the_history_of_the_store() -> None:
+    """A watch without changes lasts longer than the store keeps its history (20 s)."""
+    zone = _Zone(processes=12, readers=2)
+    zone.store.put("op/config", b"x" * LARGE_BYTES)
+    await asyncio.sleep(3)
+    before = zone.count_reads(range(2, 12))
+    for second in range(22):
+        zone.store.put(f"servers/{second}", b"")
+        await asyncio.sleep(1)
+    zone.store.oldest = zone.store.revision - 20
+    zone.kill(range(2))
+    await asyncio.sleep(4)
+    assert zone.count_reads(range(2, 12)) == before
+    zone.stop()
