Reproduce copies of other zones that a starting zone fetches

Cause: until the first report of a reader, announcements by other zones count as those of any document, and a fetch that was planned then is not cancelled when the readers are heard.

Change: a failing test.

Measured: fails at: 10 fetches of the configuration from another zone at the start of 24 processes, where the two readers' would do.

--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -639,3 +639,26 @@
     await asyncio.sleep(4)
     assert zone.count_reads(range(2, 12)) == before
     zone.stop()
+
+
+@in_virtual_time
+async def test_start_of_a_zone_fetches_no_copies_of_other_zones() -> None:
+    """Streams to engines of other zones open at the start, and each announces the configuration."""
+    zone = _Zone(processes=24, readers=2)
+    zone.store.put("op/config", b"x" * LARGE_BYTES)
+    far_hub = FakeHub(host="far", zone="z2")
+    far = DocumentReplica(
+        source=_Source(),
+        hub=far_hub,  # type: ignore[arg-type]
+        prefixes=("op/config", "op/version/"),
+        clock=LoopClock(),
+    )
+    far.apply(Document("op/config", 2, b"x" * LARGE_BYTES), source="test")
+    fetches: list[str] = []
+    far_hub.on(DocumentFetch, lambda peer, fetch: fetches.append(peer.hello.host))
+    for hub in zone.hubs:
+        zone.network.link(hub, far_hub)
+    await asyncio.sleep(4)
+    assert zone.count_holding("op/config", 2) == 24
+    assert len(fetches) <= len(zone.readers)
+    zone.stop()
