Reproduce a zone without readers after its engines lapse and return

Cause: the book tells its listeners nothing when an entry that was removed returns unchanged, though it no longer leaves. The readers were chosen without it meanwhile and stay so until some other entry changes.

Change: a failing test.

Conclusion: entries lapse in an outage of the store and return unchanged, so every process then follows the store itself, and hosts differ on the readers.

--- /dev/null
+++ b/tests/test_routed_composition.py
@@ -0,0 +1,66 @@
+"""Guards against hosts that read large documents for nobody, or that are none of the system's."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from sycamoreproxy.platform.adapter import platforms
+from sycamoreproxy.routed_composition import _Parts
+from sycamoreproxy.routed_settings import (
+    RoutedBounds,
+    RoutedListenSettings,
+    RoutedProcessSettings,
+    RoutedSettings,
+    RoutedStoreSettings,
+)
+from sycamoreproxy.streams import Address
+from sycamoreproxy.watched_documents import Document
+
+SETTINGS = RoutedSettings(
+    process=RoutedProcessSettings(
+        role="routed-entry", host="entry-1", availability_zone="z1", region="r1"
+    ),
+    listen=RoutedListenSettings(ip="10.0.0.9", peer_port=7700, state_port=7701),
+    store=RoutedStoreSettings(address=Address("10.200.0.1", 8007)),
+    bounds=RoutedBounds(),
+)
+
+
+def play(action: Callable[[_Parts], None]) -> None:
+    async def run() -> None:
+        action(_Parts(SETTINGS, platforms.get("platform")))
+
+    asyncio.run(run())
+
+
+def put(parts: _Parts, key: str, revision: int, value: Any) -> None:
+    data = None if value is None else json.dumps(value).encode()
+    parts.replica.apply(Document(key, revision, data), source="test")
+
+
+def make_entry(number: int, *, service: str = "model") -> dict[str, Any]:
+    return {
+        "service": service,
+        "address": f"10.0.0.{number}:8080",
+        "zone": "z1",
+        "slots": 4,
+        "state": "ready",
+        "models": [{"name": "m1", "version": 1}],
+    }
+
+
+def test_engines_that_return_after_a_lapse_read_again() -> None:
+    """Entries lapse in an outage and return unchanged; the zone had no readers from then on."""
+
+    def action(parts: _Parts) -> None:
+        for revision, is_listed in ((1, True), (3, False), (5, True)):
+            for number in range(2):
+                value = make_entry(number) if is_listed else None
+                put(parts, f"servers/i-{number}", revision + number, value)
+            readers = parts.find_readers()
+            assert readers == (frozenset({"10.0.0.0", "10.0.0.1"}) if is_listed else frozenset())
+
+    play(action)
