Reproduce an entry of an unknown service that becomes a reader

Cause: takes every entry that tells models for an engine; before it, entries counted only if the configuration names their service. The platform has entries of other writers, which name no upstream to use.

Change: a failing test.

Measured: fails at: the foreign host is a reader of the zone.

Conclusion: two such entries leave a zone without readers; processes beside engines also count them as neighbours in the exchange of weights, and entry hosts follow them.

--- a/tests/test_routed_composition.py
+++ b/tests/test_routed_composition.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from standins.platform import make_configuration, make_route
 from sycamoreproxy.platform.adapter import platforms
 from sycamoreproxy.routed_composition import _Parts
 from sycamoreproxy.routed_settings import (
@@ -64,3 +65,20 @@
             assert readers == (frozenset({"10.0.0.0", "10.0.0.1"}) if is_listed else frozenset())
 
     play(action)
+
+
+def test_entry_of_an_unknown_service_is_no_reader() -> None:
+    """Entries of other writers name services that no configuration names, and no hosts of ours."""
+
+    def action(parts: _Parts) -> None:
+        configuration = make_configuration(
+            1,
+            services=[{"name": "model", "engine": {"slots": 4, "step_ms": 1.0, "read_per_s": 1e5}}],
+            routes=[make_route("ask", "streaming", "model", session_affinity=True)],
+        )
+        put(parts, "op/config", 1, configuration)
+        put(parts, "servers/i-1", 2, make_entry(1))
+        put(parts, "servers/x-2", 3, make_entry(2, service="nobody"))
+        assert parts.find_readers() == frozenset({"10.0.0.1"})
+
+    play(action)
