Reproduce a stream that may not run twice and begins on an ended version

Cause: only requests that may be repeated are taken back before the end of their version; others wait at the engine as long as the caller does.

Change: a failing test.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -561,3 +561,17 @@
         assert site.runners[1].received[0]["Sycamoreproxy-Expect-Version"] == "2"
 
     play(action)
+
+
+def test_stream_that_may_not_run_twice_does_not_begin_on_an_ended_version() -> None:
+    """Only requests that may be repeated were taken back before the bound of their version."""
+
+    async def action(site: Site) -> None:
+        for faults in site.faults[:2]:
+            faults.replace({"stall_s": 1.2})
+        site.front.dispatcher._targets.set_bound(0.8)
+        site.front.dispatcher._targets.set_target("m1", 2, is_first_read=False)
+        await site.ask("/once/x", **GENERATION)
+        assert sum(runner.ran.total() for runner in site.runners[:2]) == 0
+
+    play(action)
