Reproduce a request that reaches a leaving upstream after its connection

Cause: an upstream is chosen, then a connection opens, which may take 2 s; the leaving is not looked at again before the request is written. Requests that may be repeated are bounded by 1.25 s and more, others by nothing.

Change: a failing test.

Conclusion: the same class as: a fact read before a wait and used after it.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -13,6 +13,7 @@
 import structlog
 import tornado.web
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 from tornado.testing import bind_unused_port
 
 from standins._server import Faults
@@ -23,6 +24,7 @@
     make_runner_routes,
 )
 from sycamoreproxy import weight_targets
+from sycamoreproxy._http_client import HttpClient
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.placement import Need, Placer
@@ -575,3 +577,28 @@
         assert sum(runner.ran.total() for runner in site.runners[:2]) == 0
 
     play(action)
+
+
+def test_request_whose_connection_opens_late_does_not_reach_a_leaving_upstream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The upstream is chosen before the connection opens, which takes up to 2 s."""
+    connect = HttpClient._connect
+
+    async def connect_late(client: HttpClient) -> IOStream:
+        await asyncio.sleep(1.5)
+        return await connect(client)
+
+    monkeypatch.setattr(HttpClient, "_connect", connect_late)
+
+    async def action(site: Site) -> None:
+        for runner in site.runners[2:]:
+            key = f"servers/{runner.instance}"
+            value = json.loads(site.replica.get(key).value)  # type: ignore
+            _put(site, key, value | {"state": "draining"})
+        # 0.9 s after the notice, requests may still be sent; the bound is 2 s.
+        await asyncio.sleep(0.9)
+        await site.ask("/post/x")
+        assert not [r.received for r in site.runners[2:] if r.received]
+
+    play(action)
