Choose the readers of a zone among engines of configured services

Callers of a zone without readers could get answers of ended weights again.

Cause: entries that lapsed with an outage of the store and returned unchanged notified nobody, so a zone kept no readers; entries of services that no configuration names counted as engines, so hosts that are none of the system's could be chosen, followed and asked for chunks.

Change: the book notifies when an upstream no longer leaves; engines are those of configured services once a configuration is known (Beliefs.list_engines); the choice moves from the composition root to zone_readers.

--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -82,6 +82,19 @@
         """Call ``listener(table)`` after each change of the routes."""
         self._listeners.append(listener)
 
+    def list_engines(self) -> list[UpstreamRecord]:
+        """Return the listed model engines of configured services, or all before any configuration."""
+        services = self.table.services_by_name
+        return [
+            record
+            for record in self.book.list_all()
+            if record.is_engine
+            and (
+                self.table.revision == 0
+                or ((spec := services.get(record.service)) is not None and spec.engine is not None)
+            )
+        ]
+
     def _take(self, document: Document) -> None:
         key, value = document.key, document.value
         try:
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -22,8 +22,7 @@
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.task_group import BackgroundTasks
-from sycamoreproxy.upstream_book import UpstreamBook
-from sycamoreproxy.upstream_subset import choose_readers
+from sycamoreproxy.upstream_book import UpstreamBook, UpstreamRecord
 from sycamoreproxy.watched_documents import (
     COALESCE_S,
     UPSTREAM_COALESCE_FRACTION,
@@ -31,6 +30,7 @@
     DocumentSource,
 )
 from sycamoreproxy.weight_targets import WeightTargets
+from sycamoreproxy.zone_readers import ZoneReaders
 
 if TYPE_CHECKING:
     from sycamoreproxy.engine_stage import StagedEngine
@@ -101,7 +101,9 @@
 
     def __init__(self, settings: RoutedSettings, adapter: PlatformAdapter) -> None:
         process = settings.process
-        self._zone = process.availability_zone
+        self.readers = ZoneReaders(
+            availability_zone=process.availability_zone, list_engines=self._list_staying
+        )
         self.clock = SystemClock()
         self.stalls = StallMeter(clock=self.clock)
         self.documents = adapter.documents()
@@ -122,28 +124,23 @@
             clock=self.clock,
             pause_s=self._find_pause_s,
             shared_prefixes=self.documents.shared_prefixes,
-            find_readers=self.find_readers,
+            find_readers=self.readers.find,
             stall_lag_s=lambda: self.stalls.lag_s,
         )
         self.book = UpstreamBook(clock=self.clock, leave_s=settings.bounds.leave_s)
-        self._readers: frozenset[str] | None = None
-        self.book.subscribe(self._forget_readers)
+        self.book.subscribe(lambda instance: self.readers.forget())
         self.targets = WeightTargets(clock=self.clock, bound_s=settings.bounds.version_s)
         self.beliefs = Beliefs(
             documents=self.documents, replica=self.replica, book=self.book, targets=self.targets
         )
+        self.beliefs.subscribe(lambda table: self.readers.forget())
         self.tasks = BackgroundTasks()
         self.tasks.start("stalls", self.stalls.run)
 
-    def find_readers(self) -> frozenset[str] | None:
-        """Return the hosts that read large documents for this zone; None while none is known."""
-        if self._readers is None and (records := self.book.list_all()):
-            engines = [r for r in records if r.is_engine and not self.book.is_leaving(r.instance)]
-            self._readers = choose_readers(engines, availability_zone=self._zone)
-        return self._readers
-
-    def _forget_readers(self, instance: str) -> None:
-        self._readers = None
+    def _list_staying(self) -> list[UpstreamRecord] | None:
+        if not self.book.list_all():
+            return None
+        return [r for r in self.beliefs.list_engines() if not self.book.is_leaving(r.instance)]
 
     def _find_pause_s(self, prefix: str) -> float:
         if self.documents.is_of_upstreams(prefix):
@@ -227,7 +224,7 @@
         tasks=parts.tasks,
         budgets_by_service=budgets_by_service,
         now=parts.clock.monotonic,
-        find_readers=parts.find_readers,
+        readers=parts.readers,
     )
     built.append(process)
     return process
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -25,6 +25,7 @@
 from sycamoreproxy.upstream_book import UpstreamRecord
 from sycamoreproxy.upstream_subset import choose_followed
 from sycamoreproxy.watched_documents import DocumentReplica
+from sycamoreproxy.zone_readers import ZoneReaders
 
 #: Time between two heartbeats to peers, in seconds.
 HEARTBEAT_S = 1.0
@@ -43,7 +44,7 @@
     All parts are built by :mod:`sycamoreproxy.routed_composition`.
 
     :param budgets_by_service: resend budgets, filled as services are used.
-    :param find_readers: returns the hosts that read large documents for the own zone.
+    :param readers: hosts that read large documents for the own zone.
     """
 
     def __init__(
@@ -61,9 +62,9 @@
         tasks: BackgroundTasks,
         budgets_by_service: dict[str, ResendBudget],
         now: Callable[[], float],
-        find_readers: Callable[[], frozenset[str] | None],
+        readers: ZoneReaders,
     ) -> None:
-        self._find_readers = find_readers
+        self._readers = readers
         self.settings = settings
         self._documents = documents
         self._hub = hub
@@ -184,7 +185,7 @@
     def _update_peers(self) -> None:
         """Keep a stream to the process beside each engine that this host follows."""
         port = self.settings.listen.peer_port
-        engines = [record for record in self._beliefs.book.list_all() if record.is_engine]
+        engines = self._beliefs.list_engines()
         self._engines = len(engines)
         followed = choose_followed(
             engines,
@@ -192,7 +193,8 @@
             availability_zone=self.settings.process.availability_zone,
         )
         self._placer.followed = followed
-        hosts = {Address.parse(item).ip for item in followed} | (self._find_readers() or set())
+        readers = self._readers.find() or frozenset()
+        hosts = {Address.parse(item).ip for item in followed} | readers
         self._hub.set_targets({Address(host, port) for host in hosts})
 
     def _take_load(self, peer: Peer, load: EngineLoad) -> None:
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -185,7 +185,7 @@
         """
         port = self._settings.listen.peer_port
         zone = self._settings.process.availability_zone
-        records = [record for record in self._beliefs.book.list_all() if record.is_engine]
+        records = self._beliefs.list_engines()
         for record in records:
             is_near = len(records) <= MAX_EXCHANGE_HOSTS or record.availability_zone == zone
             peer = Address(record.address.ip, port)
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -75,12 +75,14 @@
         restarted = before is not None and before.started_ms != record.started_ms
         if self._replaced.get(instance, record.started_ms) != record.started_ms:
             del self._replaced[instance]
+        was_leaving = instance in self._leaving_since_by_instance
         if record.is_leaving:
             if restarted or instance not in self._leaving_since_by_instance:
                 self._leaving_since_by_instance[instance] = self._clock.monotonic()
         else:
             self._leaving_since_by_instance.pop(instance, None)
-        if before != record:
+        # An entry that lapsed in an outage returns unchanged.
+        if before != record or was_leaving != (instance in self._leaving_since_by_instance):
             _log.info(
                 "upstream listed",
                 instance=instance,
--- a/sycamoreproxy/upstream_subset.py
+++ b/sycamoreproxy/upstream_subset.py
@@ -17,21 +17,6 @@
 #: Engines that it follows in all, at most. The rest are in other zones and serve while the own zone
 #: is full or has none.
 ALL_ENGINES = 18
-#: Hosts of each zone that read large documents from the store for the others. With two, one may fail
-#: without any delay, and a zone's link carries a configuration twice.
-READERS = 2
-
-
-def choose_readers(records: Iterable[UpstreamRecord], *, availability_zone: str) -> frozenset[str]:
-    """Return the IP addresses of a zone's hosts that read large documents for the others.
-
-    Every process makes the same choice from the listed engines, whose hosts all others have streams to.
-
-    :param records: engines that are not leaving.
-    """
-    near = {r.address.ip for r in records if r.availability_zone == availability_zone}
-    by_key = sorted(near, key=lambda ip: blake2b(ip.encode(), digest_size=8).digest())
-    return frozenset(by_key[:READERS])
 
 
 def choose_followed(
