Rely on a zone's readers only while the store answers them

Callers could get answers of ended weights, or of a former configuration, when a zone's readers failed or the store did not answer them.

Cause: a reader told of its state and not of the store's last answer; its watch lasted 25 s. So it was silent after a cut watch and after it had been chosen anew, it reported on while its watch hung, and the others then all read the configuration. A fetch from one peer also kept all others from being asked, for any document.

Change: readers watch for 1 s, at once after a failure, and report the age of the store's last answer; 1.6 s after it the others follow the store, the first of them as a reader for the rest, in an order that all agree on. Suppressed fetches are those of shared documents only, by revision and for 0.8 s; a copy of another zone is fetched after 1.2 s. Only a reader reads anew after failures. A complete report that lists no revision of a key tells of its deletion. Compressed values are kept for the next asker. These findings share functions, so they are one commit.

The test of a watch that keeps failing is about a reader now, as the rule is.

--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -530,6 +530,7 @@
 class DocumentProgress:
     """The sender follows a prefix in the store; sent to processes of its availability zone.
 
+    :param age_s: time since the store answered last, in seconds.
     :param revision: the store's revision up to which the sender's documents are complete.
     :param revisions: revisions of the documents below the prefix, by key.
     """
@@ -537,6 +538,7 @@
     prefix: str
     revision: int
     revisions: IntByName
+    age_s: float = 0.0
 
 
 @message(72)
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -28,6 +28,7 @@
     DocumentProgress,
 )
 from sycamoreproxy.peers import Peer, PeerHub
+from sycamoreproxy.zone_readers import rank_host
 
 #: Longest wait of one watch call, in seconds; the platform allows 30.
 WATCH_WAIT_S = 25.0
@@ -44,24 +45,34 @@
 #: fetches the document from the peer: in normal operation the watch is as fast.
 RELAY_DELAY_S = 0.3
 
+#: Longest wait of a watch for shared documents, in seconds: each answer shows that the store still serves
+#: the reader. It is half of the shortest bound on a configuration.
+SHARED_WATCH_S = 1.0
 #: Time between two progress reports of a zone's reader, in seconds.
 PROGRESS_PERIOD_S = 0.4
-#: A process whose zone's readers have all been silent for this time follows the store itself, in seconds:
-#: two reports are lost, and less than the bounds of 2 s and more on every change.
-PROGRESS_FRESH_S = 1.0
+#: A process whose zone's readers have had no answer for this time follows the store itself, in seconds: a
+#: watch and a report, and less than the bounds of 2 s and more on every change.
+PROGRESS_FRESH_S = 1.6
+#: Longest further wait before that, in seconds: the first process to follow the store reports as a reader
+#: does, and the others need not.
+FALLBACK_SPREAD_S = 0.3
 #: Longest wait for a zone's readers after the start, in seconds: streams to them open within it.
 READERS_WAIT_S = 1.5
-#: Longest pause before a document is fetched that the zone's readers announce, in seconds: the processes
-#: of a zone do not all ask at once, and those that have it by then share the sending.
+#: Longest pause before a shared document is fetched within the zone, in seconds: the processes do not all
+#: ask at once, and those that have it by then share the sending.
 ZONE_RELAY_DELAY_S = 0.2
-#: A fetch that is not answered in this time is repeated at the next announcement, in seconds.
-FETCH_TIMEOUT_S = 0.6
+#: Pause before a shared document is fetched from another zone, in seconds: the readers of the own zone
+#: have had the time to bring it, and their link carries it only twice.
+FAR_RELAY_DELAY_S = 1.2
+#: A fetch of a shared document that is not answered in this time is repeated, in seconds: 36 KB of a
+#: configuration to 12 processes take 0.7 s of a link of 4.7 Mbit/s.
+FETCH_TIMEOUT_S = 0.8
 #: Bytes of values that were replaced within one answer from which on the prefix is read anew: the store
 #: sends every value of its history, and a series of changes of a large document has many.
 SUPERSEDED_BYTES = 32 * 1024
-#: Failed watches in a row after which the prefix is read anew: what has changed meanwhile may be more than
-#: one answer can hold.
-FAILURES_TO_READ = 3
+#: Failed watches in a row after which a reader reads a shared prefix anew: the history since the last
+#: answer may be more than one answer can hold.
+MAX_WATCH_FAILURES = 3
 
 #: Longest time after which a change is heard of once the store can be reached again, in seconds: a silent
 #: connection is noticed after 3 s, and the pause before the next call takes up to 1 s.
@@ -133,17 +144,23 @@
     :param revision: the store's revision up to which the documents are complete; 0 before the
         first read and after a loss of history.
     :param has_read: whether they were read since the start of the process.
+    :param has_answer: whether the store has answered this process.
     :param lag_s: time for which changes that are being applied may have been made before, in seconds.
-    :param relayed_at: monotonic time of the last progress report of a zone's reader.
+    :param reported_at: monotonic time until which another process of the zone has had answers of the store.
+    :param outranked_at: the same for processes that go on if this one follows the store, too.
+    :param is_watching: whether this process follows a shared prefix in the store.
     """
 
     revision: int = 0
     answered_at: float = 0.0
     has_read: bool = False
     is_connected: bool = False
+    has_answer: bool = False
     failures: int = field(default=0)
     lag_s: float = 0.0
-    relayed_at: float = -math.inf
+    reported_at: float = -math.inf
+    outranked_at: float = -math.inf
+    is_watching: bool = False
 
 
 class DocumentReplica:
@@ -172,7 +189,9 @@
         self._pause_s = pause_s
         self._shared_prefixes = shared_prefixes
         self._find_readers = find_readers
-        self._fetched_at_by_key: dict[str, float] = {}
+        #: Revision and time of the last fetch of each shared document that was not answered.
+        self._asked_by_key: dict[str, tuple[int, float]] = {}
+        self._compressed_by_key: dict[str, tuple[int, bytes]] = {}
         self._source = source
         self._hub = hub
         self._clock = clock
@@ -223,12 +242,12 @@
         return min(INTERRUPTION_LAG_S, self._clock.monotonic() - state.answered_at)
 
     def is_relayed(self, prefix: str) -> bool:
-        """Return whether the zone's readers follow a prefix for this process."""
+        """Return whether another process of the zone follows a prefix for this one."""
         if prefix not in self._shared_prefixes or self._is_reader():
             return False
-        return (
-            self._clock.monotonic() - self._states_by_prefix[prefix].relayed_at < PROGRESS_FRESH_S
-        )
+        state = self._states_by_prefix[prefix]
+        answered_at = state.outranked_at if state.is_watching else state.reported_at
+        return self._clock.monotonic() - answered_at < PROGRESS_FRESH_S
 
     def describe(self) -> dict[str, object]:
         """Return the state for a dump."""
@@ -284,27 +303,43 @@
                 del self._documents_by_key[oldest]
 
     async def follow(self, prefix: str) -> None:
-        """Follow the documents below a prefix until cancelled, by the zone's readers if it is shared."""
+        """Follow the documents below a prefix until cancelled.
+
+        Those of a shared prefix are left to the zone's readers while they have answers of the store.
+        """
         if prefix not in self._shared_prefixes:
             await self.watch(prefix)
             return
         await self._await_readers(prefix)
-        watching: asyncio.Task[None] | None = None
+        while True:
+            await self._await_silence(prefix)
+            await self._watch_for_zone(prefix)
+
+    async def _await_silence(self, prefix: str) -> None:
+        """Wait until no other process of the zone follows a shared prefix; a reader does not wait."""
+        while not self._is_reader():
+            if self.is_relayed(prefix):
+                await asyncio.sleep(RETRY_MIN_S)
+                continue
+            await asyncio.sleep(random.uniform(0, FALLBACK_SPREAD_S))
+            if not self.is_relayed(prefix):
+                return
+
+    async def _watch_for_zone(self, prefix: str) -> None:
+        """Follow a shared prefix in the store and report progress, until another process does."""
+        state = self._states_by_prefix[prefix]
+        watching = asyncio.create_task(self.watch(prefix))
+        state.is_watching = True
         try:
-            while True:
-                if self.is_relayed(prefix):
-                    if watching is not None:
-                        watching.cancel()
-                        watching = None
-                elif watching is None:
-                    watching = asyncio.create_task(self.watch(prefix))
-                elif watching.done():
-                    watching.result()
+            while not self.is_relayed(prefix):
                 self._report_progress(prefix)
-                await asyncio.sleep(PROGRESS_PERIOD_S)
+                await asyncio.wait({watching}, timeout=PROGRESS_PERIOD_S)
+                if watching.done():
+                    watching.result()
         finally:
-            if watching is not None:
-                watching.cancel()
+            state.is_watching = False
+            state.is_connected = False
+            watching.cancel()
 
     async def _await_readers(self, prefix: str) -> None:
         """Wait until the zone's readers are heard, or it is known that there are none to wait for."""
@@ -319,14 +354,15 @@
         return self._hub.hello.host in (self._find_readers() or frozenset())
 
     def _report_progress(self, prefix: str) -> None:
-        """Tell the processes of the own zone how far this process follows the store, if it does."""
+        """Tell the processes of the own zone how far this process follows the store."""
         state = self._states_by_prefix[prefix]
-        if not (state.is_connected and state.revision and self._is_reader()):
+        age_s = self._clock.monotonic() - state.answered_at
+        if not state.has_answer or not state.revision or age_s >= PROGRESS_FRESH_S:
             return
         held = self._documents_by_key.items()
         revisions = {key: item.revision for key, item in held if key.startswith(prefix)}
         self._hub.broadcast(
-            DocumentProgress(prefix, state.revision, revisions),
+            DocumentProgress(prefix, state.revision, revisions, age_s),
             availability_zone=self._hub.hello.availability_zone,
         )
 
@@ -340,7 +376,7 @@
                     self._apply_all(prefix, await self._source.read_all(prefix))
                 else:
                     changes = await self._source.wait_changes(
-                        prefix, after=state.revision, wait_s=WATCH_WAIT_S
+                        prefix, after=state.revision, wait_s=self._find_wait_s(prefix)
                     )
                     self._apply_changes(prefix, changes)
                     if changes.documents:
@@ -357,12 +393,19 @@
                 if state.is_connected or state.failures == 1:
                     _log.warning("store lost", prefix=prefix, error=str(error))
                 state.is_connected = False
-                if state.failures >= FAILURES_TO_READ:
+                is_shared = prefix in self._shared_prefixes
+                if is_shared and state.failures >= MAX_WATCH_FAILURES and self._is_reader():
                     state.revision = 0
                 # Jitter spreads the processes that lost the store at the same moment.
                 await asyncio.sleep(pause * (0.5 + random.random()))
                 pause = min(RETRY_MAX_S, pause * 2)
 
+    def _find_wait_s(self, prefix: str) -> float:
+        if prefix not in self._shared_prefixes:
+            return WATCH_WAIT_S
+        # Others rely on this process only after an answer of the store.
+        return SHARED_WATCH_S if self._states_by_prefix[prefix].is_connected else 0.0
+
     # What arrives
 
     def _apply_all(self, prefix: str, snapshot: Snapshot) -> None:
@@ -385,6 +428,7 @@
             )
         state.lag_s = 0.0 if state.is_connected else self._find_interruption_s(state)
         state.is_connected = True
+        state.has_answer = True
         state.failures = 0
         state.answered_at = self._clock.monotonic()
         state.revision = max(state.revision, snapshot.revision)
@@ -411,28 +455,45 @@
             )
 
     def _handle_announce(self, peer: Peer, announce: DocumentAnnounce) -> None:
-        is_near = peer.hello.availability_zone == self._hub.hello.availability_zone
-        relayed = {
-            key: revision
-            for key, revision in announce.revisions.items()
-            if any(key.startswith(p) and self.is_relayed(p) for p in self._shared_prefixes)
-        }
-        others = {k: r for k, r in announce.revisions.items() if k not in relayed}
+        shared = {key: r for key, r in announce.revisions.items() if self._is_left_to_readers(key)}
+        others = {key: r for key, r in announce.revisions.items() if key not in shared}
         self._fetch(peer, others, delay_s=RELAY_DELAY_S)
-        if is_near:
-            # Another zone's copy would cross the link that the readers spare.
-            self._fetch(peer, relayed, delay_s=random.uniform(0, ZONE_RELAY_DELAY_S))
+        is_near = peer.hello.availability_zone == self._hub.hello.availability_zone
+        near_delay_s = random.uniform(0, ZONE_RELAY_DELAY_S)
+        self._fetch(peer, shared, delay_s=near_delay_s if is_near else FAR_RELAY_DELAY_S)
 
     def _handle_progress(self, peer: Peer, progress: DocumentProgress) -> None:
         if progress.prefix not in self._shared_prefixes:
             return
         state = self._states_by_prefix[progress.prefix]
-        state.relayed_at = self._clock.monotonic()
-        if not self._list_newer(progress.revisions):
-            state.revision = max(state.revision, progress.revision)
-            state.has_read = True
+        answered_at = self._clock.monotonic() - progress.age_s
+        state.reported_at = max(state.reported_at, answered_at)
+        if self._outranks(peer):
+            state.outranked_at = max(state.outranked_at, answered_at)
+        if self._list_newer(progress.revisions):
+            self._fetch(peer, progress.revisions, delay_s=random.uniform(0, ZONE_RELAY_DELAY_S))
             return
-        self._fetch(peer, progress.revisions, delay_s=random.uniform(0, ZONE_RELAY_DELAY_S))
+        for key, held in list(self._documents_by_key.items()):
+            is_listed = key in progress.revisions or not key.startswith(progress.prefix)
+            if not is_listed and held.value is not None and held.revision < progress.revision:
+                self.apply(Document(key, progress.revision, None), source=peer.hello.host)
+        state.revision = max(state.revision, progress.revision)
+        state.has_read = True
+
+    def _is_left_to_readers(self, key: str) -> bool:
+        return any(key.startswith(p) for p in self._shared_prefixes) and not self._is_reader()
+
+    def _outranks(self, peer: Peer) -> bool:
+        """Return whether a peer goes on if both it and this process follow the store.
+
+        Readers first, then processes beside engines: all of a zone have streams to those.
+        """
+        readers = self._find_readers() or frozenset()
+        one, other = (
+            (hello.host not in readers, hello.role != "upstream", rank_host(hello.host))
+            for hello in (peer.hello, self._hub.hello)
+        )
+        return one < other
 
     def _fetch(self, peer: Peer, revisions: dict[str, int], *, delay_s: float) -> None:
         """Fetch those documents from a peer that are still older after a pause."""
@@ -443,14 +504,19 @@
 
     async def _fetch_later(self, peer: Peer, revisions: dict[str, int], delay_s: float) -> None:
         await asyncio.sleep(delay_s)
-        now = self._clock.monotonic()
         missing = [
-            key
-            for key in self._list_newer(revisions)
-            if now - self._fetched_at_by_key.get(key, -math.inf) > FETCH_TIMEOUT_S
+            key for key in self._list_newer(revisions) if not self._is_asked(key, revisions[key])
         ]
         if missing and peer.send(DocumentFetch(tuple(missing))):
-            self._fetched_at_by_key.update(dict.fromkeys(missing, now))
+            now = self._clock.monotonic()
+            for key in missing:
+                if self._is_left_to_readers(key):
+                    self._asked_by_key[key] = (revisions[key], now)
+
+    def _is_asked(self, key: str, revision: int) -> bool:
+        """Return whether a shared document was asked for a moment ago; its progress is told again."""
+        asked, at = self._asked_by_key.get(key, (0, -math.inf))
+        return asked >= revision and self._clock.monotonic() - at < FETCH_TIMEOUT_S
 
     def _list_newer(self, revisions: dict[str, int]) -> list[str]:
         held = self._documents_by_key
@@ -464,16 +530,26 @@
         for key in fetch.keys:
             held = self._documents_by_key.get(key)
             if held is not None:
-                value = zlib.compress(held.value) if held.value is not None else b""
+                value = self._compress(held)
                 peer.send(DocumentData(key, held.revision, value, held.value is None))
 
+    def _compress(self, document: Document) -> bytes:
+        """Return the compressed value; that of a shared document is kept for the other askers."""
+        revision, data = self._compressed_by_key.get(document.key, (0, b""))
+        if revision == document.revision:
+            return data
+        data = zlib.compress(document.value) if document.value is not None else b""
+        if any(document.key.startswith(prefix) for prefix in self._shared_prefixes):
+            self._compressed_by_key[document.key] = (document.revision, data)
+        return data
+
     def _handle_data(self, peer: Peer, data: DocumentData) -> None:
         try:
             value = None if data.is_deleted else zlib.decompress(data.value)
         except zlib.error as error:
             _log.warning("document not readable", key=data.key, error=str(error))
             return
-        self._fetched_at_by_key.pop(data.key, None)
+        self._asked_by_key.pop(data.key, None)
         if self.apply(Document(data.key, data.revision, value), source=peer.hello.host):
             self._hub.broadcast(DocumentAnnounce({data.key: data.revision}))
 
--- a/tests/_fake_hub.py
+++ b/tests/_fake_hub.py
@@ -11,8 +11,8 @@
 class FakeHub:
     """Takes the place of a ``PeerHub``."""
 
-    def __init__(self, *, host: str = "", zone: str = "") -> None:
-        self.hello = SimpleNamespace(host=host, availability_zone=zone)
+    def __init__(self, *, host: str = "", zone: str = "", role: str = "upstream") -> None:
+        self.hello = SimpleNamespace(host=host, availability_zone=zone, role=role)
         self.peers: frozenset[Any] = frozenset()
         self.handlers: dict[type, list[Any]] = defaultdict(list)
         self.open_listeners: list[Any] = []
@@ -37,8 +37,11 @@
 
     def __init__(self, owner: FakeHub, target: FakeHub, number: int) -> None:
         self.owner, self.target, self.number = owner, target, number
+        hello = target.hello
         self.hello = SimpleNamespace(
-            host=f"h{number}", role="upstream", availability_zone=target.hello.availability_zone
+            host=hello.host or f"h{number}",
+            role=hello.role,
+            availability_zone=hello.availability_zone,
         )
         self.is_closed = False
         self.queue: deque[bytes] = deque()
--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import Counter
 from collections.abc import Coroutine
 from itertools import chain
@@ -20,8 +19,8 @@
 )
 from sycamoreproxy.routed_dispatch import VERSION_MARGIN_S
 from sycamoreproxy.watched_documents import (
-    FAILURES_TO_READ,
     MAX_DELETED,
+    MAX_WATCH_FAILURES,
     PROGRESS_FRESH_S,
     SUPERSEDED_BYTES,
     Document,
@@ -57,10 +56,17 @@
         return answer
 
 
-def make_replica(*answers: Snapshot | Exception) -> tuple[FakeHub, _Source, DocumentReplica]:
-    hub, source = FakeHub(), _Source(*answers)
+def make_replica(
+    *answers: Snapshot | Exception, is_reader: bool = False
+) -> tuple[FakeHub, _Source, DocumentReplica]:
+    hub, source = FakeHub(host="h0"), _Source(*answers)
     replica = DocumentReplica(
-        source=source, hub=hub, prefixes=("op/",), clock=ManualClock()  # type: ignore[arg-type]
+        source=source,
+        hub=hub,  # type: ignore[arg-type]
+        prefixes=("op/",),
+        clock=ManualClock(),
+        shared_prefixes=("op/",) if is_reader else (),
+        find_readers=lambda: frozenset({"h0"}),
     )
     return hub, source, replica
 
@@ -260,9 +266,10 @@
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Snapshot:
         if after < self.oldest:
             raise HistoryLostError
+        until = asyncio.get_running_loop().time() + wait_s
         while True:
             changes = [d for d in self.documents if d.key.startswith(prefix) and d.revision > after]
-            if changes:
+            if changes or asyncio.get_running_loop().time() >= until:
                 return await self._send(tuple(changes))
             await asyncio.sleep(0.01)
 
@@ -294,22 +301,17 @@
         self._cuts += 1
 
     async def read_all(self, prefix: str) -> Snapshot:
-        return await self._call(self._store.read_all(prefix), math.inf)
+        return await self._call(self._store.read_all(prefix))
 
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Snapshot:
-        return await self._call(
-            self._store.wait_changes(prefix, after=after, wait_s=wait_s), wait_s
-        )
+        return await self._call(self._store.wait_changes(prefix, after=after, wait_s=wait_s))
 
-    async def _call(self, answer: Coroutine[Any, Any, Snapshot], wait_s: float) -> Snapshot:
+    async def _call(self, answer: Coroutine[Any, Any, Snapshot]) -> Snapshot:
         call, cuts = asyncio.create_task(answer, name=self._host), self._cuts
-        until = asyncio.get_running_loop().time() + wait_s
         try:
             while self.is_silent or not call.done():
                 if self.is_refused or self._cuts != cuts:
                     raise SourceUnavailableError("cut")
-                if not self.is_silent and asyncio.get_running_loop().time() >= until:
-                    return Snapshot((), self._store.revision)
                 await asyncio.sleep(0.01)
             return call.result()
         finally:
@@ -326,7 +328,14 @@
         self.store = _FarStore()
         self.network = FakeNetwork(seed=1)
         self.readers = frozenset(f"h{number}" for number in range(readers))
-        self.hubs = [FakeHub(host=f"h{number}", zone="z1") for number in range(processes)]
+        self.hubs = [
+            FakeHub(
+                host=f"h{number}",
+                zone="z1",
+                role="upstream" if number < (linked or readers) else "entry",
+            )
+            for number in range(processes)
+        ]
         self.paths = [_Path(self.store, hub.hello.host) for hub in self.hubs]
         self.replicas = [
             DocumentReplica(
@@ -452,14 +461,15 @@
 
 def test_watch_that_keeps_failing_is_replaced_by_a_read() -> None:
     """What has changed in an outage may be more than an answer may hold, in every try."""
-    failures = [SourceUnavailableError("too large")] * FAILURES_TO_READ
+    failures = [SourceUnavailableError("too large")] * MAX_WATCH_FAILURES
     _, source, replica = make_replica(
         Snapshot((Document("op/a", 1, b"a"),), 1),
         *failures,
         Snapshot((Document("op/a", 9, b"b"),), 9),
+        is_reader=True,
     )
     follow(source, replica)
-    assert source.calls == ["read", *["wait 1"] * FAILURES_TO_READ, "read"]
+    assert source.calls == ["read", *["wait 1"] * MAX_WATCH_FAILURES, "read"]
 
 
 @in_virtual_time
