Take back any request that has not begun when its version ends

Callers of streams that may not run twice could get answers of ended weights.

Cause: only requests that may be repeated were taken back before the bound of their version.

Change: the time limit of a version holds for every request; one that may not run twice is answered 504, as it may have run.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Container, Sequence
 from dataclasses import replace
@@ -443,30 +444,32 @@
     ) -> None:
         """Wait for the end of an exchange.
 
-        :raises TimeoutError: if a repeatable request has no output for too long.
+        :raises TimeoutError: if a repeatable request has no output for too long, or if any has not begun
+            before its version ends.
         """
         started_at = self._clock.monotonic()
-        first_limit = started_at + (
-            choice.forecast_s + PATIENCE_GOALS * progress.route.goal_s + PATIENCE_S
-        )
+        first_limit = math.inf
+        if progress.route.repeatable:
+            first_limit = started_at + (
+                choice.forecast_s + PATIENCE_GOALS * progress.route.goal_s + PATIENCE_S
+            )
         if choice.version:
             begin_by = self._find_begin_by(progress.request.model, choice.version)
             first_limit = min(first_limit, begin_by)
         try:
-            if not progress.route.repeatable:
-                await exchange
-                return
             while not exchange.done():
                 limit = first_limit
                 if progress.last_output_at > started_at:
+                    if not progress.route.repeatable:
+                        break
                     limit = progress.last_output_at + GAP_PATIENCE * max(
                         0.4, progress.route.gap_goal_s
                     )
                 left = limit - self._clock.monotonic()
                 if left <= 0:
                     raise TimeoutError
-                await asyncio.wait({exchange}, timeout=left)
-            exchange.result()
+                await asyncio.wait({exchange}, timeout=None if left == math.inf else left)
+            await exchange
         finally:
             if not exchange.done():
                 exchange.cancel()
