Let the stand-in's engines queue, and note when each run begins

Cause: the stand-in ran every generation at once, so no request could wait at an engine past the bound of its version, and nothing told on which version a run began.

Change: generations beyond the slots wait in order of priority; a closed connection leaves the queue; without time left the answer is 503 unrun; nothing begins while weights are loaded; the expected version is compared again at the begin. 'begun' has time, id and version of each run. New fault 'read_s'; the report has the queue and the pace.

Measured: tests/test_platform_standin.py passes. Six broken copies of the stand-in (closed connections stay, no order of priority, version not compared at the begin, begins while loading, no limit in the queue, a refused place keeps its turn) each fail one of its tests. tests/platform and the tests of the routed entry pass as they were.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,7 +3,8 @@
 Speaks the parts of the platform's published protocol that the product uses. Faults of the store:
 ``down`` (503), ``history_lost`` (watches answer 410). Faults of a runner: ``shed`` (fraction refused
 unrun), ``drop_before_answer`` and ``cut_after_events`` (connections closed early), ``fail`` (a
-status with a signature), ``wrong_id`` (fraction answered with another request's id).
+status with a signature), ``wrong_id`` (fraction answered with another request's id), ``stall_s``
+(before a request is accepted), ``read_s`` (time to read a prompt), ``event_s`` (between two events).
 """
 
 from __future__ import annotations
@@ -11,7 +12,9 @@
 import asyncio
 import base64
 import hashlib
+import heapq
 import json
+import math
 import secrets
 import time
 from collections import Counter
@@ -25,6 +28,8 @@
 
 #: Time between two events of a stream, in seconds.
 EVENT_S = 0.01
+#: Priority of a request that names none, from 0 (first) to 9.
+USUAL_PRIORITY = 5
 #: Time that a runner takes to load staged weights, in seconds.
 LOAD_S = 0.1
 #: Chunks of a version, and their size in bytes.
@@ -126,7 +131,10 @@
 class PlatformRunner:
     """State of one runner.
 
-    :param arrived: monotonic time and headers of every request that reached it.
+    :param running: generations that hold one of the slots.
+    :param waiting: places of generations without a slot, with priority and number, as a heap.
+    :param arrived: monotonic time and id of every request that reached it.
+    :param begun: monotonic time and id of every run, and the version of the weights that it began on.
     :param broken_loads: versions that were ordered while a staged chunk was missing or another's.
     """
 
@@ -142,8 +150,41 @@
     ran: Counter[str] = field(default_factory=Counter)
     received: list[dict[str, str]] = field(default_factory=list)
     arrived: list[tuple[float, str]] = field(default_factory=list)
+    begun: list[tuple[float, str, int]] = field(default_factory=list)
     broken_loads: list[int] = field(default_factory=list)
     cancelled: int = 0
+    waiting: list[tuple[int, int, asyncio.Future[None]]] = field(default_factory=list)
+    _joined: int = 0
+
+    def join(self, priority: int) -> asyncio.Future[None]:
+        """Return a place in the queue; it is done once it has a slot, and left by cancelling it."""
+        self._joined += 1
+        place = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.waiting, (priority, self._joined, place))
+        self.fill_slots()
+        return place
+
+    def leave(self) -> None:
+        """Give a slot back."""
+        self.running -= 1
+        self.fill_slots()
+
+    def fill_slots(self) -> None:
+        """Give free slots to the first in the queue; none while weights are loaded."""
+        while self.waiting and self.running < self.slots and not self.is_loading:
+            place = heapq.heappop(self.waiting)[2]
+            if not place.done():
+                self.running += 1
+                place.set_result(None)
+
+    def count_waiting(self) -> int:
+        """Return the generations that wait for a slot."""
+        return sum(not place.done() for _, _, place in self.waiting)
+
+    def note_begun(self, request_id: str) -> None:
+        """Note that a request begins to run."""
+        self.ran[request_id] += 1
+        self.begun.append((time.monotonic(), request_id, self.version))
 
 
 class RunnerHandler(JsonHandler):
@@ -154,11 +195,14 @@
         self._runner = runner
         self._faults = faults
         self._left = False
+        self._place: asyncio.Future[None] | None = None
 
     def on_connection_close(self) -> None:
-        """Count a request whose caller left."""
+        """Count a request whose caller left; it leaves the queue."""
         self._left = True
         self._runner.cancelled += 1
+        if self._place is not None:
+            self._place.cancel()
 
     async def _run(self) -> None:
         runner, faults, headers = self._runner, self._faults, self.request.headers
@@ -167,35 +211,74 @@
         runner.arrived.append((time.monotonic(), request_id))
         self.set_header("Sycamoreproxy-Request-Id", request_id)
         self.set_header("Sycamoreproxy-Instance-Id", runner.instance)
-        if headers.get("Sycamoreproxy-Expect-Instance") != runner.instance:
-            self.write_json({}, 421)
-            return
-        expected = headers.get("Sycamoreproxy-Expect-Version")
-        if expected is not None and int(expected) != runner.version:
+        if not self._is_expected():
             self.write_json({}, 421)
             return
         if faults.strikes("shed"):
-            self.set_header("Sycamoreproxy-Not-Executed", "1")
-            self.write_json({}, 503)
+            self._refuse_unrun()
             return
         await asyncio.sleep(float(faults.get("stall_s", 0)))
         if self._left:
             return
-        runner.ran[request_id] += 1
+        if headers.get("Sycamoreproxy-Token-Count"):
+            await self._generate()
+        elif self._begin():
+            await asyncio.sleep(float(faults.get("delay_ms", 0)) / 1000)
+            self.write_json({"path": self.request.uri, "body": self.request.body.decode()})
+
+    def _is_expected(self) -> bool:
+        """Return whether this is the instance, and these the weights, that the request names."""
+        headers = self.request.headers
+        if headers.get("Sycamoreproxy-Expect-Instance") != self._runner.instance:
+            return False
+        expected = headers.get("Sycamoreproxy-Expect-Version")
+        return expected is None or int(expected) == self._runner.version
+
+    def _refuse_unrun(self) -> None:
+        self.set_header("Sycamoreproxy-Not-Executed", "1")
+        self.write_json({}, 503)
+
+    def _begin(self) -> bool:
+        """Begin to run; return whether a proper answer follows."""
+        runner, faults = self._runner, self._faults
+        runner.note_begun(self.request.headers.get("Sycamoreproxy-Request-Id", ""))
         if faults.strikes("drop_before_answer"):
             self.drop_connection()
-            return
+            return False
         if faults.strikes("wrong_id"):
             self.set_header("Sycamoreproxy-Request-Id", "another")
         self.set_header("Sycamoreproxy-Response-Signature", f"sig.{runner.instance}")
         if faults.get("fail"):
             self.write_json({"error": "fault"}, int(faults.get("fail")))
+            return False
+        return True
+
+    async def _generate(self) -> None:
+        """Wait for a slot, read the prompt, and run with the first event."""
+        runner, headers = self._runner, self.request.headers
+        limit_s = float(headers.get("Sycamoreproxy-Deadline-Ms", "inf")) / 1000
+        arrived_at = time.monotonic()
+        place = self._place = runner.join(
+            int(headers.get("Sycamoreproxy-Request-Priority", USUAL_PRIORITY))
+        )
+        await asyncio.wait({place}, timeout=None if math.isinf(limit_s) else limit_s)
+        if not place.done():
+            place.cancel()
+            self._refuse_unrun()
+        if place.cancelled():
             return
-        if headers.get("Sycamoreproxy-Token-Count"):
-            await self._stream()
-            return
-        await asyncio.sleep(float(faults.get("delay_ms", 0)) / 1000)
-        self.write_json({"path": self.request.uri, "body": self.request.body.decode()})
+        try:
+            await asyncio.sleep(float(self._faults.get("read_s", 0)))
+            if self._left:
+                return
+            if time.monotonic() - arrived_at > limit_s:
+                self._refuse_unrun()
+            elif not self._is_expected():
+                self.write_json({}, 421)
+            elif self._begin():
+                await self._stream()
+        finally:
+            runner.leave()
 
     async def _stream(self) -> None:
         runner = self._runner
@@ -203,7 +286,6 @@
         cut = int(self._faults.get("cut_after_events", 0))
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Sycamoreproxy-Weight-Versions", str(runner.version))
-        runner.running += 1
         try:
             for number in range(first, 6):
                 if self._left:
@@ -220,8 +302,6 @@
         except StreamClosedError:
             # The caller left; tornado calls on_connection_close for it.
             return
-        finally:
-            runner.running -= 1
 
     get = post = put = delete = _run  # type: ignore[assignment]
 
@@ -239,13 +319,13 @@
                 "models": models if runner.version else [],
                 "busy": runner.is_loading,
                 "sequence": runner.orders,
-                "waiting": 0,
+                "waiting": runner.count_waiting(),
                 "running": runner.running,
                 "kv_used": 0,
                 "kv_total": 1000,
                 "handles": 0,
                 "born": runner.started_ms,
-                "pace": 1.0,
+                "pace": float(self._faults.get("event_s", EVENT_S)) / EVENT_S,
             }
         )
 
@@ -288,6 +368,7 @@
         self.write_json({}, 202)
         await asyncio.sleep(LOAD_S)
         runner.version, runner.is_loading = order["version"], False
+        runner.fill_slots()
 
 
 def make_chunks(model: str, version: int, *, chunks: int, chunk_bytes: int) -> list[bytes]:
