Check in the fault soak that no request begins on an ended version

Cause: users saw requests begin on older weights after the bound of the newer version. The soak had no check for it, its engines never queued, and its weights were always in use long before the bound.

Change: the check 'no request begins on an ended version' compares the engines' own records with the store's acknowledgements. Engines have 3 slots, callers two ranks, and version_ms is 6 s.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -9,7 +9,14 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
-from bench.soak_site import CALLER_PORT, KEY, MODEL, TIMEOUT_S, Host
+from bench.soak_site import (
+    CALLER_PORT,
+    KEY,
+    MODEL,
+    PRIORITY_BY_GENERATION,
+    TIMEOUT_S,
+    Host,
+)
 
 #: Whole body of a stream of the stand-in's engines.
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 6))
@@ -17,7 +24,7 @@
 #: second, and what the longest pause of a process adds.
 GIVE_UP_S = TIMEOUT_S + 6.0
 #: Pause between two requests of one caller, in seconds.
-PAUSE_S = 0.05
+PAUSE_S = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,7 +54,7 @@
     @property
     def expected_body(self) -> bytes:
         """The body of a success."""
-        if self.kind == "ask":
+        if self.kind in PRIORITY_BY_GENERATION:
             return STREAM
         return json.dumps({"path": f"/{self.kind}/x", "body": self.request_id}).encode()
 
@@ -75,7 +82,7 @@
     async def run(self, random_source: random.Random, *, until: asyncio.Event) -> None:
         """Send requests of all kinds until an event is set."""
         while not until.is_set():
-            kind = random_source.choice(["ask", "ask", "read", "post", "post"])
+            kind = random_source.choice(["ask", "ask", "draft", "read", "post"])
             await self.ask(kind)
             await asyncio.sleep(PAUSE_S * random_source.uniform(0.2, 3.0))
 
@@ -146,7 +153,7 @@
         "X-Api-Key": KEY,
         "Content-Length": str(len(request_id)),
     }
-    if kind == "ask":
+    if kind in PRIORITY_BY_GENERATION:
         headers |= {"Sycamoreproxy-Model": MODEL, "Sycamoreproxy-Token-Count": "100,25"}
     head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     return f"POST /{kind}/x HTTP/1.1\r\n{head}\r\n{request_id}".encode()
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -7,7 +7,14 @@
 from collections.abc import Callable, Iterator
 
 from bench.soak_callers import STREAM, Outcome
-from bench.soak_site import CONFIG_S, LEAVE_S, TIMEOUT_S, Site
+from bench.soak_site import (
+    CONFIG_S,
+    LEAVE_S,
+    PRIORITY_BY_GENERATION,
+    TIMEOUT_S,
+    VERSION_S,
+    Site,
+)
 from sycamoreproxy.registry import Registry
 
 #: Time beyond a route's limit after which a request must have its end, in seconds: the users' bound.
@@ -47,7 +54,7 @@
             yield f"{seen.request_id} got a success that no runner signed"
         if seen.is_whole and seen.body != seen.expected_body:
             yield f"{seen.request_id} got {seen.body!r} as a whole answer"
-        if seen.kind == "ask" and not STREAM.startswith(seen.body):
+        if seen.kind in PRIORITY_BY_GENERATION and not STREAM.startswith(seen.body):
             yield f"{seen.request_id} got events out of order: {seen.body!r}"
 
 
@@ -160,6 +167,28 @@
             yield f"{upstream.runner.instance} was ordered to load {version} from bad chunks"
 
 
+@checks.register("no request begins on an ended version")
+def check_versions(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """Operators name a version to have the older ones out of use by the bound."""
+    by_id = {seen.request_id: seen for seen in outcomes}
+    for upstream in (*site.upstreams, *site.retired):
+        if upstream.service != "model":
+            continue
+        for at, request_id, version in upstream.runner.begun:
+            named_at = min((t for n, t in site.named_at.items() if n > version), default=math.inf)
+            # The bound counts from the acknowledgement, in one stretch without a fault of the store.
+            if site.store_spans.longest_calm_s(named_at, at) <= VERSION_S:
+                continue
+            seen = by_id.get(request_id)
+            if seen is None or seen.host.had_fault(at, at) or upstream.had_fault(at, at):
+                continue
+            yield (
+                f"{request_id} of {seen.host.name} began on version {version} at"
+                f" {upstream.runner.instance} {at - named_at:.2f} s after a newer one's ack,"
+                f" {at - seen.sent_at:.2f} s after its caller sent it"
+            )
+
+
 @checks.register("processes end only when told to, and then in order")
 def check_exits(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
     """A process that ends by itself takes its requests with it."""
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -6,16 +6,19 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 
 from bench.relay import Relay
-from bench.soak_site import STOP_S, Host, Site, Upstream
+from bench.soak_site import RUNNER_PORT, STOP_S, VERSION_S, Host, Site, Upstream
 from sycamoreproxy.registry import Registry
 
 #: Longest pause of a process and longest fault of a connection or of the store, in seconds.
 MAX_FAULT_S = 4.0
 
-Fault = Callable[[Site, random.Random], Awaitable[None]]
+#: Name of the fault by which versions come later than their bound.
+LATE_WEIGHTS = "late weights"
+
+Fault = Callable[[Site, random.Random], Coroutine[None, None, None]]
 
 #: Faults by name.
 faults: Registry[Fault] = Registry("fault")
@@ -97,13 +100,18 @@
     """Disturb the streams between the entry hosts and the process beside an engine."""
     host, for_s = draw.choice(site.engine_hosts), draw.uniform(0.5, MAX_FAULT_S)
     assert host.peers is not None
+    for upstream in site.upstreams:
+        if upstream.address == f"{host.ip}:{RUNNER_PORT}":
+            upstream.note_fault(for_s)
     await _disturb(host.peers, draw, for_s)
 
 
 @faults.register("runner path")
 async def disturb_runner_path(site: Site, draw: random.Random) -> None:
     """Disturb the connections to a runner."""
-    await _disturb(draw.choice(site.upstreams).relay, draw, draw.uniform(0.5, MAX_FAULT_S))
+    upstream, for_s = draw.choice(site.upstreams), draw.uniform(0.5, MAX_FAULT_S)
+    upstream.note_fault(for_s)
+    await _disturb(upstream.relay, draw, for_s)
 
 
 async def _disturb(relay: Relay, draw: random.Random, for_s: float) -> None:
@@ -131,6 +139,7 @@
     for_s = draw.uniform(0.5, MAX_FAULT_S)
     for host in site.hosts:
         host.note_fault(for_s)
+    site.store_spans.note_fault(for_s)
     site.store_faults.replace({draw.choice(["down", "history_lost"]): 1})
     await asyncio.sleep(for_s)
     site.store_faults.replace({})
@@ -139,9 +148,16 @@
 @faults.register("origin")
 async def disturb_origin(site: Site, draw: random.Random) -> None:
     """Take the origin of weights away."""
+    await _take_origin_away(site, draw.uniform(0.5, MAX_FAULT_S))
+
+
+async def _take_origin_away(site: Site, for_s: float) -> None:
+    site.origin_outages += 1
     site.origin_faults.replace({"down": 1})
-    await asyncio.sleep(draw.uniform(0.5, MAX_FAULT_S))
-    site.origin_faults.replace({})
+    await asyncio.sleep(for_s)
+    site.origin_outages -= 1
+    if not site.origin_outages:
+        site.origin_faults.replace({})
 
 
 @faults.register("runner")
@@ -182,6 +198,46 @@
         await asyncio.sleep(draw.uniform(0.2, 3.0))
 
 
+@faults.register("slow engines")
+async def slow_engines(site: Site, draw: random.Random) -> None:
+    """Let engines read slowly, so that requests wait for them."""
+    engines = [upstream for upstream in site.upstreams if upstream.service == "model"]
+    chosen = draw.sample(engines, k=draw.randint(1, len(engines)))
+    await _slow(chosen, draw, draw.uniform(0.5, MAX_FAULT_S))
+
+
+async def _slow(engines: list[Upstream], draw: random.Random, for_s: float) -> None:
+    for upstream in engines:
+        # Entry hosts send less to an engine that tells a slow pace; long prompts don't show in it.
+        upstream.faults.replace({"read_s": draw.uniform(0.2, 1.0)})
+    await asyncio.sleep(for_s)
+    for upstream in engines:
+        upstream.faults.replace({})
+
+
+@faults.register(LATE_WEIGHTS)
+async def delay_weights(site: Site, draw: random.Random) -> None:
+    """Name versions that the origin hands out about when their bound is over, while engines are slow.
+
+    A process may be disturbed when they are named, so that it hears of them late.
+    """
+    tasks = [_take_origin_away(site, VERSION_S + draw.uniform(-1.0, MAX_FAULT_S))]
+    if draw.random() < 0.5:
+        tasks.append(draw.choice([pause, disturb_store_path])(site, random.Random(draw.random())))
+    running = [asyncio.create_task(task) for task in tasks]
+    await asyncio.sleep(draw.uniform(0.0, 0.5))
+    await site.name_weights()
+    bound_at = time.monotonic() + VERSION_S
+    if draw.random() < 0.5:
+        await asyncio.sleep(draw.uniform(0.1, 2.0))
+        await site.name_weights()
+        bound_at = draw.choice([bound_at, time.monotonic() + VERSION_S])
+    await asyncio.sleep(bound_at - time.monotonic() - draw.uniform(1.0, MAX_FAULT_S))
+    engines = [upstream for upstream in site.upstreams if upstream.service == "model"]
+    await _slow(engines, draw, MAX_FAULT_S)
+    await asyncio.gather(*running)
+
+
 @faults.register("replacement")
 async def replace_runner(site: Site, draw: random.Random) -> None:
     """Let a runner leave and another incarnation take its address."""
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -21,7 +21,7 @@
 
 from bench.soak_callers import Caller, Outcome
 from bench.soak_checks import find_violations
-from bench.soak_faults import faults
+from bench.soak_faults import LATE_WEIGHTS, faults
 from bench.soak_site import START_S, VERSION_S, Site
 
 #: Time in which faults begin, in seconds.
@@ -30,8 +30,12 @@
 RECOVERY_S = 12.0
 #: Faults that begin in one run, fewest and most.
 FAULTS_MIN, FAULTS_MAX = 6, 14
+#: Part of the runs in which versions of the weights come late for certain, and the latest time at which
+#: that begins, in seconds: the bound is over while other faults still begin.
+LATE_FRACTION = 0.5
+LATE_START_S = 5.0
 #: Callers of each entry host.
-CALLERS = 4
+CALLERS = 8
 #: Requests to each entry host after the recovery, all of which must be served.
 FINAL_REQUESTS = 8
 #: Pause between two requests of the caller that asks for the newest route, in seconds.
@@ -138,10 +142,13 @@
 async def _play_faults(site: Site, draw: random.Random) -> list[str]:
     """Begin faults at random times and wait until all are over; return their names."""
     names = faults.list_names()
-    plan = sorted(
+    plan = [
         (draw.uniform(0.0, FAULTS_S), draw.choice(names), draw.random())
         for _ in range(draw.randint(FAULTS_MIN, FAULTS_MAX))
-    )
+    ]
+    if draw.random() < LATE_FRACTION:
+        plan.append((draw.uniform(0.0, LATE_START_S), LATE_WEIGHTS, draw.random()))
+    plan.sort()
 
     async def begin(at: float, name: str, part: float) -> None:
         await asyncio.sleep(at)
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -40,11 +40,12 @@
 STATE_PORT = 7002
 STORE_PORT = 2379
 ORIGIN_PORT = 8390
-#: Bounds of the deployment, as on the users' sites, in seconds.
+#: Bounds of the deployment, as on the users' sites, in seconds; theirs on versions is 8 s, of which a
+#: run of 14 s of faults would seldom have a whole one without a fault of the store.
 STOP_S = 8.0
 LEAVE_S = 2.0
 CONFIG_S = 2.0
-VERSION_S = 8.0
+VERSION_S = 6.0
 #: Time after a fault in which bounds on time don't hold, in seconds.
 CONTACT_S = 3.0
 #: Time that a process may take to start on a busy machine, in seconds; callers don't see it.
@@ -52,11 +53,15 @@
 #: Time limit of every route of the stand-in, in seconds.
 TIMEOUT_S = 2.0
 ZONES = ("z1", "z2")
+#: Slots of an engine: as few as leave room for the least urgent, so that engines queue when they are slow.
+ENGINE_SLOTS = 3
 MODEL = "m1"
 KEY = "office-key"
+#: Routes to the engines and their priority, 0 the most urgent.
+PRIORITY_BY_GENERATION = {"ask": 0, "draft": 2}
 
 ENGINE = {
-    "slots": 8,
+    "slots": ENGINE_SLOTS,
     "step_ms": 1.0,
     "read_per_s": 100_000.0,
     "stride": 5,
@@ -95,13 +100,39 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Host:
+class FaultSpans:
+    """Faults of one part.
+
+    :param fault_spans: spans of monotonic time in which bounds on time don't hold for it.
+    """
+
+    fault_spans: list[tuple[float, float]] = field(default_factory=list)
+
+    def note_fault(self, for_s: float) -> None:
+        """Note a fault that begins now and lasts ``for_s`` seconds; ``CONTACT_S`` is added."""
+        now = time.monotonic()
+        self.fault_spans.append((now, now + for_s + CONTACT_S))
+
+    def had_fault(self, start: float, end: float) -> bool:
+        """Return whether a fault fell into a span of monotonic time."""
+        return any(begin <= end and start <= until for begin, until in self.fault_spans)
+
+    def longest_calm_s(self, start: float, end: float) -> float:
+        """Return the longest time without a fault in a span of monotonic time, in seconds."""
+        longest = 0.0
+        for begin, until in sorted(self.fault_spans):
+            longest = max(longest, min(begin, end) - start)
+            start = max(start, until)
+        return max(longest, end - start)
+
+
+@dataclass(slots=True, kw_only=True)
+class Host(FaultSpans):
     """One host with its process, which is started again after each end.
 
     :param store: relay between the process and the store.
     :param peers: relay before the process's streams, on hosts of engines.
     :param lifetime: number of starts.
-    :param fault_spans: spans of monotonic time in which bounds on time don't hold for it.
     :param killed_at: time of the kill by lifetime.
     :param stopped_at: time of the first SIGTERM by lifetime.
     :param bad_exits: ends that nothing had asked for, in words.
@@ -116,7 +147,6 @@
     process: Process | None = None
     lifetime: int = 0
     restart_after_s: float = 0.1
-    fault_spans: list[tuple[float, float]] = field(default_factory=list)
     killed_at: dict[int, float] = field(default_factory=dict)
     stopped_at: dict[int, float] = field(default_factory=dict)
     bad_exits: list[str] = field(default_factory=list)
@@ -131,15 +161,6 @@
         """Whether the process was told to end."""
         return self.lifetime in self.stopped_at or self.lifetime in self.killed_at
 
-    def note_fault(self, for_s: float) -> None:
-        """Note a fault that begins now and lasts ``for_s`` seconds; ``CONTACT_S`` is added."""
-        now = time.monotonic()
-        self.fault_spans.append((now, now + for_s + CONTACT_S))
-
-    def had_fault(self, start: float, end: float) -> bool:
-        """Return whether a fault fell into a span of monotonic time."""
-        return any(begin <= end and start <= until for begin, until in self.fault_spans)
-
     def stop(self) -> None:
         """Tell the process to end in order."""
         self.stopped_at.setdefault(self.lifetime, time.monotonic())
@@ -158,8 +179,8 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Upstream:
-    """A runner of the stand-in and the relay before it."""
+class Upstream(FaultSpans):
+    """A runner of the stand-in and the relay before it; its faults are those of the paths to it."""
 
     runner: PlatformRunner
     service: str
@@ -186,8 +207,10 @@
         self._counts = (entries, engines)
         self.store = PlatformStore()
         self.store_faults = Faults(seed=octet)
+        self.store_spans = FaultSpans()
         self.store_address = self._ip(9, 1)
         self.origin_faults = Faults(seed=octet)
+        self.origin_outages = 0
         self.entries: list[Host] = []
         self.engine_hosts: list[Host] = []
         self.upstreams: list[Upstream] = []
@@ -196,6 +219,8 @@
         self.weight_version = 1
         #: Monotonic time at which the store acknowledged a version of the configuration.
         self.acknowledged_at: dict[int, float] = {}
+        #: The same of a version of the weights.
+        self.named_at: dict[int, float] = {}
         self._server_by_ip: dict[str, HTTPServer] = {}
         self._relays: list[asyncio.Server] = []
         self._instances = 0
@@ -291,7 +316,17 @@
         self.config_version += 1
         version = self.config_version
         routes = [
-            make_route("ask", "streaming", "model", session_affinity=True, stream_resume=True),
+            *(
+                make_route(
+                    name,
+                    "streaming",
+                    "model",
+                    session_affinity=True,
+                    stream_resume=True,
+                    priority=priority,
+                )
+                for name, priority in PRIORITY_BY_GENERATION.items()
+            ),
             make_route("read", "idempotent", "ledger"),
             make_route("post", "non_idempotent", "ledger", max_attempts=1),
             *(make_route(f"new-{n}", "idempotent", "ledger") for n in range(1, version + 1)),
@@ -310,6 +345,7 @@
         self.weight_version += 1
         value = {"model": MODEL, "version": self.weight_version}
         await self.store.put(f"op/version/{MODEL}", value)
+        self.named_at[self.weight_version] = time.monotonic()
 
     async def drain_upstream(self, upstream: Upstream) -> None:
         """Announce that a runner leaves."""
@@ -339,6 +375,7 @@
             address=upstream.address,
             faults=Faults(seed=self._instances),
             relay=upstream.relay,
+            fault_spans=upstream.fault_spans,
         )
         server.request_callback = tornado.web.Application(  # type: ignore[assignment]
             make_runner_routes(runner, new.faults)
@@ -361,7 +398,8 @@
 
     async def _add_upstream(self, service: str, number: int, zone: str) -> None:
         self._instances += 1
-        runner = PlatformRunner(f"i-{self._instances}", slots=8)
+        slots = ENGINE_SLOTS if service == "model" else 8
+        runner = PlatformRunner(f"i-{self._instances}", slots=slots)
         faults = Faults(seed=self._instances)
         self._serve(make_runner_routes(runner, faults), self._ip(3, number), RUNNER_PORT)
         ip = self._ip(2, number)
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -11,10 +11,12 @@
 from bench.soak_callers import STREAM, Outcome
 from bench.soak_checks import checks
 from bench.soak_processes import play
-from bench.soak_site import Host, Site, Upstream
+from bench.soak_site import VERSION_S, FaultSpans, Host, Site, Upstream
 from standins._server import Faults
 from standins.platform import PlatformRunner
 
+#: Seeds in which versions of the weights come late, and engines queue when their bound is over.
+LATE_SEEDS = [322]
 #: Seeds that failed once, with the cause; all are played again.
 FAILED_SEEDS = [
     # SIGTERM came while Python was starting; the check takes that end for orderly now. Later a second
@@ -23,7 +25,7 @@
 ]
 
 
-@pytest.mark.parametrize("seed", FAILED_SEEDS)
+@pytest.mark.parametrize("seed", FAILED_SEEDS + LATE_SEEDS)
 def test_promises_hold_under_faults(seed: int) -> None:
     """A fault from outside breaks a promise to a caller or an upstream."""
     result = asyncio.run(play(seed))
@@ -84,6 +86,59 @@
     assert list(checks.get(name)(site, [outcome]))
 
 
+@pytest.mark.parametrize(
+    ("case", "begun", "spans_by_part", "is_broken"),
+    [
+        ("in time", (VERSION_S, 1), {}, False),
+        ("late", (VERSION_S + 0.1, 1), {}, True),
+        ("on the newest", (VERSION_S + 0.1, 3), {}, False),
+        ("on one that was named before the newest", (VERSION_S + 0.1, 2), {}, False),
+        ("on that one, late", (VERSION_S + 1.1, 2), {}, True),
+        ("the store had a fault meanwhile", (VERSION_S + 2.0, 1), {"store": (1.0, 5.0)}, False),
+        ("its bound was over after that", (VERSION_S + 5.1, 1), {"store": (1.0, 5.0)}, True),
+        ("its bound was over before that", (VERSION_S + 5.1, 1), {"store": (6.1, 20.0)}, True),
+        ("the store had faults in turn", (11.0, 1), {"store": (5.0, 6.0)}, False),
+        ("the sender had a fault", (10.0, 1), {"host": (8.0, 10.0)}, False),
+        ("the sender's was over", (10.1, 1), {"host": (8.0, 10.0)}, True),
+        ("the path had a fault", (10.0, 1), {"path": (8.0, 10.0)}, False),
+        ("the path's was over", (10.1, 1), {"path": (8.0, 10.0)}, True),
+        ("another host's request", (VERSION_S + 0.1, 1), {"other": (0.0, 50.0)}, True),
+    ],
+)
+def test_begin_on_an_ended_version_is_seen(
+    tmp_path: Path,
+    case: str,
+    begun: tuple[float, int],
+    spans_by_part: dict[str, tuple[float, float]],
+    is_broken: bool,
+) -> None:
+    """The check must neither pass a late begin nor count one that the users' rule excuses.
+
+    Version 2 is acknowledged at 0 and version 3 at 1.
+    """
+    site, host = _make_site(tmp_path)
+    site.named_at = {2: 0.0, 3: 1.0}
+    upstream = Upstream(
+        runner=PlatformRunner("i-1"),
+        service="model",
+        zone="z1",
+        address="",
+        faults=Faults(seed=1),
+        relay=host.store,
+    )
+    parts = {"store": site.store_spans, "host": host, "path": upstream}
+    for part, span in spans_by_part.items():
+        parts.get(part, FaultSpans()).fault_spans.append(span)
+    site.upstreams.append(upstream)
+    at, version = begun
+    upstream.runner.begun.append((at, "a", version))
+    seen = Outcome(
+        request_id="a", kind="ask", host=host, lifetime=1, sent_at=at - 1.0, ended_at=at + 0.1
+    )
+    name = "no request begins on an ended version"
+    assert bool(list(checks.get(name)(site, [seen]))) is is_broken, case
+
+
 def test_a_fault_excuses_only_bounds_on_time(tmp_path: Path) -> None:
     """A host under a fault may be late, but may not answer wrongly."""
     site, host = _make_site(tmp_path)
