List hosts and peers when they change, and encode a broadcast once

Cause: the process beside an engine listed its neighbours anew, and compared the targets of its streams, after each announcement of a peer (15 a second when nothing moves); it walked all records ten times a second for its own, listed peers for announcements 20 times a second although none was due, and encoded each load report once for each entry host. Change: the book has a revision that rises with each change of records or of which of them leave; neighbours are listed again when it or the routes changed, and the transfer does nothing for an equal tuple of hosts and the same plan. The hub keeps its lists of peers by role and zone until a stream opens or closes. Announcers that have no news are passed over first. Tests compare each list with a fresh one after random changes.

--- a/sycamoreproxy/peers.py
+++ b/sycamoreproxy/peers.py
@@ -10,7 +10,15 @@
 from typing import Any
 
 from sycamoreproxy.logs import get_logger
-from sycamoreproxy.messages import ChunkHave, Hello, PeerStatus, Repeat, Status, number_of
+from sycamoreproxy.messages import (
+    ChunkHave,
+    Hello,
+    PeerStatus,
+    Repeat,
+    Status,
+    encode_message,
+    number_of,
+)
 from sycamoreproxy.streams import Address, MessageStream, StreamLostError, open_stream
 
 #: A peer sends a heartbeat each second; after this silence its stream is closed, in seconds.
@@ -88,6 +96,14 @@
             return False
         return True
 
+    def send_encoded(self, data: bytes) -> bool:
+        """Queue the bytes of a message that is no heartbeat; return False if the stream is lost."""
+        try:
+            self._stream.send_encoded(data)
+        except StreamLostError:
+            return False
+        return True
+
     def restore(self, message: Any) -> Any:
         """Return the message that a received one stands for; None if it stands for nothing.
 
@@ -124,6 +140,8 @@
         self._open_listeners: list[Callable[[Peer], None]] = []
         self._close_listeners: list[Callable[[Peer], None]] = []
         self._peers: set[Peer] = set()
+        #: Open peers by role and availability zone asked for; dropped when one opens or closes.
+        self._lists_by_filter: dict[tuple[str | None, str | None], tuple[Peer, ...]] = {}
         self._connectors_by_address: dict[Address, asyncio.Task[None]] = {}
         self._inbound = 0
         self._closed_bytes_in = 0
@@ -144,6 +162,22 @@
         """All open peers."""
         return frozenset(self._peers)
 
+    def list_peers(
+        self, *, role: str | None = None, availability_zone: str | None = None
+    ) -> tuple[Peer, ...]:
+        """Return all open peers, or those of a role and of an availability zone."""
+        key = (role, availability_zone)
+        found = self._lists_by_filter.get(key)
+        if found is None:
+            found = tuple(
+                peer
+                for peer in self._peers
+                if role in (None, peer.hello.role)
+                and availability_zone in (None, peer.hello.availability_zone)
+            )
+            self._lists_by_filter[key] = found
+        return found
+
     def on(self, message_type: type, handler: Handler) -> None:
         """Call ``handler(peer, message)`` for each message of a type."""
         self._handlers_by_type.setdefault(message_type, []).append(handler)
@@ -160,10 +194,14 @@
         self, message: object, *, role: str | None = None, availability_zone: str | None = None
     ) -> None:
         """Send a message to every peer, or to those of a role and of an availability zone."""
-        for peer in list(self._peers):
-            hello = peer.hello
-            if role in (None, hello.role) and availability_zone in (None, hello.availability_zone):
+        peers = self.list_peers(role=role, availability_zone=availability_zone)
+        if type(message) in _NUMBERS_BY_HEARTBEAT:
+            for peer in peers:
                 peer.send(message)
+            return
+        data = encode_message(message) if peers else b""
+        for peer in peers:
+            peer.send_encoded(data)
 
     def set_targets(self, addresses: set[Address]) -> None:
         """Keep a stream to each of these addresses and close the other outbound ones."""
@@ -219,6 +257,7 @@
             raise StreamLostError("the first message is not Hello")
         peer = Peer(hello=hello, stream=stream, outbound=outbound)
         self._peers.add(peer)
+        self._lists_by_filter.clear()
         loop = asyncio.get_running_loop()
         try:
             for listener in self._open_listeners:
@@ -231,6 +270,7 @@
             await stream.deliver(take, silence_s=SILENCE_LIMIT_S)
         finally:
             self._peers.discard(peer)
+            self._lists_by_filter.clear()
             self._closed_bytes_in += stream.bytes_in
             self._closed_bytes_out += stream.bytes_out
             stream.close()
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -19,6 +19,7 @@
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import EngineLoad, EngineUse, PeerStatus
 from sycamoreproxy.peers import Peer, PeerHub
+from sycamoreproxy.route_table import RouteTable
 from sycamoreproxy.routed_settings import RoutedSettings
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import Address, MessageServer
@@ -59,8 +60,8 @@
 
         :param now: monotonic time.
         """
-        hellos = [peer.hello for peer in self._hub.peers]
-        for zone in {hello.availability_zone for hello in hellos if hello.role == "entry"}:
+        entries = self._hub.list_peers(role="entry")
+        for zone in {peer.hello.availability_zone for peer in entries}:
             at, last = self._last_by_zone.get(zone, (-math.inf, None))
             period = 0.0 if zone == self._own_zone else FAR_REPORT_PERIOD_S
             if now - at < (period if load != last else UNCHANGED_PERIOD_S):
@@ -106,6 +107,9 @@
         self._report: EngineReport | None = None
         self._failures = 0
         self._use_by_peer: dict[Peer, EngineUse] = {}
+        self._neighbours: tuple[HostRecord, ...] = ()
+        #: Revision of the book and routes from which the neighbours were listed.
+        self._neighbours_basis: tuple[int, RouteTable | None] = (-1, None)
         hub.on(EngineUse, self._take_use)
         hub.on_close(self._forget_use)
 
@@ -117,12 +121,10 @@
     @property
     def model(self) -> str:
         """Name of the model that the engine's service serves, empty while it is not known."""
-        record = next(
-            (r for r in self._beliefs.book.list_all() if str(r.address) == self._address), None
-        )
-        if record is None:
+        records = self._beliefs.book.list_at(self._address)
+        if not records:
             return ""
-        spec = self._beliefs.table.services_by_name.get(record.service)
+        spec = self._beliefs.table.services_by_name.get(records[0].service)
         if spec is None or spec.engine is None or not spec.engine.chunks:
             return ""
         return next(iter(spec.engine.models), "")
@@ -130,9 +132,10 @@
     def may_switch(self, model: str, version: int) -> bool:
         """Return whether the engine may load a version now."""
         book = self._beliefs.book
-        own = next((r for r in book.list_all() if str(r.address) == self._address), None)
-        if own is None:
+        held = book.list_at(self._address)
+        if not held:
             return True
+        own = held[0]
         records = sorted(
             (
                 record
@@ -177,12 +180,21 @@
         await self._hub.close()
         await self._state.close()
 
-    def list_neighbours(self) -> Iterable[HostRecord]:
+    def list_neighbours(self) -> tuple[HostRecord, ...]:
         """Return the hosts of engines with the same weights, this one included.
 
         The origin's link carries one copy of a version in a third of the time that a host takes to
         receive one, so the hosts of all zones share a single copy of the origin.
+
+        :returns: the same object until the book or the configuration changes.
         """
+        basis = (self._beliefs.book.revision, self._beliefs.table)
+        if basis[0] != self._neighbours_basis[0] or basis[1] is not self._neighbours_basis[1]:
+            self._neighbours = tuple(self._find_neighbours())
+            self._neighbours_basis = basis
+        return self._neighbours
+
+    def _find_neighbours(self) -> Iterable[HostRecord]:
         port = self._settings.listen.peer_port
         services = self._beliefs.table.services_by_name
         zone = self._settings.process.availability_zone
@@ -263,7 +275,7 @@
             pace=report.pace,
             is_loading=report.is_loading or self._stager.is_switching(report),
             versions=dict(report.version_by_model),
-            entry_hosts=sum(1 for peer in self._hub.peers if peer.hello.role == "entry"),
+            entry_hosts=len(self._hub.list_peers(role="entry")),
             open_requests=sum(use.open_requests for use in self._use_by_peer.values()),
             unread_tokens=sum(use.unread_tokens for use in self._use_by_peer.values()),
         )
--- a/sycamoreproxy/streams.py
+++ b/sycamoreproxy/streams.py
@@ -260,7 +260,10 @@
 
         :raises StreamLostError: if the stream is closed or the peer is too slow.
         """
-        data = encode_message(message)
+        self.send_encoded(encode_message(message))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Queue the bytes of a message, as :meth:`send` does."""
         if self.is_closed:
             raise StreamLostError("the stream is closed")
         unsent = self._unsent
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -53,6 +53,7 @@
         self._replaced: dict[str, int] = {}
         #: Records by ``IP:PORT``; None after a change, until it is asked for.
         self._records_by_address: dict[str, tuple[UpstreamRecord, ...]] | None = None
+        self._revision = 0
         self._listeners: list[Callable[[str], None]] = []
 
     def subscribe(self, listener: Callable[[str], None]) -> None:
@@ -68,8 +69,7 @@
         instance = record.instance
         before = self._records_by_instance.get(instance)
         self._records_by_instance[instance] = record
-        if before != record:
-            self._records_by_address = None
+        was_leaving = self.is_leaving(instance)
         restarted = before is not None and before.started_ms != record.started_ms
         if self._replaced.get(instance, record.started_ms) != record.started_ms:
             del self._replaced[instance]
@@ -78,6 +78,8 @@
                 self._leaving_since_by_instance[instance] = self._clock.monotonic()
         else:
             self._leaving_since_by_instance.pop(instance, None)
+        if before != record or was_leaving != self.is_leaving(instance):
+            self._note_change()
         if before != record:
             _log.info(
                 "upstream listed",
@@ -94,6 +96,7 @@
         if instance not in self._records_by_instance:
             return
         since = self._leaving_since_by_instance.setdefault(instance, self._clock.monotonic())
+        self._note_change()
         _log.info("upstream removed", instance=instance, leaving_s=self._clock.monotonic() - since)
         self._notify(instance)
 
@@ -109,6 +112,16 @@
         _log.info("upstream replaced", instance=instance, address=str(record.address))
         self._notify(instance)
 
+    @property
+    def revision(self) -> int:
+        """Number that rises with each change of the records held or of which of them leave."""
+        self._expire()
+        return self._revision
+
+    def _note_change(self) -> None:
+        self._revision += 1
+        self._records_by_address = None
+
     def get(self, instance: str) -> UpstreamRecord | None:
         """Return the record of an upstream that may still be used."""
         record = self._records_by_instance.get(instance)
@@ -175,7 +188,7 @@
         for instance in gone:
             del self._leaving_since_by_instance[instance]
             self._records_by_instance.pop(instance, None)
-            self._records_by_address = None
+            self._note_change()
             self._replaced.pop(instance, None)
 
     def _notify(self, instance: str) -> None:
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -159,6 +159,9 @@
         self._reading = ""
         self._reason = ""
         self._neighbours: tuple[HostRecord, ...] = ()
+        #: Hosts and plan of the last update; an equal tuple of hosts changes nothing.
+        self._hosts_seen: tuple[HostRecord, ...] | None = None
+        self._plan_seen: ChunkPlan | None = None
         self._peers_by_host: dict[str, Peer] = {}
         self._haves_by_host: dict[str, ChunkHave] = {}
         self._uploads: deque[tuple[Peer, str]] = deque()
@@ -329,7 +332,11 @@
 
     def _update_neighbours(self) -> None:
         """Open one stream to each host of the region; of two hosts the first by name opens it."""
-        records = tuple(self._hosts())
+        hosts = self._hosts()
+        if isinstance(hosts, tuple) and (hosts, self._plan) == (self._hosts_seen, self._plan_seen):
+            return
+        records = tuple(hosts)
+        self._hosts_seen, self._plan_seen = records, self._plan
         me = self._hub.hello
         self._neighbours = tuple(
             r for r in records if r.region == me.region and r.host != me.host and r.state == "live"
@@ -592,6 +599,8 @@
         while True:
             await asyncio.sleep(ANNOUNCE_MIN_S)
             for announcer in self._announcers:
+                if not announcer.is_due(0.0):
+                    continue
                 peers = [
                     peer
                     for peer in self._peers_by_host.values()
--- a/tests/test_routed_upstream.py
+++ b/tests/test_routed_upstream.py
@@ -2,10 +2,23 @@
 
 from __future__ import annotations
 
+import random
+from dataclasses import replace
 from types import SimpleNamespace
 
+import pytest
+
+from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.messages import EngineLoad
-from sycamoreproxy.routed_upstream import FAR_REPORT_PERIOD_S, UNCHANGED_PERIOD_S, _ZoneReports
+from sycamoreproxy.route_table import RouteTable, ServiceSpec
+from sycamoreproxy.routed_upstream import (
+    FAR_REPORT_PERIOD_S,
+    UNCHANGED_PERIOD_S,
+    RoutedUpstream,
+    _ZoneReports,
+)
+from sycamoreproxy.upstream_book import UpstreamBook
+from tests._upstreams import PROFILE, make_upstream
 
 
 class _Hub:
@@ -16,6 +29,9 @@
         ]
         self.zones: list[str] = []
 
+    def list_peers(self, *, role: str) -> list[SimpleNamespace]:
+        return [peer for peer in self.peers if peer.hello.role == role]
+
     def broadcast(self, message: object, *, role: str, availability_zone: str) -> None:
         assert role == "entry"
         self.zones.append(availability_zone)
@@ -41,3 +57,48 @@
     for step in range(13):
         reports.send(make_load(1), now=step * 0.05)
     assert hub.zones.count("z1") == hub.zones.count("z2") == 1 + 0.6 // UNCHANGED_PERIOD_S
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_neighbours_follow_every_change_of_the_book_and_the_routes(seed: int) -> None:
+    """A host that came unnoticed gets no chunks of its neighbours; one that left is asked for some."""
+    source = random.Random(seed)
+    clock = ManualClock()
+    book = UpstreamBook(clock=clock, leave_s=2.0)
+    beliefs = SimpleNamespace(book=book, table=RouteTable())
+    process = RoutedUpstream(
+        settings=SimpleNamespace(  # type: ignore[arg-type]
+            engine=SimpleNamespace(address="10.0.0.1:80"),
+            listen=SimpleNamespace(peer_port=7001),
+            process=SimpleNamespace(availability_zone="z1"),
+        ),
+        hub=SimpleNamespace(on=lambda *a: None, on_close=lambda *a: None),  # type: ignore[arg-type]
+        beliefs=beliefs,  # type: ignore[arg-type]
+        **dict.fromkeys(  # type: ignore[arg-type]
+            (
+                "documents",
+                "peer_server",
+                "replica",
+                "engine",
+                "transfer",
+                "stager",
+                "state",
+                "tasks",
+            )
+        ),
+    )
+    service = make_upstream(1).service
+    for _ in range(200):
+        record = make_upstream(source.randrange(1, 5), zone=source.choice(["z1", "z2"]))
+        action = source.randrange(5)
+        if action == 0:
+            book.remove(record.instance)
+        elif action == 1:
+            clock.advance(source.choice([1.0, 61.0]))
+        elif action == 2:
+            spec = ServiceSpec(name=service, engine=source.choice([None, PROFILE]))
+            beliefs.table = RouteTable(services_by_name={service: spec})
+        else:
+            book.put(replace(record, is_leaving=source.random() < 0.3))
+        assert process.list_neighbours() == tuple(process._find_neighbours())
+        assert process.list_neighbours() is process.list_neighbours()
--- a/tests/test_upstream_book.py
+++ b/tests/test_upstream_book.py
@@ -87,11 +87,15 @@
 
 @pytest.mark.parametrize("seed", range(20))
 def test_records_by_address_follow_every_change(seed: int) -> None:
-    """An index that lags behind the records loses load reports or gives them to a replaced one."""
+    """An index that lags behind the records loses load reports or gives them to a replaced one.
+
+    What is derived from the book is derived again only when its revision has risen.
+    """
     source = random.Random(seed)
     clock = ManualClock()
     book = UpstreamBook(clock=clock, leave_s=2.0)
     addresses = [Address(f"10.0.0.{number}", 80) for number in range(3)]
+    revision, state = -1, None
     for _ in range(200):
         instance = f"i-{source.randrange(5)}"
         action = source.randrange(4)
@@ -110,6 +114,9 @@
                 )
             )
         records = book.list_all()
+        before, state = state, [(record, book.is_leaving(record.instance)) for record in records]
+        assert book.revision > revision or state == before
+        revision = book.revision
         for address in addresses:
             expected = [record for record in records if record.address == address]
             assert list(book.list_at(str(address))) == expected
