--- a/sycamoreproxy/daemon.py
+++ b/sycamoreproxy/daemon.py
@@ -8,9 +8,13 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from sycamoreproxy.routed_settings import RoutedSettings, is_routed, load_routed_settings
-from sycamoreproxy.settings import Settings, SettingsError, load_settings
+from sycamoreproxy.settings_reader import SettingsError
+
+if TYPE_CHECKING:
+    from sycamoreproxy.settings import Settings
 
 #: Exit status for settings that can't be used.
 EXIT_SETTINGS = 2
@@ -31,6 +35,8 @@
     options = parser.parse_args(arguments)
     if is_routed(options.config):
         return _run_routed(options.config, check_only=options.check)
+    from sycamoreproxy.settings import load_settings
+
     try:
         settings = load_settings(options.config)
     except SettingsError as error:
--- a/sycamoreproxy/routed_settings.py
+++ b/sycamoreproxy/routed_settings.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from sycamoreproxy.settings import LogSettings, SettingsError, SettingsReader
+from sycamoreproxy.settings_reader import LogSettings, SettingsError, SettingsReader
 from sycamoreproxy.streams import Address
 
 
--- a/sycamoreproxy/state_http.py
+++ b/sycamoreproxy/state_http.py
@@ -6,49 +6,25 @@
 from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine, responses
 
 from sycamoreproxy.metrics import render_metrics
 
 Section = Callable[[], object]
 
 
-class _MetricsHandler(RequestHandler):
-    def get(self) -> None:
-        """Write the metrics page."""
-        body, headers = render_metrics(self.request.headers.get("Accept"))
-        for name, value in headers.items():
-            self.set_header(name, value)
-        self.finish(body)
-
-
-class _DumpHandler(RequestHandler):
-    def initialize(self, sections_by_name: dict[str, Section]) -> None:
-        """Take the sections."""
-        self._sections_by_name = sections_by_name
-
-    def get(self) -> None:
-        """Write the state as JSON."""
-        state = {name: section() for name, section in self._sections_by_name.items()}
-        self.set_header("Content-Type", "application/json")
-        self.finish(json.dumps(state, default=str))
-
-
 class StateServer:
     """Serves ``/metrics`` and ``/dump``.
 
+    Every process has one and few are asked, so it does without ``tornado.web``, whose import takes
+    longer than a process without requests works in half a second.
+
     :param sections_by_name: what the dump holds.
     """
 
     def __init__(self, *, sections_by_name: dict[str, Section]) -> None:
-        self._server = HTTPServer(
-            Application(
-                [
-                    ("/metrics", _MetricsHandler),
-                    ("/dump", _DumpHandler, {"sections_by_name": sections_by_name}),
-                ]
-            )
-        )
+        self._sections_by_name = sections_by_name
+        self._server = HTTPServer(self._answer)
 
     def listen(self, ip: str, port: int) -> None:
         """Open the listener."""
@@ -58,3 +34,25 @@
         """Close the listener and its connections."""
         self._server.stop()
         await self._server.close_all_connections()
+
+    def _answer(self, request: HTTPServerRequest) -> None:
+        status, body, headers = self._find(request)
+        assert request.connection is not None
+        request.connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, responses[status]),
+            HTTPHeaders({**headers, "Content-Length": str(len(body))}),
+            body or None,
+        )
+        request.connection.finish()
+
+    def _find(self, request: HTTPServerRequest) -> tuple[int, bytes, dict[str, str]]:
+        """Return status, body and headers of the answer to a request."""
+        if request.path not in ("/metrics", "/dump"):
+            return 404, b"", {}
+        if request.method != "GET":
+            return 405, b"", {"Allow": "GET"}
+        if request.path == "/metrics":
+            return 200, *render_metrics(request.headers.get("Accept"))
+        state = {name: section() for name, section in self._sections_by_name.items()}
+        body = json.dumps(state, default=str).encode()
+        return 200, body, {"Content-Type": "application/json"}
--- a/tests/test_routed_settings.py
+++ b/tests/test_routed_settings.py
@@ -9,7 +9,7 @@
 
 from sycamoreproxy.daemon import EXIT_SETTINGS, main
 from sycamoreproxy.routed_settings import is_routed, load_routed_settings
-from sycamoreproxy.settings import SettingsError
+from sycamoreproxy.settings_reader import SettingsError
 
 ENTRY = """
 [process]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from sycamoreproxy.settings import SettingsError, load_settings
+from sycamoreproxy.settings import load_settings
+from sycamoreproxy.settings_reader import SettingsError
 
 VALID = """
 [process]
