Cut a stream of over 8 MiB, and end it visibly incomplete

Cause: an endless series of whole events was bounded by the caller's time and by 64 MiB for each attempt. A caller that read it got 14 MB in 1.9 s.

Change: MAX_BODY_BYTES holds for streams too. Such a stream is not resumed.

Measured: test_endless_series_of_events_is_cut_* failed before on a route that may be resumed and on one that may not (13.9 and 20.1 MB were passed on, no cut); both pass now.

An endless series that is slower is bounded by the caller's time, as before.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -21,8 +21,9 @@
 #: An answer of an upstream from which it may have run the request and that a caller would read as
 #: a promise that it has not.
 _PROMISES = frozenset({408, 421, 429, 503})
-#: Longest body of an answer that is no stream, in bytes. It is held whole, so that a repeatable
-#: request can go on elsewhere; the answers of the users' services have 800 bytes.
+#: Longest body of an answer, in bytes. One that is no stream is held whole, so that a repeatable
+#: request can go on elsewhere; the answers of the users' services have 800 bytes, their streams 21
+#: events.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 _log = get_logger("answer_relay")
@@ -59,11 +60,13 @@
     """The answer is longer than permitted.
 
     :param failed: whether that speaks against the upstream; None if it says nothing of it.
+    :param may_resend: whether another upstream may take the request.
     """
 
-    def __init__(self, reason: str, *, failed: bool | None = True) -> None:
+    def __init__(self, reason: str, *, failed: bool | None = True, may_resend: bool = True) -> None:
         super().__init__(reason)
         self.failed = failed
+        self.may_resend = may_resend
 
 
 @dataclass(slots=True)
@@ -178,9 +181,12 @@
         :raises AnswerTooLongError: if the answer is longer than permitted.
         """
         self._received += len(data)
+        if self._received > MAX_BODY_BYTES:
+            # A stream with false ids would end as complete at an upstream that has no later ones.
+            raise AnswerTooLongError(
+                f"a body of over {MAX_BODY_BYTES} bytes", may_resend=not self._is_stream
+            )
         if not self._is_stream:
-            if self._received > MAX_BODY_BYTES:
-                raise AnswerTooLongError(f"a body of over {MAX_BODY_BYTES} bytes")
             self._hold(self._received)
             self._body += data
             return
@@ -209,7 +215,7 @@
         return Ended(
             Refusal(codes.ANSWER_TOO_LONG, Executed.UNKNOWN, detail=str(error)),
             failed=error.failed,
-            may_resend=True,
+            may_resend=error.may_resend,
         )
 
     def end(self) -> Ended:
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -739,6 +739,34 @@
     play(action)
 
 
+#: Whole events without end, a little under the size of a piece.
+ENDLESS_EVENTS = b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, 2700))
+
+
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x"])
+def test_endless_series_of_events_is_cut_and_does_not_look_complete(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Another upstream has no events after the last id, and would end the stream as complete."""
+    limit = 16 * PIECE_BYTES
+    monkeypatch.setattr("sycamoreproxy.answer_relay.MAX_BODY_BYTES", limit)
+
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD, piece=ENDLESS_EVENTS)
+        await _replace_runners(site, [0], upstream)
+        with structlog.testing.capture_logs() as lines:
+            while not upstream.requests:
+                status, _, body, whole = await site.ask(path, **GENERATION)
+        assert (status, whole) == (200, False)
+        assert len(body) <= limit and body.startswith(ENDLESS_EVENTS)
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1
+        _check_cuts(lines, 1, limit=limit)
+        upstream.stop()
+
+    play(action)
+
+
 @pytest.mark.parametrize(
     ("path", "status", "code"), [("/read/x", 200, None), ("/post/x", 504, 1307)]
 )
