Cut a stream whose caller leaves over 1 MiB of it unread

Cause: what is passed on is written without waiting for the caller, so an endless series of events filled the write buffer of a caller that reads nothing: peak 110 MiB for one request, 65 MiB over a process without requests.

Change: MAX_UNSENT_BYTES; what a stream has unsent counts among the bytes held. The upstream isn't blamed and the request isn't sent elsewhere.

A plain answer that its caller doesn't read is still kept until the connection closes, 8 MiB at most.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -25,6 +25,9 @@
 #: request can go on elsewhere; the answers of the users' services have 800 bytes, their streams 21
 #: events.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+#: Longest part of a stream that its caller has not read, in bytes: a whole stream of 4,000 events
+#: of 250 bytes.
+MAX_UNSENT_BYTES = 1024 * 1024
 
 _log = get_logger("answer_relay")
 
@@ -36,6 +39,10 @@
     def has_started(self) -> bool:
         """Whether the caller may have received a part of the answer."""
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that the caller's connection has not taken yet."""
+
     def start(self, status: int, headers: HTTPHeaders, data: bytes) -> None:
         """Send the head and a first part of the body."""
 
@@ -196,7 +203,10 @@
             raise AnswerTooLongError(str(error)) from error
         if events:
             self._send(events)
-        self._hold(len(self._progress.splitter.partial))
+        unsent = self._reply.unsent
+        if unsent > MAX_UNSENT_BYTES:
+            raise AnswerTooLongError("the caller does not read it", failed=None, may_resend=False)
+        self._hold(len(self._progress.splitter.partial) + unsent)
 
     def release(self) -> None:
         """Count nothing of this answer among the bytes held any more."""
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -45,6 +45,12 @@
         self.has_started = False
         self.is_finished = False
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that the caller's connection has not taken yet."""
+        # tornado drops the buffer of a closed connection.
+        return len(self._connection.stream._write_buffer or ())
+
     def start(self, status: int, headers: HTTPHeaders, data: bytes) -> None:
         """Send the head and a first part of the body."""
         self.has_started = True
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
@@ -23,7 +24,7 @@
     make_route,
     make_runner_routes,
 )
-from sycamoreproxy.answer_relay import MAX_BODY_BYTES
+from sycamoreproxy.answer_relay import MAX_BODY_BYTES, MAX_UNSENT_BYTES
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
@@ -767,6 +768,49 @@
     play(action)
 
 
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x"])
+def test_endless_series_of_events_is_not_kept_for_a_caller_that_reads_nothing(path: str) -> None:
+    """The host kept what its caller had not read: 64 MiB of one request."""
+
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=STREAM_HEAD, piece=ENDLESS_EVENTS)
+        await _replace_runners(site, [0, 1], upstream)
+        # With a small receive buffer little of the stream leaves the process.
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.connect(("127.0.0.1", site.port))
+        head = "".join(
+            f"{name.replace('_', '-')}: {value}\r\n"
+            for name, value in {
+                "Host": "office.example",
+                "Sycamoreproxy_Request_Id": "a",
+                "Sycamoreproxy_Deadline_Ms": "1900",
+                "X_Api_Key": "office-key",
+                "Content_Length": "0",
+                **GENERATION,
+            }.items()
+        )
+        with structlog.testing.capture_logs() as lines:
+            caller.sendall(f"POST {path} HTTP/1.1\r\n{head}\r\n".encode())
+            most = 0
+            while not upstream.closed:
+                most = max(most, site.front.dispatcher.held.total)
+                await asyncio.sleep(0)
+        (cut,) = [line for line in lines if line["event"] == "answer cut for its size"]
+        assert cut["reason"] == "the caller does not read it"
+        assert len(upstream.requests) == 1
+        assert most <= MAX_UNSENT_BYTES + PIECE_BYTES
+        assert upstream.sent < MAX_UNSENT_BYTES + KERNEL_BYTES
+        assert site.front.dispatcher.held.total == 0
+        # The upstream is sound; its failures would keep other requests away from it.
+        views = [site.front.dispatcher._placer.view(f"raw-{number}") for number in range(2)]
+        assert [view.failure_rate for view in views] == [0, 0]
+        caller.close()
+        upstream.stop()
+
+    play(action)
+
+
 @pytest.mark.parametrize(
     ("path", "status", "code"), [("/read/x", 200, None), ("/post/x", 504, 1307)]
 )
