Bound reports, answers to orders, manifests and pieces by what they may be

Cause: every answer of runner and origin could have 8 MiB. That is held within 1 to 3 s and 8 MiB, but read as JSON it can take 30 times as much: an 8 MiB report of empty lists grew a process from 39 to 256 MiB; hosts beside engines have 168 MB. A piece could be 170 times as long as its chunk.

Change: fetch takes max_bytes: 64 KiB for reports and orders, 1 MiB for manifests, the chunk's size for pieces. A staged chunk, whose size is not known there, keeps 8 MiB, and so do ranges and watches of the store, which hold that. The lines 'engine lost' and 'chunk not read from the origin' tell call and size.

Measured: test_answer_that_is_too_long_is_not_used failed for report, order, manifest and piece before and passes now. Answers without an end, fast or slow, were left in time by all five calls before and now.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -184,14 +184,27 @@
         await self._send(stream, delegate, method, path, headers, body)
 
     async def fetch(
-        self, *, method: str, path: str, body: bytes = b"", timeout_s: float
+        self,
+        *,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float,
+        max_bytes: int | None = None,
     ) -> tuple[int, HTTPHeaders, bytes]:
         """Send a short request that may be repeated; return status, headers and body.
 
+        :param max_bytes: longest body; None for the longest that the client reads.
         :raises NotSentError: if there is no connection.
-        :raises AnswerLostError: if the answer is absent, cut, malformed or late.
+        :raises AnswerLostError: if the answer is absent, cut, malformed, too long or late.
         """
-        parts: list[bytes] = []
+        answer = bytearray()
+
+        def take(data: bytes) -> None:
+            if max_bytes is not None and len(answer) + len(data) > max_bytes:
+                raise AnswerLostError(f"an answer of over {max_bytes} bytes", received=True)
+            answer.extend(data)
+
         head: list[tuple[int, HTTPHeaders]] = []
         headers = HTTPHeaders()
         if body:
@@ -204,12 +217,12 @@
                     headers=headers,
                     body=body,
                     on_head=lambda status, received: head.append((status, received)),
-                    on_data=parts.append,
+                    on_data=take,
                     repeatable=True,
                 )
         except TimeoutError as error:
             raise AnswerLostError("no answer in time", received=bool(head)) from error
-        return head[0][0], head[0][1], b"".join(parts)
+        return head[0][0], head[0][1], bytes(answer)
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/sycamoreproxy/platform/runner.py
+++ b/sycamoreproxy/platform/runner.py
@@ -15,8 +15,13 @@
 #: takes 26 ms of its link and shares it with all machines.
 RUNNER_TIMEOUT_S = 1.0
 ORIGIN_TIMEOUT_S = 3.0
-#: Largest answer, in bytes.
+#: Largest answer, in bytes: a staged chunk.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+#: Largest report or answer to an order, in bytes; read as JSON it may take 30 times as
+#: much. A report has ten numbers and the models.
+MAX_REPORT_BYTES = 64 * 1024
+#: Largest manifest, in bytes: the digests of 15,000 chunks.
+MAX_MANIFEST_BYTES = 1024 * 1024
 
 
 class PlatformRunner:
@@ -72,7 +77,7 @@
         :raises StageError: if there is no usable answer.
         """
         path = f"/stage-get/{quote(model, safe='')}?number={index}"
-        status, body = await self._call("GET", path)
+        status, body = await self._call("GET", path, max_bytes=MAX_ANSWER_BYTES)
         if status == 404:
             return None
         if status != 200:
@@ -103,10 +108,16 @@
         """Close the connections."""
         self._http.close()
 
-    async def _call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", *, max_bytes: int = MAX_REPORT_BYTES
+    ) -> tuple[int, bytes]:
         try:
             status, _, answer = await self._http.fetch(
-                method=method, path=path, body=body, timeout_s=RUNNER_TIMEOUT_S
+                method=method,
+                path=path,
+                body=body,
+                timeout_s=RUNNER_TIMEOUT_S,
+                max_bytes=max_bytes,
             )
         except (NotSentError, AnswerLostError) as error:
             raise StageError(f"{method} {path}: {error}") from error
@@ -132,7 +143,7 @@
         path = f"/manifest/{quote(model, safe='')}?version={number}"
         data: Any = None
         try:
-            data = json.loads(await self._get(path))
+            data = json.loads(await self._get(path, max_bytes=MAX_MANIFEST_BYTES))
             chunks = tuple(str(item) for item in data["digests"])
             chunk_bytes = int(data["chunk_bytes"])
             if int(data["version"]) != int(number):
@@ -155,16 +166,18 @@
         """
         number = manifest.version.rpartition("/")[2]
         model = quote(manifest.model, safe="")
-        return await self._get(f"/piece/{model}?number={index}&version={number}")
+        return await self._get(
+            f"/piece/{model}?number={index}&version={number}", max_bytes=manifest.chunk_bytes
+        )
 
     def close(self) -> None:
         """Close the connections."""
         self._http.close()
 
-    async def _get(self, path: str) -> bytes:
+    async def _get(self, path: str, *, max_bytes: int) -> bytes:
         try:
             status, _, body = await self._http.fetch(
-                method="GET", path=path, timeout_s=ORIGIN_TIMEOUT_S
+                method="GET", path=path, timeout_s=ORIGIN_TIMEOUT_S, max_bytes=max_bytes
             )
         except (NotSentError, AnswerLostError) as error:
             raise OriginError(f"{path}: {error}") from error
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -22,8 +22,15 @@
 )
 from sycamoreproxy.engine_stage import OrderOutcome, StageError
 from sycamoreproxy.origins import OriginError
-from sycamoreproxy.platform.runner import PlatformOrigin, PlatformRunner
-from sycamoreproxy.weights import compute_chunk_digest
+from sycamoreproxy.platform.runner import (
+    MAX_ANSWER_BYTES,
+    MAX_MANIFEST_BYTES,
+    MAX_REPORT_BYTES,
+    PlatformOrigin,
+    PlatformRunner,
+)
+from sycamoreproxy.weights import Manifest, compute_chunk_digest
+from tests._raw_upstream import PIECE_BYTES, RawUpstream
 
 Action = Callable[[RunnerStandIn, Faults, PlatformRunner, PlatformOrigin], Awaitable[None]]
 
@@ -99,3 +106,89 @@
                 await origin.read_chunk(manifest, 0)
 
     play(action)
+
+
+async def _ask(call: str, port: int) -> object:
+    runner = PlatformRunner(f"127.0.0.1:{port}")
+    origin = PlatformOrigin(f"127.0.0.1:{port}")
+    manifest = Manifest(
+        version="m1/2",
+        model="m1",
+        digest="",
+        chunk_bytes=1024,
+        total_bytes=1024,
+        chunks=("",),
+    )
+    try:
+        match call:
+            case "report":
+                return await runner.read_report()
+            case "order":
+                return await runner.order_start("m1", 2, expected=0)
+            case "staged":
+                return await runner.get_chunk("m1", 0)
+            case "manifest":
+                return await origin.read_manifest("m1/2")
+            case _:
+                return await origin.read_chunk(manifest, 0)
+    finally:
+        runner.close()
+        origin.close()
+
+
+REPORT = (
+    b'{"running": 1, "waiting": 0, "kv_used": 0, "kv_total": 1, "busy": false, "sequence": 0,'
+    b' "models": []}'
+)
+MANIFEST = b'{"version": 2, "digests": [], "chunk_bytes": 1024}'
+
+
+@pytest.mark.parametrize(
+    ("call", "answer", "limit"),
+    [
+        ("report", REPORT, MAX_REPORT_BYTES),
+        ("order", b"{}", MAX_REPORT_BYTES),
+        ("staged", b"", MAX_ANSWER_BYTES),
+        ("manifest", MANIFEST, MAX_MANIFEST_BYTES),
+        ("piece", b"", 1024),
+    ],
+)
+@pytest.mark.parametrize("more", [0, 1])
+def test_answer_that_is_too_long_is_not_used(
+    call: str, answer: bytes, limit: int, more: int
+) -> None:
+    """A report of 8 MiB took 217 MiB as JSON, on hosts with 168 MB."""
+
+    async def main() -> None:
+        body = answer.ljust(limit + more)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        upstream = RawUpstream(head=head, piece=body, pieces=1)
+        await upstream.start()
+        async with asyncio.timeout(8):
+            if more:
+                with pytest.raises((StageError, OriginError)):
+                    await _ask(call, upstream.port)
+            else:
+                await _ask(call, upstream.port)
+            await upstream.wait_closed(1)
+        upstream.stop()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("call", ["report", "order", "staged", "manifest", "piece"])
+@pytest.mark.parametrize(
+    ("piece", "pause_s"), [(b"x" * PIECE_BYTES, 0.0), (b" ", 0.01), (b"[" * PIECE_BYTES, 0.0)]
+)
+def test_answer_without_an_end_is_left(call: str, piece: bytes, pause_s: float) -> None:
+    async def main() -> None:
+        upstream = RawUpstream(head=b"HTTP/1.1 200 OK\r\n\r\n", piece=piece, pause_s=pause_s)
+        await upstream.start()
+        async with asyncio.timeout(8):
+            with pytest.raises((StageError, OriginError)):
+                await _ask(call, upstream.port)
+            await upstream.wait_closed(1)
+        assert upstream.sent < 32 * 1024 * 1024
+        upstream.stop()
+
+    asyncio.run(main())
