Take a deeply nested answer of the platform for a malformed one

Cause: json.loads raises RecursionError for some thousand open brackets, which no caller expects. By the code, the task that follows the engine starts again with its last report still in use, and a manifest is not asked for again.

Change: RecursionError counts as malformed in runner and store, as it does in the two HTTP surfaces.

Measured: test_deeply_nested_answer_is_malformed (2) and the two nested rows of test_answer_without_an_end_or_deeply_nested_is_no_answer failed before and pass now.

--- a/sycamoreproxy/platform/runner.py
+++ b/sycamoreproxy/platform/runner.py
@@ -58,7 +58,7 @@
                     (str(item["name"]), int(item["version"])) for item in data["models"]
                 ),
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             raise StageError(f"report: {error!r}") from error
 
     async def put_chunk(self, model: str, index: int, data: bytes) -> None:
@@ -148,7 +148,7 @@
             chunk_bytes = int(data["chunk_bytes"])
             if int(data["version"]) != int(number):
                 raise ValueError(f"version {data['version']}")
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             raise OriginError(f"manifest: {error!r}") from error
         return Manifest(
             version=version,
--- a/sycamoreproxy/platform/store.py
+++ b/sycamoreproxy/platform/store.py
@@ -82,7 +82,7 @@
             answer = json.loads(body)
             if type(answer["store_revision"]) is not int:
                 raise ValueError("store_revision is no number")
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             raise SourceUnavailableError(f"malformed answer: {error!r}") from error
         return dict(answer)
 
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -192,3 +192,20 @@
         upstream.stop()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("call", ["report", "manifest"])
+def test_deeply_nested_answer_is_malformed(call: str) -> None:
+    """The exception ended the task that follows the engine, and its last report stayed in use."""
+
+    async def main() -> None:
+        body = b"[" * 60_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        upstream = RawUpstream(head=head, piece=body, pieces=1)
+        await upstream.start()
+        async with asyncio.timeout(8):
+            with pytest.raises((StageError, OriginError)):
+                await _ask(call, upstream.port)
+        upstream.stop()
+
+    asyncio.run(main())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,8 +13,9 @@
 from standins._server import Faults
 from standins.platform import PlatformStore as StoreStandIn
 from standins.platform import make_store_routes
-from sycamoreproxy.platform.store import PlatformStore
+from sycamoreproxy.platform.store import MAX_ANSWER_BYTES, PlatformStore
 from sycamoreproxy.watched_documents import HistoryLostError, SourceUnavailableError
+from tests._raw_upstream import PIECE_BYTES, RawUpstream
 
 
 def play(action: Callable[[StoreStandIn, Faults, PlatformStore], Awaitable[None]]) -> None:
@@ -86,3 +87,38 @@
             await gone.read_all("servers/")
 
     play(action)
+
+
+@pytest.mark.parametrize("call", ["range", "watch"])
+@pytest.mark.parametrize(
+    ("piece", "pieces", "pause_s"),
+    [
+        (b"x" * PIECE_BYTES, None, 0.0),
+        (b" ", None, 0.01),
+        (b"[" * MAX_ANSWER_BYTES, 1, 0.0),
+    ],
+)
+def test_answer_without_an_end_or_deeply_nested_is_no_answer(
+    call: str, piece: bytes, pieces: int | None, pause_s: float
+) -> None:
+    """An exception of another type ended the task that watches the store."""
+
+    async def main() -> None:
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        if pieces:
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(piece)
+        upstream = RawUpstream(head=head, piece=piece, pieces=pieces, pause_s=pause_s)
+        await upstream.start()
+        store = PlatformStore(f"127.0.0.1:{upstream.port}")
+        async with asyncio.timeout(8):
+            with pytest.raises(SourceUnavailableError):
+                if call == "range":
+                    await store.read_all("servers/")
+                else:
+                    await store.wait_changes("servers/", after=1, wait_s=0.5)
+            store.close()
+            await upstream.wait_closed(1)
+        assert upstream.sent < 32 * 1024 * 1024
+        upstream.stop()
+
+    asyncio.run(main())
