Let entry hosts read configurations for their zone

Cause: the readers of a zone were processes beside engines.

Change: processes beside engines choose two of the entry hosts that they have streams with, whose links carry 20 to 200 Mbit/s, and tell them. They pass the progress of readers on to the other entry hosts. Streams go to the followed engines only again.

Checks: the zone of the tests has the streams of a real one now (entry hosts have none to each other), and the hub's stand-in keeps to role and zone. Two tests of the former choice by the list of engines now test what they were about: the book tells of an entry that returns after a lapse, and an entry of an unknown service is no engine.

--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -528,17 +528,28 @@
 @message(75)
 @dataclass(frozen=True, slots=True)
 class DocumentProgress:
-    """The sender follows a prefix in the store; sent to processes of its availability zone.
+    """A process follows a prefix in the store; told to processes of its availability zone.
 
-    :param age_s: time since the store answered last, in seconds.
+    :param host: the process that follows it; the sender may only pass on what that one told.
+    :param age_s: time since the store answered it last, in seconds.
     :param revision: the store's revision up to which the sender's documents are complete.
     :param revisions: revisions of the documents below the prefix, by key.
     """
 
     prefix: str
+    host: str
+    is_entry: bool
     revision: int
     revisions: IntByName
-    age_s: float = 0.0
+    age_s: float
+
+
+@message(76)
+@dataclass(frozen=True, slots=True)
+class DocumentReaders:
+    """Entry hosts that are to follow large documents in the store for their availability zone."""
+
+    hosts: Strings
 
 
 @message(72)
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -22,7 +22,7 @@
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.task_group import BackgroundTasks
-from sycamoreproxy.upstream_book import UpstreamBook, UpstreamRecord
+from sycamoreproxy.upstream_book import UpstreamBook
 from sycamoreproxy.watched_documents import (
     COALESCE_S,
     UPSTREAM_COALESCE_FRACTION,
@@ -101,9 +101,6 @@
 
     def __init__(self, settings: RoutedSettings, adapter: PlatformAdapter) -> None:
         process = settings.process
-        self.readers = ZoneReaders(
-            availability_zone=process.availability_zone, list_engines=self._list_staying
-        )
         self.clock = SystemClock()
         self.stalls = StallMeter(clock=self.clock)
         self.documents = adapter.documents()
@@ -117,6 +114,7 @@
             ),
             client_tls=None,
         )
+        self.readers = ZoneReaders(hub=self.hub)
         self.replica = DocumentReplica(
             source=adapter.open_source(str(settings.store.address)),
             hub=self.hub,
@@ -128,20 +126,13 @@
             stall_lag_s=lambda: self.stalls.lag_s,
         )
         self.book = UpstreamBook(clock=self.clock, leave_s=settings.bounds.leave_s)
-        self.book.subscribe(lambda instance: self.readers.forget())
         self.targets = WeightTargets(clock=self.clock, bound_s=settings.bounds.version_s)
         self.beliefs = Beliefs(
             documents=self.documents, replica=self.replica, book=self.book, targets=self.targets
         )
-        self.beliefs.subscribe(lambda table: self.readers.forget())
         self.tasks = BackgroundTasks()
         self.tasks.start("stalls", self.stalls.run)
 
-    def _list_staying(self) -> list[UpstreamRecord] | None:
-        if not self.book.list_all():
-            return None
-        return [r for r in self.beliefs.list_engines() if not self.book.is_leaving(r.instance)]
-
     def _find_pause_s(self, prefix: str) -> float:
         if self.documents.is_of_upstreams(prefix):
             return self.book.leave_bound_s * UPSTREAM_COALESCE_FRACTION
@@ -224,7 +215,6 @@
         tasks=parts.tasks,
         budgets_by_service=budgets_by_service,
         now=parts.clock.monotonic,
-        readers=parts.readers,
     )
     built.append(process)
     return process
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -25,7 +25,6 @@
 from sycamoreproxy.upstream_book import UpstreamRecord
 from sycamoreproxy.upstream_subset import choose_followed
 from sycamoreproxy.watched_documents import DocumentReplica
-from sycamoreproxy.zone_readers import ZoneReaders
 
 #: Time between two heartbeats to peers, in seconds.
 HEARTBEAT_S = 1.0
@@ -44,7 +43,6 @@
     All parts are built by :mod:`sycamoreproxy.routed_composition`.
 
     :param budgets_by_service: resend budgets, filled as services are used.
-    :param readers: hosts that read large documents for the own zone.
     """
 
     def __init__(
@@ -62,9 +60,7 @@
         tasks: BackgroundTasks,
         budgets_by_service: dict[str, ResendBudget],
         now: Callable[[], float],
-        readers: ZoneReaders,
     ) -> None:
-        self._readers = readers
         self.settings = settings
         self._documents = documents
         self._hub = hub
@@ -193,9 +189,7 @@
             availability_zone=self.settings.process.availability_zone,
         )
         self._placer.followed = followed
-        readers = self._readers.find() or frozenset()
-        hosts = {Address.parse(item).ip for item in followed} | readers
-        self._hub.set_targets({Address(host, port) for host in hosts})
+        self._hub.set_targets({Address(Address.parse(item).ip, port) for item in followed})
 
     def _take_load(self, peer: Peer, load: EngineLoad) -> None:
         now = self._now()
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -51,8 +51,8 @@
 #: Time between two progress reports of a zone's reader, in seconds.
 PROGRESS_PERIOD_S = 0.4
 #: A process whose zone's readers have had no answer for this time follows the store itself, in seconds: a
-#: watch and a report, and less than the bounds of 2 s and more on every change.
-PROGRESS_FRESH_S = 1.6
+#: watch, a report and its way, and less than the bounds of 2 s and more on every change.
+PROGRESS_FRESH_S = 1.7
 #: Longest further wait before that, in seconds: the first process to follow the store reports as a reader
 #: does, and the others need not.
 FALLBACK_SPREAD_S = 0.3
@@ -148,6 +148,7 @@
     :param lag_s: time for which changes that are being applied may have been made before, in seconds.
     :param reported_at: monotonic time until which another process of the zone has had answers of the store.
     :param outranked_at: the same for processes that go on if this one follows the store, too.
+    :param passed_on_at: monotonic time at which a report of another process was passed on last.
     :param is_watching: whether this process follows a shared prefix in the store.
     """
 
@@ -160,6 +161,7 @@
     lag_s: float = 0.0
     reported_at: float = -math.inf
     outranked_at: float = -math.inf
+    passed_on_at: float = -math.inf
     is_watching: bool = False
 
 
@@ -359,10 +361,18 @@
         age_s = self._clock.monotonic() - state.answered_at
         if not state.has_answer or not state.revision or age_s >= PROGRESS_FRESH_S:
             return
+        own = self._hub.hello
+        self._tell_progress(prefix, host=own.host, is_entry=own.role == "entry", age_s=age_s)
+
+    def _tell_progress(
+        self, prefix: str, *, host: str, is_entry: bool, age_s: float, role: str | None = None
+    ) -> None:
         held = self._documents_by_key.items()
         revisions = {key: item.revision for key, item in held if key.startswith(prefix)}
+        revision = self._states_by_prefix[prefix].revision
         self._hub.broadcast(
-            DocumentProgress(prefix, state.revision, revisions, age_s),
+            DocumentProgress(prefix, host, is_entry, revision, revisions, age_s),
+            role=role,
             availability_zone=self._hub.hello.availability_zone,
         )
 
@@ -463,12 +473,12 @@
         self._fetch(peer, shared, delay_s=near_delay_s if is_near else FAR_RELAY_DELAY_S)
 
     def _handle_progress(self, peer: Peer, progress: DocumentProgress) -> None:
-        if progress.prefix not in self._shared_prefixes:
+        if progress.prefix not in self._shared_prefixes or progress.host == self._hub.hello.host:
             return
         state = self._states_by_prefix[progress.prefix]
         answered_at = self._clock.monotonic() - progress.age_s
         state.reported_at = max(state.reported_at, answered_at)
-        if self._outranks(peer):
+        if self._is_outranked(progress):
             state.outranked_at = max(state.outranked_at, answered_at)
         if self._list_newer(progress.revisions):
             self._fetch(peer, progress.revisions, delay_s=random.uniform(0, ZONE_RELAY_DELAY_S))
@@ -479,21 +489,30 @@
                 self.apply(Document(key, progress.revision, None), source=peer.hello.host)
         state.revision = max(state.revision, progress.revision)
         state.has_read = True
+        self._pass_on(progress, now=self._clock.monotonic())
+
+    def _pass_on(self, progress: DocumentProgress, *, now: float) -> None:
+        """Tell the zone's entry hosts, which have no streams to each other, what one of them told."""
+        state = self._states_by_prefix[progress.prefix]
+        is_entry_host = self._hub.hello.role == "entry"
+        if is_entry_host or not progress.is_entry or now - state.passed_on_at < PROGRESS_PERIOD_S:
+            return
+        state.passed_on_at = now
+        self._tell_progress(
+            progress.prefix, host=progress.host, is_entry=True, age_s=progress.age_s, role="entry"
+        )
 
     def _is_left_to_readers(self, key: str) -> bool:
         return any(key.startswith(p) for p in self._shared_prefixes) and not self._is_reader()
 
-    def _outranks(self, peer: Peer) -> bool:
-        """Return whether a peer goes on if both it and this process follow the store.
+    def _is_outranked(self, progress: DocumentProgress) -> bool:
+        """Return whether the process that told of its progress goes on if this one follows, too.
 
-        Readers first, then processes beside engines: all of a zone have streams to those.
+        Readers first, then entry hosts, as readers are.
         """
-        readers = self._find_readers() or frozenset()
-        one, other = (
-            (hello.host not in readers, hello.role != "upstream", rank_host(hello.host))
-            for hello in (peer.hello, self._hub.hello)
-        )
-        return one < other
+        readers, own = self._find_readers() or frozenset(), self._hub.hello
+        other = (progress.host not in readers, not progress.is_entry, rank_host(progress.host))
+        return other < (own.host not in readers, own.role != "entry", rank_host(own.host))
 
     def _fetch(self, peer: Peer, revisions: dict[str, int], *, delay_s: float) -> None:
         """Fetch those documents from a peer that are still older after a pause."""
--- a/tests/_fake_hub.py
+++ b/tests/_fake_hub.py
@@ -27,7 +27,9 @@
         self, message: object, *, role: str | None = None, availability_zone: str | None = None
     ) -> None:
         for peer in sorted(self.peers, key=hash):
-            peer.send(message)
+            hello = peer.hello
+            if role in (None, hello.role) and availability_zone in (None, hello.availability_zone):
+                peer.send(message)
 
 
 class FakePeer:
--- a/tests/test_routed_composition.py
+++ b/tests/test_routed_composition.py
@@ -53,21 +53,20 @@
     }
 
 
-def test_engines_that_return_after_a_lapse_read_again() -> None:
-    """Entries lapse in an outage and return unchanged; the zone had no readers from then on."""
+def test_engines_that_return_after_a_lapse_are_told_to_all_parts() -> None:
+    """Entries lapse in an outage and return unchanged; what was chosen without them stayed."""
 
     def action(parts: _Parts) -> None:
-        for revision, is_listed in ((1, True), (3, False), (5, True)):
-            for number in range(2):
-                value = make_entry(number) if is_listed else None
-                put(parts, f"servers/i-{number}", revision + number, value)
-            readers = parts.readers.find()
-            assert readers == (frozenset({"10.0.0.0", "10.0.0.1"}) if is_listed else frozenset())
+        changed: list[str] = []
+        parts.book.subscribe(changed.append)
+        for revision, value in ((1, make_entry(1)), (3, None), (5, make_entry(1))):
+            put(parts, "servers/i-1", revision, value)
+        assert changed == ["i-1"] * 3 and not parts.book.is_leaving("i-1")
 
     play(action)
 
 
-def test_entry_of_an_unknown_service_is_no_reader() -> None:
+def test_entry_of_an_unknown_service_is_no_engine() -> None:
     """Entries of other writers name services that no configuration names, and no hosts of ours."""
 
     def action(parts: _Parts) -> None:
@@ -79,6 +78,6 @@
         put(parts, "op/config", 1, configuration)
         put(parts, "servers/i-1", 2, make_entry(1))
         put(parts, "servers/x-2", 3, make_entry(2, service="nobody"))
-        assert parts.readers.find() == frozenset({"10.0.0.1"})
+        assert [record.instance for record in parts.beliefs.list_engines()] == ["i-1"]
 
     play(action)
--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Coroutine
-from itertools import chain
+from itertools import chain, combinations
 from typing import Any
 
 import pytest
@@ -319,12 +319,12 @@
 
 
 class _Zone:
-    """Processes of one zone that follow a far store; all have streams to the readers.
+    """Processes of one zone that follow a far store.
 
-    :param linked: hosts to which all have streams; the readers if not told.
+    Every second one is beside an engine and has streams to all others; the first ones are readers.
     """
 
-    def __init__(self, *, processes: int, readers: int, linked: int | None = None) -> None:
+    def __init__(self, *, processes: int, readers: int) -> None:
         self.store = _FarStore()
         self.network = FakeNetwork(seed=1)
         self.readers = frozenset(f"h{number}" for number in range(readers))
@@ -332,7 +332,7 @@
             FakeHub(
                 host=f"h{number}",
                 zone="z1",
-                role="upstream" if number < (linked or readers) else "entry",
+                role="entry" if number < readers or number % 2 == 0 else "upstream",
             )
             for number in range(processes)
         ]
@@ -350,8 +350,8 @@
         ]
         self.streams = [
             self.network.link(hub, other)
-            for index, hub in enumerate(self.hubs[: linked or readers])
-            for other in self.hubs[index + 1 :]
+            for hub, other in combinations(self.hubs, 2)
+            if "upstream" in (hub.hello.role, other.hello.role)
         ]
         self.tasks = [
             [asyncio.create_task(replica.follow(p)) for p in ("op/config", "op/version/")]
@@ -489,7 +489,7 @@
 @in_virtual_time
 async def test_new_readers_of_a_zone_report_before_the_next_change() -> None:
     """Their first watch waits for up to 25 s, and what it would tell is known already."""
-    zone = _Zone(processes=12, readers=2, linked=4)
+    zone = _Zone(processes=12, readers=2)
     await asyncio.sleep(3)
     zone.kill(range(2))
     zone.readers = frozenset({"h2", "h3"})
@@ -520,7 +520,7 @@
 @in_virtual_time
 async def test_version_is_heard_in_time_while_both_readers_are_down() -> None:
     """Two hosts may fail; all others then read a large configuration at once."""
-    zone = _Zone(processes=24, readers=2, linked=8)
+    zone = _Zone(processes=24, readers=2)
     await asyncio.sleep(3)
     zone.kill(range(2))
     zone.replicas = zone.replicas[2:]
@@ -682,7 +682,7 @@
     await asyncio.sleep(3)
     reader = FakePeer(zone.hubs[0], FakeHub(host="reader", zone="z1"), 99)
     for handler in zone.hubs[0].handlers[DocumentProgress]:
-        handler(reader, DocumentProgress("op/config", 7, {}))
+        handler(reader, DocumentProgress("op/config", "reader", True, 7, {}, 0.0))
     held = zone.replicas[0].get("op/config")
     revision = zone.replicas[0].describe()["prefixes"]["op/config"]["revision"]  # type: ignore
     # Either is sound: the deletion is taken, or the process does not count as complete to there.
