Ignore SIGHUP after the event loop has closed

Operators saw a stopped process end with status -1.

Change: SIGHUP is blocked with the stop signals.

Measured: test_repeated_signals_do_not_kill_a_process_that_ends with SIGHUP failed before with status -1, and passes.

--- a/sycamoreproxy/daemon.py
+++ b/sycamoreproxy/daemon.py
@@ -120,11 +120,11 @@
 
 
 def _block_stop_signals() -> None:
-    """Keep further stop signals from ending the process with another status.
+    """Keep further signals from ending the process with another status.
 
     The event loop restores their default action when it closes.
     """
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT})
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
 
 
 def _read_bytes(path: Path) -> bytes:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 
+import pytest
 from tornado.testing import bind_unused_port
 
 _SETTINGS = """
@@ -38,8 +39,11 @@
     return [port for _, port in sockets]
 
 
-def test_repeated_stop_signals_do_not_kill_a_process_that_ends(tmp_path: Path) -> None:
-    """A SIGTERM that came after the event loop had closed ended the process with status -15."""
+@pytest.mark.parametrize("repeated", [signal.SIGTERM, signal.SIGHUP])
+def test_repeated_signals_do_not_kill_a_process_that_ends(
+    tmp_path: Path, repeated: signal.Signals
+) -> None:
+    """A signal that came after the event loop had closed ended the process with status -15 or -1."""
     settings = tmp_path / "entry.toml"
     settings.write_text(_SETTINGS.format(*_find_ports(5)), encoding="utf-8")
     command = [sys.executable, "-m", "sycamoreproxy.daemon", "--config", str(settings)]
@@ -48,7 +52,8 @@
     while '"started"' not in (line := process.stdout.readline()):
         assert line, "the process ended"
     deadline = time.monotonic() + 20
+    process.send_signal(signal.SIGTERM)
     while process.poll() is None and time.monotonic() < deadline:
-        process.send_signal(signal.SIGTERM)
+        process.send_signal(repeated)
         time.sleep(0.001)
     assert process.wait(1) == 0
