Treat a connection that closes as it opens as one that was not sent

Change: such a stream counts as no connection.

Measured: test_connection_that_closes_at_once_is_not_sent failed before with AttributeError or StreamClosedError and passes.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -264,6 +264,8 @@
                 stream = await self._client.connect(self._host, self._port, ssl_options=self._tls)
         except (StreamClosedError, OSError, TimeoutError) as error:
             raise NotSentError(f"{type(error).__name__}: {error}") from error
+        if stream.closed():
+            raise NotSentError("the connection closed at once")
         stream.set_nodelay(True)
         _set_probes(stream.socket)
         return stream
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
 from tornado.httputil import HTTPHeaders
+from tornado.iostream import IOStream
 from tornado.testing import bind_unused_port
 
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
@@ -159,3 +161,23 @@
             upstream.stop()
 
     asyncio.run(main())
+
+
+def test_connection_that_closes_at_once_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The stream had no socket any more, and the error ended the task that had asked."""
+
+    async def run() -> None:
+        client = HttpClient("http://127.0.0.1:1", max_body_bytes=100)
+        ends = socket.socketpair()
+        stream = IOStream(ends[0])
+        stream.close()
+
+        async def connect(*arguments: object, **options: object) -> IOStream:
+            return stream
+
+        monkeypatch.setattr(client._client, "connect", connect)
+        with pytest.raises(NotSentError):
+            await client.fetch(method="GET", path="/", timeout_s=1)
+        ends[1].close()
+
+    asyncio.run(run())
