--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -83,7 +83,7 @@
         self._listeners.append(listener)
 
     def list_engines(self) -> list[UpstreamRecord]:
-        """Return the listed model engines of configured services, or all before any configuration."""
+        """Return the engines of configured services, or all before any configuration."""
         services = self.table.services_by_name
         return [
             record
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -18,21 +18,23 @@
 from sycamoreproxy.route_table import EngineProfile
 from sycamoreproxy.upstream_book import UpstreamRecord
 
-#: Requests beyond the batch that an engine may be given if they are the most urgent, and if they are
-#: the least urgent. The engine admits the more urgent first, so urgent requests wait there and not for
-#: the next report. Two free slots cost 7 in 100 of the rate: 16 give 8.7 requests a second, 14 give 8.1.
+#: Requests beyond the batch that an engine may be given if they are the most urgent, and if they
+#: are the least urgent. The engine admits the more urgent first, so urgent requests wait there and
+#: not for the next report. Two free slots cost 7 in 100 of the rate: 16 give 8.7 requests a second,
+#: 14 give 8.1.
 URGENT_ROOM = 4
 LAST_ROOM = -2
 #: A load report is used for this time, in seconds; afterwards own requests are all that is known.
 REPORT_FRESH_S = 1.0
 #: Age of a report on arrival, in seconds: requests sent in this time are not in it yet.
 REPORT_DELAY_S = 0.02
-#: Part of the own requests since a report that each other entry host is taken to have sent since, too.
-#: Hosts see the same reports: an engine that has just loaded gets requests of all of them at once.
+#: Part of the own requests since a report that each other entry host is taken to have sent since,
+#: too. Hosts see the same reports: an engine that has just loaded gets requests of all of them at
+#: once.
 HERD_FRACTION = 0.5
-#: Prompts of usual length that all hosts' waiting requests may add to what an engine still has to read.
-#: It reads them all before its next events: three take 125 ms, sixteen would stop its running streams
-#: for longer than their longest pause.
+#: Prompts of usual length that all hosts' waiting requests may add to what an engine still has to
+#: read. It reads them all before its next events: three take 125 ms, sixteen would stop its running
+#: streams for longer than their longest pause.
 BACKLOG_PROMPTS = 3.0
 #: An engine whose reports stopped for this long is used only if no other has room, in seconds.
 #: Reports come every 0.1 s, so this is no jitter of the network.
@@ -56,8 +58,8 @@
 #: Overdue requests with which an engine that sent nothing since is taken for mute; a single one may
 #: be a lost answer.
 MUTE_OVERDUE = 2
-#: Added to the forecast of an upstream that is mute or fails every request, in seconds: more than any
-#: wait, so that it is used only where no other upstream exists.
+#: Added to the forecast of an upstream that is mute or fails every request, in seconds: more than
+#: any wait, so that it is used only where no other upstream exists.
 LAST_RESORT_S = 10.0
 
 
@@ -259,8 +261,8 @@
         :param profile: timings of the engines; None for plain services.
         :param is_leaving: instances that are used only if no other has room.
         :param any_room: whether an upstream without room may be chosen.
-        :param begin_by: returns the monotonic time until which a request may begin on a version; one that
-            is forecast to begin later would be taken back, so it waits for another engine.
+        :param begin_by: returns the monotonic time until which a request may begin on a version;
+            one that is forecast to begin later would be taken back, so it waits for another engine.
         """
         now = self._clock.monotonic()
         choices: list[tuple[float, Choice]] = []
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -53,9 +53,9 @@
 PATIENCE_S = 1.0
 #: A stream that resumes goes on elsewhere after this many of its longest pauses without an event.
 GAP_PATIENCE = 3.0
-#: A request that has not begun is taken back from an engine this time before its version may no longer
-#: begin a request, in seconds: the version may be heard of 0.3 s late behind a large configuration, and
-#: the close may wait as long behind weights on the link.
+#: A request that has not begun is taken back from an engine this time before its version may no
+#: longer begin a request, in seconds: the version may be heard of 0.3 s late behind a large
+#: configuration, and the close may wait as long behind weights on the link.
 VERSION_MARGIN_S = 0.8
 #: Shortest time left with which a request is sent, in seconds: less does not reach the upstream.
 MIN_TIME_LEFT_S = 0.03
@@ -427,7 +427,7 @@
         return choice.version
 
     def _find_begin_by(self, model: str, version: int) -> float:
-        """Return the monotonic time at which a request that has not begun on a version is taken back."""
+        """Return the monotonic time until which a request must have begun on a version."""
         return self._targets.find_end(model, version) - VERSION_MARGIN_S
 
     def _forecast_answer_s(self, progress: Progress) -> float:
@@ -446,8 +446,8 @@
     ) -> None:
         """Wait for the end of an exchange.
 
-        :raises TimeoutError: if a repeatable request has no output for too long, or if any has not begun
-            before its version ends.
+        :raises TimeoutError: if a repeatable request has no output for too long, or if any has not
+            begun before its version ends.
         """
         started_at = self._clock.monotonic()
         first_limit = math.inf
--- a/sycamoreproxy/stalls.py
+++ b/sycamoreproxy/stalls.py
@@ -1,4 +1,4 @@
-"""Notices times in which the process did not run: a frozen or suspended host, a starved processor."""
+"""Notices times in which the process did not run, on a frozen, suspended or starved host."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 
 #: Time between two ticks, in seconds.
 TICK_S = 0.1
-#: A tick that is late by this time tells of a stall, in seconds: more than a large configuration takes to
-#: read on the smallest host.
+#: A tick that is late by this time tells of a stall, in seconds: more than a large configuration
+#: takes to read on the smallest host.
 STALL_S = 0.5
 #: Time after a stall in which what arrives may have been sent during it, in seconds.
 AFTERMATH_S = 1.0
@@ -32,7 +32,7 @@
 
     @property
     def lag_s(self) -> float:
-        """Time for which something that arrives now may have waited, in seconds; 0 without a stall."""
+        """Time for which an arrival may have waited for this process, in seconds; 0 if it ran."""
         now = self._clock.monotonic()
         current_s = now - self._ticked_at
         if current_s >= STALL_S:
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -3,9 +3,9 @@
 Every document keeps the store's revision of its last change, and a process only ever moves to a
 higher one, so no source can take it back.
 
-Large documents are read from the store by a few processes of each availability zone, which the others
-follow: read by every process, a configuration of 200 KB filled the links between regions for four
-seconds, and what was sent meanwhile came as late.
+Large documents are read from the store by a few processes of each availability zone, which the
+others follow: read by every process, a configuration of 285 KB filled the links between regions for
+four seconds, and what was sent meanwhile came as late.
 """
 
 from __future__ import annotations
@@ -32,11 +32,11 @@
 
 #: Longest wait of one watch call, in seconds; the platform allows 30.
 WATCH_WAIT_S = 25.0
-#: Pause after changes before the next watch call, in seconds: each call is priced, and changes come in
-#: groups. It is a small part of the bounds of 2 s and more on every change.
+#: Pause after changes before the next watch call, in seconds: each call is priced, and changes come
+#: in groups. It is a small part of the bounds of 2 s and more on every change.
 COALESCE_S = 0.25
-#: The same for documents of upstreams, as a part of the bound on leaving ones: a rollout changes each of
-#: them twice, and every change in a call of its own would be a call of every process.
+#: The same for documents of upstreams, as a part of the bound on leaving ones: a rollout changes
+#: each of them twice, and every change in a call of its own would be a call of every process.
 UPSTREAM_COALESCE_FRACTION = 0.3
 #: First and longest pause after a failed call, in seconds. Failed calls are priced like others.
 RETRY_MIN_S = 0.1
@@ -45,37 +45,37 @@
 #: fetches the document from the peer: in normal operation the watch is as fast.
 RELAY_DELAY_S = 0.3
 
-#: Longest wait of a watch for shared documents, in seconds: each answer shows that the store still serves
-#: the reader. It is half of the shortest bound on a configuration.
+#: Longest wait of a watch for shared documents, in seconds: each answer shows that the store still
+#: serves the reader. It is half of the shortest bound on a configuration.
 SHARED_WATCH_S = 1.0
 #: Time between two progress reports of a zone's reader, in seconds.
 PROGRESS_PERIOD_S = 0.4
-#: A process whose zone's readers have had no answer for this time follows the store itself, in seconds: a
-#: watch, a report and its way, and less than the bounds of 2 s and more on every change.
+#: A process whose zone's readers have had no answer for this time follows the store itself, in
+#: seconds: a watch, a report and its way, and less than the bounds of 2 s and more on every change.
 PROGRESS_FRESH_S = 1.7
-#: Longest further wait before that, in seconds: the first process to follow the store reports as a reader
-#: does, and the others need not.
+#: Longest further wait before that, in seconds: the first process to follow the store reports as a
+#: reader does, and the others need not.
 FALLBACK_SPREAD_S = 0.3
 #: Longest wait for a zone's readers after the start, in seconds: streams to them open within it.
 READERS_WAIT_S = 1.5
-#: Longest pause before a shared document is fetched within the zone, in seconds: the processes do not all
-#: ask at once, and those that have it by then share the sending.
+#: Longest pause before a shared document is fetched within the zone, in seconds: the processes do
+#: not all ask at once, and those that have it by then share the sending.
 ZONE_RELAY_DELAY_S = 0.2
-#: Pause before a shared document is fetched from another zone, in seconds: the readers of the own zone
-#: have had the time to bring it, and their link carries it only twice.
+#: Pause before a shared document is fetched from another zone, in seconds: the readers of the own
+#: zone have had the time to bring it, and their link carries it only twice.
 FAR_RELAY_DELAY_S = 1.2
-#: A fetch of a shared document that is not answered in this time is repeated, in seconds: 36 KB of a
-#: configuration to 12 processes take 0.7 s of a link of 4.7 Mbit/s.
+#: A fetch of a shared document that is not answered in this time is repeated, in seconds: 36 KB of
+#: a configuration to 12 processes take 0.7 s of a link of 4.7 Mbit/s.
 FETCH_TIMEOUT_S = 0.8
-#: Bytes of values that were replaced within one answer from which on the prefix is read anew: the store
-#: sends every value of its history, and a series of changes of a large document has many.
+#: Bytes of values that were replaced within one answer from which on the prefix is read anew: the
+#: store sends every value of its history, and a series of changes of a large document has many.
 SUPERSEDED_BYTES = 32 * 1024
-#: Failed watches in a row after which a reader reads a shared prefix anew: the history since the last
-#: answer may be more than one answer can hold.
+#: Failed watches in a row after which a reader reads a shared prefix anew: the history since the
+#: last answer may be more than one answer can hold.
 MAX_WATCH_FAILURES = 3
 
-#: Longest time after which a change is heard of once the store can be reached again, in seconds: a silent
-#: connection is noticed after 3 s, and the pause before the next call takes up to 1 s.
+#: Longest time after which a change is heard of once the store can be reached again, in seconds: a
+#: silent connection is noticed after 3 s, and the pause before the next call takes up to 1 s.
 INTERRUPTION_LAG_S = 4.0
 
 #: Deleted documents that are remembered: a day of restarts of all runners at the target size.
@@ -145,8 +145,10 @@
         first read and after a loss of history.
     :param has_read: whether they were read since the start of the process.
     :param has_answer: whether the store has answered this process.
-    :param lag_s: time for which changes that are being applied may have been made before, in seconds.
-    :param reported_at: monotonic time until which another process of the zone has had answers of the store.
+    :param lag_s: time for which changes that are being applied may have been made before, in
+        seconds.
+    :param reported_at: monotonic time until which another process of the zone has had answers of
+        the store.
     :param outranked_at: the same for processes that go on if this one follows the store, too.
     :param passed_on_at: monotonic time at which a report of another process was passed on last.
     :param is_watching: whether this process follows a shared prefix in the store.
@@ -170,9 +172,11 @@
 
     :param prefixes: what to watch.
     :param pause_s: returns the pause after changes below a prefix, in seconds.
-    :param shared_prefixes: those that a few readers of each availability zone follow for the others.
+    :param shared_prefixes: those that a few readers of each availability zone follow for the
+        others.
     :param find_readers: returns the hosts of the own zone's readers; None while they are not known.
-    :param stall_lag_s: returns the time for which an arrival may have waited for this process, in seconds.
+    :param stall_lag_s: returns the time for which an arrival may have waited for this process, in
+        seconds.
     """
 
     def __init__(
@@ -228,7 +232,7 @@
         )
 
     def find_lag_s(self, key: str) -> float:
-        """Return the longest time for which a change heard of now may have been made before, in seconds.
+        """Return how long before now a change that is heard of now may have been made, in seconds.
 
         0 while the store's answers come without interruption. Bounds that count from a change would
         otherwise end late by the time in which this process could not hear of it.
@@ -307,7 +311,8 @@
     async def follow(self, prefix: str) -> None:
         """Follow the documents below a prefix until cancelled.
 
-        Those of a shared prefix are left to the zone's readers while they have answers of the store.
+        Those of a shared prefix are left to the zone's readers while they have answers of the
+        store.
         """
         if prefix not in self._shared_prefixes:
             await self.watch(prefix)
@@ -318,7 +323,7 @@
             await self._watch_for_zone(prefix)
 
     async def _await_silence(self, prefix: str) -> None:
-        """Wait until no other process of the zone follows a shared prefix; a reader does not wait."""
+        """Wait until no other process of the zone follows a shared prefix; readers do not wait."""
         while not self._is_reader():
             if self.is_relayed(prefix):
                 await asyncio.sleep(RETRY_MIN_S)
@@ -344,7 +349,7 @@
             watching.cancel()
 
     async def _await_readers(self, prefix: str) -> None:
-        """Wait until the zone's readers are heard, or it is known that there are none to wait for."""
+        """Wait until the zone's readers are heard, or there are none to wait for."""
         until = self._clock.monotonic() + READERS_WAIT_S
         while self._clock.monotonic() < until and not self.is_relayed(prefix):
             readers = self._find_readers()
@@ -492,7 +497,7 @@
         self._pass_on(progress, now=self._clock.monotonic())
 
     def _pass_on(self, progress: DocumentProgress, *, now: float) -> None:
-        """Tell the zone's entry hosts, which have no streams to each other, what one of them told."""
+        """Tell what an entry host told to the others of the zone: they have no streams to it."""
         state = self._states_by_prefix[progress.prefix]
         is_entry_host = self._hub.hello.role == "entry"
         if is_entry_host or not progress.is_entry or now - state.passed_on_at < PROGRESS_PERIOD_S:
@@ -533,7 +538,7 @@
                     self._asked_by_key[key] = (revisions[key], now)
 
     def _is_asked(self, key: str, revision: int) -> bool:
-        """Return whether a shared document was asked for a moment ago; its progress is told again."""
+        """Return whether a shared document was asked for a moment ago."""
         asked, at = self._asked_by_key.get(key, (0, -math.inf))
         return asked >= revision and self._clock.monotonic() - at < FETCH_TIMEOUT_S
 
--- a/sycamoreproxy/zone_readers.py
+++ b/sycamoreproxy/zone_readers.py
@@ -1,11 +1,11 @@
 """Which processes of an availability zone read large documents from the store for the others.
 
-Answers deployments whose zones share a narrow link to the store: read by every process, a configuration
-of 285 KB filled such a link for four seconds.
+Answers deployments whose zones share a narrow link to the store: read by every process, a
+configuration of 285 KB filled such a link for four seconds.
 
-Readers are entry hosts, because weights fill the links of the hosts beside engines during a rollout.
-Entry hosts do not know each other, so the processes beside engines choose among those that they have
-streams with and tell them.
+Readers are entry hosts, because weights fill the links of the hosts beside engines during a
+rollout. Entry hosts do not know each other, so the processes beside engines choose among those that
+they have streams with and tell them.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
 from sycamoreproxy.messages import DocumentReaders
 from sycamoreproxy.peers import Peer, PeerHub
 
-#: Readers that a process beside an engine chooses. With two, one may fail without any delay, and the link
-#: carries a document twice.
+#: Readers that a process beside an engine chooses. With two, one may fail without any delay, and
+#: the link carries a document twice.
 READERS = 2
 
 
