--- a/tests/_upstreams.py
+++ b/tests/_upstreams.py
@@ -33,4 +33,5 @@
         slots=16,
         started_ms=1,
         version_by_model=(("m1", version),) if version else (),
+        is_engine=True,
     )
