Do not cut a plain answer when its version ends

Callers of a plain answer that may not run twice would have lost one that was being made.

Cause: takes back every request without output at the end of its version, but a plain answer has no output before its end, so whether it has begun is not known.

Change: the limit holds for streams and for requests that may be repeated, as before for the latter.

Measured: test_plain_answer_that_may_not_run_twice_is_not_cut_when_its_version_ends failed before with 504 and passes.

--- a/sycamoreproxy/platform/documents.py
+++ b/sycamoreproxy/platform/documents.py
@@ -29,7 +29,8 @@
     """Decodes the store's documents into the product's types."""
 
     prefixes = (names.VERSION_PREFIX, names.CONFIG_KEY, names.RUNNER_PREFIX)
-    # A configuration holds all routes and keys; the others take some hundred bytes each.
+    # A configuration holds all routes and keys; the others take some hundred bytes each. Its key is
+    # the only one that begins so.
     shared_prefixes = (names.CONFIG_KEY,)
 
     def is_of_upstreams(self, prefix: str) -> bool:
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -35,7 +35,7 @@
 from sycamoreproxy.placement import Choice, Need, Placer
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.result_codes import Executed, Refusal
-from sycamoreproxy.route_table import Route, RouteTable, ServiceSpec
+from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
 from sycamoreproxy.upstream_book import UpstreamBook, UpstreamRecord
 from sycamoreproxy.waiting_line import Overload, Waiter, WaitingLine
 from sycamoreproxy.weight_targets import WeightTargets
@@ -455,7 +455,9 @@
             first_limit = started_at + (
                 choice.forecast_s + PATIENCE_GOALS * progress.route.goal_s + PATIENCE_S
             )
-        if choice.version:
+        # Only a stream shows by its first output that it has begun.
+        is_stream = progress.route.kind is RouteKind.STREAMING
+        if choice.version and (is_stream or progress.route.repeatable):
             begin_by = self._find_begin_by(progress.request.model, choice.version)
             first_limit = min(first_limit, begin_by)
         try:
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -59,6 +59,7 @@
 ROUTES = [
     make_route("ask", "streaming", "model", session_affinity=True, stream_resume=True),
     make_route("once", "streaming", "model", session_affinity=True),
+    make_route("order", "non_idempotent", "model", session_affinity=True, max_attempts=1),
     make_route("read", "idempotent", "ledger"),
     make_route("post", "non_idempotent", "ledger", max_attempts=1),
     make_route("open", "idempotent", "ledger", public=True),
@@ -922,3 +923,17 @@
         assert not [r.received for r in site.runners[2:] if r.received]
 
     play(action)
+
+
+def test_plain_answer_that_may_not_run_twice_is_not_cut_when_its_version_ends() -> None:
+    """Nothing tells whether it has begun, and cutting it would lose an answer that was made."""
+
+    async def action(site: Site) -> None:
+        for faults in site.faults[:2]:
+            faults.replace({"delay_ms": 600})
+        site.front.dispatcher._targets.set_bound(VERSION_MARGIN_S + 0.3)
+        site.front.dispatcher._targets.set_target("m1", 2, is_first_read=False)
+        status, _, _, whole = await site.ask("/order/x", Sycamoreproxy_Model="m1")
+        assert (status, whole, site.ran()) == (200, True, 1)
+
+    play(action)
