Tell in the logs who reads a configuration and where copies come from

`configuration in force` names no source, and nothing tells which processes read for their zone, so logs can't tell a late answer of the store from a late copy.

Change: logs only. `document changed` of large documents at info, with its source; `following the store for the zone`, `left the store to another process`, `readers chosen`, `readers told`, `store answered late`. The test zone can be linked after its start and takes another store.

Measured: tests/test_watched_documents.py passes, with two new tests of the lines.

--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -57,6 +57,9 @@
 #: fetches the document from the peer: in normal operation the watch is as fast.
 RELAY_DELAY_S = 0.3
 
+#: Time beyond the wait of a watch from which on its answer is logged as late, in seconds: answers take
+#: some milliseconds, and a large document 0.2 s of a link between regions.
+SLOW_ANSWER_S = 0.5
 #: Longest wait of a watch for shared documents, in seconds: each answer shows that the store still
 #: serves the reader. It is half of the shortest bound on a configuration.
 SHARED_WATCH_S = 1.0
@@ -300,7 +303,9 @@
         self._update_digest(held, document)
         if document.value is None:
             self._note_deleted(document.key)
-        _log.debug("document changed", key=document.key, revision=document.revision, source=source)
+        # Large documents change seldom, and where a copy came from tells why it was late.
+        log = _log.info if self._is_large(document.key) else _log.debug
+        log("document changed", key=document.key, revision=document.revision, source=source)
         for listener in self._listeners:
             try:
                 listener(document)
@@ -309,6 +314,13 @@
                 _log.exception("document listener failed", key=document.key)
         return True
 
+    def _is_large(self, key: str) -> bool:
+        return any(
+            key.startswith(prefix)
+            for prefix in self._shared_prefixes
+            if prefix not in self._pushed_prefixes
+        )
+
     def _update_digest(self, before: Document | None, document: Document) -> None:
         for prefix in self._pushed_prefixes:
             if document.key.startswith(prefix):
@@ -369,6 +381,13 @@
     async def _watch_for_zone(self, prefix: str) -> None:
         """Follow a shared prefix in the store and report progress, until another process does."""
         state = self._states_by_prefix[prefix]
+        _log.info(
+            "following the store for the zone",
+            prefix=prefix,
+            is_reader=self._is_reader(),
+            peers=len(self._hub.peers),
+            silent_s=round(self._find_silence_s(state), 3),
+        )
         watching = asyncio.create_task(self.watch(prefix))
         state.is_watching = True
         try:
@@ -377,6 +396,7 @@
                 await asyncio.wait({watching}, timeout=PROGRESS_PERIOD_S)
                 if watching.done():
                     watching.result()
+            _log.info("left the store to another process", prefix=prefix, revision=state.revision)
         finally:
             state.is_watching = False
             state.is_connected = False
@@ -425,12 +445,17 @@
         pause = RETRY_MIN_S
         while True:
             try:
+                wait_s = self._find_wait_s(prefix) if state.revision else 0.0
+                began_at = self._clock.monotonic()
                 if state.revision == 0:
-                    self._apply_all(prefix, await self._source.read_all(prefix))
+                    snapshot = await self._source.read_all(prefix)
+                    self._note_duration(prefix, self._clock.monotonic() - began_at, wait_s)
+                    self._apply_all(prefix, snapshot)
                 else:
                     changes = await self._source.wait_changes(
-                        prefix, after=state.revision, wait_s=self._find_wait_s(prefix)
+                        prefix, after=state.revision, wait_s=wait_s
                     )
+                    self._note_duration(prefix, self._clock.monotonic() - began_at, wait_s)
                     self._apply_changes(prefix, changes)
                     if changes.documents:
                         await asyncio.sleep(self._find_pause_s(prefix))
@@ -453,6 +478,15 @@
                 await asyncio.sleep(pause * (0.5 + random.random()))
                 pause = min(RETRY_MAX_S, pause * 2)
 
+    def _note_duration(self, prefix: str, duration_s: float, wait_s: float) -> None:
+        if duration_s > wait_s + SLOW_ANSWER_S:
+            _log.warning(
+                "store answered late",
+                prefix=prefix,
+                duration_ms=round(duration_s * 1000),
+                wait_ms=round(wait_s * 1000),
+            )
+
     def _find_pause_s(self, prefix: str) -> float:
         is_pushing = prefix in self._pushed_prefixes and self._is_reader()
         return self._pause_s(prefix) * (READER_PAUSE_PART if is_pushing else 1.0)
--- a/sycamoreproxy/zone_readers.py
+++ b/sycamoreproxy/zone_readers.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
+from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import DocumentReaders
 from sycamoreproxy.peers import Peer, PeerHub
 
@@ -20,6 +21,8 @@
 #: the link carries a document twice.
 READERS = 2
 
+_log = get_logger("zone_readers")
+
 
 def rank_host(host: str) -> bytes:
     """Return a host's place in an order that all processes agree on."""
@@ -52,8 +55,12 @@
         return peer.hello.availability_zone == self._hub.hello.availability_zone
 
     def _take(self, peer: Peer, readers: DocumentReaders) -> None:
-        if self._is_near(peer):
-            self._told_by_peer[peer] = frozenset(readers.hosts)
+        if not self._is_near(peer):
+            return
+        before = self.find()
+        self._told_by_peer[peer] = frozenset(readers.hosts)
+        if self.find() != before:
+            _log.info("readers told", hosts=sorted(self.find() or ()), by=peer.hello.host)
 
     def _note_open(self, peer: Peer) -> None:
         if self._hub.hello.role != "upstream" or peer.hello.role != "entry":
@@ -73,6 +80,7 @@
         if chosen == self._chosen:
             return False
         self._chosen = chosen
+        _log.info("readers chosen", hosts=sorted(chosen), among=len(near))
         self._hub.broadcast(
             DocumentReaders(tuple(sorted(chosen))),
             role="entry",
--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+import structlog
 
 from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.document_source import (
@@ -329,9 +330,15 @@
     """
 
     def __init__(
-        self, *, processes: int, readers: int, pushed_prefixes: tuple[str, ...] = ()
+        self,
+        *,
+        processes: int,
+        readers: int,
+        pushed_prefixes: tuple[str, ...] = (),
+        store: _FarStore | None = None,
+        is_linked: bool = True,
     ) -> None:
-        self.store = _FarStore()
+        self.store = store or _FarStore()
         prefixes = ("op/config", "op/version/", *pushed_prefixes)
         self.network = FakeNetwork(seed=1)
         self.readers = frozenset(f"h{number}" for number in range(readers))
@@ -356,15 +363,21 @@
             )
             for hub, path in zip(self.hubs, self.paths, strict=True)
         ]
+        self.streams: list[FakePeer] = []
+        if is_linked:
+            self.link()
+        self.tasks = [
+            [asyncio.create_task(replica.follow(p)) for p in prefixes] for replica in self.replicas
+        ]
+        self._delivering = asyncio.create_task(self._deliver())
+
+    def link(self) -> None:
+        """Open the streams of the zone."""
         self.streams = [
             self.network.link(hub, other)
             for hub, other in combinations(self.hubs, 2)
             if "upstream" in (hub.hello.role, other.hello.role)
         ]
-        self.tasks = [
-            [asyncio.create_task(replica.follow(p)) for p in prefixes] for replica in self.replicas
-        ]
-        self._delivering = asyncio.create_task(self._deliver())
 
     async def _deliver(self) -> None:
         while True:
@@ -419,6 +432,33 @@
     zone.stop()
 
 
+@in_virtual_time
+async def test_logs_tell_who_reads_a_configuration_and_where_copies_come_from() -> None:
+    zone = _Zone(processes=6, readers=2)
+    with structlog.testing.capture_logs() as lines:
+        await asyncio.sleep(3)
+        zone.store.put("op/config", b"y" * 1000)
+        await asyncio.sleep(1)
+    following = [line for line in lines if line["event"] == "following the store for the zone"]
+    assert [line["is_reader"] for line in following] == [True, True]
+    changed = [line for line in lines if line["event"] == "document changed"]
+    sources = [line["source"] for line in changed if line["revision"] == 2]
+    assert len(sources) == 6 and sources.count("store") == 2
+    zone.stop()
+
+
+@in_virtual_time
+async def test_answer_of_the_store_that_comes_late_is_logged() -> None:
+    zone = _Zone(processes=6, readers=2)
+    await asyncio.sleep(3)
+    with structlog.testing.capture_logs() as lines:
+        zone.store.put("op/config", b"y" * LARGE_BYTES * 10)
+        await asyncio.sleep(5)
+    late = [line for line in lines if line["event"] == "store answered late"]
+    assert late and all(line["duration_ms"] > line["wait_ms"] for line in late)
+    zone.stop()
+
+
 @in_virtual_time
 async def test_processes_follow_the_store_when_their_readers_fall_silent() -> None:
     """A change that is made while both readers are frozen must not wait for them."""
