Add failing tests of large configurations after a start and without readers

What callers see: entry hosts of a far zone serve by an older configuration after the bound of 3.0 s (CONFIG), for all routes of the change.

Evidence: a zone of 24 processes behind a link of 15 Mbit/s that answers share evenly, a configuration of 387 KB. (1) Streams that open 5 s after the start: not in force at all processes after 3.0 s. (2) Both readers frozen, or cut off from the store, at four moments between two of their answers: not in force after 3.0 s in any of the eight cases. A zone of 6 processes with 36 KB and a bound of 2.0 s passes.

--- /dev/null
+++ b/tests/test_large_configurations.py
@@ -0,0 +1,87 @@
+"""Guards against large configurations that reach the processes of a far zone after their bound."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from sycamoreproxy.document_source import Document, Snapshot
+from tests._virtual_time import in_virtual_time
+from tests.test_watched_documents import LINK_BYTES_PER_S, _FarStore, _Zone
+
+#: Bounds on a configuration on deployments of 57 and of 14 hosts, in seconds.
+LARGE_BOUND_S = 3.0
+SMALL_BOUND_S = 2.0
+#: A configuration of 1,320 and of 120 routes, in bytes as the store sends it.
+LARGE_BYTES = 387_000
+SMALL_BYTES = 36_000
+STEP_S = 0.01
+
+
+class _SharedLinkStore(_FarStore):
+    """A store behind a link that all answers in progress share evenly, as TCP streams do."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._sending = 0
+
+    async def _send(self, documents: tuple[Document, ...]) -> Snapshot:
+        revision = self.revision
+        left = float(sum(len(document.value or b"") for document in documents))
+        self._sending += 1
+        try:
+            while left > 0:
+                await asyncio.sleep(STEP_S)
+                left -= LINK_BYTES_PER_S * STEP_S / self._sending
+        finally:
+            self._sending -= 1
+        return Snapshot(documents, revision)
+
+
+def _lose_readers(zone: _Zone, loss: str) -> None:
+    if loss == "cut off from the store":
+        for path in zone.paths[:2]:
+            path.is_silent = True
+        return
+    zone.kill(range(2))
+    for hub in zone.hubs[:2]:
+        hub.handlers.clear()
+    zone.replicas = zone.replicas[2:]
+
+
+@pytest.mark.parametrize("connected_after_s", [0.2, 2.0, 5.0])
+@in_virtual_time
+async def test_configuration_is_in_force_in_time_when_streams_open_after_the_start(
+    connected_after_s: float,
+) -> None:
+    """A process without peers kept its watch of 25 s when they came, and all read the change."""
+    zone = _Zone(processes=24, readers=2, store=_SharedLinkStore(), is_linked=False)
+    await asyncio.sleep(connected_after_s)
+    zone.link()
+    await asyncio.sleep(4)
+    zone.store.put("op/config", b"x" * LARGE_BYTES)
+    await asyncio.sleep(LARGE_BOUND_S)
+    assert zone.count_holding("op/config", 2) == 24
+    zone.stop()
+
+
+@pytest.mark.parametrize(
+    ("processes", "size", "bound_s"),
+    [(24, LARGE_BYTES, LARGE_BOUND_S), (6, SMALL_BYTES, SMALL_BOUND_S)],
+    ids=["57 hosts", "14 hosts"],
+)
+@pytest.mark.parametrize("loss", ["frozen", "cut off from the store"])
+@pytest.mark.parametrize("lost_after_s", [3.0, 3.25, 3.5, 3.75])
+@in_virtual_time
+async def test_configuration_is_in_force_in_time_when_both_readers_fall_silent(
+    processes: int, size: int, bound_s: float, loss: str, lost_after_s: float
+) -> None:
+    """All others began to read within 0.3 s, and no answer came before the last had begun."""
+    zone = _Zone(processes=processes, readers=2, store=_SharedLinkStore())
+    await asyncio.sleep(lost_after_s)
+    _lose_readers(zone, loss)
+    zone.store.put("op/config", b"x" * size)
+    await asyncio.sleep(bound_s)
+    assert zone.count_holding("op/config", 2) >= processes - 2
+    zone.stop()
