Watch shared documents briefly before peers are known, too

What callers saw: a configuration of 1,320 routes sent 3 s after the start was in force at the entry hosts of both far zones after 2.9 to 3.1 s, at its bound of 3.0 s (CONFIG).

Cause: the wait of a watch is chosen when it begins. At the start no process has peers, so each began a watch of 25 s and kept it when its peers came 1.9 s later; no answer, so no progress was reported, and all 57 processes took the first change themselves. The class: a decision by the state at the start that outlasts this state.

Change: shared prefixes are watched for 1 s at a time, whether there are peers or not.

--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -507,7 +507,7 @@
         return self._pause_s(prefix) * (READER_PAUSE_PART if is_pushing else 1.0)
 
     def _find_wait_s(self, prefix: str) -> float:
-        if prefix not in self._shared_prefixes or not self._hub.peers:
+        if prefix not in self._shared_prefixes:
             return WATCH_WAIT_S
         # Others rely on this process only after an answer of the store.
         return SHARED_WATCH_S if self._states_by_prefix[prefix].is_connected else 0.0
