Read the error of an exchange that ends while it is given up

Cause: a request that leaves its exchange cancels it; if the connection closed at the same moment, the exchange ends with its own error, which nobody reads. The request's outcome was already decided, so callers saw nothing of it.

Change: the error of an exchange that is given up is read.

Measured: the new test fails before (one unread error) and passes; tests/test_routed_entry.py passes.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -483,8 +483,9 @@
                 await asyncio.wait({exchange}, timeout=None if left == math.inf else left)
             await exchange
         finally:
-            if not exchange.done():
-                exchange.cancel()
+            # The exchange may end with an error of its own while it is given up.
+            exchange.add_done_callback(_read_error)
+            exchange.cancel()
 
     def _find_nominal_rate(self, service: str) -> float:
         """Return this host's part of the requests a second that a service's engines can take."""
@@ -564,3 +565,9 @@
             executed=None if refusal is None else str(refusal.executed),
             detail=None if refusal is None else refusal.detail,
         )
+
+
+def _read_error(ended: asyncio.Future[None]) -> None:
+    """Take the error of an exchange that nobody awaits any more."""
+    if not ended.cancelled():
+        ended.exception()
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import random
 import socket
@@ -26,7 +27,7 @@
     make_runner_routes,
 )
 from sycamoreproxy import weight_targets
-from sycamoreproxy._http_client import HttpClient
+from sycamoreproxy._http_client import AnswerLostError, HttpClient
 from sycamoreproxy.answer_relay import MAX_BODY_BYTES, MAX_UNSENT_BYTES
 from sycamoreproxy.beliefs import Beliefs
 from sycamoreproxy.clock import SystemClock
@@ -372,6 +373,30 @@
     play(action)
 
 
+def test_error_of_an_exchange_that_was_given_up_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connection that closed while its request was given up left a traceback without a request."""
+
+    async def lose(client: HttpClient, **options: Any) -> None:
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError as error:
+            raise AnswerLostError("closed", received=False) from error
+
+    monkeypatch.setattr(HttpClient, "exchange", lose)
+
+    async def action(site: Site) -> None:
+        unread: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: unread.append(context)
+        )
+        status, _, _, _ = await site.ask("/post/x", Sycamoreproxy_Deadline_Ms="300")
+        await asyncio.sleep(0.05)
+        gc.collect()
+        assert status == 504 and not unread
+
+    play(action)
+
+
 def test_upstream_receives_the_time_that_is_left() -> None:
     async def action(site: Site) -> None:
         await site.ask("/read/x", Sycamoreproxy_Deadline_Ms="700")
