Read only the newest of a series of large configurations

What callers would see: after 25 configurations of 387 KB within 2 s, the newest is in force in a far zone 4.0 to 5.3 s after it was sent, with a bound of 3.0 s (CONFIG).

Cause: the store's watch sends every value since the revision asked for. While the readers receive one value, the history grows by several, and each answer is longer than the one before. What was superseded was only counted once the answer had arrived.

Change: a watch of a large document is given up as soon as its answer is known to be longer than a quarter more than the value held; the newest value is read instead. `Content-Length` tells before the body is received.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -56,6 +56,10 @@
         self.received = received
 
 
+class AnswerTooLargeError(AnswerLostError):
+    """The answer is longer than permitted."""
+
+
 HeadListener = Callable[[int, HTTPHeaders], None]
 DataListener = Callable[[bytes], None]
 
@@ -209,16 +213,26 @@
         :param max_bytes: longest body; None for the longest that the client reads.
         :param on_part: called for each part of the body.
         :raises NotSentError: if there is no connection.
-        :raises AnswerLostError: if the answer is absent, cut, malformed, too long or late.
+        :raises AnswerTooLargeError: if the body is longer than ``max_bytes``.
+        :raises AnswerLostError: if the answer is absent, cut, malformed or late.
         """
         answer = bytearray()
         loop = asyncio.get_running_loop()
         timeout_at = loop.time() + timeout_s
         limit = asyncio.timeout_at(timeout_at)
 
+        def check_size(size: int) -> None:
+            if max_bytes is not None and size > max_bytes:
+                raise AnswerTooLargeError(f"an answer of over {max_bytes} bytes", received=True)
+
+        def take_head(status: int, received: HTTPHeaders) -> None:
+            length = received.get("Content-Length", "")
+            if length.isdecimal():
+                check_size(int(length))
+            head.append((status, received))
+
         def take(data: bytes) -> None:
-            if max_bytes is not None and len(answer) + len(data) > max_bytes:
-                raise AnswerLostError(f"an answer of over {max_bytes} bytes", received=True)
+            check_size(len(answer) + len(data))
             answer.extend(data)
             now = loop.time()
             limit.reschedule(max(timeout_at, min(now + PART_PAUSE_S, timeout_at + transfer_s)))
@@ -235,7 +249,7 @@
                     path=path,
                     headers=headers,
                     body=body,
-                    on_head=lambda status, received: head.append((status, received)),
+                    on_head=take_head,
                     on_data=take,
                     repeatable=True,
                 )
--- a/sycamoreproxy/document_source.py
+++ b/sycamoreproxy/document_source.py
@@ -15,6 +15,10 @@
     """The store gave no usable answer."""
 
 
+class ManyChangesError(Exception):
+    """The changes since the revision asked for are longer than permitted."""
+
+
 class HistoryLostError(Exception):
     """The store no longer holds the changes since the revision asked for."""
 
@@ -58,11 +62,14 @@
         *,
         after: int,
         wait_s: float,
+        max_bytes: int | None = None,
         on_part: Callable[[], None] = lambda: None,
     ) -> Snapshot:
         """Return the changes after a revision as soon as there are any, or none after ``wait_s``.
 
+        :param max_bytes: largest sum of the values, in bytes; None for no limit of the caller's.
         :param on_part: called when a part of the answer arrives.
+        :raises ManyChangesError: if the values are longer than ``max_bytes``.
         :raises HistoryLostError: if they are no longer available.
         :raises SourceUnavailableError: if the store gives no usable answer in time.
         """
--- a/sycamoreproxy/platform/store.py
+++ b/sycamoreproxy/platform/store.py
@@ -4,14 +4,21 @@
 
 import base64
 import json
+import math
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
-from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
+from sycamoreproxy._http_client import (
+    AnswerLostError,
+    AnswerTooLargeError,
+    HttpClient,
+    NotSentError,
+)
 from sycamoreproxy.document_source import (
     Document,
     HistoryLostError,
+    ManyChangesError,
     Snapshot,
     SourceUnavailableError,
 )
@@ -25,6 +32,8 @@
 TRANSFER_TIMEOUT_S = 5.0
 #: Largest answer, in bytes: a page holds about 1 MB of values in base64.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+#: Bytes of an answer besides the values, which are sent in base64: some items of up to 300 bytes.
+ENVELOPE_BYTES = 4096
 
 
 class PlatformStore:
@@ -63,16 +72,22 @@
         *,
         after: int,
         wait_s: float,
+        max_bytes: int | None = None,
         on_part: Callable[[], None] = lambda: None,
     ) -> Snapshot:
         """Return the changes after a revision.
 
+        :raises ManyChangesError: if their values are longer than ``max_bytes``.
         :raises HistoryLostError: if the store has discarded them.
         :raises SourceUnavailableError: if there is no usable answer in time.
         """
         query = {"prefix": prefix, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
         answer = await self._call(
-            "/kv-watch", query, timeout_s=wait_s + CALL_TIMEOUT_S, on_part=on_part
+            "/kv-watch",
+            query,
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+            max_bytes=None if max_bytes is None else math.ceil(max_bytes * 4 / 3) + ENVELOPE_BYTES,
+            on_part=on_part,
         )
         events = tuple(_read_item(item) for item in answer.get("events", ()))
         return Snapshot(events, int(answer["store_revision"]))
@@ -82,7 +97,13 @@
         self._http.close()
 
     async def _call(
-        self, path: str, query: dict[str, str], *, timeout_s: float, on_part: Callable[[], None]
+        self,
+        path: str,
+        query: dict[str, str],
+        *,
+        timeout_s: float,
+        max_bytes: int | None = None,
+        on_part: Callable[[], None],
     ) -> dict[str, Any]:
         STORE_CALLS.inc({"verb": path.removeprefix("/kv-")})
         try:
@@ -91,8 +112,11 @@
                 path=f"{path}?{urlencode(query)}",
                 timeout_s=timeout_s,
                 transfer_s=TRANSFER_TIMEOUT_S,
+                max_bytes=max_bytes,
                 on_part=on_part,
             )
+        except AnswerTooLargeError as error:
+            raise ManyChangesError(str(error)) from error
         except (NotSentError, AnswerLostError) as error:
             raise SourceUnavailableError(str(error)) from error
         if status == 410:
--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -24,6 +24,7 @@
     Document,
     DocumentSource,
     HistoryLostError,
+    ManyChangesError,
     Snapshot,
     SourceUnavailableError,
 )
@@ -94,6 +95,8 @@
 #: Bytes of values that were replaced within one answer from which on the prefix is read anew: the
 #: store sends every value of its history, and a series of changes of a large document has many.
 SUPERSEDED_BYTES = 32 * 1024
+#: Growth of a large document that a watch still brings; a longer answer is taken for a series.
+GROWTH = 1.25
 #: Failed watches in a row after which a reader reads a shared prefix anew: the history since the
 #: last answer may be more than one answer can hold.
 MAX_WATCH_FAILURES = 3
@@ -464,6 +467,8 @@
         """Follow the documents below a prefix in the store until cancelled."""
         state = self._states_by_prefix[prefix]
         pause = RETRY_MIN_S
+        # Whether changes come in a series, of which only the newest values are read.
+        is_series = False
 
         def note_part() -> None:
             state.received_at = self._clock.monotonic()
@@ -472,22 +477,30 @@
             try:
                 wait_s = self._find_wait_s(prefix) if state.revision else 0.0
                 began_at = self._clock.monotonic()
-                if state.revision == 0:
+                if state.revision == 0 or is_series:
                     snapshot = await self._source.read_all(prefix, on_part=note_part)
-                    self._note_duration(prefix, self._clock.monotonic() - began_at, wait_s)
-                    self._apply_all(prefix, snapshot)
+                    self._note_duration(prefix, self._clock.monotonic() - began_at, 0.0)
+                    has_changed = self._apply_all(prefix, snapshot)
+                    if is_series and has_changed:
+                        await asyncio.sleep(self._find_pause_s(prefix))
+                    is_series = False
                 else:
                     changes = await self._source.wait_changes(
-                        prefix, after=state.revision, wait_s=wait_s, on_part=note_part
+                        prefix,
+                        after=state.revision,
+                        wait_s=wait_s,
+                        max_bytes=self._find_max_bytes(prefix),
+                        on_part=note_part,
                     )
                     self._note_duration(prefix, self._clock.monotonic() - began_at, wait_s)
                     self._apply_changes(prefix, changes)
                     if changes.documents:
                         await asyncio.sleep(self._find_pause_s(prefix))
-                    if _count_superseded(changes) > SUPERSEDED_BYTES:
-                        state.revision = 0
+                    is_series = _count_superseded(changes) > SUPERSEDED_BYTES
                 pause = RETRY_MIN_S
                 continue
+            except ManyChangesError:
+                is_series = True
             except HistoryLostError:
                 _log.info("history lost", prefix=prefix, after=state.revision)
                 state.revision = 0
@@ -516,6 +529,13 @@
         is_pushing = prefix in self._pushed_prefixes and self._is_reader()
         return self._pause_s(prefix) * (READER_PAUSE_PART if is_pushing else 1.0)
 
+    def _find_max_bytes(self, prefix: str) -> int | None:
+        """Return the longest answer of a watch, in bytes: not two values of a large document."""
+        if prefix not in self._large_prefixes:
+            return None
+        held = (item for key, item in self._documents_by_key.items() if key.startswith(prefix))
+        return int(GROWTH * sum(len(item.value or b"") for item in held)) + SUPERSEDED_BYTES
+
     def _find_wait_s(self, prefix: str) -> float:
         if prefix not in self._shared_prefixes:
             return WATCH_WAIT_S
@@ -524,16 +544,18 @@
 
     # What arrives
 
-    def _apply_all(self, prefix: str, snapshot: Snapshot) -> None:
+    def _apply_all(self, prefix: str, snapshot: Snapshot) -> bool:
+        """Take all documents below a prefix; return whether any has changed."""
         listed = {document.key for document in snapshot.documents}
         deleted = [
             Document(key, snapshot.revision, None)
             for key, held in self._documents_by_key.items()
             if key.startswith(prefix) and key not in listed and held.value is not None
         ]
-        self._apply_changes(prefix, Snapshot((*snapshot.documents, *deleted), snapshot.revision))
+        documents = (*snapshot.documents, *deleted)
+        return self._apply_changes(prefix, Snapshot(documents, snapshot.revision))
 
-    def _apply_changes(self, prefix: str, snapshot: Snapshot) -> None:
+    def _apply_changes(self, prefix: str, snapshot: Snapshot) -> bool:
         state = self._states_by_prefix[prefix]
         if not state.is_connected:
             _log.info(
@@ -559,7 +581,7 @@
         state.lag_s = 0.0
         state.is_applying = False
         if not changed:
-            return
+            return False
         if prefix in self._pushed_prefixes:
             self._push(changed)
             self._announce_far(changed)
@@ -567,6 +589,7 @@
             self._hub.broadcast(DocumentAnnounce(changed))
         if prefix in self._shared_prefixes:
             self._report_progress(prefix)
+        return True
 
     def _push(self, keys: Iterable[str]) -> None:
         """Send documents to all peers of the own zone."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,7 +13,11 @@
 from standins._server import Faults
 from standins.platform import PlatformStore as StoreStandIn
 from standins.platform import make_store_routes
-from sycamoreproxy.document_source import HistoryLostError, SourceUnavailableError
+from sycamoreproxy.document_source import (
+    HistoryLostError,
+    ManyChangesError,
+    SourceUnavailableError,
+)
 from sycamoreproxy.platform.store import MAX_ANSWER_BYTES, PlatformStore
 from tests._raw_upstream import PIECE_BYTES, RawUpstream
 
@@ -122,3 +126,25 @@
         upstream.stop()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("has_length", [True, False])
+def test_changes_that_are_too_long_are_not_received(has_length: bool) -> None:
+    """A watch sends every value of the history, 7 MB after a series of large configurations."""
+
+    async def main() -> None:
+        head = b"HTTP/1.1 200 OK\r\n"
+        if has_length:
+            head += b"Content-Length: %d\r\n" % MAX_ANSWER_BYTES
+        upstream = RawUpstream(head=head + b"\r\n", piece=b" " * PIECE_BYTES, pause_s=0.01)
+        await upstream.start()
+        store = PlatformStore(f"127.0.0.1:{upstream.port}")
+        async with asyncio.timeout(8):
+            with pytest.raises(ManyChangesError):
+                await store.wait_changes("op/config", after=1, wait_s=0.5, max_bytes=PIECE_BYTES)
+            await upstream.wait_closed(1)
+        assert upstream.sent <= 16 * PIECE_BYTES
+        store.close()
+        upstream.stop()
+
+    asyncio.run(main())
--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -161,3 +161,33 @@
     await asyncio.sleep(CALL_TIMEOUT_S + TRANSFER_TIMEOUT_S)
     assert zone.count_holding("op/config", 2) == 24
     zone.stop()
+
+
+@pytest.mark.parametrize(("gap_s", "count"), [(0.06, 25), (0.08, 25), (0.2, 15), (0.7, 6)])
+@in_virtual_time
+async def test_each_of_a_series_of_large_configurations_is_in_force_in_time(
+    gap_s: float, count: int
+) -> None:
+    """A watch brought up to 24 values of 387 KB, of which only the last one counts."""
+    zone = _Zone(processes=24, readers=2, store=_SharedLinkStore())
+    await asyncio.sleep(3)
+    changing = asyncio.create_task(_change_often(zone, gap_s=gap_s, count=count))
+    changed_at_by_revision: dict[int, float] = {}
+    longest_s, loop = 0.0, asyncio.get_running_loop()
+    while not changing.done() or zone.count_holding("op/config", zone.store.revision) < 24:
+        if zone.store.revision > 1:
+            changed_at_by_revision.setdefault(zone.store.revision, loop.time())
+        for revision, changed_at in list(changed_at_by_revision.items()):
+            if zone.count_holding("op/config", revision) == 24:
+                del changed_at_by_revision[revision]
+            else:
+                longest_s = max(longest_s, loop.time() - changed_at)
+        assert longest_s < LARGE_BOUND_S
+        await asyncio.sleep(0.02)
+    zone.stop()
+
+
+async def _change_often(zone: _Zone, *, gap_s: float, count: int) -> None:
+    for _ in range(count):
+        zone.store.put("op/config", b"x" * LARGE_BYTES)
+        await asyncio.sleep(gap_s)
--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -15,6 +15,7 @@
 from sycamoreproxy.document_source import (
     Document,
     HistoryLostError,
+    ManyChangesError,
     Snapshot,
     SourceUnavailableError,
 )
@@ -274,13 +275,22 @@
         return await self._send(tuple(d for d in newest.values() if d.value is not None), on_part)
 
     async def wait_changes(
-        self, prefix: str, *, after: int, wait_s: float, on_part: Callable[[], None]
+        self,
+        prefix: str,
+        *,
+        after: int,
+        wait_s: float,
+        max_bytes: int | None = None,
+        on_part: Callable[[], None],
     ) -> Snapshot:
         if after < self.oldest:
             raise HistoryLostError
         until = asyncio.get_running_loop().time() + wait_s
         while True:
             changes = [d for d in self.documents if d.key.startswith(prefix) and d.revision > after]
+            size = sum(len(document.value or b"") for document in changes)
+            if max_bytes is not None and size > max_bytes:
+                raise ManyChangesError
             if changes or asyncio.get_running_loop().time() >= until:
                 return await self._send(tuple(changes), on_part)
             await asyncio.sleep(0.01)
