--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -38,8 +38,9 @@
     DocumentProgressAsk,
 )
 from sycamoreproxy.peers import Peer, PeerHub
+from sycamoreproxy.read_claims import ReadClaims
 from sycamoreproxy.upstream_subset import NEAR_ENGINES
-from sycamoreproxy.zone_readers import READERS, rank_host
+from sycamoreproxy.zone_readers import rank_host
 
 #: Longest wait of one watch call, in seconds; the platform allows 30.
 WATCH_WAIT_S = 25.0
@@ -75,9 +76,6 @@
 #: Longest further wait before that, in seconds: the first process to follow the store reports as a
 #: reader does, and the others need not.
 FALLBACK_SPREAD_S = 0.3
-#: Time for which a process that begins to follow a large document keeps others from doing so, in
-#: seconds: three answers of 387 KB take 0.62 s of a link of 15 Mbit/s.
-CLAIM_S = 0.7
 #: Longest silence of the readers that holds up a change, in seconds; by then the process has read the
 #: store itself.
 RELAY_LAG_S = PROGRESS_FRESH_S + FALLBACK_SPREAD_S + 0.5
@@ -145,8 +143,7 @@
     :param pass_on_at: monotonic time from which on the next one is passed on.
     :param asked_at: monotonic time at which all revisions were asked for last.
     :param is_watching: whether this process follows a shared prefix in the store.
-    :param claimed_until_by_host: monotonic times until which other processes that began to follow it
-        are given time for an answer.
+    :param claims: of other processes that have begun to follow it.
     :param digest: of the keys and revisions of all documents that were not deleted.
     """
 
@@ -165,7 +162,7 @@
     pass_on_at: float = -math.inf
     asked_at: float = -math.inf
     is_watching: bool = False
-    claimed_until_by_host: dict[str, float] = field(default_factory=dict)
+    claims: ReadClaims = field(default_factory=ReadClaims)
     digest: int = 0
 
 
@@ -385,7 +382,8 @@
                 await asyncio.sleep(max(RETRY_MIN_S, left_s))
                 continue
             await asyncio.sleep(random.uniform(0, FALLBACK_SPREAD_S))
-            if not self.is_relayed(prefix) and not self._is_claimed(prefix):
+            claims = self._states_by_prefix[prefix].claims
+            if not self.is_relayed(prefix) and not claims.is_full(self._clock.monotonic()):
                 return
 
     async def _watch_for_zone(self, prefix: str) -> None:
@@ -429,11 +427,6 @@
     def _is_reader(self) -> bool:
         return self._hub.hello.host in (self._find_readers() or frozenset())
 
-    def _is_claimed(self, prefix: str) -> bool:
-        """Return whether as many others have begun to follow a prefix as its link can carry at once."""
-        claims, now = self._states_by_prefix[prefix].claimed_until_by_host, self._clock.monotonic()
-        return sum(until > now for until in claims.values()) >= READERS
-
     def _report_progress(self, prefix: str) -> None:
         """Tell the processes of the own zone how far this process follows the store."""
         state = self._states_by_prefix[prefix]
@@ -628,11 +621,9 @@
         own = self._hub.hello
         if claim.prefix not in self._large_prefixes or claim.host == own.host:
             return
-        state, now = self._states_by_prefix[claim.prefix], self._clock.monotonic()
-        claims = {host: at for host, at in state.claimed_until_by_host.items() if at > now}
-        is_known = claim.host in claims
-        state.claimed_until_by_host = {claim.host: now + CLAIM_S} | claims
-        if not is_known and own.role == "upstream" and peer.hello.host == claim.host:
+        claims = self._states_by_prefix[claim.prefix].claims
+        is_new = claims.add(claim.host, self._clock.monotonic())
+        if is_new and own.role == "upstream" and peer.hello.host == claim.host:
             # Entry hosts have no streams to each other.
             self._hub.broadcast(claim, role="entry", availability_zone=own.availability_zone)
 
