--- a/review/common/site.py
+++ b/review/common/site.py
@@ -259,7 +259,9 @@
     #: Unset while the runner's machine stands still.
     is_awake: asyncio.Event = field(default_factory=asyncio.Event)
     on_order: Callable[[], Awaitable[None]] | None = None
-    on_stage_get: Callable[[Exchange, int], bool] = lambda exchange, number: False
+    on_stage_get: Callable[[int], None] = lambda number: None
+    #: Time that the runner takes to answer with a staged piece, in seconds.
+    stage_get_s: float = 0.0
 
     async def start(self) -> None:
         """Begin a new lifetime."""
@@ -319,7 +321,7 @@
         if path == "/report":
             self._report(exchange)
         elif path.startswith("/stage-"):
-            self._stage(exchange)
+            await self._stage(exchange)
         elif path == "/order":
             await self._order(exchange)
         else:
@@ -342,7 +344,7 @@
             }
         )
 
-    def _stage(self, exchange: Exchange) -> None:
+    async def _stage(self, exchange: Exchange) -> None:
         query = exchange.request.query_by_name
         if exchange.request.first[0] == "PUT":
             self.staged[int(query["number"])] = exchange.request.body
@@ -352,8 +354,8 @@
             exchange.answer_json({"held": sorted(self.staged)})
             return
         number = int(query["number"])
-        if self.on_stage_get(exchange, number):
-            return
+        await asyncio.sleep(self.stage_get_s)
+        self.on_stage_get(number)
         data = self.staged.get(number)
         exchange.answer(404 if data is None else 200, data or b"")
 
