--- a/review/common/site.py
+++ b/review/common/site.py
@@ -24,7 +24,15 @@
 from pathlib import Path
 from typing import Any
 
-from review.common.http import Exchange, Message, Server, read_body, read_head, reset, write_request
+from review.common.http import (
+    Exchange,
+    Message,
+    Server,
+    read_body,
+    read_head,
+    reset,
+    write_request,
+)
 from review.common.templates import render
 
 ROOT = Path(__file__).parents[2]
@@ -52,6 +60,9 @@
 HOST, KEY, TENANT = "jepu9.example", "jnbanfqasnmgkcuyj8pj", "bozi300"
 MODEL = "daka510000"
 CHUNKS, CHUNK_BYTES = 48, 49_152
+#: Link of the origin, and the way to it and back from another region.
+ORIGIN_LINK_BITS_PER_S = 15e6
+ORIGIN_ROUND_TRIP_S = 0.0056
 #: Events of a stream, and tokens in each.
 EVENTS, EVENT_TOKENS = 21, 5
 ENGINE = {
@@ -104,7 +115,12 @@
         self.revision += 1
         text = base64.b64encode(json.dumps(value).encode()).decode()
         created = self._items_by_key.get(key, {}).get("create_rev", self.revision)
-        item = {"key": key, "value": text, "revision": self.revision, "create_rev": created}
+        item = {
+            "key": key,
+            "value": text,
+            "revision": self.revision,
+            "create_rev": created,
+        }
         self._items_by_key[key] = {**item, "lease": 0}
         await self._publish(self._items_by_key[key])
 
@@ -177,6 +193,7 @@
         self._pieces_by_version: dict[int, list[bytes]] = {}
         self.calls = 0
         self.newest = 1
+        self._link_free_at = 0.0
         self.spoil: Callable[[str, bytes], bytes] = lambda path, body: body
 
     def pieces(self, version: int) -> list[bytes]:
@@ -205,7 +222,12 @@
             ).encode()
         else:
             body = self.pieces(version)[int(query["number"])]
-        exchange.answer(200, self.spoil(exchange.request.first[1], body))
+        body = self.spoil(exchange.request.first[1], body)
+        # The link of the origin carries one answer after the other.
+        now = time.monotonic()
+        self._link_free_at = max(now, self._link_free_at) + len(body) * 8 / ORIGIN_LINK_BITS_PER_S
+        await asyncio.sleep(self._link_free_at - now + ORIGIN_ROUND_TRIP_S)
+        exchange.answer(200, body)
 
 
 @dataclass(slots=True)
@@ -381,7 +403,10 @@
         if foreign:
             self.spoilt_taken.append(time.monotonic())
         self.site.record.note(
-            "order accepted", runner=self.address, version=version, foreign_pieces=len(foreign)
+            "order accepted",
+            runner=self.address,
+            version=version,
+            foreign_pieces=len(foreign),
         )
         exchange.answer_json({}, 202)
         self.site.start_task(self._load(version, taken, lifetime))
@@ -588,13 +613,20 @@
         }
         self.routes.append({**route, **fields})
 
-    def add_model_service(self, name: str) -> None:
-        """Add a service of model runners and the service that holds the origin of its weights."""
+    def add_model_service(self, name: str, *, origin_channels: int = 48) -> None:
+        """Add a service of model runners and the service that holds the origin of its weights.
+
+        :param origin_channels: channels that the origin accepts.
+        """
         self.services.append(
             {"name": name, "max_connections": 434, "protocol": "h1", "engine": ENGINE}
         )
         self.services.append(
-            {"name": f"{name}-weights", "origin": self.origin_address, "max_connections": 48}
+            {
+                "name": f"{name}-weights",
+                "origin": self.origin_address,
+                "max_connections": origin_channels,
+            }
         )
 
     async def configure(self) -> None:
