--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,14 @@
 import time
 from pathlib import Path
 
-from review.common.site import CONTACT_S, Answer, Site, ask, make_prompt_headers, run_case
+from review.common.site import (
+    CONTACT_S,
+    Answer,
+    Site,
+    ask,
+    make_prompt_headers,
+    run_case,
+)
 
 ENGINES, EDGES = 4, 2
 BAD_PART = "badc0de5"
