--- a/review/common/site.py
+++ b/review/common/site.py
@@ -104,8 +104,6 @@
 
     def __init__(self) -> None:
         self.revision = 400
-        #: While it is set, channels are reset instead of answered.
-        self.is_cut_off = False
         self._items_by_key: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._changed = asyncio.Condition()
@@ -139,9 +137,6 @@
         """Answer a call."""
         query = exchange.request.query_by_name
         await asyncio.sleep(0.004)
-        if self.is_cut_off:
-            reset(exchange.writer)
-            return
         if exchange.request.path == "/kv-range":
             after = query.get("after", "")
             keys = sorted(
@@ -165,9 +160,6 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(int(query["wait_ms"]) / 1000), self._changed:
                     await self._changed.wait_for(find)
-            if self.is_cut_off:
-                reset(exchange.writer)
-                return
             exchange.answer_json({"events": find(), "store_revision": self.revision})
         else:
             exchange.answer_json({}, 404)
@@ -186,12 +178,11 @@
 class Origin:
     """The origin of weights.
 
-    :param spoil: changes the bytes of an answer on their way; gets the call's number.
+    ``spoil`` changes the bytes of an answer on their way; it gets the target of the call.
     """
 
     def __init__(self) -> None:
         self._pieces_by_version: dict[int, list[bytes]] = {}
-        self.calls = 0
         self.newest = 1
         self._link_free_at = 0.0
         self.spoil: Callable[[str, bytes], bytes] = lambda path, body: body
@@ -204,7 +195,6 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer a call."""
-        self.calls += 1
         query, path = exchange.request.query_by_name, exchange.request.path
         version = int(query.get("version", self.newest))
         if version <= self.newest - 2 or version > self.newest:
@@ -232,16 +222,12 @@
 
 @dataclass(slots=True)
 class Run:
-    """One run of a request at a runner.
-
-    :param target: path and query, as the runner received them.
-    """
+    """One run of a request at a runner."""
 
     request_id: str
     began_at: float
     version: int
     parts: tuple[str, ...]
-    target: bytes = b""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -251,7 +237,9 @@
     :param crashes_on: part of a prompt that ends the process once it writes an answer on it.
     :param events_before_crash: events that were written by then.
     :param answer_bytes: size of the answer of a plain service.
-    :param weights: what was loaded as the version in use: the digests of all pieces.
+    :param back_after_s: time until the process is back after a crash, in seconds.
+    :param weights: the pieces that were loaded as the version in use.
+    :param on_stage_get: called with the number of each staged piece that is read back.
     """
 
     site: Site
@@ -275,12 +263,10 @@
     events_before_crash: int = 0
     back_after_s: float = 2.0
     answer_bytes: int = 800
-    says_leaving: bool = False
-    told_leaving_to: list[str] = field(default_factory=list)
     crashes: list[float] = field(default_factory=list)
+    is_down: bool = False
     #: Unset while the runner's machine stands still.
     is_awake: asyncio.Event = field(default_factory=asyncio.Event)
-    on_order: Callable[[], Awaitable[None]] | None = None
     on_stage_get: Callable[[int], None] = lambda number: None
     #: Time that the runner takes to answer with a staged piece, in seconds.
     stage_get_s: float = 0.0
@@ -291,6 +277,7 @@
         self.born = int(time.time() * 1000)
         self.sequence, self.running, self.is_loading = 0, 0, False
         self.is_awake.set()
+        self.is_down = False
         ip, _, port = self.address.partition(":")
         self.server = Server(self._handle, ip, int(port))
         await self.server.open()
@@ -320,6 +307,9 @@
     async def crash(self) -> None:
         """End the process; it is back after some seconds without weights in memory."""
         assert self.server is not None
+        if self.is_down:
+            return
+        self.is_down = True
         self.crashes.append(time.monotonic())
         self.site.record.note("runner crashed", instance=self.instance, address=self.address)
         self.server.close()
@@ -339,6 +329,8 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         await self.is_awake.wait()
+        if self.is_down:
+            return
         path = exchange.request.path
         if path == "/report":
             self._report(exchange)
@@ -383,11 +375,6 @@
 
     async def _order(self, exchange: Exchange) -> None:
         order = json.loads(exchange.request.body)
-        lifetime = self.born
-        if self.on_order is not None:
-            await self.on_order()
-        if lifetime != self.born:
-            return
         version = order["version"]
         if version == self.version:
             exchange.answer_json({})
@@ -409,7 +396,7 @@
             foreign_pieces=len(foreign),
         )
         exchange.answer_json({}, 202)
-        self.site.start_task(self._load(version, taken, lifetime))
+        self.site.start_task(self._load(version, taken, self.born))
 
     async def _load(self, version: int, taken: list[bytes], lifetime: int) -> None:
         while self.running:
@@ -432,8 +419,7 @@
             "Sycamoreproxy_Request_Id": request_id,
             "Sycamoreproxy_Instance_Id": self.instance,
         }
-        target = exchange.request.first[1].encode("latin1")
-        arrival = Run(request_id, time.monotonic(), self.version or 0, parts, target)
+        arrival = Run(request_id, time.monotonic(), self.version or 0, parts)
         self.arrivals.append(arrival)
         if headers.get("sycamoreproxy-expect-instance", self.instance) != self.instance:
             exchange.answer(421, **common)
@@ -447,9 +433,6 @@
             return
         self.running += 1
         lifetime = self.born
-        if self.says_leaving:
-            common["Server_Leaving"] = "1"
-            self.told_leaving_to.append(request_id)
         common["Sycamoreproxy_Response_Signature"] = f"3e1b.{request_id[:8]}"
         try:
             if self.version is None:
@@ -556,12 +539,6 @@
             await server.open()
             self._servers.append(server)
 
-    def cut_store_off(self) -> None:
-        """Take the store out of reach until ``store.is_cut_off`` is unset."""
-        self.store.is_cut_off = True
-        for writer in list(self._servers[0].writers):
-            reset(writer)
-
     async def add_runner(self, service: str, **options: Any) -> Runner:
         """Start a runner of a plain service."""
         address = f"{self._ip(5, len(self.runners) + 1)}:{self._app}"
