Take only complete answers as proof that a part of a prompt crashes no engine

Cause: output was taken for innocence. A request that was lost after its first event was not reported to the process beside its engine, and the first event cleared all shared parts of its prompt for 10 s.

Change: every lost request is reported; only a complete answer clears parts. An answer that ends with its connection is reported as possibly lost, and clears its parts a second later if the engine's reports still arrive. Entry hosts are asked about all suspects at once, since crashes now name the prompts of all streams that they cut.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -130,7 +130,6 @@
     :param buffer_budget: limit on the bytes buffered for the responses of all requests together.
     :param on_stream_start: called with the weight version when a stream that names one starts.
     :param on_head: called with the head of a response of the chosen instance.
-    :param on_first_output: called when the request has its first output.
     """
 
     def __init__(
@@ -145,7 +144,6 @@
         buffer_budget: BufferBudget,
         on_stream_start: Callable[[int], None] = lambda version: None,
         on_head: Callable[[UpstreamResponseHead], None] = lambda head: None,
-        on_first_output: Callable[[], None] = lambda: None,
     ) -> None:
         self._progress = progress
         self._choice = choice
@@ -156,9 +154,9 @@
         self._buffer_budget = buffer_budget
         self._on_begin = on_stream_start
         self._on_head = on_head
-        self._on_first_output = on_first_output
         self._head: UpstreamResponseHead | None = None
         self._is_stream = False
+        self._is_delimited = False
         self._body = bytearray()
         self._received_bytes = 0
         self._buffered_size = 0
@@ -173,6 +171,7 @@
         if head.request_id and head.request_id != request_id:
             raise ResponseMismatchError(f"answer to {head.request_id}")
         self._head = head
+        self._is_delimited = "Content-Length" in headers or "Transfer-Encoding" in headers
         if not self.replacement_instance:
             self._on_head(head)
         self._is_stream = (
@@ -194,6 +193,25 @@
             return ""
         return head.instance if head.instance != self._choice.record.instance else ""
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the response tells its end by a length or by chunks.
+
+        The end of any other response cannot be told from a crash of the upstream.
+        """
+        return self._is_delimited
+
+    @property
+    def is_generation(self) -> bool:
+        """Whether the response is a success of the upstream and has a body."""
+        head = self._head
+        return (
+            head is not None
+            and 200 <= head.status < 300
+            and head.is_signed
+            and self._received_bytes > 0
+        )
+
     def receive_data(self, data: bytes) -> None:
         """Process a part of the body.
 
@@ -326,7 +344,6 @@
         self._selector.record_output(self._choice)
         if progress.first_output_at is None:
             progress.first_output_at = now
-            self._on_first_output()
 
     def _record_load(self, load: UpstreamLoad) -> None:
         self._selector.update_report(
--- a/sycamoreproxy/crash_correlator.py
+++ b/sycamoreproxy/crash_correlator.py
@@ -2,14 +2,14 @@
 
 Runs in the process beside each engine. It learns of the crash of its engine first, receives the
 prompts that entry hosts lost at that engine, and shares them with the processes beside the other
-engines. The process whose engine crashed last asks entry hosts for recent output with the part
-that the crashes have in common; without any, the part is quarantined at all entry hosts.
+engines. The process whose engine crashed last asks entry hosts for complete answers with the parts
+that the crashes have in common; the first part without any is quarantined at all entry hosts.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import OrderedDict
 
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.crash_evidence import CrashEvidence, Prompt
@@ -28,10 +28,11 @@
 SETTLE_S = 0.15
 #: Longest time between the report of a lost request and the loss of its engine, in seconds.
 LOST_REQUEST_MAX_AGE_S = 1.0
-#: Time in which entry hosts answer a question for output with a part, in seconds.
+#: Time in which entry hosts answer a question for complete answers, in seconds.
 ANSWER_S = 0.25
-#: Maximum number of prompts of one crash.
+#: Maximum number of prompts of one crash, and of suspects in one question.
 MAX_PROMPTS = 64
+MAX_SUSPECTS = 64
 #: Separates the parts of a prompt in messages; part ids do not contain it.
 SEPARATOR = ","
 
@@ -46,8 +47,8 @@
         self._evidence = evidence
         self._clock = clock
         self._quarantine = PromptQuarantine(clock=clock)
-        self._lost: deque[tuple[float, Prompt]] = deque(maxlen=MAX_PROMPTS)
-        self._questioned_part: str | None = None
+        self._lost_at_by_prompt: OrderedDict[Prompt, float] = OrderedDict()
+        self._is_questioning = False
         hub.on(LostRequest, self._on_lost_request)
         hub.on(EngineCrash, self._on_engine_crash)
         hub.on(SoundParts, self._on_sound_parts)
@@ -63,32 +64,37 @@
 
     def _settle(self, engine: str) -> None:
         oldest = self._clock.monotonic() - SETTLE_S - LOST_REQUEST_MAX_AGE_S
-        prompts = {prompt for received_at, prompt in self._lost if received_at >= oldest}
-        self._lost.clear()
+        prompts = {
+            prompt for prompt, lost_at in self._lost_at_by_prompt.items() if lost_at >= oldest
+        }
+        self._lost_at_by_prompt.clear()
         if not prompts:
             return
         self._evidence.record(engine, prompts)
         encoded = tuple(SEPARATOR.join(prompt) for prompt in sorted(prompts))
         _log.info("requests were lost with the engine", engine=engine, prompts=encoded)
         self._hub.broadcast(EngineCrash(engine, encoded), role="upstream")
-        self._question_suspect()
+        self._question_suspects()
 
-    def _question_suspect(self) -> None:
-        """Ask entry hosts whether the suspected part had output, and decide after their answers."""
-        if self._questioned_part is not None:
+    def _question_suspects(self) -> None:
+        """Ask entry hosts for complete answers with the suspects, and decide after their replies."""
+        if self._is_questioning:
             return
-        part = self._evidence.find_suspect()
-        if part is None:
+        suspects = self._evidence.list_suspects()[:MAX_SUSPECTS]
+        if not suspects:
             return
-        self._questioned_part = part
-        self._hub.broadcast(SuspectedParts((part,)), role="entry")
-        asyncio.get_running_loop().call_later(ANSWER_S, self._decide, part)
-
-    def _decide(self, part: str) -> None:
-        self._questioned_part = None
-        if self._evidence.is_suspect(part):
+        self._is_questioning = True
+        self._hub.broadcast(SuspectedParts(suspects), role="entry")
+        asyncio.get_running_loop().call_later(ANSWER_S, self._decide, suspects)
+
+    def _decide(self, questioned: tuple[str, ...]) -> None:
+        """Quarantine the first suspect that no entry host has cleared."""
+        self._is_questioning = False
+        remaining = [part for part in self._evidence.list_suspects() if part in questioned]
+        if remaining:
+            part = remaining[0]
             self._apply_quarantine(part, self._evidence.quarantine(part))
-        self._question_suspect()
+        self._question_suspects()
 
     def _apply_quarantine(self, part: str, seconds: float) -> None:
         if not self._quarantine.add(part, seconds):
@@ -97,7 +103,10 @@
         self._hub.broadcast(QuarantineNotice(part, seconds))
 
     def _on_lost_request(self, peer: Peer, message: LostRequest) -> None:
-        self._lost.append((self._clock.monotonic(), message.parts))
+        self._lost_at_by_prompt.pop(message.parts, None)
+        self._lost_at_by_prompt[message.parts] = self._clock.monotonic()
+        if len(self._lost_at_by_prompt) > MAX_PROMPTS:
+            self._lost_at_by_prompt.popitem(last=False)
 
     def _on_engine_crash(self, peer: Peer, message: EngineCrash) -> None:
         prompts = (tuple(text.split(SEPARATOR)) for text in message.prompts[:MAX_PROMPTS])
--- a/sycamoreproxy/crash_evidence.py
+++ b/sycamoreproxy/crash_evidence.py
@@ -32,10 +32,10 @@
 
 
 class CrashEvidence:
-    """Prompts of the requests that were lost without output when an engine crashed.
+    """Prompts of the requests that were lost when an engine crashed.
 
     A part that crashes engines is in one of them at each crash. A part that many requests share is
-    often in them as well, so the callers of this class ask for outputs with a suspected part.
+    often in them as well, so the callers of this class ask for complete answers with the suspects.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -55,10 +55,10 @@
         while len(self._crashes_by_engine) > MAX_CRASHES:
             self._crashes_by_engine.popitem(last=False)
 
-    def find_suspect(self) -> str | None:
-        """Return the part that most crashes have in common, or None if too few have one.
+    def list_suspects(self) -> tuple[str, ...]:
+        """Return the parts that enough crashes have in common, those of most crashes first.
 
-        Of parts in as many crashes, the one furthest from the start of its prompts is returned: it
+        Of parts in as many crashes, the one furthest from the start of its prompts comes first: it
         is in the fewest other requests, and the parts before it come with it.
         """
         self._expire()
@@ -70,23 +70,16 @@
                 for depth, part in enumerate(prompt):
                     depth_by_part[part] = max(depth, depth_by_part.get(part, 0))
         suspects = [part for part, count in crashes_by_part.items() if self._suffices(part, count)]
-        return max(
-            suspects,
-            key=lambda part: (crashes_by_part[part], depth_by_part[part], part),
-            default=None,
+        return tuple(
+            sorted(
+                suspects,
+                key=lambda part: (crashes_by_part[part], depth_by_part[part], part),
+                reverse=True,
+            )
         )
 
-    def is_suspect(self, part: str) -> bool:
-        """Return whether enough crashes have a part in common."""
-        self._expire()
-        count = sum(
-            any(part in prompt for prompt in crash.prompts)
-            for crash in self._crashes_by_engine.values()
-        )
-        return self._suffices(part, count)
-
     def clear(self, part: str) -> None:
-        """Drop a part from all crashes, because a request with it had output."""
+        """Drop a part from all crashes, because a request with it was answered completely."""
         for engine, crash in self._crashes_by_engine.items():
             prompts = frozenset(tuple(p for p in prompt if p != part) for prompt in crash.prompts)
             self._crashes_by_engine[engine] = _Crash(crash.recorded_at, prompts)
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -605,7 +605,9 @@
 @message(80)
 @dataclass(frozen=True, slots=True)
 class LostRequest:
-    """Sent by an entry host: the engine on the receiver's host lost a request without output.
+    """Sent by an entry host: the engine on the receiver's host lost a request or may have lost it.
+
+    The receiver takes it for evidence only if it loses the engine as well.
 
     :param parts: ids of the parts of its prompt that other requests may share.
     """
@@ -629,7 +631,7 @@
 @message(82)
 @dataclass(frozen=True, slots=True)
 class SuspectedParts:
-    """Asks entry hosts for those of the parts with which requests recently had output."""
+    """Asks entry hosts for those of the parts with which they recently relayed complete answers."""
 
     parts: Strings
 
@@ -637,7 +639,7 @@
 @message(83)
 @dataclass(frozen=True, slots=True)
 class SoundParts:
-    """Parts of prompts with which requests of the sender recently had output."""
+    """Parts of prompts with which the sender recently relayed complete answers."""
 
     parts: Strings
 
--- a/sycamoreproxy/prompt_quarantine.py
+++ b/sycamoreproxy/prompt_quarantine.py
@@ -7,8 +7,9 @@
 
 from sycamoreproxy.clock import Clock
 
-#: Time for which output with a part shows that the part does not crash engines, in seconds.
-OUTPUT_MAX_AGE_S = 10.0
+#: Time for which a complete answer with a part shows that the part does not crash engines, in
+#: seconds.
+ANSWER_MAX_AGE_S = 10.0
 #: Maximum number of parts of each kind that are remembered.
 MAX_PARTS = 4_096
 
@@ -19,12 +20,12 @@
 
 
 class PromptQuarantine:
-    """Quarantined parts, and the parts that requests of this host recently had output with."""
+    """Quarantined parts, and the parts that this host recently relayed complete answers with."""
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._until_by_part: OrderedDict[str, float] = OrderedDict()
-        self._output_at_by_part: OrderedDict[str, float] = OrderedDict()
+        self._answered_at_by_part: OrderedDict[str, float] = OrderedDict()
 
     def find(self, parts: tuple[str, ...]) -> tuple[str, float] | None:
         """Return the first shared part of a prompt that is in quarantine, or None.
@@ -44,9 +45,9 @@
         return None
 
     def list_sound(self, parts: Iterable[str]) -> tuple[str, ...]:
-        """Return those of the parts with which requests of this host recently had output."""
-        oldest = self._clock.monotonic() - OUTPUT_MAX_AGE_S
-        return tuple(part for part in parts if self._output_at_by_part.get(part, oldest) > oldest)
+        """Return those of the parts with which this host recently relayed a complete answer."""
+        oldest = self._clock.monotonic() - ANSWER_MAX_AGE_S
+        return tuple(part for part in parts if self._answered_at_by_part.get(part, oldest) > oldest)
 
     def list_times_left(self) -> dict[str, float]:
         """Return the remaining quarantine of each part, in seconds."""
@@ -62,11 +63,14 @@
             self._until_by_part.popitem(last=False)
         return before <= now
 
-    def record_output(self, parts: tuple[str, ...]) -> None:
-        """Record that a request with these parts has output."""
+    def record_complete_answer(self, parts: tuple[str, ...]) -> None:
+        """Record that an engine answered a prompt of these parts completely.
+
+        The first part of an answer proves nothing: an engine may crash after it.
+        """
         now = self._clock.monotonic()
         for part in list_shared_parts(parts):
-            self._output_at_by_part[part] = now
-            self._output_at_by_part.move_to_end(part)
-        while len(self._output_at_by_part) > MAX_PARTS:
-            self._output_at_by_part.popitem(last=False)
+            self._answered_at_by_part[part] = now
+            self._answered_at_by_part.move_to_end(part)
+        while len(self._answered_at_by_part) > MAX_PARTS:
+            self._answered_at_by_part.popitem(last=False)
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -82,6 +82,10 @@
 #: random so that retries do not form the next burst, and short enough to leave time for a response.
 RETRY_AFTER_MIN_FRACTION = 0.2
 RETRY_AFTER_MAX_FRACTION = 0.33
+#: Time after the end of a response in which the crash of its engine becomes known, and age that the
+#: engine's last report may have by then, in seconds.
+CRASH_NOTICE_S = 1.0
+CRASH_NOTICE_REPORT_AGE_S = 0.5
 #: Range over which retries are spread after the end of a hold or a quarantine, as a fraction of the
 #: remaining time.
 HOLD_SPREAD_FRACTION = 0.1
@@ -126,8 +130,8 @@
         self.open_requests = 0
         #: Called when a request is queued for lack of capacity.
         self.on_queued: Callable[[], None] = lambda: None
-        #: Called with the engine's record and the prompt's shared parts when an engine loses a
-        #: request that never had output.
+        #: Called with the engine's record and the prompt's shared parts when a request may have been
+        #: lost in a crash of the engine.
         self.on_lost: Callable[[UpstreamRecord, tuple[str, ...]], None] = lambda record, parts: None
 
     # Queries
@@ -435,7 +439,6 @@
                 progress, choice, version, sent_at
             ),
             on_head=lambda head: self._apply_head(request, choice, head),
-            on_first_output=lambda: self._quarantine.record_output(request.prompt_parts),
         )
         client = self._get_client(choice)
         exchange = asyncio.ensure_future(
@@ -469,16 +472,16 @@
                 may_resend=True,
             )
         except (AnswerLostError, ResponseMismatchError) as error:
-            if progress.first_output_at is None:
-                self.on_lost(choice.record, list_shared_parts(request.prompt_parts))
-                _log.info(
-                    "request lost before its first output",
-                    request=request.request_id,
-                    upstream=choice.record.instance,
-                    parts=request.prompt_parts,
-                    sent_ms_ago=round((self._clock.monotonic() - sent_at) * 1000),
-                    error=str(error),
-                )
+            self.on_lost(choice.record, list_shared_parts(request.prompt_parts))
+            _log.info(
+                "request lost at an upstream",
+                request=request.request_id,
+                upstream=choice.record.instance,
+                parts=request.prompt_parts,
+                sent_ms_ago=round((self._clock.monotonic() - sent_at) * 1000),
+                has_output=progress.first_output_at is not None,
+                error=str(error),
+            )
             return AttemptOutcome(
                 Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN, detail=str(error)),
                 failed=True,
@@ -497,8 +500,37 @@
         ended = relay.finish()
         if relay.replacement_instance:
             self._catalog.mark_replaced(choice.record.instance)
+        if relay.is_generation:
+            self._record_generation(request.prompt_parts, choice.record, relay, ended)
         return ended
 
+    def _record_generation(
+        self,
+        parts: tuple[str, ...],
+        record: UpstreamRecord,
+        relay: AnswerRelay,
+        ended: AttemptOutcome,
+    ) -> None:
+        """Record what the end of a generation tells about the parts of its prompt."""
+        if not list_shared_parts(parts):
+            return
+        if relay.is_delimited:
+            if ended.refusal is None:
+                self._quarantine.record_complete_answer(parts)
+            return
+        self.on_lost(record, list_shared_parts(parts))
+        if ended.refusal is None:
+            asyncio.get_running_loop().call_later(
+                CRASH_NOTICE_S, self._record_if_engine_runs, parts, record.instance
+            )
+
+    def _record_if_engine_runs(self, parts: tuple[str, ...], instance: str) -> None:
+        """Record a complete answer if its engine has sent a report since."""
+        report = self._selector.view(instance).report
+        now = self._clock.monotonic()
+        if report is not None and now - report.received_at < CRASH_NOTICE_REPORT_AGE_S:
+            self._quarantine.record_complete_answer(parts)
+
     def _apply_head(
         self, request: CallerRequest, choice: Choice, head: UpstreamResponseHead
     ) -> None:
--- a/tests/test_crash_correlator.py
+++ b/tests/test_crash_correlator.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sycamoreproxy.crash_correlator import LOST_REQUEST_MAX_AGE_S, CrashCorrelator
+from sycamoreproxy.crash_correlator import LOST_REQUEST_MAX_AGE_S, MAX_PROMPTS, CrashCorrelator
 from sycamoreproxy.crash_evidence import CrashEvidence
 from sycamoreproxy.messages import LostRequest, QuarantineNotice, SoundParts, SuspectedParts
 from tests._virtual_time import LoopClock, in_virtual_time
@@ -57,6 +57,7 @@
         self.hubs = [*self.entries, *self.sidecars]
         self.correlators = [self.add_correlator(hub) for hub in self.sidecars]
         self.notices: list[tuple[str, str]] = []
+        self.notice_times: list[float] = []
         self.sound: set[str] = set()
         for entry in self.entries:
             entry.on(QuarantineNotice, lambda peer, m, e=entry: self._note(e, m))
@@ -75,6 +76,7 @@
 
     def _note(self, entry: _Hub, notice: QuarantineNotice) -> None:
         self.notices.append((entry.hello.host, notice.part))
+        self.notice_times.append(asyncio.get_running_loop().time())
 
     def _answer(self, peer: _Peer, message: SuspectedParts) -> None:
         sound = tuple(part for part in message.parts if part in self.sound)
@@ -109,7 +111,7 @@
 
 
 @in_virtual_time
-async def test_part_with_recent_output_is_not_quarantined() -> None:
+async def test_part_with_a_recent_complete_answer_is_not_quarantined() -> None:
     """Many engines may crash at once for another reason while one part is in most prompts."""
     network = _Network()
     network.sound = {"f"}
@@ -119,6 +121,22 @@
     assert {part for _, part in network.notices} == {"d"}
 
 
+@in_virtual_time
+async def test_many_sound_parts_in_the_same_crashes_do_not_delay_the_quarantine() -> None:
+    """Engines lose all their streams at once; those of many popular parts are among them."""
+    network = _Network()
+    sound = [f"s{number}" for number in range(40)]
+    network.sound = set(sound)
+    prompts = [("f", part, f"z-{part}") for part in sound]
+    network.sound |= {part for prompt in prompts for part in prompt}
+    for engine in range(3):
+        await network.crash(engine, 1, *prompts, ("f", "d"))
+    crashed_at = asyncio.get_running_loop().time()
+    await asyncio.sleep(10.0)
+    assert set(network.notices) == {("e0", "d"), ("e1", "d")}
+    assert network.notice_times[-1] - crashed_at < 1.0
+
+
 @pytest.mark.parametrize(("pause_s", "counts"), [(0.0, True), (LOST_REQUEST_MAX_AGE_S + 1, False)])
 def test_requests_lost_long_before_a_crash_do_not_count(pause_s: float, counts: bool) -> None:
     @in_virtual_time
@@ -147,3 +165,12 @@
         listener(network.peer(sidecar, entry))
     await asyncio.sleep(0.1)
     assert network.notices == [("e0", "d")]
+
+
+@in_virtual_time
+async def test_many_losses_of_one_prompt_do_not_displace_the_others() -> None:
+    network = _Network()
+    for engine in range(3):
+        await network.crash(engine, 1, ("f", "d"), *[("f",)] * MAX_PROMPTS)
+    await asyncio.sleep(1.0)
+    assert {part for _, part in network.notices} == {"d"}
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -25,6 +25,10 @@
     return clock, evidence
 
 
+def find_first_suspect(evidence: CrashEvidence) -> str | None:
+    return next(iter(evidence.list_suspects()), None)
+
+
 @pytest.mark.parametrize(
     ("crashes", "suspect"),
     [
@@ -52,23 +56,22 @@
     crashes: list[list[Prompt]], suspect: str | None
 ) -> None:
     _, evidence = make_evidence(*crashes)
-    assert evidence.find_suspect() == suspect
-    assert suspect is None or evidence.is_suspect(suspect)
+    assert find_first_suspect(evidence) == suspect
 
 
 def test_part_with_output_is_no_suspect_until_new_crashes() -> None:
     _, evidence = make_evidence([("f",)], [("f",)], [("f",)])
     evidence.clear("f")
-    assert evidence.find_suspect() is None and not evidence.is_suspect("f")
+    assert evidence.list_suspects() == ()
     for number in range(3, 6):
         evidence.record(f"engine/{number}", [("f",)])
-    assert evidence.find_suspect() == "f"
+    assert find_first_suspect(evidence) == "f"
 
 
 def test_crashes_that_a_quarantined_part_explains_do_not_count_for_others() -> None:
     _, evidence = make_evidence([("f", "d"), ("g",)], [("f", "d"), ("g",)], [("f", "d"), ("g",)])
     evidence.quarantine("d")
-    assert evidence.find_suspect() is None
+    assert evidence.list_suspects() == ()
 
 
 def test_one_crash_suffices_for_a_part_that_was_quarantined_before() -> None:
@@ -77,14 +80,14 @@
     assert times[:2] == [MIN_QUARANTINE_S, 2 * MIN_QUARANTINE_S]
     assert times[-1] == MAX_QUARANTINE_S
     evidence.record("engine/9", [("f", "d")])
-    assert evidence.find_suspect() == "d"
+    assert find_first_suspect(evidence) == "d"
 
 
 def test_old_crashes_and_those_beyond_the_limit_are_dropped() -> None:
     clock, evidence = make_evidence(*[[("f",)]] * (MAX_CRASHES + 3))
     assert len(evidence._crashes_by_engine) == MAX_CRASHES
     clock.advance(CRASH_MAX_AGE_S + 1)
-    assert evidence.find_suspect() is None and not evidence._crashes_by_engine
+    assert evidence.list_suspects() == () and not evidence._crashes_by_engine
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -95,6 +98,6 @@
     for number in range(3):
         innocent = [(f"f{random_source.randrange(30)}",) for _ in range(8)]
         evidence.record(f"engine/{number}", [*innocent, ("f0", "d")])
-    assert evidence.find_suspect() == "d"
+    assert find_first_suspect(evidence) == "d"
     evidence.quarantine("d")
-    assert evidence.find_suspect() is None
+    assert evidence.list_suspects() == ()
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sycamoreproxy.clock import ManualClock
-from sycamoreproxy.prompt_quarantine import MAX_PARTS, OUTPUT_MAX_AGE_S, PromptQuarantine
+from sycamoreproxy.prompt_quarantine import ANSWER_MAX_AGE_S, MAX_PARTS, PromptQuarantine
 
 
 @pytest.mark.parametrize(
@@ -34,16 +34,16 @@
 def test_parts_count_as_sound_for_a_while_after_output() -> None:
     clock = ManualClock()
     quarantine = PromptQuarantine(clock=clock)
-    quarantine.record_output(("f", "last"))
+    quarantine.record_complete_answer(("f", "last"))
     assert quarantine.list_sound(["f", "last", "d"]) == ("f",)
-    clock.advance(OUTPUT_MAX_AGE_S + 0.1)
+    clock.advance(ANSWER_MAX_AGE_S + 0.1)
     assert quarantine.list_sound(["f"]) == ()
 
 
 def test_memory_is_bounded() -> None:
     quarantine = PromptQuarantine(clock=ManualClock())
     for number in range(MAX_PARTS + 10):
-        quarantine.record_output((f"f{number}", "last"))
+        quarantine.record_complete_answer((f"f{number}", "last"))
         quarantine.add(f"d{number}", 10.0)
-    assert len(quarantine._output_at_by_part) == len(quarantine._until_by_part) == MAX_PARTS
+    assert len(quarantine._answered_at_by_part) == len(quarantine._until_by_part) == MAX_PARTS
     assert quarantine.list_sound([f"f{MAX_PARTS}"]) == (f"f{MAX_PARTS}",)
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -37,12 +37,12 @@
 from sycamoreproxy.document_source import Document
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, RESERVED_BYTES
-from sycamoreproxy.placement import Requirements, UpstreamSelector
+from sycamoreproxy.placement import LoadReport, Requirements, UpstreamSelector
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
 from sycamoreproxy.resend_budget import ResendBudget
-from sycamoreproxy.routed_dispatch import VERSION_MARGIN_S, RoutedDispatcher
+from sycamoreproxy.routed_dispatch import CRASH_NOTICE_S, VERSION_MARGIN_S, RoutedDispatcher
 from sycamoreproxy.routed_http import RoutedCallerServer
 from sycamoreproxy.upstream_book import UpstreamCatalog
 from sycamoreproxy.watched_documents import DocumentReplica
@@ -1056,19 +1056,31 @@
 
 
 @pytest.mark.parametrize(
-    ("fault", "reported"), [({"drop_before_answer": 1}, True), ({"cut_after_events": 1}, False)]
+    "fault", [{"drop_before_answer": 1}, {"cut_after_events": 1}, {"cut_after_events": 4}]
 )
-def test_only_prompts_without_any_output_are_reported_as_lost(
-    fault: dict[str, Any], reported: bool
-) -> None:
+def test_output_before_a_crash_does_not_clear_a_prompt_of_it(fault: dict[str, Any]) -> None:
+    """A part that crashed engines after their first event was taken for sound, and never refused."""
+
     async def action(site: Site) -> None:
         lost: list[tuple[str, ...]] = []
         site.front.dispatcher.on_lost = lambda record, parts: lost.append(parts)
         for faults in site.faults[:2]:
             faults.replace(fault)
         await site.send("/ask/x", **PROMPT)
-        assert set(lost) == ({("f", "d")} if reported else set())
-        assert site.quarantine.list_sound(["f", "d"]) == (() if reported else ("f", "d"))
+        assert lost == [("f", "d")] * len(lost) and len(lost) >= 1
+        assert site.quarantine.list_sound(["f", "d"]) == ()
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x", "/order/x"])
+def test_complete_answer_clears_the_shared_parts_of_its_prompt(path: str) -> None:
+    async def action(site: Site) -> None:
+        lost: list[tuple[str, ...]] = []
+        site.front.dispatcher.on_lost = lambda record, parts: lost.append(parts)
+        assert (await site.send(path, **PROMPT))[0] == 200
+        assert site.quarantine.list_sound(["f", "d", "x"]) == ("f", "d")
+        assert lost == []
 
     run_with_site(action)
 
@@ -1162,6 +1174,30 @@
     _run_scripted(upstream, [0, 1], action)
 
 
+@pytest.mark.parametrize("is_alive", [True, False])
+def test_stream_without_a_length_clears_its_prompt_only_if_the_engine_runs_on(
+    is_alive: bool,
+) -> None:
+    """Such a stream ends like one whose engine crashed after an event."""
+
+    async def action(site: Site) -> None:
+        dispatcher = site.front.dispatcher
+        lost: list[tuple[str, ...]] = []
+        dispatcher.on_lost = lambda record, parts: lost.append(parts)
+        assert (await site.send("/ask/x", **PROMPT))[0] == 200
+        assert lost == [("f", "d")] and site.quarantine.list_sound(["f", "d"]) == ()
+        await asyncio.sleep(0.8 * CRASH_NOTICE_S)
+        if is_alive:
+            report = LoadReport(received_at=time.monotonic(), running=0, waiting=0, pace=1.0)
+            for number in range(2):
+                dispatcher._selector.update_report(f"scripted-{number}", report)
+        await asyncio.sleep(0.4 * CRASH_NOTICE_S)
+        assert site.quarantine.list_sound(["f", "d"]) == (("f", "d") if is_alive else ())
+
+    upstream = _ScriptedUpstream([UNFRAMED, *EVENTS])
+    _run_scripted(upstream, [0, 1], action)
+
+
 @pytest.mark.parametrize("rest", [b"id: 2", b"id: 2\ndata: tok", b"id: 2\ndata: token 2\n"])
 def test_stream_without_a_length_that_ends_inside_an_event_is_resumed(rest: bytes) -> None:
     async def action(site: Site) -> None:
