Wait for the replies of all entry hosts before a part is quarantined

Cause: the decision came 0.25 s after the question, and silence counted as having no objection.

Evidence: test_sound_part_is_not_quarantined_because_busy_entry_hosts_reply_late fails before the change (replies after 0.6 s; the part is quarantined).

Change: entry hosts always reply; the decision waits for all of them, for 1 s at most. A closed stream counts as a reply.

--- a/sycamoreproxy/crash_correlator.py
+++ b/sycamoreproxy/crash_correlator.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.crash_evidence import CrashEvidence, Prompt
@@ -28,8 +29,8 @@
 SETTLE_S = 0.15
 #: Longest time between the report of a lost request and the loss of its engine, in seconds.
 LOST_REQUEST_MAX_AGE_S = 1.0
-#: Time in which entry hosts answer a question for complete answers, in seconds.
-ANSWER_S = 0.25
+#: Longest wait for the replies of entry hosts to a question for complete answers, in seconds.
+REPLY_TIMEOUT_S = 1.0
 #: Maximum number of prompts of one crash, and of suspects in one question.
 MAX_PROMPTS = 64
 MAX_SUSPECTS = 64
@@ -39,6 +40,20 @@
 _log = get_logger("crash_correlator")
 
 
+@dataclass(frozen=True, slots=True)
+class _Question:
+    """A question to entry hosts that is not decided yet.
+
+    :param parts: the suspects.
+    :param awaited_peers: entry hosts that have not replied.
+    :param timeout: decides without them.
+    """
+
+    parts: tuple[str, ...]
+    awaited_peers: set[Peer]
+    timeout: asyncio.TimerHandle
+
+
 class CrashCorrelator:
     """Exchanges evidence with other processes and quarantines parts of prompts."""
 
@@ -48,12 +63,13 @@
         self._clock = clock
         self._quarantine = PromptQuarantine(clock=clock)
         self._lost_at_by_prompt: OrderedDict[Prompt, float] = OrderedDict()
-        self._is_questioning = False
+        self._question: _Question | None = None
         hub.on(LostRequest, self._on_lost_request)
         hub.on(EngineCrash, self._on_engine_crash)
         hub.on(SoundParts, self._on_sound_parts)
         hub.on(QuarantineNotice, self._on_quarantine_notice)
         hub.on_open(self._send_quarantine)
+        hub.on_close(self._record_reply)
 
     def record_engine_lost(self, engine: str) -> None:
         """Record that the own engine was lost.
@@ -78,18 +94,33 @@
 
     def _question_suspects(self) -> None:
         """Ask entry hosts for complete answers with the suspects, and decide after their replies."""
-        if self._is_questioning:
+        if self._question is not None:
             return
         suspects = self._evidence.list_suspects()[:MAX_SUSPECTS]
         if not suspects:
             return
-        self._is_questioning = True
+        self._question = _Question(
+            parts=suspects,
+            awaited_peers=set(self._hub.list_peers(role="entry")),
+            timeout=asyncio.get_running_loop().call_later(REPLY_TIMEOUT_S, self._decide),
+        )
         self._hub.broadcast(SuspectedParts(suspects), role="entry")
-        asyncio.get_running_loop().call_later(ANSWER_S, self._decide, suspects)
 
-    def _decide(self, questioned: tuple[str, ...]) -> None:
+    def _record_reply(self, peer: Peer) -> None:
+        """Record that a peer has replied or can no longer reply."""
+        question = self._question
+        if question is None or peer not in question.awaited_peers:
+            return
+        question.awaited_peers.remove(peer)
+        if not question.awaited_peers:
+            question.timeout.cancel()
+            self._decide()
+
+    def _decide(self) -> None:
         """Quarantine the first suspect that no entry host has cleared."""
-        self._is_questioning = False
+        assert self._question is not None
+        questioned = self._question.parts
+        self._question = None
         remaining = [part for part in self._evidence.list_suspects() if part in questioned]
         if remaining:
             part = remaining[0]
@@ -115,6 +146,7 @@
     def _on_sound_parts(self, peer: Peer, message: SoundParts) -> None:
         for part in message.parts:
             self._evidence.clear(part)
+        self._record_reply(peer)
 
     def _on_quarantine_notice(self, peer: Peer, message: QuarantineNotice) -> None:
         if message.part not in self._quarantine.list_times_left():
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -639,7 +639,7 @@
 @message(83)
 @dataclass(frozen=True, slots=True)
 class SoundParts:
-    """Parts of prompts with which the sender recently relayed complete answers."""
+    """The parts in question with which the sender recently relayed complete answers, maybe none."""
 
     parts: Strings
 
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -203,9 +203,7 @@
                 peer.send(LostRequest(parts))
 
     def _on_suspected_parts(self, peer: Peer, message: SuspectedParts) -> None:
-        sound_parts = self._quarantine.list_sound(message.parts)
-        if sound_parts:
-            peer.send(SoundParts(sound_parts))
+        peer.send(SoundParts(self._quarantine.list_sound(message.parts)))
 
     def _on_quarantine_notice(self, peer: Peer, message: QuarantineNotice) -> None:
         if self._quarantine.add(message.part, message.seconds):
--- a/tests/test_crash_correlator.py
+++ b/tests/test_crash_correlator.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from sycamoreproxy.crash_correlator import LOST_REQUEST_MAX_AGE_S, MAX_PROMPTS, CrashCorrelator
+from sycamoreproxy.crash_correlator import (
+    LOST_REQUEST_MAX_AGE_S,
+    MAX_PROMPTS,
+    REPLY_TIMEOUT_S,
+    CrashCorrelator,
+)
 from sycamoreproxy.crash_evidence import CrashEvidence
 from sycamoreproxy.messages import LostRequest, QuarantineNotice, SoundParts, SuspectedParts
 from tests._virtual_time import LoopClock, in_virtual_time
@@ -36,15 +41,30 @@
         self.handlers_by_type: dict[type, list[Any]] = {}
         self.open_listeners: list[Any] = []
         self.on_open = self.open_listeners.append
+        self.close_listeners: list[Any] = []
+        self.on_close = self.close_listeners.append
+        self._peers_by_host: dict[str, _Peer] = {}
         self._network = network
 
     def on(self, message_type: type, handler: Any) -> None:
         self.handlers_by_type.setdefault(message_type, []).append(handler)
 
+    def list_peers(self, *, role: str | None = None) -> tuple[_Peer, ...]:
+        return tuple(
+            self.peer_of(hub)
+            for hub in self._network.hubs
+            if hub is not self and role in (None, hub.hello.role)
+        )
+
+    def peer_of(self, other: _Hub) -> _Peer:
+        host = other.hello.host
+        if host not in self._peers_by_host:
+            self._peers_by_host[host] = _Peer(self._network, self, other)
+        return self._peers_by_host[host]
+
     def broadcast(self, message: object, *, role: str | None = None) -> None:
-        for hub in self._network.hubs:
-            if hub is not self and role in (None, hub.hello.role):
-                self._network.peer(self, hub).send(message)
+        for peer in self.list_peers(role=role):
+            peer.send(message)
 
 
 class _Network:
@@ -59,6 +79,8 @@
         self.notices: list[tuple[str, str]] = []
         self.notice_times: list[float] = []
         self.sound: set[str] = set()
+        self.reply_delay_s = 0.0
+        self.silent_hosts: set[str] = set()
         for entry in self.entries:
             entry.on(QuarantineNotice, lambda peer, m, e=entry: self._note(e, m))
             entry.on(SuspectedParts, self._answer)
@@ -72,16 +94,17 @@
         )
 
     def peer(self, owner: _Hub, target: _Hub) -> _Peer:
-        return _Peer(self, owner, target)
+        return owner.peer_of(target)
 
     def _note(self, entry: _Hub, notice: QuarantineNotice) -> None:
         self.notices.append((entry.hello.host, notice.part))
         self.notice_times.append(asyncio.get_running_loop().time())
 
     def _answer(self, peer: _Peer, message: SuspectedParts) -> None:
+        if peer._owner.hello.host in self.silent_hosts:
+            return
         sound = tuple(part for part in message.parts if part in self.sound)
-        if sound:
-            peer.send(SoundParts(sound))
+        asyncio.get_running_loop().call_later(self.reply_delay_s, peer.send, SoundParts(sound))
 
     async def crash(self, engine: int, lifetime: int, *prompts: tuple[str, ...]) -> None:
         for number, parts in enumerate(prompts):
@@ -121,6 +144,40 @@
     assert {part for _, part in network.notices} == {"d"}
 
 
+@in_virtual_time
+async def test_sound_part_is_not_quarantined_because_busy_entry_hosts_reply_late() -> None:
+    network = _Network()
+    network.sound = {"f"}
+    network.reply_delay_s = 0.6
+    for engine in range(3):
+        await network.crash(engine, 1, ("f",))
+    await asyncio.sleep(5.0)
+    assert network.notices == []
+
+
+@pytest.mark.parametrize("is_closed", [False, True])
+def test_entry_host_that_does_not_reply_holds_the_quarantine_up_only_briefly(
+    is_closed: bool,
+) -> None:
+    @in_virtual_time
+    async def run() -> None:
+        network = _Network()
+        network.silent_hosts = {"e1"}
+        for engine in range(3):
+            await network.crash(engine, 1, ("f", "d"))
+        crashed_at = asyncio.get_running_loop().time()
+        if is_closed:
+            for sidecar in network.sidecars:
+                for listener in sidecar.close_listeners:
+                    listener(network.peer(sidecar, network.entries[1]))
+        await asyncio.sleep(5.0)
+        assert {part for _, part in network.notices} == {"d"}
+        limit_s = 0.2 if is_closed else REPLY_TIMEOUT_S + 0.2
+        assert network.notice_times[0] - crashed_at < limit_s
+
+    run()
+
+
 @in_virtual_time
 async def test_many_sound_parts_in_the_same_crashes_do_not_delay_the_quarantine() -> None:
     """Engines lose all their streams at once; those of many popular parts are among them."""
