Bound what the OpenAI adapter and control calls buffer of an engine's answer

Other operators' machines ran out of memory because a faulty runner sent bytes without end. On routed deployments heads and bodies are bounded; tests of heads, informational heads, chunk sizes and trailers are added, and pass before any change.

Cause: the OpenAI adapter kept answers that are not streamed, and load reports, up to the 64 MiB that are meant for streams, for each request; control calls had tornado's default of 100 MB.

Change: 4 MiB an answer and 32 MiB together, 64 KiB a report, 8 MiB a control call.

--- a/sycamoreproxy/engine_control.py
+++ b/sycamoreproxy/engine_control.py
@@ -81,6 +81,9 @@
         """Load a version and return the version and digest that the engine confirms."""
 
 
+#: Maximum size of a response to a call, in bytes.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
 #: Factories ``(address, timeout_s, order_timeout_s) -> EngineControl`` by adapter name.
 engine_controls: Registry[Callable[[str, float, float], EngineControl]] = Registry(
     "engine control adapter"
@@ -99,7 +102,9 @@
     def __init__(self, address: str, timeout_s: float, order_timeout_s: float) -> None:
         from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4)
+        self._client = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=4, max_body_size=MAX_ANSWER_BYTES
+        )
         self._address = address.rstrip("/")
         self._timeout_s = timeout_s
         self._order_timeout_s = order_timeout_s
--- a/sycamoreproxy/engines.py
+++ b/sycamoreproxy/engines.py
@@ -13,9 +13,11 @@
 from sycamoreproxy._event_stream import EventStreamError, EventStreamReader, MixedVersionsError
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
 from sycamoreproxy._http_headers import filter_request_headers, filter_response_headers
+from sycamoreproxy.held_bytes import BufferBudget
 from sycamoreproxy.registry import Registry
 from sycamoreproxy.result_codes import (
     ANSWER_INCOMPLETE,
+    ANSWER_TOO_LONG,
     MIXED_VERSIONS,
     UPSTREAM_FAILED,
     UPSTREAM_LOST,
@@ -28,8 +30,13 @@
     UpstreamRequest,
 )
 
-#: Maximum size of a response body of an engine, in bytes.
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+#: Maximum size of a streamed response body of an engine, in bytes.
+MAX_STREAM_BYTES = 64 * 1024 * 1024
+#: Maximum size of a response body that is not streamed, in bytes. It is buffered completely, and the
+#: stream to the entry host buffers at most 8 MiB.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+#: Maximum size of the response to a control call, in bytes.
+MAX_CONTROL_BYTES = 64 * 1024
 
 
 class EngineReportError(Exception):
@@ -90,7 +97,8 @@
     """
 
     def __init__(self, address: str, control_timeout_s: float) -> None:
-        self._client = HttpClient(address, max_body_bytes=MAX_RESPONSE_BYTES)
+        self._client = HttpClient(address, max_body_bytes=MAX_STREAM_BYTES)
+        self._buffer_budget = BufferBudget()
         self._control_timeout_s = control_timeout_s
         self._cancel_tasks: set[asyncio.Task[None]] = set()
 
@@ -102,7 +110,9 @@
         body, keeps_usage = prepare_body(request.body, priority=request.priority)
         headers = filter_request_headers(request.headers)
         headers["X-Request-Id"] = request.request_id
-        validator = _ResponseValidator(listener, keeps_usage=keeps_usage)
+        validator = _ResponseValidator(
+            listener, keeps_usage=keeps_usage, buffer_budget=self._buffer_budget
+        )
         is_slot_free = False
         try:
             await self._client.exchange(
@@ -127,6 +137,7 @@
         except EventStreamError as error:
             raise UpstreamFailureError(UPSTREAM_FAILED, Executed.UNKNOWN, str(error)) from error
         finally:
+            validator.release()
             # The engine notices a closed connection only at its next write, so the slot is freed
             # explicitly.
             if not is_slot_free:
@@ -172,6 +183,7 @@
                 path=path,
                 body=body,
                 timeout_s=self._control_timeout_s,
+                max_bytes=MAX_CONTROL_BYTES,
             )
             value = json.loads(data) if status < 400 else None
         except (NotSentError, AnswerLostError, ValueError) as error:
@@ -209,10 +221,15 @@
 
     :param listener: receives the relayed parts.
     :param keeps_usage: whether the usage event is relayed to the caller.
+    :param buffer_budget: limit on the bytes buffered for all responses together.
     """
 
-    def __init__(self, listener: AnswerListener, *, keeps_usage: bool) -> None:
+    def __init__(
+        self, listener: AnswerListener, *, keeps_usage: bool, buffer_budget: BufferBudget
+    ) -> None:
         self._listener = listener
+        self._buffer_budget = buffer_budget
+        self._buffered_bytes = 0
         self._keeps_usage = keeps_usage
         self._version = ""
         self._event_reader: EventStreamReader | None = None
@@ -241,8 +258,20 @@
                 self._listener.on_output(data, tokens)
             return
         assert self._parts is not None
+        size = self._buffered_bytes + len(data)
+        if size > MAX_RESPONSE_BYTES or not self._buffer_budget.resize(self._buffered_bytes, size):
+            self._parts.clear()
+            raise UpstreamFailureError(
+                ANSWER_TOO_LONG, Executed.UNKNOWN, f"{size} bytes without a stream"
+            )
+        self._buffered_bytes = size
         self._parts.append(data)
 
+    def release(self) -> None:
+        """Release the buffer space that is reserved for this response."""
+        self._buffer_budget.resize(self._buffered_bytes, 0)
+        self._buffered_bytes = 0
+
     def finish(self) -> AnswerTotals:
         """Check that the response is complete and return its token counts and version."""
         event_reader = self._event_reader
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -698,6 +698,60 @@
     run_with_site(action)
 
 
+#: Endless heads of a faulty upstream: the first bytes, and a repeated piece.
+ENDLESS_HEADS = [
+    (b"", b"x" * PIECE_BYTES),
+    (b"HTTP/1.1 200 ", b"x" * PIECE_BYTES),
+    (SIGNED, b"X-Padding: 0123456789\r\n" * 2_800),
+    (SIGNED + b"X-Padding: ", b"x" * PIECE_BYTES),
+    (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_600),
+    (b"", b"\r\n" * (PIECE_BYTES // 2)),
+    (SIGNED + b"Transfer-Encoding: chunked\r\n\r\n", b"1" * PIECE_BYTES),
+    (SIGNED + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", b"x" * PIECE_BYTES),
+]
+
+
+@pytest.mark.parametrize(("head", "piece"), ENDLESS_HEADS)
+@pytest.mark.parametrize(("path", "number"), [("/read/x", 2), ("/ask/x", 0)])
+def test_endless_head_or_framing_is_cut_and_the_request_resent(
+    path: str, number: int, head: bytes, piece: bytes
+) -> None:
+    """Other operators' machines kept such bytes until they ran out of memory."""
+
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=head, piece=piece)
+        await _replace_runners(site, [number], upstream)
+        for _ in range(6):
+            status, _, _, is_complete = await site.send(path, **GENERATION_HEADERS)
+            assert (status, is_complete) == (200, True)
+        received = len(upstream.requests)
+        assert received >= 1
+        await upstream.wait_closed(received)
+        assert upstream.sent < received * KERNEL_BUFFER_BYTES
+        upstream.stop()
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize(("head", "piece"), ENDLESS_HEADS)
+def test_endless_head_or_framing_leaves_a_non_idempotent_request_possibly_executed(
+    head: bytes, piece: bytes
+) -> None:
+    async def action(site: Site) -> None:
+        upstream = RawUpstream(head=head, piece=piece)
+        await _replace_runners(site, [2, 3], upstream)
+        started_at = time.monotonic()
+        status, headers, body, _ = await site.send("/post/x", body=b"deposit")
+        error = json.loads(body)["error"]
+        assert (status, error["code"], error["executed"]) == (502, 1302, "unknown")
+        assert "Retry-After" not in headers and time.monotonic() - started_at < 1.0
+        await upstream.wait_closed(1)
+        assert len(upstream.requests) == 1 and upstream.sent < KERNEL_BUFFER_BYTES
+        upstream.stop()
+
+    run_with_site(action)
+
+
 def test_longest_plain_response_is_relayed_unchanged() -> None:
     async def action(site: Site) -> None:
         head = SIGNED + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
