Test that an answer cut inside its head is never relayed as a success

Other operators' callers got a 200 with an empty or short body, framed as complete, when a runner stopped in the middle of its answer's head.

It does not happen here: cut at any byte of four forms of heads, the answer counts as lost; requests that may be repeated are sent to another upstream, others end with 502.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -122,6 +122,26 @@
     asyncio.run(_with_server([long], action))
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\nA: b\n\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+    ],
+)
+def test_answer_cut_at_any_byte_of_its_head_is_lost(head: bytes) -> None:
+    async def action(client: HttpClient, requests: list[bytes]) -> None:
+        for _ in range(len(head)):
+            with pytest.raises(AnswerLostError) as raised:
+                await _exchange(client, repeatable=False)
+            assert not raised.value.received
+        assert len(requests) == len(head)
+
+    asyncio.run(_with_server([head[:cut] for cut in range(len(head))], action))
+
+
 def test_request_on_a_kept_connection_counts_as_sent_if_the_server_is_then_gone() -> None:
     """The refusal said that the request was not run, though the server had received it."""
 
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1263,6 +1263,33 @@
     _run_scripted(upstream, [0, 1], action)
 
 
+#: A head of each kind of framing, at any byte of which an upstream may stop.
+WHOLE_HEADS = [
+    SIGNED + b"Sycamoreproxy-Request-Id: {id}\r\nContent-Length: 800\r\n\r\n",
+    SIGNED + b"Sycamoreproxy-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" + SIGNED + b"Sycamoreproxy-Weight-Versions: 1\r\n\r\n",
+    SIGNED.replace(b"\r\n", b"\n") + b"Sycamoreproxy-Request-Id: {id}\n\n",
+]
+
+
+@pytest.mark.parametrize("head", WHOLE_HEADS)
+@pytest.mark.parametrize("path", ["/read/x", "/post/x", "/ask/x", "/once/x", "/order/x"])
+def test_response_cut_inside_its_head_is_never_relayed_as_a_success(path: str, head: bytes) -> None:
+    """Other operators' callers got a 200 with an empty or short body, framed as complete."""
+
+    async def action(site: Site) -> None:
+        positions = range(0, len(head) - 1, 8)
+        answers = await asyncio.gather(*(site.send(path, **GENERATION_HEADERS) for _ in positions))
+        for status, headers, body, is_complete in answers:
+            assert is_complete and "Sycamoreproxy-Response-Signature" not in headers
+            assert status in (502, 503) and json.loads(body)["error"]["code"] >= 1200
+            assert status == 503 or json.loads(body)["error"]["executed"] == "unknown"
+        assert len(upstream.requests) >= len(positions) // 2
+
+    upstream = _ScriptedUpstream(*([head[:cut]] for cut in range(0, len(head) - 1, 8)))
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
 def test_plain_response_without_a_length_is_relayed_whole() -> None:
     async def action(site: Site) -> None:
         status, _, body, whole = await site.send("/read/x", method="GET")
