Refuse what a stopping entry host can no longer finish

Callers: in a planned stop, requests whose body arrived shortly before the end of the grace period were passed on and lost their channel without an answer, non-idempotent ones too; so did requests that waited for an engine and were never sent.

Cause: the dispatcher did not know when the process would stop. Requests were compared with their own deadline only, and cancelled at the end.

Change: from SIGTERM on, the dispatcher knows when requests must have ended. What cannot be finished by then is refused at once (1207, not run). Shortly before the end the rest is refused: 503 if no upstream got it, else 504.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -128,6 +128,8 @@
         self._queues_by_service: dict[str, RequestQueue] = {}
         self.buffer_budget = BufferBudget()
         self.open_requests = 0
+        self._stop_at = math.inf
+        self._timeouts: set[asyncio.Timeout] = set()
         #: Called when a request is queued for lack of capacity.
         self.on_queued: Callable[[], None] = lambda: None
         #: Called with the engine's record and the prompt's shared parts when a request may have been
@@ -163,6 +165,16 @@
             client.close()
         self._clients_by_address.clear()
 
+    def end_requests_within(self, seconds: float) -> None:
+        """End all requests within this time, in seconds, including those that are still to come.
+
+        Requests that cannot be finished by then are refused at once; those in progress at the end
+        are refused then.
+        """
+        self._stop_at = min(self._stop_at, self._clock.monotonic() + seconds)
+        for timeout in self._timeouts:
+            self._limit_timeout(timeout)
+
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Handle one request; cancelling the task also cancels the request on the upstream."""
         received_at = self._clock.monotonic()
@@ -192,19 +204,21 @@
         self.open_requests += 1
         OPEN_REQUESTS.set({}, self.open_requests)
         refusal: Refusal | None = None
+        timeout = asyncio.timeout_at(
+            asyncio.get_running_loop().time() + progress.deadline - received_at
+        )
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time() + progress.deadline - received_at
-            ):
+            async with timeout:
+                self._timeouts.add(timeout)
+                self._limit_timeout(timeout)
                 refusal = await self._run(progress, reply)
         except TimeoutError:
-            executed = Executed.UNKNOWN if progress.executions else Executed.NO
-            code = codes.TIMED_OUT if progress.executions else codes.DEADLINE_UNREACHABLE
-            refusal = Refusal(code, executed)
+            refusal = self._make_timeout_refusal(progress)
         except asyncio.CancelledError:
             self._report(progress, Refusal(codes.CALLER_GONE, Executed.UNKNOWN))
             raise
         finally:
+            self._timeouts.discard(timeout)
             self.open_requests -= 1
             OPEN_REQUESTS.set({}, self.open_requests)
         self._report(progress, refusal)
@@ -240,13 +254,18 @@
         possibly_executed: Refusal | None = None
         while True:
             refusal = self._check_quarantine(progress)
+            if refusal is not None:
+                return possibly_executed or refusal
+            refusal = self._check_stop(progress)
             if refusal is not None:
                 return possibly_executed or refusal
             choice = await self._acquire_upstream(progress)
             if isinstance(choice, Refusal):
                 return possibly_executed or choice
             # The request may have been queued for seconds.
-            refusal = self._check_quarantine(progress)
+            refusal = self._check_quarantine(progress) or self._check_stop(
+                progress, forecast_s=choice.forecast_s
+            )
             if refusal is not None:
                 self._selector.end(choice, failed=None)
                 return possibly_executed or refusal
@@ -285,6 +304,34 @@
                 age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
             )
 
+    def _limit_timeout(self, timeout: asyncio.Timeout) -> None:
+        """Have the timeout of a request expire when requests must have ended, if not earlier."""
+        stop_at = asyncio.get_running_loop().time() + self._stop_at - self._clock.monotonic()
+        deadline = timeout.when()
+        if deadline is not None and stop_at < deadline and not timeout.expired():
+            timeout.reschedule(stop_at)
+
+    def _make_timeout_refusal(self, progress: RequestProgress) -> Refusal:
+        """Return the refusal of a request whose timeout has expired."""
+        is_stopping = self._stop_at < progress.deadline
+        if progress.executions:
+            detail = "the process is stopping" if is_stopping else ""
+            return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=detail)
+        code = codes.LEAVING if is_stopping else codes.DEADLINE_UNREACHABLE
+        return Refusal(code, Executed.NO)
+
+    def _check_stop(self, progress: RequestProgress, *, forecast_s: float = 0.0) -> Refusal | None:
+        """Return a refusal if the process stops before a request can be finished.
+
+        :param forecast_s: forecast time to the first token, in seconds.
+        """
+        needed_s = max(
+            progress.route.target_latency_s, forecast_s + self._forecast_generation_s(progress)
+        )
+        if self._stop_at - self._clock.monotonic() >= needed_s:
+            return None
+        return Refusal(codes.LEAVING, Executed.NO, detail=f"{needed_s:.2f} s needed")
+
     def _check_quarantine(self, progress: RequestProgress) -> Refusal | None:
         """Return a refusal if a part of the prompt is in quarantine."""
         found = self._quarantine.find(progress.request.prompt_parts)
@@ -344,7 +391,7 @@
         outcome = queue.submit(
             requirements,
             goal_s=progress.route.target_latency_s,
-            time_left_s=time_left,
+            time_left_s=min(time_left, self._stop_at - self._clock.monotonic()),
             caller_timeout_s=progress.route.caller_timeout_s
             - (self._clock.monotonic() - progress.received_at),
             generation_s=self._forecast_generation_s(progress),
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -139,9 +139,10 @@
         """Fail readiness probes, stop accepting connections and finish requests in progress."""
         self._is_leaving = True
         self._caller_server.leave()
+        close_timeout_s = max(0.1, self.settings.bounds.stop_s - READY_DRAIN_S - CLOSE_RESERVE_S)
+        self._dispatcher.end_requests_within(READY_DRAIN_S + close_timeout_s)
         await asyncio.sleep(READY_DRAIN_S)
-        drain_timeout_s = self.settings.bounds.stop_s - READY_DRAIN_S - CLOSE_RESERVE_S
-        await self._caller_server.close(wait_s=max(0.1, drain_timeout_s))
+        await self._caller_server.close(wait_s=close_timeout_s)
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -30,6 +30,9 @@
 #: Margin added to the idle timeout that callers may rely on, in seconds, so that a connection is
 #: not closed while a request is in transit.
 IDLE_MARGIN_S = 5.0
+#: Time before the end of the wait at which requests in progress are refused, in seconds, so that the
+#: refusals are written.
+REFUSAL_RESERVE_S = 0.1
 #: Poll interval while requests are still being received during shutdown, in seconds.
 RECEIVING_POLL_INTERVAL_S = 0.01
 
@@ -245,8 +248,10 @@
 
         Otherwise, callers with persistent connections would send requests until the process exits.
 
-        :param wait_s: maximum wait for requests in progress, in seconds; then they are cancelled.
+        :param wait_s: maximum wait for requests in progress, in seconds. Shortly before its end they
+            are refused, and those that would not end by then are refused at once.
         """
+        self.dispatcher.end_requests_within(max(0.0, wait_s - REFUSAL_RESERVE_S))
         if self._http_server is None:
             return
         self._http_server.stop()
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -555,6 +555,75 @@
     run_with_site(action)
 
 
+async def _stop_during_upload(site: Site, path: str, *, wait_s: float) -> tuple[int, bytes]:
+    """Stop the host, and send the rest of a request 0.2 s before the end of the grace period."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+    headers = "".join(f"{k.replace('_', '-')}: {v}\r\n" for k, v in GENERATION_HEADERS.items())
+    writer.write(
+        f"POST {path} HTTP/1.1\r\nHost: office.example\r\nSycamoreproxy-Request-Id: a\r\n{headers}"
+        "Sycamoreproxy-Deadline-Ms: 9000\r\nX-Api-Key: office-key\r\nContent-Length: 4\r\n\r\n".encode()
+    )
+    await asyncio.sleep(0.1)
+    closing = asyncio.create_task(site.front.close(wait_s=wait_s))
+    await asyncio.sleep(wait_s - 0.2)
+    writer.write(b"body")
+    status, headers_by_name, body, _ = await _read_answer(reader)
+    assert status != 503 or float(headers_by_name["Retry-After"]) > 0
+    await closing
+    writer.close()
+    return status, body
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/post/x", "/ask/x", "/once/x", "/order/x"])
+def test_request_that_comes_too_late_in_a_stop_is_refused_as_not_run(path: str) -> None:
+    """Such requests were passed on and cut without a response, non-idempotent ones too."""
+
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 1000, "read_s": 1.0})
+        status, body = await _stop_during_upload(site, path, wait_s=1.0)
+        error = json.loads(body)["error"]
+        assert (status, error["code"], error["executed"]) == (503, 1207, "no")
+        assert site.count_runs() == 0 and not any(runner.received for runner in site.runners)
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/post/x"])
+def test_request_in_progress_at_the_end_of_a_stop_gets_a_response(path: str) -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 3000})
+        sending = asyncio.create_task(site.send(path, Sycamoreproxy_Deadline_Ms="9000"))
+        await asyncio.sleep(0.1)
+        await site.front.close(wait_s=0.5)
+        status, headers, body, is_complete = await sending
+        assert (status, is_complete) == (504, True) and "Retry-After" not in headers
+        assert json.loads(body)["error"]["executed"] == "unknown"
+
+    run_with_site(action)
+
+
+def test_requests_queued_at_the_end_of_a_stop_are_refused_as_not_run() -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults[:2]:
+            faults.replace({"read_s": 3.0})
+        headers = GENERATION_HEADERS | {"Sycamoreproxy_Deadline_Ms": "9000"}
+        sending = [asyncio.create_task(site.send("/once/x", **headers)) for _ in range(24)]
+        await asyncio.sleep(0.2)
+        assert site.front.dispatcher.has_waiting
+        await site.front.close(wait_s=0.5)
+        sent = {head["Sycamoreproxy-Request-Id"] for r in site.runners for head in r.received}
+        for status, response_headers, body, is_complete in await asyncio.gather(*sending):
+            assert is_complete and status in (503, 504)
+            executed = json.loads(body)["error"]["executed"]
+            assert executed == ("no" if status == 503 else "unknown")
+            assert ("Retry-After" in response_headers) == (status == 503)
+        assert 0 < len(sent) < len(sending)
+
+    run_with_site(action)
+
+
 def test_request_on_a_closed_connection_is_not_sent_on() -> None:
     """A request read while a stop closed its connection was executed without a response."""
 
