Let callers read their responses before a stopping entry host ends

Cause: close() waited for the tasks of requests, which end when the response is in the buffer of the stream, and then closed the streams with their unwritten bytes.

Evidence: test_stop_waits_until_callers_have_read_their_responses fails before the change (3,588,009 of 8,388,608 bytes).

Change: close() waits until nothing is left to be written, within the grace period. A connection that becomes idle meanwhile is closed.

--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -18,7 +18,7 @@
     ResponseStartLine,
     responses,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.caller_request import BadRequestError, CallerRequest, Dialect
@@ -33,8 +33,9 @@
 #: Time before the end of the wait at which requests in progress are refused, in seconds, so that the
 #: refusals are written.
 REFUSAL_RESERVE_S = 0.1
-#: Poll interval while requests are still being received during shutdown, in seconds.
-RECEIVING_POLL_INTERVAL_S = 0.01
+#: Poll interval while requests are still being received or responses written during shutdown, in
+#: seconds.
+CLOSE_POLL_INTERVAL_S = 0.01
 
 _log = get_logger("routed_http")
 
@@ -54,8 +55,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes that are buffered and not yet written to the caller's socket."""
-        # Tornado discards the buffer of a closed connection: the attribute is then None.
-        return len(self._connection.stream._write_buffer or ())
+        return _count_unsent_bytes(self._connection.stream)
 
     def start(self, status: int, headers: HTTPHeaders, data: bytes) -> None:
         """Send the status line, the headers and the first part of the body."""
@@ -98,6 +98,11 @@
         self.finish()
 
 
+def _count_unsent_bytes(stream: IOStream) -> int:
+    # Tornado discards the buffer of a closed stream: the attribute is then None.
+    return len(stream._write_buffer or ())
+
+
 def _ignore_write_error(future: asyncio.Future[None]) -> None:
     """Ignore a write error; the connection's close callback handles it."""
     future.add_done_callback(lambda done: done.cancelled() or done.exception())
@@ -196,7 +201,9 @@
         #: Requests whose headers have been received and whose body is incomplete.
         self.receiving: set[_Exchange] = set()
         self._is_leaving = False
+        self._is_closing = False
         self._http_server: HTTPServer | None = None
+        self._server_conns: set[HTTP1ServerConnection] = set()
         #: Connections that wait for request headers, by Tornado's server connection.
         self._idle_connections_by_server_conn: dict[object, HTTP1Connection] = {}
 
@@ -208,7 +215,11 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the delegate that receives one request."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
         assert isinstance(request_conn, HTTP1Connection)
+        self._server_conns.add(server_conn)
+        if self._is_closing:
+            request_conn.close()
         self._idle_connections_by_server_conn[server_conn] = request_conn
         return _Exchange(
             self,
@@ -218,6 +229,8 @@
 
     def on_close(self, server_conn: object) -> None:
         """Remove a closed connection; the close callback of its request cancels the request."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        self._server_conns.discard(server_conn)
         self._idle_connections_by_server_conn.pop(server_conn, None)
 
     def listen(self, ip: str, port: int) -> None:
@@ -247,10 +260,12 @@
         """Stop listening, close idle connections, and wait for the requests in progress.
 
         Otherwise, callers with persistent connections would send requests until the process exits.
+        A request is in progress until its caller's socket has taken the last byte of the response.
 
         :param wait_s: maximum wait for requests in progress, in seconds. Shortly before its end they
             are refused, and those that would not end by then are refused at once.
         """
+        self._is_closing = True
         self.dispatcher.end_requests_within(max(0.0, wait_s - REFUSAL_RESERVE_S))
         if self._http_server is None:
             return
@@ -259,15 +274,23 @@
             connection.close()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
-        while (self.tasks or self.receiving) and loop.time() < deadline:
+        while loop.time() < deadline:
             if self.tasks and not self.receiving:
                 await asyncio.wait(self.tasks, timeout=deadline - loop.time())
+            elif self.receiving or self._count_unsent_responses():
+                await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
             else:
-                await asyncio.sleep(RECEIVING_POLL_INTERVAL_S)
+                break
         if self.tasks:
             _log.warning(
                 "requests cancelled at the end of the grace period", requests=len(self.tasks)
             )
+        if unsent_responses := self._count_unsent_responses():
+            _log.warning("responses cut at the end of the grace period", responses=unsent_responses)
         for task in list(self.tasks):
             task.cancel()
         await self._http_server.close_all_connections()
+
+    def _count_unsent_responses(self) -> int:
+        """Return the number of connections with bytes that are not written yet."""
+        return sum(_count_unsent_bytes(conn.stream) > 0 for conn in self._server_conns)
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -555,6 +555,79 @@
     run_with_site(action)
 
 
+async def _read_slowly(
+    port: int, path: str, *, bytes_per_s: float, started: asyncio.Event
+) -> tuple[bytes, bytes]:
+    """Send a request, read its response at a rate, and return head and body up to the close."""
+    with socket.socket() as connection:
+        connection.setblocking(False)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connection, ("127.0.0.1", port))
+        await loop.sock_sendall(
+            connection,
+            f"GET {path} HTTP/1.1\r\nHost: office.example\r\nSycamoreproxy-Request-Id: a\r\n"
+            "Sycamoreproxy-Deadline-Ms: 9000\r\nX-Api-Key: office-key\r\n\r\n".encode(),
+        )
+        received = b""
+        started_at = time.monotonic()
+        while data := await loop.sock_recv(connection, 65_536):
+            received += data
+            started.set()
+            due_s = len(received) / bytes_per_s - (time.monotonic() - started_at)
+            await asyncio.sleep(max(0.0, due_s))
+        head, _, body = received.partition(b"\r\n\r\n")
+        return head, body
+
+
+@pytest.mark.parametrize("is_finished_before", [False, True])
+def test_stop_waits_until_callers_have_read_their_responses(is_finished_before: bool) -> None:
+    """Responses that callers were still reading were cut seconds before the end of the stop."""
+
+    async def action(site: Site) -> None:
+        size = MAX_BODY_BYTES
+        head = SIGNED + b"Content-Length: %d\r\n\r\n" % size
+        upstream = RawUpstream(head=head, piece=b"x" * PIECE_BYTES, pieces=size // PIECE_BYTES)
+        await _replace_runners(site, [2, 3], upstream)
+        started = asyncio.Event()
+        reading = asyncio.create_task(
+            _read_slowly(site.port, "/read/x", bytes_per_s=size / 1.0, started=started)
+        )
+        await started.wait()
+        if is_finished_before:
+            assert not site.front.tasks
+        else:
+            site.front.leave()
+        started_at = time.monotonic()
+        await site.front.close(wait_s=8)
+        assert time.monotonic() - started_at < 6
+        response_head, body = await reading
+        assert response_head.startswith(b"HTTP/1.1 200") and len(body) == size
+        upstream.stop()
+
+    run_with_site(action)
+
+
+def test_stop_does_not_wait_longer_than_permitted_for_a_caller_that_does_not_read() -> None:
+    async def action(site: Site) -> None:
+        size = MAX_BODY_BYTES
+        head = SIGNED + b"Content-Length: %d\r\n\r\n" % size
+        upstream = RawUpstream(head=head, piece=b"x" * PIECE_BYTES, pieces=size // PIECE_BYTES)
+        await _replace_runners(site, [2, 3], upstream)
+        started = asyncio.Event()
+        reading = asyncio.create_task(
+            _read_slowly(site.port, "/read/x", bytes_per_s=1.0, started=started)
+        )
+        await started.wait()
+        started_at = time.monotonic()
+        await site.front.close(wait_s=0.5)
+        assert 0.4 < time.monotonic() - started_at < 2
+        reading.cancel()
+        upstream.stop()
+
+    run_with_site(action)
+
+
 async def _stop_during_upload(site: Site, path: str, *, wait_s: float) -> tuple[int, bytes]:
     """Stop the host, and send the rest of a request 0.2 s before the end of the grace period."""
     reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
