Withdraw a request from a silent upstream only to resend it

Callers: streams that may be resumed were cut after 1.2 s of silence on their last permitted attempt, with up to 4 s left; plain requests that may be repeated ended with 504. Streams that may not be resumed waited, and came whole.

Cause: _await_exchange withdrew a request after a time without output and left to the caller of it whether it could be resent. After the last attempt, without resend budget, without another upstream, or with a prompt that was quarantined meanwhile, it could not.

Ten cases of two tests (test_stream_that_was_ resumed_once_waits_for_a_silent_upstream, test_request_that_may_not_be_ resent_waits_for_a_silent_upstream) fail before the change.

Change: a request is withdrawn only if it would be resent at that moment; this is checked every 0.1 s. The withdrawal before the end of a version of the weights is unchanged.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -72,6 +72,8 @@
 #: engine, in seconds. The new version may become known 0.3 s late behind a large configuration, and
 #: closing the connection may be delayed as long by a weight transfer on the link.
 VERSION_MARGIN_S = 0.8
+#: Interval at which a request to a silent upstream is checked for a permitted resend, in seconds.
+RESEND_CHECK_INTERVAL_S = 0.1
 #: Shortest remaining time with which a request is sent, in seconds. With less, it would not reach
 #: the upstream in time.
 MIN_TIME_LEFT_S = 0.03
@@ -353,13 +355,35 @@
             if progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS:
                 return False
             return refusal.code is codes.UPSTREAM_LOST or budget.try_acquire()
+        return self._permits_repeat(progress) and budget.try_acquire()
+
+    def _permits_repeat(self, progress: RequestProgress) -> bool:
+        """Return whether the route and the time left permit another execution."""
         return (
             progress.route.repeatable
             and progress.executions < progress.route.max_attempts
             and progress.deadline - self._clock.monotonic() > MIN_TIME_LEFT_S
-            and budget.try_acquire()
         )
 
+    def _has_alternative(self, progress: RequestProgress, choice: Choice) -> bool:
+        """Return whether a request would be resent if it were withdrawn from its upstream now."""
+        service = progress.service
+        if (
+            not self._permits_repeat(progress)
+            or not self._budget_for(service.name).allows()
+            or self._catalog.find_hold_left_s(service.name) is not None
+            or self._check_quarantine(progress) is not None
+            or self._check_stop(progress) is not None
+        ):
+            return False
+        requirements = self._make_requirements(progress)
+        requirements = replace(
+            requirements, excluded=requirements.excluded | {choice.record.instance}
+        )
+        ignore_capacity = service.engine is None or progress.first_output_at is not None
+        found = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
+        return found is not None
+
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
         hold_s = self._catalog.find_hold_left_s(progress.service.name)
@@ -432,6 +456,14 @@
     def _choose(
         self, service: str, requirements: Requirements, *, ignore_capacity: bool = False
     ) -> Choice | None:
+        """Choose an upstream and count the request as sent to it."""
+        choice = self._find_choice(service, requirements, ignore_capacity=ignore_capacity)
+        return None if choice is None else self._selector.begin(choice, requirements)
+
+    def _find_choice(
+        self, service: str, requirements: Requirements, *, ignore_capacity: bool
+    ) -> Choice | None:
+        """Return the upstream that a request would be sent to now."""
         if requirements.model:
             # The minimum version may have changed while the request was queued.
             requirements = replace(
@@ -441,7 +473,7 @@
         spec = self._table().services_by_name.get(service)
         if spec is not None and spec.engine is not None:
             records = self._selector.list_subset(records, requirements)
-        choice = self._selector.choose(
+        return self._selector.choose(
             records,
             requirements,
             profile=spec.engine if spec is not None else None,
@@ -451,7 +483,6 @@
             ignore_capacity=ignore_capacity,
             latest_start=lambda version: self._find_latest_start(requirements.model, version),
         )
-        return None if choice is None else self._selector.begin(choice, requirements)
 
     async def _attempt(
         self, progress: RequestProgress, choice: Choice, reply: Reply
@@ -659,36 +690,44 @@
     ) -> None:
         """Wait for the end of an exchange.
 
-        :raises TimeoutError: if a repeatable request has no output for too long, or if a request
-            has not started before its version ends.
+        A silent upstream may still answer, so a request is withdrawn from it only to be resent.
+
+        :raises TimeoutError: if a repeatable request has no output for too long and would be resent,
+            or if a request has not started before its version ends.
         """
         started_at = self._clock.monotonic()
-        first_output_deadline = math.inf
+        silence_deadline = math.inf
         if progress.route.repeatable:
-            first_output_deadline = started_at + (
+            silence_deadline = started_at + (
                 choice.forecast_s
                 + FIRST_OUTPUT_TIMEOUT_GOALS * progress.route.target_latency_s
                 + FIRST_OUTPUT_TIMEOUT_S
             )
         # Only the first output of a stream shows that the request has started. A plain request that
         # may not be repeated is not withdrawn.
+        latest_start = math.inf
         is_stream = progress.route.kind is RouteKind.STREAMING
         if choice.version and (is_stream or progress.route.repeatable):
             latest_start = self._find_latest_start(progress.request.model, choice.version)
-            first_output_deadline = min(first_output_deadline, latest_start)
         try:
             while not exchange.done():
-                output_deadline = first_output_deadline
+                now = self._clock.monotonic()
                 if progress.last_output_at > started_at:
                     if not progress.route.repeatable:
                         break
-                    output_deadline = progress.last_output_at + EVENT_TIMEOUT_GAPS * max(
+                    latest_start = math.inf
+                    silence_deadline = progress.last_output_at + EVENT_TIMEOUT_GAPS * max(
                         0.4, progress.route.target_gap_s
                     )
-                left_s = output_deadline - self._clock.monotonic()
-                if left_s <= 0:
+                if now >= latest_start:
                     raise TimeoutError
-                await asyncio.wait({exchange}, timeout=None if left_s == math.inf else left_s)
+                wait_s = silence_deadline - now
+                if wait_s <= 0:
+                    if self._has_alternative(progress, choice):
+                        raise TimeoutError
+                    wait_s = RESEND_CHECK_INTERVAL_S
+                wait_s = min(wait_s, latest_start - now)
+                await asyncio.wait({exchange}, timeout=None if wait_s == math.inf else wait_s)
             await exchange
         finally:
             # The exchange may raise an error of its own while it is being cancelled.
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1432,6 +1432,78 @@
     _run_scripted(upstream, [0, 1, 2, 3], action)
 
 
+def _allow_6_s(site: Site) -> None:
+    """Give all routes a limit of 6 s."""
+    _put(
+        site,
+        "op/config",
+        make_configuration(
+            2,
+            services=[{"name": "model", "engine": ENGINE}, {"name": "ledger"}],
+            routes=[{**route, "timeout_ms": 6000} for route in ROUTES],
+        ),
+    )
+
+
+#: Longer than an upstream may be silent before a request is withdrawn from it, in seconds.
+SILENCE_S = 1.6
+
+
+def test_stream_that_was_resumed_once_waits_for_a_silent_upstream() -> None:
+    """Streams were cut after 1.2 s of silence, with seconds left, when nothing more was permitted."""
+
+    async def action(site: Site) -> None:
+        _allow_6_s(site)
+        status, _, body, is_complete = await site.send(
+            "/ask/x", Sycamoreproxy_Deadline_Ms="6000", **GENERATION_HEADERS
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == 2
+
+    upstream = _ScriptedUpstream(
+        [UNFRAMED, EVENTS[0], SILENCE_S, *EVENTS[1:]],
+        [UNFRAMED, EVENTS[1], SILENCE_S, EVENTS[2]],
+    )
+    _run_scripted(upstream, [0, 1], action)
+
+
+def _spend_resends(site: Site) -> None:
+    for service in ("model", "ledger"):
+        site.front.dispatcher._budget_for(service).set_limits(ratio=0.0, slack=0.0, window_s=10.0)
+
+
+def _remove_others(site: Site) -> None:
+    for number in (1, 3):
+        site.replica.apply(Document(f"servers/scripted-{number}", 2, None), source="test")
+
+
+def _quarantine_prompt(site: Site) -> None:
+    asyncio.get_running_loop().call_later(0.3, site.quarantine.add, "d", 60.0)
+
+
+@pytest.mark.parametrize("prevent_resend", [_spend_resends, _remove_others, _quarantine_prompt])
+@pytest.mark.parametrize("path", ["/ask/x", "/ask/first", "/read/x"])
+def test_request_that_may_not_be_resent_waits_for_a_silent_upstream(
+    path: str, prevent_resend: Callable[[Site], None]
+) -> None:
+    async def action(site: Site) -> None:
+        _allow_6_s(site)
+        site.front.dispatcher._selector.entry_hosts = 1
+        prevent_resend(site)
+        status, _, body, is_complete = await site.send(
+            path, Sycamoreproxy_Deadline_Ms="6000", **PROMPT
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == 1
+
+    head = UNFRAMED.replace(b"\r\n\r\n", b"\r\nContent-Length: %d\r\n\r\n" % len(b"".join(EVENTS)))
+    answer: list[bytes | float] = [SILENCE_S, head, *EVENTS]
+    if path == "/ask/x":
+        answer = [head, EVENTS[0], SILENCE_S, *EVENTS[1:]]
+    upstream = _ScriptedUpstream(answer)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
 def test_plain_response_without_a_length_is_relayed_whole() -> None:
     async def action(site: Site) -> None:
         status, _, body, whole = await site.send("/read/x", method="GET")
