Stage a corrupt chunk again after another read of its pass failed

Cause: the verification deleted the index of a corrupt chunk, raised on the failed read, and deleted the index again in the next pass.

Evidence: test_corrupt_chunk_is_staged_again_after_a_later_read_of_the_same_ pass_failed fails with KeyError before the change.

--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -389,7 +389,7 @@
             data = await self._engine.get_chunk(manifest.model, index)
             if data is None or compute_chunk_digest(data) != digest:
                 corrupt_indexes.append(index)
-                del self._staged_digest_by_index[index]
+                self._staged_digest_by_index.pop(index, None)
         if corrupt_indexes:
             _log.warning(
                 "staged chunks absent or corrupt", version=manifest.version, chunks=corrupt_indexes
--- a/tests/test_engine_stage.py
+++ b/tests/test_engine_stage.py
@@ -48,6 +48,7 @@
         self.started_ms = 1
         self.loaded: list[dict[int, bytes]] = []
         self.never_loads = False
+        self.unreadable: set[int] = set()
 
     def report(self) -> EngineReport:
         return EngineReport(
@@ -69,6 +70,8 @@
         self.staged[index] = data
 
     async def get_chunk(self, model: str, index: int) -> bytes | None:
+        if index in self.unreadable:
+            raise StagedEngineError("no answer in time")
         return self.staged.get(index)
 
     async def order_load(self, model: str, version: int, *, expected: int) -> OrderOutcome:
@@ -167,6 +170,25 @@
     assert harness.engine.loaded[0][2] == make_data(2, 2)
 
 
+def test_corrupt_chunk_is_staged_again_after_a_later_read_of_the_same_pass_failed() -> None:
+    """The second pass failed with KeyError, again and again, and the engine kept its old version."""
+    harness = _Harness()
+    harness.set_target(2)
+    harness.may_switch = False
+    harness.step()
+    harness.transfer.add_chunks(0, 1, 2, 3)
+    harness.step(2)
+    harness.engine.staged[1] = b"corrupt"
+    harness.engine.unreadable = {3}
+    harness.may_switch = True
+    with pytest.raises(StagedEngineError):
+        harness.step()
+    harness.engine.unreadable.clear()
+    harness.step(4)
+    assert harness.engine.orders == [2]
+    assert harness.engine.loaded[0][1] == make_data(2, 1)
+
+
 def test_corrupt_chunk_is_staged_again_while_the_next_version_is_fetched() -> None:
     """Local chunks of a staged version must be retained while the next version is fetched.
 
