Order no chunks that were verified more than two seconds ago

Cause: the staged chunks were read back one after the other, and the order followed the last one, however long ago the first was read.

Change: sixteen chunks are read at once; an order that is due more than 2 s after the first read is dropped, and the next step verifies again.

--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -30,6 +30,12 @@
 SWITCH_NOTICE_S = 0.1
 #: Time within which a report must show an accepted order, in seconds. Reports arrive every 0.13 s.
 ORDER_REPORT_TIMEOUT_S = 1.0
+#: Maximum time between the verification of a chunk and the order that loads it, in seconds. Chunks may
+#: become corrupt in the staging area; users accept that for the last 3 s before the engine takes
+#: them, and the engine may take an order 1 s after it was sent.
+MAX_VERIFICATION_AGE_S = 2.0
+#: Maximum number of staged chunks that are read at once.
+MAX_CONCURRENT_READS = 16
 #: Delay after a failed engine call, in seconds.
 RETRY_INTERVAL_S = 0.3
 
@@ -288,12 +294,22 @@
         try:
             self._on_switching()
             notice_ends_at = self._clock.monotonic() + SWITCH_NOTICE_S
+            verified_at = self._clock.monotonic()
             if not await self._verify(manifest):
                 await self._stage(manifest)
                 if len(self._staged_digest_by_index) < len(manifest.chunks):
                     self._staged_manifest = None
                 return
             await asyncio.sleep(max(0.0, notice_ends_at - self._clock.monotonic()))
+            age_s = self._clock.monotonic() - verified_at
+            if age_s > MAX_VERIFICATION_AGE_S:
+                # The engine or this process was slow; the next step verifies all chunks again.
+                _log.warning(
+                    "verification of staged chunks outdated",
+                    version=manifest.version,
+                    age_s=round(age_s, 2),
+                )
+                return
             outcome = await self._engine.order_load(
                 manifest.model, number, expected=report.orders_accepted
             )
@@ -384,15 +400,27 @@
         Chunks can become corrupt in the staging area, so they are verified directly before each
         order.
         """
-        corrupt_indexes = []
-        for index, digest in enumerate(manifest.chunks):
-            data = await self._engine.get_chunk(manifest.model, index)
-            if data is None or compute_chunk_digest(data) != digest:
-                corrupt_indexes.append(index)
-                self._staged_digest_by_index.pop(index, None)
+        corrupt_indexes: list[int] = []
+        chunks = iter(enumerate(manifest.chunks))
+
+        async def verify_next() -> None:
+            for index, digest in chunks:
+                data = await self._engine.get_chunk(manifest.model, index)
+                if data is None or compute_chunk_digest(data) != digest:
+                    corrupt_indexes.append(index)
+                    self._staged_digest_by_index.pop(index, None)
+
+        try:
+            async with asyncio.TaskGroup() as group:
+                for _ in range(min(MAX_CONCURRENT_READS, len(manifest.chunks))):
+                    group.create_task(verify_next())
+        except ExceptionGroup as errors:
+            raise errors.exceptions[0] from None
         if corrupt_indexes:
             _log.warning(
-                "staged chunks absent or corrupt", version=manifest.version, chunks=corrupt_indexes
+                "staged chunks absent or corrupt",
+                version=manifest.version,
+                chunks=sorted(corrupt_indexes),
             )
         return not corrupt_indexes
 
--- a/sycamoreproxy/platform/runner.py
+++ b/sycamoreproxy/platform/runner.py
@@ -22,6 +22,9 @@
 ORIGIN_IDLE_S = 0.2
 #: Largest answer, in bytes: a staged chunk.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+#: Maximum number of idle connections to a runner. Staged chunks are read over more for a moment;
+#: all connections count against the connection limit of the runner.
+MAX_IDLE_CONNECTIONS = 2
 #: Largest report or answer to an order, in bytes; read as JSON it may take 30 times as
 #: much. A report has ten numbers and the models.
 MAX_REPORT_BYTES = 64 * 1024
@@ -40,7 +43,11 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._http = HttpClient(f"http://{address}", max_body_bytes=MAX_ANSWER_BYTES)
+        self._http = HttpClient(
+            f"http://{address}",
+            max_body_bytes=MAX_ANSWER_BYTES,
+            idle_limit=MAX_IDLE_CONNECTIONS,
+        )
 
     async def read_report(self) -> EngineReport:
         """Return the runner's state.
