Read a manifest again when its chunks do not match the origin's

Cause: a manifest was read once and kept however often its chunks failed, and handed to all others.

Evidence: test_corrupted_manifest_is_read_again_and_replaced_at_all_hosts fails before the change, with one host and with four.

Change: the second mismatch of a chunk from the origin has the manifest read again; two equal answers replace it. A host that holds the version completely tells others that a chunk they ask for is not in its manifest, and hands them that.

--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -388,7 +388,8 @@
 class ChunkDecline:
     """Refuses a chunk request.
 
-    :param reason: ``absent``, ``budget`` or ``busy``.
+    :param reason: ``absent``, ``budget``, ``busy`` or ``unlisted``. The last one says that the sender
+        holds the version completely, and that its manifest does not contain the chunk.
     """
 
     digest: str
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -64,6 +64,10 @@
 #: Time for which hosts that may not use the origin yet wait for a peer's manifest, in seconds.
 MANIFEST_TURN_S = 1.0
 
+#: Number of times that the data of one chunk from the origin must differ from its digest before the
+#: manifest is read again.
+MAX_ORIGIN_MISMATCHES = 2
+
 #: Bytes of a frame in addition to its payload.
 _FRAME_OVERHEAD_BYTES = 1_000
 #: Bytes of an announcement in addition to its bitmap: fields, frame and TCP/IP headers.
@@ -180,6 +184,11 @@
         self._plan: ChunkPlan | None = None
         self._reading_version = ""
         self._loading_version = ""
+        #: Mismatches of each chunk from the origin since the manifest was read.
+        self._origin_mismatches_by_digest: Counter[str] = Counter()
+        self._is_checking_manifest = False
+        #: Hosts that hold the wanted version completely by another manifest.
+        self._hosts_with_other_manifest: set[str] = set()
         self._reason = ""
         self._neighbours: tuple[HostRecord, ...] = ()
         self._regions = 1
@@ -477,6 +486,8 @@
             return
         self._chunks.retain(served=self._served_manifest, wanted=manifest)
         self._manifest = manifest
+        self._origin_mismatches_by_digest.clear()
+        self._hosts_with_other_manifest.clear()
         self._plan = ChunkPlan(
             host=self._hub.hello.host,
             manifest=manifest,
@@ -492,6 +503,33 @@
         self._schedule_announcement()
         self._wake.set()
 
+    async def _check_manifest(self, manifest: Manifest) -> None:
+        """Replace the manifest if the origin sends another one twice.
+
+        Any answer of the origin may be corrupted on its way, also the first manifest.
+        """
+        try:
+            first = await self._origin.read_manifest(manifest.version)
+            if first != manifest and first == await self._origin.read_manifest(manifest.version):
+                self._replace_manifest(manifest, first)
+        except OriginError as error:
+            _log.warning(
+                "could not read manifest from origin", version=manifest.version, error=str(error)
+            )
+        finally:
+            self._is_checking_manifest = False
+            self._origin_mismatches_by_digest.clear()
+
+    def _replace_manifest(self, before: Manifest, manifest: Manifest) -> None:
+        """Continue the transfer with another manifest of the same version."""
+        if self._manifest is not before or self.is_done:
+            return
+        changed = [i for i, digest in enumerate(before.chunks) if digest not in manifest.chunks]
+        _log.warning("manifest replaced", version=manifest.version, chunks=changed)
+        self._previous_plan = self._plan
+        self._manifest, self._plan = None, None
+        self._start_plan(manifest)
+
     def _send_request(self, plan: ChunkPlan, fetch: Fetch) -> None:
         if fetch.source == ORIGIN:
             self._start_task(self._fetch_from_origin(plan, fetch))
@@ -525,6 +563,8 @@
             _log.warning("corrupt chunk dropped", source=source or "origin", error=str(error))
             plan.record_corrupt(digest, source)
             self._schedule_announcement()
+            if source == ORIGIN:
+                self._record_origin_mismatch(plan.manifest, digest)
             return
         was_done = plan.is_done
         plan.record_received(digest, source)
@@ -532,6 +572,13 @@
             _log.info("version held", version=plan.manifest.version)
         self._schedule_announcement()
 
+    def _record_origin_mismatch(self, manifest: Manifest, digest: str) -> None:
+        self._origin_mismatches_by_digest[digest] += 1
+        is_doubtful = self._origin_mismatches_by_digest[digest] >= MAX_ORIGIN_MISMATCHES
+        if is_doubtful and manifest is self._manifest and not self._is_checking_manifest:
+            self._is_checking_manifest = True
+            self._start_task(self._check_manifest(manifest))
+
     # Messages
 
     def _handle_open(self, peer: Peer) -> None:
@@ -593,6 +640,13 @@
             fits = len(encoded) < MAX_FRAME_BYTES - _FRAME_OVERHEAD_BYTES
             peer.send(ChunkData("", encoded) if fits else ChunkDecline("", "absent"))
             return
+        if (
+            request.version == plan.manifest.version
+            and plan.is_done
+            and request.digest not in plan.manifest.indexes_by_digest
+        ):
+            peer.send(ChunkDecline(request.digest, "unlisted"))
+            return
         reason = plan.decide_upload(request.digest, host=peer.hello.host, queued=len(self._uploads))
         if reason:
             peer.send(ChunkDecline(request.digest, reason))
@@ -604,15 +658,18 @@
         if answer.digest:
             self._store_chunk(answer.digest, answer.data, peer.hello.host)
             return
-        if self._manifest is None and self._wanted_version:
+        host = peer.hello.host
+        is_replacement = host in self._hosts_with_other_manifest
+        if (self._manifest is None or is_replacement) and self._wanted_version:
             try:
                 manifest = parse_manifest(answer.data, version=self._wanted_version)
             except ManifestError as error:
-                _log.warning(
-                    "peer sent an invalid manifest", source=peer.hello.host, error=str(error)
-                )
+                _log.warning("peer sent an invalid manifest", source=host, error=str(error))
             else:
-                self._start_task(self._adopt_manifest(manifest))
+                if self._manifest is None:
+                    self._start_task(self._adopt_manifest(manifest))
+                elif manifest != self._manifest:
+                    self._replace_manifest(self._manifest, manifest)
 
     def _handle_slice(self, peer: Peer, answer: ChunkSlice) -> None:
         """Assemble a chunk from its slices, which arrive in order on one stream."""
@@ -634,9 +691,16 @@
             self._store_chunk(answer.digest, bytes(received), peer.hello.host)
 
     def _handle_decline(self, peer: Peer, decline: ChunkDecline) -> None:
-        if self._current_plan is not None and decline.digest:
-            self._current_plan.record_declined(decline.digest, peer.hello.host, decline.reason)
-            self._wake.set()
+        plan, reason = self._current_plan, decline.reason
+        if plan is None or not decline.digest:
+            return
+        if reason == "unlisted":
+            reason = "absent"
+            if plan is self._plan and decline.digest in plan.manifest.indexes_by_digest:
+                self._hosts_with_other_manifest.add(peer.hello.host)
+                peer.send(ChunkRequest(plan.manifest.version, ""))
+        plan.record_declined(decline.digest, peer.hello.host, reason)
+        self._wake.set()
 
     # Uploads and announcements
 
--- a/tests/_weight_fakes.py
+++ b/tests/_weight_fakes.py
@@ -77,6 +77,7 @@
         self.chunks_by_version: dict[str, list[bytes]] = {}
         self.reads: list[str] = []
         self.corrupt_reads = 0
+        self.corrupt_manifest_reads = 0
         self.down = False
 
     def add(self, version: str, chunks: list[bytes]) -> Manifest:
@@ -86,6 +87,9 @@
     async def read_manifest(self, version: str) -> Manifest:
         self._check(version)
         chunks = self.chunks_by_version[version]
+        if self.corrupt_manifest_reads:
+            self.corrupt_manifest_reads -= 1
+            chunks = [chunks[0], b"?" * len(chunks[0]), *chunks[2:]]
         return make_manifest(version, chunks, len(chunks[0]))
 
     async def read_chunk(self, manifest: Manifest, index: int) -> bytes:
--- a/tests/test_weight_transfer.py
+++ b/tests/test_weight_transfer.py
@@ -232,6 +232,47 @@
     assert origin.corrupt_reads == 0
 
 
+@pytest.mark.parametrize("hosts", [("h1",), ("h1", "h2", "h3", "h4")])
+def test_corrupted_manifest_is_read_again_and_replaced_at_all_hosts(hosts: tuple[str, ...]) -> None:
+    """The first host gave it to the others, and none of them got the version any more."""
+    origin = FakeOrigin()
+    right = origin.add("v1", _make_chunks(1))
+    origin.corrupt_manifest_reads = 1
+
+    async def action(cluster: _Cluster) -> None:
+        cluster.start(*hosts)
+        await asyncio.sleep(0.3)
+        first = cluster.nodes["h1"].transfer
+        first.set_wanted_version("v1")
+        while first.manifest is None:
+            await asyncio.sleep(0.005)
+        assert first.manifest != right
+        for node in cluster.nodes.values():
+            node.transfer.set_wanted_version("v1")
+        for node in cluster.nodes.values():
+            await node.transfer.wait_done("v1")
+            assert node.transfer.manifest == right and node.chunks.is_complete(right)
+
+    _run(origin, action, limits=dataclasses.replace(_FAST_LIMITS, origin_backoff_s=0.1))
+
+
+def test_corrupted_answers_for_one_chunk_do_not_replace_a_sound_manifest() -> None:
+    origin = FakeOrigin()
+    right = origin.add("v1", _make_chunks(1, count=1))
+    origin.corrupt_reads = 5
+
+    async def action(cluster: _Cluster) -> None:
+        cluster.start("h1")
+        transfer = cluster.nodes["h1"].transfer
+        transfer.set_wanted_version("v1")
+        while transfer.manifest is None:
+            await asyncio.sleep(0.005)
+        origin.corrupt_manifest_reads = 1
+        assert await transfer.wait_done("v1") == right
+
+    _run(origin, action, limits=dataclasses.replace(_FAST_LIMITS, origin_backoff_s=0.1))
+
+
 def test_corrupt_chunk_of_a_peer_is_dropped_and_fetched_from_the_origin() -> None:
     origin = FakeOrigin()
     chunks = _make_chunks(1, count=6)
