Bound the memory of all request bodies together

Cause: the parts of a body were kept beside the joined body until the answer, and nothing bounded the sum over all requests.

Change: bodies share 32 MiB, or the configured size if that is more. What does not fit is refused with 503 (1214, not run) before its body has come.

--- a/sycamoreproxy/result_codes.py
+++ b/sycamoreproxy/result_codes.py
@@ -115,6 +115,13 @@
     "A part of the prompt crashed several engines.",
     retry_helps=True,
 )
+BODIES_TOO_LARGE = _define(
+    1214,
+    "bodies_too_large",
+    503,
+    "The bodies of the requests in progress leave no memory for this one.",
+    retry_helps=True,
+)
 
 # 13xx: upstreams and responses.
 UPSTREAM_FAILED = _define(1301, "upstream_failed", 502, "The upstream failed the request.")
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -183,7 +183,7 @@
         table = self._table()
         resolved = self._resolve(table, request)
         if isinstance(resolved, Refusal):
-            self._refuse(request, None, resolved, reply)
+            self.refuse(request, None, resolved, reply)
             return
         route, account, service = resolved
         level = table.find_priority_level(account, route)
@@ -225,7 +225,41 @@
             OPEN_REQUESTS.set({}, self.open_requests)
         self._report(progress, refusal)
         if refusal is not None:
-            self._refuse(request, progress, refusal, reply)
+            self.refuse(request, progress, refusal, reply)
+
+    def refuse(
+        self,
+        request: CallerRequest,
+        progress: RequestProgress | None,
+        refusal: Refusal,
+        reply: Reply,
+    ) -> None:
+        """Refuse a request, or cut its response if that has started.
+
+        :param progress: None if the request was never matched with a route.
+        """
+        REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
+        if progress is None:
+            _log.info(
+                "request refused",
+                request=request.request_id,
+                code=refusal.code.number,
+                host=request.host,
+                target=request.target,
+                revision=self._table().revision,
+            )
+        if reply.has_started:
+            reply.abort()
+            return
+        retry_after = None
+        if refusal.executed is Executed.NO and refusal.code.retry_helps:
+            retry_after = request.time_left_s * self._random.uniform(
+                RETRY_AFTER_MIN_FRACTION, RETRY_AFTER_MAX_FRACTION
+            )
+            if refusal.retry_after_ms:
+                spread_s = HOLD_SPREAD_FRACTION * request.time_left_s * self._random.random()
+                retry_after = refusal.retry_after_ms / 1000 + spread_s
+        reply.refuse(refusal, retry_after_s=retry_after)
 
     # Steps
 
@@ -757,36 +791,6 @@
 
     # Outcomes
 
-    def _refuse(
-        self,
-        request: CallerRequest,
-        progress: RequestProgress | None,
-        refusal: Refusal,
-        reply: Reply,
-    ) -> None:
-        REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
-        if progress is None:
-            _log.info(
-                "request refused",
-                request=request.request_id,
-                code=refusal.code.number,
-                host=request.host,
-                target=request.target,
-                revision=self._table().revision,
-            )
-        if reply.has_started:
-            reply.abort()
-            return
-        retry_after = None
-        if refusal.executed is Executed.NO and refusal.code.retry_helps:
-            retry_after = request.time_left_s * self._random.uniform(
-                RETRY_AFTER_MIN_FRACTION, RETRY_AFTER_MAX_FRACTION
-            )
-            if refusal.retry_after_ms:
-                spread_s = HOLD_SPREAD_FRACTION * request.time_left_s * self._random.random()
-                retry_after = refusal.retry_after_ms / 1000 + spread_s
-        reply.refuse(refusal, retry_after_s=retry_after)
-
     def _report(self, progress: RequestProgress, refusal: Refusal | None) -> None:
         now = self._clock.monotonic()
         code = refusal.code.number if refusal is not None else 0
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -22,6 +22,7 @@
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.caller_request import BadRequestError, CallerRequest, Dialect
+from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, BufferBudget
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import CallerBounds
@@ -44,11 +45,20 @@
     """Writes one response to a caller's connection.
 
     :param is_leaving: returns whether the connection is to be closed after the response.
+    :param is_early: whether the response is sent before the request was received; the connection
+        then stays in use until :meth:`end_exchange`.
     """
 
-    def __init__(self, connection: HTTP1Connection, *, is_leaving: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        *,
+        is_leaving: Callable[[], bool],
+        is_early: bool = False,
+    ) -> None:
         self._connection = connection
         self._is_leaving = is_leaving
+        self._is_early = is_early
         self.has_started = False
         self.is_finished = False
 
@@ -76,6 +86,11 @@
     def finish(self) -> None:
         """Complete the response."""
         self.is_finished = True
+        if not self._is_early:
+            self.end_exchange()
+
+    def end_exchange(self) -> None:
+        """Free the connection for the next request, or close it."""
         if self._is_leaving():
             # Tornado decides this when it reads the request, possibly before the shutdown began.
             self._connection._disconnect_on_finish = True
@@ -126,7 +141,9 @@
         self._connection = connection
         self._request: CallerRequest | None = None
         self._refusal: Refusal | None = None
+        self._early_reply: CallerReply | None = None
         self._body_chunks: list[bytes] = []
+        self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -139,8 +156,19 @@
             self._request = self._caller_server.dialect.read_request(start_line, headers)
         except BadRequestError as error:
             self._refusal = Refusal(codes.INVALID_HEADER, Executed.NO, detail=str(error))
+            return
+        length = headers.get("Content-Length", "")
+        if length.isdecimal() and not self._caller_server.body_budget.permits(0, int(length)):
+            self._refuse_body()
 
     def data_received(self, chunk: bytes) -> None:
+        if self._request is None or self._early_reply is not None:
+            return
+        size = self._body_bytes + len(chunk)
+        if not self._caller_server.body_budget.resize(self._body_bytes, size):
+            self._refuse_body()
+            return
+        self._body_bytes = size
         self._body_chunks.append(chunk)
 
     def finish(self) -> None:
@@ -149,6 +177,10 @@
         if stream is None or stream.closed():
             # Tornado still delivers data that was read before the connection closed, but the caller
             # has disconnected.
+            self._release_body()
+            return
+        if self._early_reply is not None:
+            self._early_reply.end_exchange()
             return
         reply = CallerReply(self._connection, is_leaving=self._caller_server.is_leaving)
         if self._request is None:
@@ -159,15 +191,36 @@
         request = self._request
         if self._body_chunks:
             request = replace(request, body=b"".join(self._body_chunks))
+            self._body_chunks.clear()
         self._task = asyncio.create_task(self._answer(request, reply))
         self._connection.set_close_callback(self._cancel)
         self._caller_server.tasks.add(self._task)
         self._task.add_done_callback(self._caller_server.tasks.discard)
+        self._task.add_done_callback(lambda task: self._release_body())
 
     def on_connection_close(self) -> None:
         self._caller_server.receiving.discard(self)
+        if self._task is None:
+            self._release_body()
         self._cancel()
 
+    def _refuse_body(self) -> None:
+        """Refuse the request before its body was received; the rest of the body is discarded."""
+        assert self._request is not None
+        self._release_body()
+        server = self._caller_server
+        self._early_reply = CallerReply(
+            self._connection, is_leaving=server.is_leaving, is_early=True
+        )
+        refusal = Refusal(codes.BODIES_TOO_LARGE, Executed.NO)
+        server.dispatcher.refuse(self._request, None, refusal, self._early_reply)
+
+    def _release_body(self) -> None:
+        """Release the buffer space that is reserved for the body."""
+        self._body_chunks.clear()
+        self._caller_server.body_budget.resize(self._body_bytes, 0)
+        self._body_bytes = 0
+
     def _cancel(self) -> None:
         if self._task is not None:
             self._task.cancel()
@@ -197,6 +250,7 @@
     def __init__(self, *, dispatcher: RoutedDispatcher, dialect: Dialect) -> None:
         self.dispatcher = dispatcher
         self.dialect = dialect
+        self.body_budget = BufferBudget()
         self.tasks: set[asyncio.Task[None]] = set()
         #: Requests whose headers have been received and whose body is incomplete.
         self.receiving: set[_Exchange] = set()
@@ -246,6 +300,8 @@
 
     def set_bounds(self, bounds: CallerBounds) -> None:
         """Apply the configured bounds to new connections and to the next request on open ones."""
+        # A body of the largest permitted size is always accepted if it is the only one.
+        self.body_budget.max_bytes = max(MAX_BUFFERED_BYTES, bounds.max_body_bytes)
         if self._http_server is None:
             return
         parameters = self._http_server.conn_params
