--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -195,9 +195,9 @@
 
     @property
     def is_delimited(self) -> bool:
-        """Whether the response tells its end by a length or by chunks.
+        """Whether the response declares its end by a length or by chunks.
 
-        The end of any other response cannot be told from a crash of the upstream.
+        The end of any other response looks the same as a crash of the upstream.
         """
         return self._is_delimited
 
--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -30,9 +30,9 @@
 SWITCH_NOTICE_S = 0.1
 #: Time within which a report must show an accepted order, in seconds. Reports arrive every 0.13 s.
 ORDER_REPORT_TIMEOUT_S = 1.0
-#: Maximum time between the verification of a chunk and the order that loads it, in seconds. Chunks may
-#: become corrupt in the staging area; users accept that for the last 3 s before the engine takes
-#: them, and the engine may take an order 1 s after it was sent.
+#: Maximum time between the verification of a chunk and the order that loads it, in seconds. The
+#: engine may accept an order 1 s after it was sent, and must not load a chunk that became corrupt
+#: more than 3 s before.
 MAX_VERIFICATION_AGE_S = 2.0
 #: Maximum number of staged chunks that are read at once.
 MAX_CONCURRENT_READS = 16
@@ -293,8 +293,8 @@
         self._is_switching = True
         try:
             self._on_switching()
-            notice_ends_at = self._clock.monotonic() + SWITCH_NOTICE_S
             verified_at = self._clock.monotonic()
+            notice_ends_at = verified_at + SWITCH_NOTICE_S
             if not await self._verify(manifest):
                 await self._stage(manifest)
                 if len(self._staged_digest_by_index) < len(manifest.chunks):
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -361,6 +361,8 @@
 
         :param forecast_s: forecast time to the first token, in seconds.
         """
+        if self._stop_at == math.inf:
+            return None
         needed_s = max(
             progress.route.target_latency_s, forecast_s + self._forecast_generation_s(progress)
         )
@@ -623,13 +625,14 @@
         relay: AnswerRelay,
         ended: AttemptOutcome,
     ) -> None:
-        """Record what the end of a generation tells about the parts of its prompt."""
+        """Record whether the engine answered a prompt completely or may have crashed on it."""
         if not list_shared_parts(parts):
             return
         if relay.is_delimited:
             if ended.refusal is None:
                 self._quarantine.record_complete_answer(parts)
             return
+        # The engine may have crashed between two events.
         self.on_lost(record, list_shared_parts(parts))
         if ended.refusal is None:
             asyncio.get_running_loop().call_later(
