Report complete requests whose connection is closed without a response

Adds sycamore_unanswered_requests_total by cause, a warning with the request's id, and a line for each change of the callers' bounds, so that the hypotheses of the incident can be told apart. No decision changes.

--- a/sycamoreproxy/metrics.py
+++ b/sycamoreproxy/metrics.py
@@ -18,6 +18,10 @@
     "sycamore_resends_total", "Requests sent to another upstream, by code and service"
 )
 OPEN_REQUESTS = Gauge("sycamore_open_requests", "Requests of callers in progress")
+UNANSWERED_REQUESTS = Counter(
+    "sycamore_unanswered_requests_total",
+    "Complete requests whose connection this process closed without a response, by cause",
+)
 ROUTES_REVISION = Gauge("sycamore_routes_revision", "Revision of the routes in force")
 WEIGHT_VERSION = Gauge("sycamore_weight_version", "Newest named version of the weights by model")
 ENDED_VERSION_ANSWERS = Counter(
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import asdict, replace
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
@@ -24,6 +24,7 @@
 from sycamoreproxy.caller_request import BadRequestError, CallerRequest, Dialect
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, BufferBudget
 from sycamoreproxy.logs import get_logger
+from sycamoreproxy.metrics import UNANSWERED_REQUESTS
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import CallerBounds
 from sycamoreproxy.routed_dispatch import RoutedDispatcher
@@ -226,10 +227,13 @@
             self._task.cancel()
 
     async def _answer(self, request: CallerRequest, reply: CallerReply) -> None:
+        cause = "no outcome"
         try:
             await self._caller_server.dispatcher.handle(request, reply)
-        except (asyncio.CancelledError, StreamClosedError):
-            pass
+        except asyncio.CancelledError:
+            cause = "cancelled"
+        except StreamClosedError:
+            cause = "stream closed"
         except Exception:
             _log.exception("request failed", request=request.request_id)
             if reply.has_started:
@@ -238,8 +242,18 @@
                 reply.refuse(Refusal(codes.INTERNAL, Executed.UNKNOWN), retry_after_s=None)
         finally:
             if not reply.is_finished:
+                self._report_unanswered(request, reply, cause)
                 reply.abort()
 
+    def _report_unanswered(self, request: CallerRequest, reply: CallerReply, cause: str) -> None:
+        """Report a request that ends without a response although its caller is connected."""
+        if reply.has_started or self._connection.stream.closed():
+            return
+        UNANSWERED_REQUESTS.inc({"cause": cause})
+        _log.warning(
+            "connection closed without a response", request=request.request_id, cause=cause
+        )
+
 
 class RoutedCallerServer(HTTPServerConnectionDelegate):
     """HTTP server that accepts callers' requests.
@@ -254,6 +268,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         #: Requests whose headers have been received and whose body is incomplete.
         self.receiving: set[_Exchange] = set()
+        self._bounds = CallerBounds()
         self._is_leaving = False
         self._is_closing = False
         self._http_server: HTTPServer | None = None
@@ -289,7 +304,7 @@
 
     def listen(self, ip: str, port: int) -> None:
         """Open the listener."""
-        bounds = CallerBounds()
+        bounds = self._bounds
         self._http_server = HTTPServer(
             self,
             max_header_size=bounds.max_header_bytes,
@@ -300,6 +315,9 @@
 
     def set_bounds(self, bounds: CallerBounds) -> None:
         """Apply the configured bounds to new connections and to the next request on open ones."""
+        if bounds != self._bounds:
+            _log.info("bounds of callers changed", **asdict(bounds))
+        self._bounds = bounds
         # A body of the largest permitted size is always accepted if it is the only one.
         self.body_budget.max_bytes = max(MAX_BUFFERED_BYTES, bounds.max_body_bytes)
         if self._http_server is None:
