Answer requests that arrive as the idle limit of their connection ends

Cause: the idle limit was Tornado's header timeout. It is fixed when a connection begins to wait, so after a raise the connection is closed while its caller may still use it, four fifths of the new limit long. And its timer closes the connection even if the request was read in the same iteration of the event loop, which a late loop makes likely. A stop closed idle connections the same way.

Change: IdleConnections keeps the limit. A waiting connection has the longest limit that was in force since its last request, since its caller may know any of them. It is not closed while bytes of a request are unread: its head then has header_timeout_ms to arrive. A stop serves such requests and closes the others.

--- a/sycamoreproxy/metrics.py
+++ b/sycamoreproxy/metrics.py
@@ -22,6 +22,10 @@
     "sycamore_unanswered_requests_total",
     "Complete requests whose connection this process closed without a response, by cause",
 )
+CLOSED_CALLER_CONNECTIONS = Counter(
+    "sycamore_closed_caller_connections_total",
+    "Connections of callers that were closed while they waited for a request, by reason",
+)
 ROUTES_REVISION = Gauge("sycamore_routes_revision", "Revision of the routes in force")
 WEIGHT_VERSION = Gauge("sycamore_weight_version", "Newest named version of the weights by model")
 ENDED_VERSION_ANSWERS = Counter(
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -23,6 +23,7 @@
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.caller_request import BadRequestError, CallerRequest, Dialect
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, BufferBudget
+from sycamoreproxy.idle_connections import IdleConnections
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import UNANSWERED_REQUESTS
 from sycamoreproxy.result_codes import Executed, Refusal
@@ -268,13 +269,16 @@
         self.tasks: set[asyncio.Task[None]] = set()
         #: Requests whose headers have been received and whose body is incomplete.
         self.receiving: set[_Exchange] = set()
-        self._bounds = CallerBounds()
+        self.bounds = CallerBounds()
         self._is_leaving = False
         self._is_closing = False
         self._http_server: HTTPServer | None = None
         self._server_conns: set[HTTP1ServerConnection] = set()
-        #: Connections that wait for request headers, by Tornado's server connection.
-        self._idle_connections_by_server_conn: dict[object, HTTP1Connection] = {}
+        #: Connections that wait for request headers.
+        self._idle_connections = IdleConnections(
+            limit_s=self.bounds.idle_timeout_s + IDLE_MARGIN_S,
+            header_timeout_s=self.bounds.header_timeout_s,
+        )
 
     def is_leaving(self) -> bool:
         """Return whether connections are closed after their next response."""
@@ -287,51 +291,53 @@
         assert isinstance(server_conn, HTTP1ServerConnection)
         assert isinstance(request_conn, HTTP1Connection)
         self._server_conns.add(server_conn)
+        self._idle_connections.add(server_conn, request_conn)
         if self._is_closing:
-            request_conn.close()
-        self._idle_connections_by_server_conn[server_conn] = request_conn
+            # Tornado starts to read only after this call.
+            asyncio.get_running_loop().call_soon(self._idle_connections.close_unused)
         return _Exchange(
             self,
             request_conn,
-            on_headers=lambda: self._idle_connections_by_server_conn.pop(server_conn, None),
+            on_headers=lambda: self._idle_connections.remove(server_conn),
         )
 
     def on_close(self, server_conn: object) -> None:
         """Remove a closed connection; the close callback of its request cancels the request."""
         assert isinstance(server_conn, HTTP1ServerConnection)
         self._server_conns.discard(server_conn)
-        self._idle_connections_by_server_conn.pop(server_conn, None)
+        self._idle_connections.remove(server_conn)
 
     def listen(self, ip: str, port: int) -> None:
         """Open the listener."""
-        bounds = self._bounds
         self._http_server = HTTPServer(
             self,
-            max_header_size=bounds.max_header_bytes,
-            max_body_size=bounds.max_body_bytes,
-            idle_connection_timeout=bounds.idle_timeout_s + IDLE_MARGIN_S,
+            max_header_size=self.bounds.max_header_bytes,
+            max_body_size=self.bounds.max_body_bytes,
         )
+        # The idle connections have a limit that changes with the configuration.
+        self._http_server.conn_params.header_timeout = None
         self._http_server.listen(port, ip, backlog=1024)
 
     def set_bounds(self, bounds: CallerBounds) -> None:
-        """Apply the configured bounds to new connections and to the next request on open ones."""
-        if bounds != self._bounds:
+        """Apply the configured bounds to all connections from their next request on."""
+        if bounds != self.bounds:
             _log.info("bounds of callers changed", **asdict(bounds))
-        self._bounds = bounds
+        self.bounds = bounds
         # A body of the largest permitted size is always accepted if it is the only one.
         self.body_budget.max_bytes = max(MAX_BUFFERED_BYTES, bounds.max_body_bytes)
-        if self._http_server is None:
-            return
-        parameters = self._http_server.conn_params
-        parameters.max_body_size = bounds.max_body_bytes
-        parameters.header_timeout = bounds.idle_timeout_s + IDLE_MARGIN_S
+        if self._http_server is not None:
+            self._http_server.conn_params.max_body_size = bounds.max_body_bytes
+        self._idle_connections.set_limits(
+            limit_s=bounds.idle_timeout_s + IDLE_MARGIN_S,
+            header_timeout_s=bounds.header_timeout_s,
+        )
 
     def leave(self) -> None:
         """Close each connection after its next response."""
         self._is_leaving = True
 
     async def close(self, *, wait_s: float) -> None:
-        """Stop listening, close idle connections, and wait for the requests in progress.
+        """Stop listening, close unused connections, and wait for the requests in progress.
 
         Otherwise, callers with persistent connections would send requests until the process exits.
         A request is in progress until its caller's socket has taken the last byte of the response.
@@ -339,19 +345,20 @@
         :param wait_s: maximum wait for requests in progress, in seconds. Shortly before its end they
             are refused, and those that would not end by then are refused at once.
         """
+        self._is_leaving = True
         self._is_closing = True
         self.dispatcher.end_requests_within(max(0.0, wait_s - REFUSAL_RESERVE_S))
         if self._http_server is None:
             return
         self._http_server.stop()
-        for connection in list(self._idle_connections_by_server_conn.values()):
-            connection.close()
+        self._idle_connections.close_unused()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
         while loop.time() < deadline:
-            if self.tasks and not self.receiving:
+            is_receiving = self.receiving or len(self._idle_connections)
+            if self.tasks and not is_receiving:
                 await asyncio.wait(self.tasks, timeout=deadline - loop.time())
-            elif self.receiving or self._count_unsent_responses():
+            elif is_receiving or self._count_unsent_responses():
                 await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
             else:
                 break
