Apply the body limit in force to requests on kept connections

What callers saw: on a connection that waited while max_body_bytes was raised, the next request was answered with 400 although it is within the limit in force.

Cause: Tornado takes the limit when a connection begins to wait for a request. Change: the limit is set when the head of a request has been received.

--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -153,6 +153,7 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._on_headers()
+        self._connection.set_max_body_size(self._caller_server.bounds.max_body_bytes)
         self._caller_server.receiving.add(self)
         try:
             self._request = self._caller_server.dialect.read_request(start_line, headers)
@@ -325,8 +326,6 @@
         self.bounds = bounds
         # A body of the largest permitted size is always accepted if it is the only one.
         self.body_budget.max_bytes = max(MAX_BUFFERED_BYTES, bounds.max_body_bytes)
-        if self._http_server is not None:
-            self._http_server.conn_params.max_body_size = bounds.max_body_bytes
         self._idle_connections.set_limits(
             limit_s=bounds.idle_timeout_s + IDLE_MARGIN_S,
             header_timeout_s=bounds.header_timeout_s,
