Name the checks for a request that is arriving

The checks for the head of a request move out of IdleConnections, so that the other HTTP server for callers can use them.

--- a/sycamoreproxy/idle_connections.py
+++ b/sycamoreproxy/idle_connections.py
@@ -30,11 +30,6 @@
     timer: asyncio.TimerHandle
     head_due_at: float | None = None
 
-    @property
-    def has_head(self) -> bool:
-        """Whether a head is complete and only its processing is outstanding."""
-        return not self.connection.stream.reading()
-
 
 class IdleConnections:
     """Closes connections that wait longer for a request than the idle limit.
@@ -88,18 +83,21 @@
     def _end_limit(self, server_conn: object) -> None:
         idle = self._by_server_conn[server_conn]
         if idle.head_due_at is not None:
-            if not idle.has_head:
+            if not has_head(idle.connection.stream):
                 self._close(server_conn, idle, "incomplete head")
         elif asyncio.get_running_loop().time() < idle.idle_until:
             self._schedule(server_conn, idle, idle.idle_until)
         elif self._await_head(server_conn, idle):
-            _log.info("request arrives at the end of the idle limit", has_head=idle.has_head)
+            _log.info(
+                "request arrives at the end of the idle limit",
+                has_head=has_head(idle.connection.stream),
+            )
         else:
             self._close(server_conn, idle, "idle")
 
     def _await_head(self, server_conn: object, idle: _IdleConnection) -> bool:
         """Limit the time for a head that is arriving; return False if none is."""
-        if not idle.has_head and not _has_unread_bytes(idle.connection.stream):
+        if not is_request_arriving(idle.connection.stream):
             return False
         idle.head_due_at = asyncio.get_running_loop().time() + self._header_timeout_s
         self._schedule(server_conn, idle, idle.head_due_at)
@@ -115,11 +113,16 @@
         idle.connection.close()
 
 
-def _has_unread_bytes(stream: IOStream) -> bool:
-    """Return whether bytes were received that no request has consumed, or the peer has closed."""
+def has_head(stream: IOStream) -> bool:
+    """Return whether the awaited head is complete and only its processing is outstanding."""
+    return not stream.reading()
+
+
+def is_request_arriving(stream: IOStream) -> bool:
+    """Return whether any bytes of the awaited head were received, or the peer has closed."""
     if stream.closed():
         return False
-    if stream._read_buffer_size:
+    if has_head(stream) or stream._read_buffer_size:
         return True
     poll = select.poll()
     poll.register(stream.socket, select.POLLIN)
