Do not end callers' connections on which a request has just been read

What callers of the model API saw: a whole request on a kept connection got no response, or the first request of a connection was refused with 408 and "executed": "no" and ran nevertheless.

The timer for a slow head or an idle connection fires in the same iteration of the event loop in which the request is read. Tornado then still delivers the request.

Change: the timers check whether the head is complete or arriving.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -29,6 +29,7 @@
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.dispatch import CallerRequest, PolicyView, Response
+from sycamoreproxy.idle_connections import has_head, is_request_arriving
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.membership import Membership
 from sycamoreproxy.messages import HeaderPairs
@@ -260,7 +261,7 @@
         self._held_bytes = 0
         self._timer = asyncio.get_running_loop().call_later(
             server.limits.receive_timeout_s if is_first else KEEP_ALIVE_S,
-            self._end_slow_head if is_first else self._stream.close,
+            self._end_slow_head if is_first else self._end_idle,
         )
         self._task: asyncio.Task[None] | None = None
         self._account: ClientAccountSettings | None = None
@@ -647,8 +648,17 @@
         if not stream.closed():
             stream.write(b"").add_done_callback(lambda future: _close_after(future, stream))
 
+    def _end_idle(self) -> None:
+        """Close a connection that is kept, unless a request is arriving on it."""
+        if is_request_arriving(self._stream):
+            self._timer = asyncio.get_running_loop().call_later(
+                self._server.limits.receive_timeout_s, self._end_slow_head
+            )
+        else:
+            self._stream.close()
+
     def _end_slow_head(self) -> None:
-        if not self._stream.closed():
+        if not self._stream.closed() and not has_head(self._stream):
             _refuse_stream(self._stream, Refusal(codes.SLOW_SENDER, Executed.NO))
 
     def _end_slow_sender(self) -> None:
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -6,10 +6,14 @@
 import contextlib
 import json
 import random
+import socket
+import time
 from typing import Any
+from unittest import mock
 
 import pytest
 
+from sycamoreproxy import caller_http
 from sycamoreproxy.messages import Output, Refuse, ResponseHead
 from sycamoreproxy.settings import CallerLimits
 from tests._entry import (
@@ -276,3 +280,30 @@
     await idle
     assert b"200 OK" in await reader.read()
     writer.close()
+
+
+def _block_event_loop(seconds: float) -> None:
+    """Have what comes meanwhile, data and timers, meet in the next iteration."""
+    time.sleep(seconds)
+
+
+@pytest.mark.parametrize("is_used", [False, True], ids=["first", "kept"])
+@with_entry(limits=CallerLimits(receive_timeout_s=0.3))
+async def test_request_that_arrives_as_the_idle_limit_expires_is_answered(
+    entry: Entry, is_used: bool
+) -> None:
+    """Its connection was closed, or it was refused as not run although it ran."""
+    with mock.patch.object(caller_http, "KEEP_ALIVE_S", 0.3):
+        (upstream,) = await entry.add()
+        with socket.create_connection(("127.0.0.1", entry.port)) as connection:
+            reader, writer = await asyncio.open_connection(sock=connection)
+            if is_used:
+                writer.write(_with_length(_chat()))
+                assert b"200 OK" in await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(len(upstream.host) + 1 + len(CHAT) + 1 + len(_chat()))
+            await asyncio.sleep(0.24)
+            connection.send(_with_length(_chat()))
+            _block_event_loop(0.15)
+            assert b"200 OK" in await reader.readuntil(b"\r\n\r\n")
+            assert len(upstream.submits) == 1 + is_used
+            writer.close()
