--- a/sycamoreproxy/metrics.py
+++ b/sycamoreproxy/metrics.py
@@ -18,9 +18,9 @@
     "sycamore_resends_total", "Requests sent to another upstream, by code and service"
 )
 OPEN_REQUESTS = Gauge("sycamore_open_requests", "Requests of callers in progress")
-UNANSWERED_REQUESTS = Counter(
-    "sycamore_unanswered_requests_total",
-    "Complete requests whose connection this process closed without a response, by cause",
+UNFINISHED_REQUESTS = Counter(
+    "sycamore_unfinished_requests_total",
+    "Requests whose handler ended before any response, and that were then refused, by cause",
 )
 CLOSED_CALLER_CONNECTIONS = Counter(
     "sycamore_closed_caller_connections_total",
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -25,7 +25,7 @@
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, BufferBudget
 from sycamoreproxy.idle_connections import IdleConnections
 from sycamoreproxy.logs import get_logger
-from sycamoreproxy.metrics import UNANSWERED_REQUESTS
+from sycamoreproxy.metrics import UNFINISHED_REQUESTS
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import CallerBounds
 from sycamoreproxy.routed_dispatch import RoutedDispatcher
@@ -71,15 +71,14 @@
 
     def start(self, status: int, headers: HTTPHeaders, data: bytes) -> None:
         """Send the status line, the headers and the first part of the body."""
-        self.has_started = True
         if self._is_leaving():
             headers["Connection"] = "close"
         reason = responses.get(status, "Unknown")
-        _ignore_write_error(
-            self._connection.write_headers(
-                ResponseStartLine("HTTP/1.1", status, reason), headers, data or None
-            )
+        written = self._connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, reason), headers, data or None
         )
+        self.has_started = True
+        _ignore_write_error(written)
 
     def write(self, data: bytes) -> None:
         """Send a part of the body."""
@@ -238,23 +237,19 @@
             cause = "stream closed"
         except Exception:
             _log.exception("request failed", request=request.request_id)
-            if reply.has_started:
-                reply.abort()
-            else:
-                reply.refuse(Refusal(codes.INTERNAL, Executed.UNKNOWN), retry_after_s=None)
+            cause = "exception"
         finally:
             if not reply.is_finished:
-                self._report_unanswered(request, reply, cause)
-                reply.abort()
+                self._end_without_outcome(request, reply, cause)
 
-    def _report_unanswered(self, request: CallerRequest, reply: CallerReply, cause: str) -> None:
-        """Report a request that ends without a response although its caller is connected."""
+    def _end_without_outcome(self, request: CallerRequest, reply: CallerReply, cause: str) -> None:
+        """Refuse a request whose handler ended early, or cut its response if that has started."""
         if reply.has_started or self._connection.stream.closed():
+            reply.abort()
             return
-        UNANSWERED_REQUESTS.inc({"cause": cause})
-        _log.warning(
-            "connection closed without a response", request=request.request_id, cause=cause
-        )
+        UNFINISHED_REQUESTS.inc({"cause": cause})
+        _log.warning("handler ended without a response", request=request.request_id, cause=cause)
+        reply.refuse(Refusal(codes.INTERNAL, Executed.UNKNOWN), retry_after_s=None)
 
 
 class RoutedCallerServer(HTTPServerConnectionDelegate):
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -4,18 +4,26 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import time
+from collections.abc import Awaitable, Callable
 
 import pytest
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
 
 from sycamoreproxy import routed_http
+from sycamoreproxy.caller_request import CallerRequest
 from sycamoreproxy.route_table import CallerBounds
+from sycamoreproxy.routed_http import CallerReply
 from tests.test_routed_entry import Site, _read_answer, run_with_site
 
 #: Idle limits of the tests, in seconds.
 SHORT_S = 0.3
 LONG_S = 3.0
+#: Size of a response that the socket does not take at once, in bytes.
+BODY_BYTES = 16_000_000
 
 
 @pytest.fixture(autouse=True)
@@ -207,3 +215,58 @@
             assert (await connection.request(b"x" * 1000))[0] == 200
 
     run_with_site(action)
+
+
+async def _cancel_itself(request: CallerRequest, reply: CallerReply) -> None:
+    task = asyncio.current_task()
+    assert task is not None
+    task.cancel()
+    await asyncio.sleep(1)
+
+
+async def _lose_a_stream(request: CallerRequest, reply: CallerReply) -> None:
+    raise StreamClosedError
+
+
+async def _return_early(request: CallerRequest, reply: CallerReply) -> None:
+    """Neither answer nor refuse the request."""
+
+
+async def _send_a_malformed_head(request: CallerRequest, reply: CallerReply) -> None:
+    headers = HTTPHeaders()
+    headers._as_list["X-Office"] = ["one\rtwo"]
+    reply.start(200, headers, b"")
+
+
+@pytest.mark.parametrize(
+    "handle", [_cancel_itself, _lose_a_stream, _return_early, _send_a_malformed_head]
+)
+def test_request_whose_handler_ends_early_is_refused_as_possibly_executed(
+    handle: Callable[[CallerRequest, CallerReply], Awaitable[None]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its connection was closed without a response."""
+
+    async def action(site: Site) -> None:
+        monkeypatch.setattr(site.front.dispatcher, "handle", handle)
+        status, headers, body, is_complete = await site.send("/read/x")
+        assert (status, is_complete) == (500, True) and "Retry-After" not in headers
+        assert json.loads(body)["error"]["executed"] == "unknown"
+
+    run_with_site(action)
+
+
+def test_exception_after_a_complete_response_does_not_cut_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def respond_and_fail(request: CallerRequest, reply: CallerReply) -> None:
+        body = b"x" * BODY_BYTES
+        reply.start(200, HTTPHeaders({"Content-Length": str(BODY_BYTES)}), body)
+        reply.finish()
+        raise ValueError
+
+    async def action(site: Site) -> None:
+        monkeypatch.setattr(site.front.dispatcher, "handle", respond_and_fail)
+        status, _, body, is_complete = await site.send("/read/x")
+        assert (status, len(body), is_complete) == (200, BODY_BYTES, True)
+
+    run_with_site(action)
