Wait for the requests in transit in a test of the quarantine

test_queued_prompt_with_a_part_quarantined_meanwhile_is_not_sent failed once on a machine with a load of 22 (16 requests received, 0 counted). Trace: the first responses took 0.69 s, so none of the 16 requests that were already sent on had reached its upstream when the test counted them after 0.2 s. They were not sent after the quarantine.

The test now counts once every request is either received by an upstream or queued. What it checks is the same.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1263,8 +1263,13 @@
         for faults in site.faults[:2]:
             faults.replace({"read_s": 0.5})
         answers = [asyncio.create_task(site.send("/ask/x", **PROMPT)) for _ in range(24)]
-        await asyncio.sleep(0.2)
-        assert site.front.dispatcher.has_waiting
+
+        def is_settled() -> bool:
+            queued = sum(site.front.dispatcher.count_waiting().get("model", {}).values())
+            received = sum(len(runner.received) for runner in site.runners)
+            return 0 < queued == len(answers) - received
+
+        await _wait_until(is_settled)
         sent = sum(len(runner.received) for runner in site.runners)
         site.quarantine.add("d", 60.0)
         await asyncio.gather(*answers)
