Add failing tests for silent upstreams whose requests cannot be moved

A sound upstream may fall silent for a second or so. A request that may be resent is then withdrawn from it and sent to another one. If that one refuses it, fails, closes the connection or is silent, too, nothing is left: the stream is cut, a plain request gets 504, although the silent upstream would have answered a moment later.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1520,6 +1520,62 @@
     _run_scripted(upstream, [0, 1, 2, 3], action)
 
 
+NOT_EXECUTED = (
+    b"HTTP/1.1 503 Service Unavailable\r\nSycamoreproxy-Request-Id: {id}\r\n"
+    b"Sycamoreproxy-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+FAILED = b"HTTP/1.1 500 Error\r\nSycamoreproxy-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+LENGTH = b"\r\nContent-Length: %d\r\n\r\n" % len(b"".join(EVENTS))
+FRAMED = UNFRAMED.replace(b"\r\n\r\n", LENGTH)
+#: Answers of a sound upstream that is silent for a while, by path.
+SILENT_ANSWERS: dict[str, list[bytes | float]] = {
+    "/ask/x": [FRAMED, EVENTS[0], SILENCE_S, *EVENTS[1:]],
+    "/ask/first": [SILENCE_S + 0.6, FRAMED, *EVENTS],
+    "/read/x": [SILENCE_S + 0.6, FRAMED, *EVENTS],
+}
+
+
+@pytest.mark.parametrize(
+    "other", [[NOT_EXECUTED], [FAILED], [b""], [6.0]], ids=["refuses", "fails", "closes", "silent"]
+)
+@pytest.mark.parametrize("path", SILENT_ANSWERS)
+def test_request_of_a_silent_upstream_survives_a_resend_that_fails(
+    path: str, other: list[bytes | float]
+) -> None:
+    """The request was withdrawn before another upstream had answered, and its stream was cut."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=6000)
+        status, _, body, is_complete = await site.send(
+            path, Sycamoreproxy_Deadline_Ms="6000", **PROMPT
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == 2
+
+    upstream = _ScriptedUpstream(SILENT_ANSWERS[path], other)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize("path", SILENT_ANSWERS)
+def test_request_of_a_silent_upstream_is_answered_by_another_one(path: str) -> None:
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=9000)
+        started_at = time.monotonic()
+        status, _, body, is_complete = await site.send(
+            path, Sycamoreproxy_Deadline_Ms="9000", **PROMPT
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == 2
+        assert time.monotonic() - started_at < 6
+
+    silent = [7.0 if isinstance(part, float) else part for part in SILENT_ANSWERS[path]]
+    rest = [FRAMED, *EVENTS]
+    if path == "/ask/x":
+        rest = [UNFRAMED, *EVENTS[1:]]
+    upstream = _ScriptedUpstream(silent, rest)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
 def test_plain_response_without_a_length_is_relayed_whole() -> None:
     async def action(site: Site) -> None:
         status, _, body, whole = await site.send("/read/x", method="GET")
