Wait in a stop for every open connection, and forget those that callers closed

Entries of callers that had left stayed, so a stop took all of its time (4.0 of 4 s), and the server kept every connection that it had ever accepted.

Change: the server forwards on_close and the stop waits until no connection is open; what is left at the end is closed at once, after cancelled requests were refused.

--- a/sycamoreproxy/idle_connections.py
+++ b/sycamoreproxy/idle_connections.py
@@ -77,12 +77,16 @@
     def close_unused(self) -> None:
         """Close the connections on which no request is arriving."""
         for server_conn, idle in list(self._by_server_conn.items()):
-            if idle.head_due_at is None and not self._await_head(server_conn, idle):
+            if idle.connection.stream.closed():
+                self.remove(server_conn)
+            elif idle.head_due_at is None and not self._await_head(server_conn, idle):
                 self._close(server_conn, idle, "stop")
 
     def _end_limit(self, server_conn: object) -> None:
         idle = self._by_server_conn[server_conn]
-        if idle.head_due_at is not None:
+        if idle.connection.stream.closed():
+            self.remove(server_conn)
+        elif idle.head_due_at is not None:
             if not has_head(idle.connection.stream):
                 self._close(server_conn, idle, "incomplete head")
         elif asyncio.get_running_loop().time() < idle.idle_until:
@@ -115,7 +119,7 @@
 
 def has_head(stream: IOStream) -> bool:
     """Return whether the awaited head is complete and only its processing is outstanding."""
-    return not stream.reading()
+    return not stream.closed() and not stream.reading()
 
 
 def is_request_arriving(stream: IOStream) -> bool:
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -252,6 +252,26 @@
         reply.refuse(Refusal(codes.INTERNAL, Executed.UNKNOWN), retry_after_s=None)
 
 
+class _CallerHTTPServer(HTTPServer):
+    """Tells its delegate of closed connections, which Tornado's server does not."""
+
+    request_callback: RoutedCallerServer
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection is open, including those that are not served yet."""
+        return bool(self._connections)
+
+    def close_streams(self) -> None:
+        """Close all connections at once, so that none of them delivers another request."""
+        for server_conn in list(self._connections):
+            server_conn.stream.close()
+
+
 class RoutedCallerServer(HTTPServerConnectionDelegate):
     """HTTP server that accepts callers' requests.
 
@@ -268,7 +288,7 @@
         self.bounds = CallerBounds()
         self._is_leaving = False
         self._is_closing = False
-        self._http_server: HTTPServer | None = None
+        self._http_server: _CallerHTTPServer | None = None
         self._server_conns: set[HTTP1ServerConnection] = set()
         #: Connections that wait for request headers.
         self._idle_connections = IdleConnections(
@@ -305,7 +325,7 @@
 
     def listen(self, ip: str, port: int) -> None:
         """Open the listener."""
-        self._http_server = HTTPServer(
+        self._http_server = _CallerHTTPServer(
             self,
             max_header_size=self.bounds.max_header_bytes,
             max_body_size=self.bounds.max_body_bytes,
@@ -348,22 +368,23 @@
         self._idle_connections.close_unused()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
-        while loop.time() < deadline:
-            is_receiving = self.receiving or len(self._idle_connections)
-            if self.tasks and not is_receiving:
+        while self._http_server.has_connections and loop.time() < deadline:
+            if self.tasks and not self.receiving and not len(self._idle_connections):
                 await asyncio.wait(self.tasks, timeout=deadline - loop.time())
-            elif is_receiving or self._count_unsent_responses():
-                await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
             else:
-                break
+                await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
         if self.tasks:
             _log.warning(
                 "requests cancelled at the end of the grace period", requests=len(self.tasks)
             )
         if unsent_responses := self._count_unsent_responses():
             _log.warning("responses cut at the end of the grace period", responses=unsent_responses)
-        for task in list(self.tasks):
-            task.cancel()
+        if self.tasks:
+            for task in self.tasks:
+                task.cancel()
+            # A cancelled request is refused if its response has not started.
+            await asyncio.wait(self.tasks, timeout=CLOSE_POLL_INTERVAL_S)
+        self._http_server.close_streams()
         await self._http_server.close_all_connections()
 
     def _count_unsent_responses(self) -> int:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -170,7 +170,7 @@
                     connection.send_at_once(b"POST")
                     await asyncio.sleep(SHORT_S / 4)
             assert await connection.read_response() == (0, {})
-            assert time.monotonic() - started_at < 10 * SHORT_S
+            assert time.monotonic() - started_at < 6 * SHORT_S
 
     run_with_site(action)
 
@@ -183,7 +183,7 @@
 def test_request_that_arrives_as_a_stop_closes_idle_connections_is_answered(
     parts: tuple[bytes, ...],
 ) -> None:
-    """A request was read and its connection closed, as it still counted as idle."""
+    """The connection still counted as idle and was closed."""
 
     async def action(site: Site) -> None:
         async with _Connection(site) as connection:
@@ -203,6 +203,59 @@
     run_with_site(action)
 
 
+def test_request_that_was_read_is_answered_if_a_stop_closes_idle_connections_next() -> None:
+    async def action(site: Site) -> None:
+        async with _Connection(site) as connection:
+            assert (await connection.request())[0] == 200
+            await asyncio.sleep(0.05)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.05, site.front._idle_connections.close_unused)
+            connection.send_at_once(_make_request())
+            _block_event_loop(0.1)
+            assert (await connection.read_response())[0] == 200
+
+    run_with_site(action)
+
+
+def test_requests_on_connections_accepted_just_before_a_stop_are_answered() -> None:
+    """Their connections were closed while some of the requests were being run."""
+
+    async def action(site: Site) -> None:
+        callers = [socket.create_connection(("127.0.0.1", site.port)) for _ in range(20)]
+        for caller in callers:
+            caller.send(_make_request())
+        while not (site.front._http_server and site.front._http_server.has_connections):
+            await asyncio.sleep(0)
+        await site.front.close(wait_s=3)
+        for caller in callers:
+            with caller:
+                reader, writer = await asyncio.open_connection(sock=caller)
+                assert (await _read_answer(reader))[0] == 200
+                writer.close()
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize("sent", [b"", b"POST /read/x"], ids=["nothing sent", "part of a head"])
+@pytest.mark.parametrize("is_at_limit", [False, True], ids=["during use", "after its idle limit"])
+def test_stop_does_not_wait_for_callers_that_have_left(sent: bytes, is_at_limit: bool) -> None:
+    """Entries of closed connections were kept, and each stop took all of its time."""
+
+    async def action(site: Site) -> None:
+        _set_idle_limit(site, SHORT_S if is_at_limit else LONG_S)
+        async with _Connection(site) as connection:
+            assert (await connection.request())[0] == 200
+            connection.send_at_once(sent)
+            await asyncio.sleep(1.5 * SHORT_S)
+        # The end of the connection is not read yet.
+        started_at = time.monotonic()
+        await site.front.close(wait_s=4)
+        assert time.monotonic() - started_at < 2
+        assert not site.front._server_conns and not len(site.front._idle_connections)
+
+    run_with_site(action)
+
+
 def test_raised_body_limit_holds_for_the_next_request_on_a_kept_connection() -> None:
     """The request was answered with 400 by the limit of before."""
 
