Let only one timer end the head of a request on the model API

What callers saw: on a kept connection whose idle limit ended while a head was arriving, the connection was closed without a response.

Cause: Tornado's header timeout began with the connection's wait and ended before the time that the server's own timer gives to the head, and it drops a head that was read. The new case fails before the change and passes with it; Tornado's timer is off, as on routed deployments.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -174,9 +174,9 @@
             max_body_size=1 << 40,
             max_buffer_size=max(4 * limits.max_header_bytes, 1 << 18),
             max_header_size=4 * limits.max_header_bytes,
-            # _Exchange ends a slow head before this.
-            idle_connection_timeout=KEEP_ALIVE_S + limits.receive_timeout_s,
         )
+        # _Exchange limits the time for a head; Tornado's timer would drop one that has been read.
+        self._server.conn_params.header_timeout = None
         self._server.max_connections = limits.max_connections
 
     def listen(self, address: Address) -> int:
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -9,7 +9,6 @@
 import socket
 import time
 from typing import Any
-from unittest import mock
 
 import pytest
 
@@ -287,23 +286,36 @@
     time.sleep(seconds)
 
 
-@pytest.mark.parametrize("is_used", [False, True], ids=["first", "kept"])
+@pytest.fixture
+def _short_keep_alive(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(caller_http, "KEEP_ALIVE_S", 0.3)
+
+
+@pytest.mark.usefixtures("_short_keep_alive")
+@pytest.mark.parametrize(
+    ("is_used", "first_bytes"),
+    [(False, None), (True, None), (True, 40)],
+    ids=["first", "kept", "head in two parts"],
+)
 @with_entry(limits=CallerLimits(receive_timeout_s=0.3))
 async def test_request_that_arrives_as_the_idle_limit_expires_is_answered(
-    entry: Entry, is_used: bool
+    entry: Entry, is_used: bool, first_bytes: int | None
 ) -> None:
     """Its connection was closed, or it was refused as not run although it ran."""
-    with mock.patch.object(caller_http, "KEEP_ALIVE_S", 0.3):
-        (upstream,) = await entry.add()
-        with socket.create_connection(("127.0.0.1", entry.port)) as connection:
-            reader, writer = await asyncio.open_connection(sock=connection)
-            if is_used:
-                writer.write(_with_length(_chat()))
-                assert b"200 OK" in await reader.readuntil(b"\r\n\r\n")
-                await reader.readexactly(len(upstream.host) + 1 + len(CHAT) + 1 + len(_chat()))
-            await asyncio.sleep(0.24)
-            connection.send(_with_length(_chat()))
-            _block_event_loop(0.15)
+    (upstream,) = await entry.add()
+    request = _with_length(_chat())
+    with socket.create_connection(("127.0.0.1", entry.port)) as connection:
+        reader, writer = await asyncio.open_connection(sock=connection)
+        if is_used:
+            writer.write(request)
             assert b"200 OK" in await reader.readuntil(b"\r\n\r\n")
-            assert len(upstream.submits) == 1 + is_used
-            writer.close()
+            await reader.readexactly(len(upstream.host) + 1 + len(CHAT) + 1 + len(_chat()))
+        await asyncio.sleep(0.24)
+        connection.send(request[:first_bytes])
+        _block_event_loop(0.15)
+        if first_bytes:
+            await asyncio.sleep(0.24)
+            connection.send(request[first_bytes:])
+        assert b"200 OK" in await reader.readuntil(b"\r\n\r\n")
+        assert len(upstream.submits) == 1 + is_used
+        writer.close()
