Answer refused HEAD requests without a body

What callers saw: a HEAD request that was refused (an unknown route or key, no capacity) got no response; its connection was closed. Found by a review.

Cause: Tornado permits no body in the response to HEAD and closes the stream when the body of the refusal is written. Two of four new cases failed before (404, 401) and pass now; HEAD requests that are relayed passed before as well.

--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -49,6 +49,7 @@
     :param is_leaving: returns whether the connection is to be closed after the response.
     :param is_early: whether the response is sent before the request was received; the connection
         then stays in use until :meth:`end_exchange`.
+    :param has_body: whether the response may have a body; that to ``HEAD`` has none.
     """
 
     def __init__(
@@ -57,8 +58,10 @@
         *,
         is_leaving: Callable[[], bool],
         is_early: bool = False,
+        has_body: bool = True,
     ) -> None:
         self._connection = connection
+        self._has_body = has_body
         self._is_leaving = is_leaving
         self._is_early = is_early
         self.has_started = False
@@ -75,14 +78,17 @@
             headers["Connection"] = "close"
         reason = responses.get(status, "Unknown")
         written = self._connection.write_headers(
-            ResponseStartLine("HTTP/1.1", status, reason), headers, data or None
+            ResponseStartLine("HTTP/1.1", status, reason),
+            headers,
+            data if data and self._has_body else None,
         )
         self.has_started = True
         _ignore_write_error(written)
 
     def write(self, data: bytes) -> None:
         """Send a part of the body."""
-        _ignore_write_error(self._connection.write(data))
+        if self._has_body:
+            _ignore_write_error(self._connection.write(data))
 
     def finish(self) -> None:
         """Complete the response."""
@@ -143,6 +149,7 @@
         self._request: CallerRequest | None = None
         self._refusal: Refusal | None = None
         self._early_reply: CallerReply | None = None
+        self._has_response_body = True
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
@@ -152,6 +159,7 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._on_headers()
+        self._has_response_body = start_line.method != "HEAD"
         self._connection.set_max_body_size(self._caller_server.bounds.max_body_bytes)
         self._caller_server.receiving.add(self)
         try:
@@ -184,7 +192,7 @@
         if self._early_reply is not None:
             self._early_reply.end_exchange()
             return
-        reply = CallerReply(self._connection, is_leaving=self._caller_server.is_leaving)
+        reply = self._make_reply()
         if self._request is None:
             reply.refuse(
                 self._refusal or Refusal(codes.INVALID_HEADER, Executed.NO), retry_after_s=None
@@ -210,12 +218,17 @@
         """Refuse the request before its body was received; the rest of the body is discarded."""
         assert self._request is not None
         self._release_body()
-        server = self._caller_server
-        self._early_reply = CallerReply(
-            self._connection, is_leaving=server.is_leaving, is_early=True
-        )
+        self._early_reply = self._make_reply(is_early=True)
         refusal = Refusal(codes.BODIES_TOO_LARGE, Executed.NO)
-        server.dispatcher.refuse(self._request, None, refusal, self._early_reply)
+        self._caller_server.dispatcher.refuse(self._request, None, refusal, self._early_reply)
+
+    def _make_reply(self, *, is_early: bool = False) -> CallerReply:
+        return CallerReply(
+            self._connection,
+            is_leaving=self._caller_server.is_leaving,
+            is_early=is_early,
+            has_body=self._has_response_body,
+        )
 
     def _release_body(self) -> None:
         """Release the buffer space that is reserved for the body."""
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -15,9 +15,17 @@
 
 from sycamoreproxy import routed_http
 from sycamoreproxy.caller_request import CallerRequest
+from sycamoreproxy.document_source import Document
 from sycamoreproxy.route_table import CallerBounds
 from sycamoreproxy.routed_http import CallerReply
-from tests.test_routed_entry import Site, _read_answer, run_with_site
+from tests._raw_upstream import SIGNED
+from tests.test_routed_entry import (
+    Site,
+    _put_upstream,
+    _read_answer,
+    _ScriptedUpstream,
+    run_with_site,
+)
 
 #: Idle limits of the tests, in seconds.
 SHORT_S = 0.3
@@ -270,6 +278,37 @@
     run_with_site(action)
 
 
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/read/x", "office-key", 200),
+        ("/ask/x", "office-key", 200),
+        ("/nothing/x", "office-key", 404),
+        ("/read/x", "wrong-key", 401),
+    ],
+)
+def test_head_request_is_answered_without_a_body(path: str, key: str, status: int) -> None:
+    """The connection was closed without a response, as the body of a refusal was sent."""
+
+    async def action(site: Site) -> None:
+        upstream = _ScriptedUpstream([SIGNED + b"Content-Length: 15\r\n\r\n"])
+        for number in range(4):
+            service = "model" if number < 2 else "ledger"
+            site.replica.apply(Document(f"servers/i-{number}", 2, None), source="test")
+            _put_upstream(site, f"scripted-{number}", service, await upstream.listen())
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        for _ in range(2):
+            writer.write(
+                f"HEAD {path} HTTP/1.1\r\nHost: office.example\r\nSycamoreproxy-Request-Id: a\r\n"
+                f"Sycamoreproxy-Deadline-Ms: 1900\r\nX-Api-Key: {key}\r\n\r\n".encode()
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 %d " % status)
+        writer.close()
+
+    run_with_site(action)
+
+
 async def _cancel_itself(request: CallerRequest, reply: CallerReply) -> None:
     task = asyncio.current_task()
     assert task is not None
