Apply a raised limit for request heads to new connections

What callers saw: with max_header_bytes above 64 KiB, a longer head within it was closed without a response. Found by a review; the configured limit was never applied. The new case failed before (no response) and passes now. Heads up to 64 KiB are read as before, whatever the limit.

--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -348,12 +348,20 @@
         self._http_server.listen(port, ip, backlog=1024)
 
     def set_bounds(self, bounds: CallerBounds) -> None:
-        """Apply the configured bounds to all connections from their next request on."""
+        """Apply the configured bounds to all connections from their next request on.
+
+        On connections that wait already, a raised limit for heads holds from the request after it.
+        """
         if bounds != self.bounds:
             _log.info("bounds of callers changed", **asdict(bounds))
         self.bounds = bounds
         # A body of the largest permitted size is always accepted if it is the only one.
         self.body_budget.max_bytes = max(MAX_BUFFERED_BYTES, bounds.max_body_bytes)
+        if self._http_server is not None:
+            # Tornado takes this limit when a connection begins to wait for a request.
+            self._http_server.conn_params.max_header_size = max(
+                CallerBounds().max_header_bytes, bounds.max_header_bytes
+            )
         self._idle_connections.set_limits(
             limit_s=bounds.idle_timeout_s + IDLE_MARGIN_S,
             header_timeout_s=bounds.header_timeout_s,
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -264,6 +264,19 @@
     run_with_site(action)
 
 
+def test_raised_limit_for_heads_holds_on_new_connections() -> None:
+    """The connection was closed without a response, as the limit was never applied."""
+
+    async def action(site: Site) -> None:
+        site.front.set_bounds(CallerBounds(max_header_bytes=131_072))
+        async with _Connection(site) as connection:
+            head = _make_request().replace(b"/read/x", b"/nothing/x").removesuffix(b"\r\n")
+            connection.send_at_once(head + b"X-Office: " + b"x" * 100_000 + b"\r\n\r\n")
+            assert (await connection.read_response())[0] == 404
+
+    run_with_site(action)
+
+
 def test_raised_body_limit_holds_for_the_next_request_on_a_kept_connection() -> None:
     """The request was answered with 400 by the limit of before."""
 
