Record stop signals in the launcher instead of raising an exception

Seen: `make run` received SIGINT and SIGTERM at nearly the same time, and 25 processes stayed behind.

Cause: the handler raised KeyboardInterrupt at whatever line the main thread was. In the `finally` of `main` the second signal arrived before SIG_IGN was set, so `deployment.stop()` was not called. During the start, a single signal between the fork of a process and the assignment of its Popen left that process.

Change: the handler only records the signal; the first one requests the stop, later ones have no effect. The main thread waits for it, and the start checks for it before each process and each request.

--- a/tools/launch.py
+++ b/tools/launch.py
@@ -21,9 +21,10 @@
 import urllib.error
 import urllib.request
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
+from queue import SimpleQueue
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -41,6 +42,9 @@
 #: Time that a process has to end after SIGTERM before it gets SIGKILL, in seconds.
 STOP_TIMEOUT_S = 20.0
 
+#: Signals that end the launcher.
+_STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+
 #: Answered by every stand-in with status 405; a service would count a request to another path.
 _STANDIN_PATH = "/standin/faults"
 _KEY_COLUMNS = ("model", "client_account", "rank")
@@ -50,6 +54,40 @@
     """The deployment could not be started; the message names the process and its log."""
 
 
+class StartCancelledError(Exception):
+    """A stop was requested while the deployment was being started; everything is ended."""
+
+
+class StopSignals:
+    """Records SIGINT and SIGTERM; the first one requests the stop, later ones have no effect.
+
+    The handler raises nothing: an exception could interrupt the start of a process before its id is
+    known, or the stop of the deployment, and processes would be left.
+    """
+
+    def __init__(self) -> None:
+        self._is_requested = False
+        # Its `put` may be called by a signal handler that interrupts `get` or `put`.
+        self._received: SimpleQueue[int] = SimpleQueue()
+
+    def install(self) -> None:
+        """Replace the handlers of the signals, for the rest of the process."""
+        for number in _STOP_SIGNALS:
+            signal.signal(number, self._record)
+
+    def is_requested(self) -> bool:
+        """Whether a signal was received."""
+        return self._is_requested
+
+    def wait(self) -> None:
+        """Wait for the first signal; it may have been received before."""
+        self._received.get()
+
+    def _record(self, number: int, _: object) -> None:
+        self._is_requested = True
+        self._received.put(number)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamSpec:
     """Upstreams of one model or service in every availability zone.
@@ -253,6 +291,7 @@
     :param standin_options: options by stand-in (``store``, ``host_list``, ``origin``).
     :param tls: whether the daemons use certificates made by :mod:`tools.certificates`.
     :param seed: seed of the stand-ins' random faults.
+    :param is_stop_requested: called while the deployment starts; True cancels the start.
     """
 
     def __init__(
@@ -271,6 +310,7 @@
         standin_options: dict[str, tuple[str, ...]] | None = None,
         tls: bool = False,
         seed: int = 1,
+        is_stop_requested: Callable[[], bool] = lambda: False,
     ) -> None:
         self.directory = directory.resolve()
         self.zones = tuple(zones)
@@ -286,6 +326,7 @@
         self._standin_options = standin_options or {}
         self._tls = tls
         self._seed = seed
+        self._is_stop_requested = is_stop_requested
         self._ports = _Ports()
         self._hosts: list[dict[str, Any]] = []
 
@@ -330,6 +371,7 @@
         """Start stand-ins and daemons, load the table, and wait until all are ready.
 
         :raises LaunchError: if a process does not come up; everything is ended then.
+        :raises StartCancelledError: if a stop was requested; everything is ended then.
         """
         try:
             self.start_standins()
@@ -443,6 +485,7 @@
         entry = self.list_processes("entry")[0]
         end = time.monotonic() + timeout_s
         while True:
+            self._check_stop()
             status, answer = request_json(
                 "POST",
                 f"{entry.url('admin')}/v1/table/edits",
@@ -502,6 +545,10 @@
             self._end(self.list_processes(*kinds), timeout_s)
         self._ports.release_all()
 
+    def _check_stop(self) -> None:
+        if self._is_stop_requested():
+            raise StartCancelledError
+
     def _find(self, pid: int) -> subprocess.Popen[bytes]:
         for process in self.processes_by_name.values():
             if process.popen is not None and process.popen.pid == pid:
@@ -526,6 +573,7 @@
                 popen.wait()
 
     def _spawn(self, process: ManagedProcess) -> None:
+        self._check_stop()
         for port in process.ports.values():
             self._ports.release(port)
         with process.log.open("ab") as log:
@@ -547,6 +595,7 @@
         end = time.monotonic() + timeout_s
         status = 0
         while time.monotonic() < end and process.is_running:
+            self._check_stop()
             status, _ = request_json(
                 "GET",
                 process.url(listener) + path,
@@ -693,12 +742,15 @@
         file.chmod(0o600)
 
 
-def make_example(name: str, directory: Path) -> Deployment:
+def make_example(
+    name: str, directory: Path, *, is_stop_requested: Callable[[], bool] = lambda: False
+) -> Deployment:
     """Return one of the two example deployments, not started.
 
     Each gets one availability zone with 2 entry hosts and all its upstreams.
 
     :param name: ``plovdiv`` or ``sicily``.
+    :param is_stop_requested: called while the deployment starts; True cancels the start.
     """
     import tomllib
 
@@ -735,6 +787,7 @@
         table=ROOT / "examples" / f"{name}.csv",
         client_accounts=accounts,
         operators=[item["name"] for item in secrets["operators"]],
+        is_stop_requested=is_stop_requested,
     )
 
 
@@ -760,10 +813,6 @@
     )
 
 
-def _interrupt(*_: object) -> None:
-    raise KeyboardInterrupt
-
-
 def main() -> int:
     """Start an example deployment and stay until Ctrl-C or SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -777,25 +826,23 @@
         from tools.launch_platform import run_platform
 
         return run_platform(directory)
-    deployment = make_example(options.deployment, directory)
-    for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, _interrupt)
+    stop_signals = StopSignals()
+    stop_signals.install()
+    deployment = make_example(
+        options.deployment, directory, is_stop_requested=stop_signals.is_requested
+    )
     try:
         deployment.start()
         first = "kiosk-central" if options.deployment == "plovdiv" else "planners-palermo"
         _print_addresses(deployment, deployment.upstreams[0].name, first)
         print("Ctrl-C ends it.", flush=True)
-        while True:
-            signal.pause()
-    except KeyboardInterrupt:
+        stop_signals.wait()
+    except StartCancelledError:
         pass
     except LaunchError as error:
         print(f"launch: {error}", file=sys.stderr)
         return 1
     finally:
-        # A second signal must not leave processes behind.
-        for number in (signal.SIGINT, signal.SIGTERM):
-            signal.signal(number, signal.SIG_IGN)
         deployment.stop()
     if options.dir is None:
         shutil.rmtree(directory, ignore_errors=True)
