End the platform example on a stop request while it starts

Seen: with `--deployment platform` a signal that arrives during the start has no effect until both entry hosts are ready, or for up to 30 s for each of them. A supervisor that kills the launcher before leaves its processes behind.

Cause: the handler sets an event, which was only waited for after the start.

Change: the start is a task of its own, cancelled on a stop request.

--- a/tests/test_launch_platform.py
+++ b/tests/test_launch_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import re
 import shlex
@@ -33,9 +34,46 @@
     assert status == 0
     settings = [entry.name for entry in tmp_path.glob("*.toml")]
     assert len(settings) == 6
-    running = [
-        Path(f"/proc/{pid}/cmdline").read_text(errors="replace")
-        for pid in os.listdir("/proc")
-        if pid.isdigit() and Path(f"/proc/{pid}/cmdline").exists()
-    ]
-    assert not any(str(tmp_path) in line for line in running)
+    assert _list_processes(tmp_path) == []
+
+
+#: An entry host that does not become ready, so that the launcher waits for it.
+_LAUNCHER_THAT_WAITS = """
+import asyncio, sys
+from pathlib import Path
+from bench import soak_site
+from tools.launch_platform import run_platform
+
+async def wait_ready(*_, **options):
+    print("waiting", flush=True)
+    await asyncio.sleep(30)
+    return False
+
+soak_site.Site.wait_ready = wait_ready
+sys.exit(run_platform(Path(sys.argv[1])))
+"""
+
+
+def test_stop_during_the_start_does_not_wait_for_entry_hosts(tmp_path: Path) -> None:
+    """The stop began when the entry hosts were ready or their time limit of 30 s had passed."""
+    command = [sys.executable, "-c", _LAUNCHER_THAT_WAITS, tmp_path]
+    process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    try:
+        assert process.stdout is not None
+        assert process.stdout.readline() == "waiting\n"
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(15) == 0
+    finally:
+        if process.poll() is None:
+            process.wait(60)
+    assert _list_processes(tmp_path) == []
+
+
+def _list_processes(directory: Path) -> list[str]:
+    """Return the command lines of running processes that name this directory."""
+    lines = []
+    for pid in filter(str.isdigit, os.listdir("/proc")):
+        # A process may end while the list is read.
+        with contextlib.suppress(OSError):
+            lines.append(Path(f"/proc/{pid}/cmdline").read_text(errors="replace"))
+    return [line for line in lines if str(directory) in line]
--- a/tools/launch_platform.py
+++ b/tools/launch_platform.py
@@ -37,10 +37,13 @@
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
     # Addresses of 127.0.0.0/8 that other deployments of this machine do not use.
     site = Site(octet=20 + os.getpid() % 200, directory=directory, entries=ENTRIES, engines=ENGINES)
+    start = asyncio.create_task(_start(site))
+    stop = asyncio.create_task(stopped.wait())
     try:
-        await site.start()
-        ready = [await site.wait_ready(host, within_s=READY_S) for host in site.entries]
-        if not all(ready):
+        await asyncio.wait({start, stop}, return_when=asyncio.FIRST_COMPLETED)
+        if not start.done():
+            return 0
+        if not start.result():
             print(f"launch: an entry host is not ready; logs are in {directory}")
             return 1
         for host in site.hosts:
@@ -48,8 +51,16 @@
         ip = site.entries[0].ip
         print(_CURL.format(key=KEY, model=MODEL, ip=ip, port=CALLER_PORT))
         print("Ctrl-C ends it.", flush=True)
-        await stopped.wait()
+        await stop
     finally:
+        start.cancel()
+        await asyncio.wait({start})
         with contextlib.suppress(asyncio.CancelledError):
             await site.close()
     return 0
+
+
+async def _start(site: Site) -> bool:
+    """Start the deployment; return whether its entry hosts are ready."""
+    await site.start()
+    return all([await site.wait_ready(host, within_s=READY_S) for host in site.entries])
