Keep late signals from changing the exit status of the launcher

Cause: the event loop and the interpreter restore the default actions of signals when they end. sycamored blocks the signals before that for the same reason.

Change: the launcher blocks the signals after all processes have ended, for `platform` before the event loop closes.

--- a/tests/test_launch_platform.py
+++ b/tests/test_launch_platform.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import os
 import re
 import shlex
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -69,6 +73,30 @@
     assert _list_processes(tmp_path) == []
 
 
+@pytest.mark.parametrize("deployment", ["platform", "plovdiv"])
+def test_repeated_signals_do_not_change_the_status_of_the_launcher(
+    tmp_path: Path, deployment: str
+) -> None:
+    """A signal after the handlers were gone ended the launcher with status -15 or -2."""
+    command = [sys.executable, "tools/launch.py", "--deployment", deployment, "--dir", tmp_path]
+    process = subprocess.Popen(command, cwd=ROOT)
+    children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
+    while not (started := set(children.read_text().split())):
+        assert process.poll() is None
+        time.sleep(0.001)
+    deadline = time.monotonic() + 40
+    for number in itertools.cycle((signal.SIGINT, signal.SIGTERM)):
+        process.send_signal(number)
+        with contextlib.suppress(OSError):
+            started |= set(children.read_text().split())
+        time.sleep(0.001)
+        if process.poll() is not None or time.monotonic() > deadline:
+            break
+    assert process.wait(1) == 0
+    assert _list_processes(tmp_path) == []
+    assert not [pid for pid in started if Path("/proc", pid).exists()]
+
+
 def _list_processes(directory: Path) -> list[str]:
     """Return the command lines of running processes that name this directory."""
     lines = []
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -43,7 +43,7 @@
 STOP_TIMEOUT_S = 20.0
 
 #: Signals that end the launcher.
-_STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
 #: Answered by every stand-in with status 405; a service would count a request to another path.
 _STANDIN_PATH = "/standin/faults"
@@ -72,7 +72,7 @@
 
     def install(self) -> None:
         """Replace the handlers of the signals, for the rest of the process."""
-        for number in _STOP_SIGNALS:
+        for number in STOP_SIGNALS:
             signal.signal(number, self._record)
 
     def is_requested(self) -> bool:
@@ -88,6 +88,14 @@
         self._received.put(number)
 
 
+def block_stop_signals() -> None:
+    """Keep further signals from changing the exit status, after all processes have ended.
+
+    The event loop and the interpreter restore the default actions of signals when they end.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamSpec:
     """Upstreams of one model or service in every availability zone.
@@ -850,4 +858,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    exit_status = main()
+    block_stop_signals()
+    sys.exit(exit_status)
--- a/tools/launch_platform.py
+++ b/tools/launch_platform.py
@@ -5,10 +5,10 @@
 import asyncio
 import contextlib
 import os
-import signal
 from pathlib import Path
 
 from bench.soak_site import CALLER_PORT, KEY, MODEL, STATE_PORT, Site
+from tools.launch import STOP_SIGNALS, block_stop_signals
 
 #: Hosts of the example: two entry hosts before four engines in two zones.
 ENTRIES, ENGINES = 2, 4
@@ -33,7 +33,7 @@
 
 async def _run(directory: Path) -> int:
     stopped = asyncio.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
+    for number in STOP_SIGNALS:
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
     # Addresses of 127.0.0.0/8 that other deployments of this machine do not use.
     site = Site(octet=20 + os.getpid() % 200, directory=directory, entries=ENTRIES, engines=ENGINES)
@@ -57,6 +57,7 @@
         await asyncio.wait({start})
         with contextlib.suppress(asyncio.CancelledError):
             await site.close()
+        block_stop_signals()
     return 0
 
 
