Test that repeated SIGINT does not change the exit status of sycamored

The launcher had faults with a second signal of another kind. The daemon has none of them: its handlers set an event, and the signals are blocked before the event loop closes.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -39,7 +39,7 @@
     return [port for _, port in sockets]
 
 
-@pytest.mark.parametrize("repeated", [signal.SIGTERM, signal.SIGHUP])
+@pytest.mark.parametrize("repeated", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
 def test_repeated_signals_do_not_kill_a_process_that_ends(
     tmp_path: Path, repeated: signal.Signals
 ) -> None:
