--- a/tools/launch_platform.py
+++ b/tools/launch_platform.py
@@ -5,10 +5,10 @@
 import asyncio
 import contextlib
 import os
-import signal
 from pathlib import Path
 
 from bench.soak_site import CALLER_PORT, KEY, MODEL, STATE_PORT, Site
+from tools.launch import STOP_SIGNALS, block_stop_signals
 
 #: Hosts of the example: two entry hosts before four engines in two zones.
 ENTRIES, ENGINES = 2, 4
@@ -33,14 +33,17 @@
 
 async def _run(directory: Path) -> int:
     stopped = asyncio.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
+    for number in STOP_SIGNALS:
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
     # Addresses of 127.0.0.0/8 that other deployments of this machine do not use.
     site = Site(octet=20 + os.getpid() % 200, directory=directory, entries=ENTRIES, engines=ENGINES)
+    start = asyncio.create_task(_start(site))
+    stop = asyncio.create_task(stopped.wait())
     try:
-        await site.start()
-        ready = [await site.wait_ready(host, within_s=READY_S) for host in site.entries]
-        if not all(ready):
+        await asyncio.wait({start, stop}, return_when=asyncio.FIRST_COMPLETED)
+        if not start.done():
+            return 0
+        if not start.result():
             print(f"launch: an entry host is not ready; logs are in {directory}")
             return 1
         for host in site.hosts:
@@ -48,8 +51,17 @@
         ip = site.entries[0].ip
         print(_CURL.format(key=KEY, model=MODEL, ip=ip, port=CALLER_PORT))
         print("Ctrl-C ends it.", flush=True)
-        await stopped.wait()
+        await stop
     finally:
+        start.cancel()
+        await asyncio.wait({start})
         with contextlib.suppress(asyncio.CancelledError):
             await site.close()
+        block_stop_signals()
     return 0
+
+
+async def _start(site: Site) -> bool:
+    """Start the deployment; return whether its entry hosts are ready."""
+    await site.start()
+    return all([await site.wait_ready(host, within_s=READY_S) for host in site.entries])
