Revert "Keep a request at a silent upstream until another one responds"

Its review showed, by deterministic trials with real sockets, faults that are graver than the one it mends: - a replacement's long error could discard the incomplete event of the silent attempt; the stream then ended as complete with bytes missing; - a stream that may have run could be refused as not executed; - half an event decided which attempt responds, and a replacement was not watched for silence itself: streams that were whole before were cut; - a complete response could be cut if the time limit ended just after it.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -77,10 +77,6 @@
         self.may_resend = may_resend
 
 
-class SupersededError(Exception):
-    """Another attempt of the request has begun to respond to the caller."""
-
-
 @dataclass(slots=True)
 class RequestProgress:
     """State of one request across its attempts.
@@ -88,8 +84,6 @@
     :param executions: number of attempts that an upstream may have executed.
     :param unexecuted_attempts: number of attempts that no upstream has executed.
     :param version: weight version of the latest stream that named one; None if none has.
-    :param responding: relay of the attempt that responds to the caller, or did last.
-    :param is_contested: whether the next attempt with output becomes the one that responds.
     """
 
     request: CallerRequest
@@ -113,8 +107,6 @@
     waited_s: float = 0.0
     load: str = ""
     instances: str = ""
-    responding: AnswerRelay | None = None
-    is_contested: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,7 +216,6 @@
         """Process a part of the body.
 
         :raises AnswerTooLongError: if the response exceeds a size limit.
-        :raises SupersededError: if another attempt has begun to respond.
         """
         self._received_bytes += len(data)
         if self._received_bytes > MAX_BODY_BYTES:
@@ -237,7 +228,6 @@
             self._reserve_buffer(self._received_bytes)
             self._body += data
             return
-        self._begin_response()
         try:
             events = self._progress.splitter.feed(data)
         except EventTooLongError as error:
@@ -270,15 +260,11 @@
         )
 
     def finish(self) -> AttemptOutcome:
-        """Complete the response after its last byte and return the outcome.
-
-        :raises SupersededError: if another attempt has begun to respond.
-        """
+        """Complete the response after its last byte and return the outcome."""
         head = self._head
         if head is None:
             return AttemptOutcome(Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN), True, True)
         if self._is_stream:
-            self._begin_response()
             partial = self._progress.splitter.partial
             if partial:
                 return AttemptOutcome(
@@ -301,8 +287,7 @@
                 failed=True,
                 may_resend=True,
             )
-            is_last = self._progress.executions >= self._progress.route.max_attempts
-            if self._progress.is_contested or not is_last:
+            if self._progress.executions < self._progress.route.max_attempts:
                 return outcome
         if head.status in _AMBIGUOUS_STATUSES or not head.is_signed:
             return AttemptOutcome(
@@ -310,7 +295,6 @@
                 failed=True,
                 may_resend=True,
             )
-        self._begin_response()
         self._record_output()
         body = bytes(self._body)
         self._body.clear()
@@ -320,16 +304,6 @@
         self._reply.finish()
         return AttemptOutcome(None, failed=head.status >= 500)
 
-    def _begin_response(self) -> None:
-        """Become the attempt that responds to the caller if that is still open."""
-        progress = self._progress
-        if progress.responding is not self:
-            if not progress.is_contested:
-                raise SupersededError
-            progress.responding = self
-            progress.splitter.discard_partial()
-        progress.is_contested = False
-
     def _reserve_buffer(self, size: int) -> None:
         if not self._buffer_budget.resize(self._buffered_size, size):
             # Free the space at once: the exchange ends only some iterations of the event loop
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -9,9 +9,8 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Container, Coroutine, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import replace
-from typing import Any
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
@@ -22,7 +21,6 @@
     Reply,
     RequestProgress,
     ResponseMismatchError,
-    SupersededError,
 )
 from sycamoreproxy.caller_request import (
     Attempt,
@@ -311,7 +309,14 @@
             if refusal is not None:
                 self._selector.end(choice, failed=None)
                 return possibly_executed or refusal
-            _record_choice(progress, choice)
+            progress.attempts += 1
+            progress.forecast_s = choice.forecast_s
+            progress.load = (
+                f"occupied {choice.occupied} running {choice.running} waiting {choice.waiting}"
+                f" unreported {choice.unreported}"
+                f" age {round((choice.report_age_s or 0.0) * 1000)} ms"
+            )
+            progress.instances += f" {choice.record.instance}"
             if progress.attempts == 1:
                 budget.count_first_attempt()
             failed: bool | None = None
@@ -328,19 +333,16 @@
                 possibly_executed = ended.refusal
             if not ended.may_resend or not self._may_resend(progress, ended.refusal, budget):
                 return possibly_executed or ended.refusal
-            self._report_resend(progress, choice, ended.refusal)
-
-    def _report_resend(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
-        RESENDS.inc({"code": str(refusal.code.number), "service": progress.service.name})
-        _log.info(
-            "request resent",
-            request=progress.request.request_id,
-            upstream=choice.record.instance,
-            code=refusal.code.number,
-            executed=str(refusal.executed),
-            last_event=progress.splitter.last_id,
-            age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
-        )
+            RESENDS.inc({"code": str(ended.refusal.code.number), "service": progress.service.name})
+            _log.info(
+                "request resent",
+                request=progress.request.request_id,
+                upstream=choice.record.instance,
+                code=ended.refusal.code.number,
+                executed=str(ended.refusal.executed),
+                last_event=progress.splitter.last_id,
+                age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
+            )
 
     def _limit_timeout(self, timeout: asyncio.Timeout) -> None:
         """Have the timeout of a request expire when requests must have ended, if not earlier."""
@@ -403,27 +405,24 @@
             and progress.deadline - self._clock.monotonic() > MIN_TIME_LEFT_S
         )
 
-    def _choose_alternative(self, progress: RequestProgress, choice: Choice) -> Choice | None:
-        """Choose another upstream for a request whose upstream is silent, if that is permitted."""
+    def _has_alternative(self, progress: RequestProgress, choice: Choice) -> bool:
+        """Return whether a request would be resent if it were withdrawn from its upstream now."""
         service = progress.service
         if (
             not self._permits_repeat(progress)
-            or progress.unexecuted_attempts >= MAX_UNEXECUTED_RESENDS
             or not self._budget_for(service.name).allows()
             or self._catalog.find_hold_left_s(service.name) is not None
             or self._check_quarantine(progress) is not None
             or self._check_stop(progress) is not None
         ):
-            return None
+            return False
         requirements = self._make_requirements(progress)
         requirements = replace(
             requirements, excluded=requirements.excluded | {choice.record.instance}
         )
         ignore_capacity = service.engine is None or progress.first_output_at is not None
-        other = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
-        if other is None or not self._budget_for(service.name).try_acquire():
-            return None
-        return self._choose(service.name, requirements, ignore_capacity=ignore_capacity)
+        found = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
+        return found is not None
 
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
@@ -532,121 +531,12 @@
     async def _attempt(
         self, progress: RequestProgress, choice: Choice, reply: Reply
     ) -> AttemptOutcome:
-        """Send a request to one upstream, and to another one if that falls silent.
-
-        A silent upstream may be sound, so the request stays there until the other one responds.
-        """
-        progress.responding = None
-        started_at = self._clock.monotonic()
-        exchange = self._start(self._send(progress, choice, reply))
-        try:
-            while not exchange.done():
-                silence_left_s = self._find_silence_left_s(progress, choice, started_at)
-                if silence_left_s > 0:
-                    timeout = None if silence_left_s == math.inf else silence_left_s
-                    await asyncio.wait({exchange}, timeout=timeout)
-                    continue
-                other = self._choose_alternative(progress, choice)
-                if other is None:
-                    await asyncio.wait({exchange}, timeout=RESEND_CHECK_INTERVAL_S)
-                    continue
-                self._report_resend(
-                    progress, choice, Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN)
-                )
-                ended = await self._replace(exchange, progress, other, reply)
-                if ended is not None:
-                    return ended
-            return exchange.result()
-        finally:
-            # Data that is read before the cancellation takes effect must not reach the caller.
-            progress.responding = None
-            exchange.cancel()
-
-    @staticmethod
-    def _start(sending: Coroutine[None, None, AttemptOutcome]) -> asyncio.Task[AttemptOutcome]:
-        task = asyncio.create_task(sending)
-        # It may raise an error of its own while it is being cancelled.
-        task.add_done_callback(_retrieve_error)
-        return task
-
-    def _find_silence_left_s(
-        self, progress: RequestProgress, choice: Choice, started_at: float
-    ) -> float:
-        """Return the time for which an upstream may still be silent, in seconds."""
-        if not progress.route.repeatable:
-            return math.inf
-        if progress.last_output_at > started_at:
-            silent_at = progress.last_output_at + EVENT_TIMEOUT_GAPS * max(
-                0.4, progress.route.target_gap_s
-            )
-        else:
-            silent_at = started_at + (
-                choice.forecast_s
-                + FIRST_OUTPUT_TIMEOUT_GOALS * progress.route.target_latency_s
-                + FIRST_OUTPUT_TIMEOUT_S
-            )
-        return silent_at - self._clock.monotonic()
-
-    async def _replace(
-        self,
-        silent: asyncio.Task[AttemptOutcome],
-        progress: RequestProgress,
-        choice: Choice,
-        reply: Reply,
-    ) -> AttemptOutcome | None:
-        """Send a request to another upstream while a silent one may still respond.
-
-        :param silent: attempt at the silent upstream; cancelled when the other one responds.
-        :returns: the outcome once the other upstream has responded; None if the silent one goes on,
-            or if the other one has failed.
-        """
-        silent_relay = progress.responding
-        progress.is_contested = True
-        _record_choice(progress, choice)
-        other = self._start(self._send(progress, choice, reply, is_replacement=True))
-        failed: bool | None = None
-        try:
-            while progress.is_contested and not other.done():
-                running = {task for task in (silent, other) if not task.done()}
-                await asyncio.wait(
-                    running,
-                    timeout=RESEND_CHECK_INTERVAL_S,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-            if progress.responding is silent_relay and not progress.is_contested:
-                return None
-            is_responding = progress.responding is not silent_relay
-            if is_responding:
-                silent.cancel()
-            ended = await other
-            failed = ended.failed
-            if ended.refusal is not None:
-                progress.excluded.add(choice.record.instance)
-                if ended.refusal.executed is Executed.NO:
-                    progress.unexecuted_attempts += 1
-            return replace(ended, failed=True) if is_responding else None
-        finally:
-            progress.is_contested = False
-            other.cancel()
-            self._selector.end(choice, failed=failed)
-            self.dispatch_waiting()
-
-    async def _send(
-        self,
-        progress: RequestProgress,
-        choice: Choice,
-        reply: Reply,
-        *,
-        is_replacement: bool = False,
-    ) -> AttemptOutcome:
-        """Send a request to one upstream and relay its response.
-
-        :param is_replacement: whether another attempt may respond as well.
-        """
+        """Send a request to one upstream and relay its response."""
         request, route = progress.request, progress.route
         time_left = progress.deadline - self._clock.monotonic()
         if time_left < MIN_TIME_LEFT_S:
             return AttemptOutcome(Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO), failed=None)
+        progress.splitter.discard_partial()
         sent_at = self._clock.monotonic()
         headers = self._dialect.write_attempt(
             request,
@@ -672,9 +562,6 @@
             ),
             on_head=lambda head: self._apply_head(request, choice, head, sent_at),
         )
-        if not is_replacement:
-            progress.splitter.discard_partial()
-            progress.responding = relay
         client = self._get_client(choice)
         exchange = asyncio.ensure_future(
             client.exchange(
@@ -724,14 +611,15 @@
             )
         except AnswerTooLongError as error:
             return relay.end_too_long(error)
-        except (TimeoutError, SupersededError):
-            return _make_silence_outcome()
+        except TimeoutError:
+            return AttemptOutcome(
+                Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time"),
+                failed=True,
+                may_resend=True,
+            )
         finally:
             relay.release()
-        try:
-            ended = relay.finish()
-        except SupersededError:
-            return _make_silence_outcome()
+        ended = relay.finish()
         if relay.replacement_instance:
             self._catalog.mark_replaced(choice.record.instance)
         if relay.is_generation:
@@ -848,9 +736,19 @@
     ) -> None:
         """Wait for the end of an exchange.
 
-        :raises TimeoutError: if a request has not started before its version ends.
+        A silent upstream may still answer, so a request is withdrawn from it only to be resent.
+
+        :raises TimeoutError: if a repeatable request has no output for too long and would be resent,
+            or if a request has not started before its version ends.
         """
         started_at = self._clock.monotonic()
+        silence_deadline = math.inf
+        if progress.route.repeatable:
+            silence_deadline = started_at + (
+                choice.forecast_s
+                + FIRST_OUTPUT_TIMEOUT_GOALS * progress.route.target_latency_s
+                + FIRST_OUTPUT_TIMEOUT_S
+            )
         # Only the first output of a stream shows that the request has started. A plain request that
         # may not be repeated is not withdrawn.
         latest_start = math.inf
@@ -858,10 +756,23 @@
         if choice.version and (is_stream or progress.route.repeatable):
             latest_start = self._find_latest_start(progress.request.model, choice.version)
         try:
-            while not exchange.done() and progress.last_output_at <= started_at:
-                wait_s = latest_start - self._clock.monotonic()
-                if wait_s <= 0:
+            while not exchange.done():
+                now = self._clock.monotonic()
+                if progress.last_output_at > started_at:
+                    if not progress.route.repeatable:
+                        break
+                    latest_start = math.inf
+                    silence_deadline = progress.last_output_at + EVENT_TIMEOUT_GAPS * max(
+                        0.4, progress.route.target_gap_s
+                    )
+                if now >= latest_start:
                     raise TimeoutError
+                wait_s = silence_deadline - now
+                if wait_s <= 0:
+                    if self._has_alternative(progress, choice):
+                        raise TimeoutError
+                    wait_s = RESEND_CHECK_INTERVAL_S
+                wait_s = min(wait_s, latest_start - now)
                 await asyncio.wait({exchange}, timeout=None if wait_s == math.inf else wait_s)
             await exchange
         finally:
@@ -935,26 +846,7 @@
         )
 
 
-def _record_choice(progress: RequestProgress, choice: Choice) -> None:
-    progress.attempts += 1
-    progress.forecast_s = choice.forecast_s
-    progress.load = (
-        f"occupied {choice.occupied} running {choice.running} waiting {choice.waiting}"
-        f" unreported {choice.unreported}"
-        f" age {round((choice.report_age_s or 0.0) * 1000)} ms"
-    )
-    progress.instances += f" {choice.record.instance}"
-
-
-def _make_silence_outcome() -> AttemptOutcome:
-    return AttemptOutcome(
-        Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time"),
-        failed=True,
-        may_resend=True,
-    )
-
-
-def _retrieve_error(exchange: asyncio.Future[Any]) -> None:
+def _retrieve_error(exchange: asyncio.Future[None]) -> None:
     """Retrieve the error of an abandoned exchange, so that asyncio does not log it."""
     if not exchange.cancelled():
         exchange.exception()
