Try an upstream at a limit of 0 every 2.5 s, one process for all hosts

What callers saw: with a limit of 0 at all upstreams of a service for 14 s, every request was refused with 503 for the 8 s after its end as well.

Cause: a limit of 0 was tried once in 30 s, for plain services at random times of each host, once in 40 s in sum. No try fell into the time after the end.

Change: the process that issues permits for an engine issues one every 2.5 s. For a plain service at a limit of 0, all hosts ask the sidecar process of the same engine, chosen by a hash.

The test of one try in 30 s is replaced: it required no request within 28 s, which is the fault. The new ones require the rule of the users at all times, and every host to know the end within 3 s.

--- a/sycamoreproxy/permit_issuer.py
+++ b/sycamoreproxy/permit_issuer.py
@@ -2,7 +2,8 @@
 
 Runs in the sidecar process of the engine, which has a stream to every entry host that sends to it.
 The permits keep the limit in sum, however unevenly the requests are spread over the hosts, and are
-issued to the most urgent requests first. Limits of plain services are only passed on.
+issued to the most urgent requests first. Limits of plain services are passed on; under a limit of 0,
+entry hosts agree on one process that issues permits for them as well.
 """
 
 from __future__ import annotations
@@ -16,8 +17,10 @@
 from sycamoreproxy.messages import LimitNotice, LimitReport
 from sycamoreproxy.peers import Peer, PeerHub
 
-#: Rate of permits while an upstream names a lower limit, in requests per second. Without any
-#: request, the end of a limit of 0 would never be noticed.
+#: Interval between permits under a limit of 0, in seconds: without any request, its end would never
+#: be noticed. A permit may be used 1 s late, so that at most 2 are used in any 4 s.
+TRY_INTERVAL_S = 2.5
+#: Rate of permits while an upstream names a lower limit above 0, in requests per second.
 MIN_PERMITS_PER_S = 1 / 30
 #: Interval at which a host repeats a request for a permit that it still needs, in seconds.
 PERMIT_REQUEST_INTERVAL_S = 1.0
@@ -32,7 +35,9 @@
 
 
 def choose_permit_interval_s(requests_per_s: float) -> float:
-    """Return the time between two permits under a limit, in seconds."""
+    """Return the time between two permits that one process issues for all hosts, in seconds."""
+    if requests_per_s == 0:
+        return TRY_INTERVAL_S
     return 1 / max(requests_per_s, MIN_PERMITS_PER_S)
 
 
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -12,7 +12,7 @@
 from sycamoreproxy.clock import SystemClock
 from sycamoreproxy.messages import Hello
 from sycamoreproxy.origins import Origin, OriginError
-from sycamoreproxy.peers import PeerHub
+from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.platform_adapter import PlatformAdapter, platforms
 from sycamoreproxy.routed_settings import RoutedSettings
 from sycamoreproxy.routed_upstream import EXCHANGE_GROUP
@@ -20,7 +20,7 @@
 from sycamoreproxy.state_http import StateServer
 from sycamoreproxy.streams import MessageServer
 from sycamoreproxy.task_group import BackgroundTasks
-from sycamoreproxy.upstream_book import UpstreamCatalog
+from sycamoreproxy.upstream_book import UpstreamCatalog, UpstreamRecord
 from sycamoreproxy.watched_documents import (
     COALESCE_S,
     MIN_SHARED_BOUND_S,
@@ -148,13 +148,22 @@
     from sycamoreproxy.routed_entry import RoutedEntry
     from sycamoreproxy.routed_http import RoutedCallerServer
     from sycamoreproxy.upstream_limits import UpstreamLimits
+    from sycamoreproxy.upstream_subset import choose_coordinator
+
+    def find_sidecar(ip: str) -> Peer | None:
+        return parts.hub.find_peer(ip, role="upstream", min_protocol=LIMITS_MIN_PROTOCOL)
+
+    def find_coordinator(record: UpstreamRecord) -> Peer | None:
+        if record.is_engine:
+            return None
+        ip = choose_coordinator(parts.routing_state.list_engines(), record.instance)
+        return None if ip is None else find_sidecar(ip)
 
     limits = UpstreamLimits(
         clock=parts.clock,
         random_source=random.Random(),
-        find_issuer=lambda record: parts.hub.find_peer(
-            record.address.ip, role="upstream", min_protocol=LIMITS_MIN_PROTOCOL
-        ),
+        find_issuer=lambda record: find_sidecar(record.address.ip),
+        find_coordinator=find_coordinator,
         list_relays=lambda: [
             peer
             for peer in parts.hub.list_peers(role="upstream")
--- a/sycamoreproxy/upstream_limits.py
+++ b/sycamoreproxy/upstream_limits.py
@@ -4,7 +4,8 @@
 permit. The sidecar process of an engine issues the permits for it (``permit_issuer``). Where this
 host has no stream to one, as for plain services, it issues permits to itself at the rate of its
 share. Their times are random, so that the hosts need no agreement and do not send at once. Sidecar
-processes tell the other hosts when such a limit begins, changes and ends.
+processes tell the other hosts when such a limit begins, changes and ends. Under a limit of 0, one of
+them issues the permits for a plain service.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
 from sycamoreproxy.messages import LimitNotice, LimitReport
 from sycamoreproxy.metrics import UPSTREAM_LIMITS
 from sycamoreproxy.peers import Peer
-from sycamoreproxy.permit_issuer import PERMIT_REQUEST_INTERVAL_S, choose_permit_interval_s
+from sycamoreproxy.permit_issuer import MIN_PERMITS_PER_S, PERMIT_REQUEST_INTERVAL_S
 from sycamoreproxy.resend_budget import DEFAULT_ENTRY_HOSTS
 from sycamoreproxy.upstream_book import UpstreamRecord
 
@@ -75,6 +76,8 @@
 
     :param find_issuer: returns the stream to the process that issues permits for an upstream, or
         None if there is none.
+    :param find_coordinator: returns the stream to the sidecar process that issues permits for a
+        plain service under a limit of 0, or None if there is none. All hosts have to agree on it.
     :param list_relays: returns the streams to all sidecar processes.
     """
 
@@ -84,11 +87,13 @@
         clock: Clock,
         random_source: random.Random,
         find_issuer: Callable[[UpstreamRecord], Peer | None] = lambda record: None,
+        find_coordinator: Callable[[UpstreamRecord], Peer | None] = lambda record: None,
         list_relays: Callable[[], Sequence[Peer]] = tuple,
     ) -> None:
         self._clock = clock
         self._random = random_source
         self._find_issuer = find_issuer
+        self._find_coordinator = find_coordinator
         self._list_relays = list_relays
         self._limits_by_instance: dict[str, _Limit] = {}
         self._malformed_instances: set[str] = set()
@@ -159,14 +164,7 @@
         if self._update(instance, record.started_ms, requests_per_s, observed_at):
             if requests_per_s < math.inf:
                 UPSTREAM_LIMITS.inc({"service": record.service})
-            issuer = self._find_issuer(record)
-            relays = self._list_relays()
-            receivers = (
-                [issuer]
-                if issuer is not None
-                else self._random.sample(relays, min(RELAYS, len(relays)))
-            )
-            for peer in receivers:
+            for peer in self._list_receivers(record):
                 self._report(peer, record, needs_permit=False, level=0)
 
     def request_permits(self, records: Iterable[UpstreamRecord], *, level: int) -> None:
@@ -184,6 +182,8 @@
             is_more_urgent = level < limit.needed_level
             limit.needed_level = min(limit.needed_level, level)
             issuer = self._find_issuer(record)
+            if issuer is None and limit.requests_per_s == 0:
+                issuer = self._find_coordinator(record)
             is_pending = issuer is None and now < limit.permit_from
             if is_pending or limit.permit_from <= now < limit.permit_until:
                 continue
@@ -224,7 +224,8 @@
     def _choose_own_wait_s(self, limit: _Limit, now: float) -> float:
         """Return the time until the next permit that this host issues to itself, in seconds."""
         hosts = self._entry_hosts or DEFAULT_ENTRY_HOSTS
-        mean_s = choose_permit_interval_s(limit.requests_per_s) * hosts / USABLE_SHARE_FRACTION
+        rate_per_s = max(limit.requests_per_s, MIN_PERMITS_PER_S)
+        mean_s = hosts / rate_per_s / USABLE_SHARE_FRACTION
         if now - limit.used_at < mean_s:
             return max(0.0, limit.used_at + self._random.uniform(0.5, 1.5) * mean_s - now)
         # Hosts that start at the same time must not send at the same time.
@@ -261,6 +262,16 @@
             _log.info("upstream named no limit any more", upstream=instance)
         return True
 
+    def _list_receivers(self, record: UpstreamRecord) -> set[Peer]:
+        """Return the streams to the sidecar processes that are told of a changed limit."""
+        issuer = self._find_issuer(record)
+        if issuer is not None:
+            return {issuer}
+        relays = self._list_relays()
+        receivers = set(self._random.sample(relays, min(RELAYS, len(relays))))
+        coordinator = self._find_coordinator(record)
+        return receivers if coordinator is None else receivers | {coordinator}
+
     def _report(
         self, peer: Peer, record: UpstreamRecord, *, needs_permit: bool, level: int
     ) -> None:
--- a/sycamoreproxy/upstream_subset.py
+++ b/sycamoreproxy/upstream_subset.py
@@ -42,3 +42,19 @@
     subset = sorted(local)[:MAX_ZONE_ENGINES]
     subset += sorted(remote)[: MAX_ENGINES - len(subset)]
     return frozenset(address for _, address in subset)
+
+
+def choose_coordinator(records: Iterable[UpstreamRecord], instance: str) -> str | None:
+    """Return the host whose sidecar process coordinates requests to an upstream without one.
+
+    Entry hosts that know the same engines choose the same host, whichever streams they have.
+
+    :param records: all engines.
+    :param instance: instance id of the upstream.
+    :returns: IP address, or None if there is no engine.
+    """
+    return min(
+        {record.address.ip for record in records},
+        key=lambda ip: blake2b(f"{instance} {ip}".encode(), digest_size=8).digest(),
+        default=None,
+    )
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -11,7 +11,7 @@
 
 from sycamoreproxy.caller_request import UpstreamResponseHead
 from sycamoreproxy.messages import LimitNotice, LimitReport
-from sycamoreproxy.permit_issuer import PermitIssuer
+from sycamoreproxy.permit_issuer import TRY_INTERVAL_S, PermitIssuer
 from sycamoreproxy.upstream_book import UpstreamRecord
 from sycamoreproxy.upstream_limits import PERMIT_LIFETIME_S, RESERVED_S, UpstreamLimits
 from tests._fake_hub import FakeHub, FakeNetwork, FakePeer
@@ -95,6 +95,9 @@
             find_issuer=lambda record: (
                 next(iter(self._list_sidecars()), None) if fleet.is_engine else None
             ),
+            find_coordinator=lambda record: (
+                None if fleet.is_engine else next(iter(self._list_sidecars()), None)
+            ),
             list_relays=self._list_sidecars,
         )
         self.limits.update_entry_hosts(fleet.size)
@@ -289,16 +292,73 @@
     assert len(fleet.list_sent(since=20)) >= 0.8 * 0.1 * 100
 
 
-@in_virtual_time
-async def test_limit_of_zero_is_tried_again_some_time_later() -> None:
-    fleet = Fleet(size=8, limit=0.0, is_engine=True)
-    fleet.offer_everywhere()
-    await asyncio.sleep(29)
-    assert not fleet.list_sent(since=1)
-    fleet.limit = None
-    await asyncio.sleep(10)
-    fleet.close()
-    assert all(not host.limits.describe() for host in fleet.hosts)
+@pytest.mark.parametrize("is_engine", [True, False], ids=["engine", "plain service"])
+@pytest.mark.parametrize("size", [1, 8, 100])
+def test_end_of_a_limit_of_zero_is_noticed_soon(size: int, is_engine: bool) -> None:
+    """Every request was refused for 8 s after the end; the limit was tried every 30 s."""
+
+    @in_virtual_time
+    async def run() -> None:
+        fleet = Fleet(size=size, limit=0.0, is_engine=is_engine)
+        fleet.offer_everywhere()
+        for _ in range(10):
+            await asyncio.sleep(random.uniform(10, 14))
+            fleet.check()
+            fleet.limit = None
+            await asyncio.sleep(TRY_INTERVAL_S + 0.5)
+            assert all(not host.limits.describe() for host in fleet.hosts)
+            fleet.limit = 0.0
+            # The answers without a limit that are still on their way do not end the next one.
+            await asyncio.sleep(CONTACT_S)
+            for host in fleet.hosts:
+                host.sent.clear()
+        fleet.close()
+
+    run()
+
+
+@pytest.mark.parametrize("is_engine", [True, False], ids=["engine", "plain service"])
+@pytest.mark.parametrize("cut_fraction", [0.5, 1.0])
+@pytest.mark.parametrize("size", [8, 300])
+def test_hosts_that_are_cut_off_keep_to_a_limit_of_zero(
+    size: int, cut_fraction: float, is_engine: bool
+) -> None:
+    """Their tries add to those that the sidecar process permits to the other hosts."""
+
+    @in_virtual_time
+    async def run() -> None:
+        fleet = Fleet(size=size, limit=0.0, is_engine=is_engine)
+        fleet.offer_everywhere(pause_s=0.5)
+        await asyncio.sleep(10)
+        cut = round(cut_fraction * size)
+        for link in fleet._links[:cut]:
+            fleet.network.cut(link)  # type: ignore[arg-type]
+        del fleet._links[:cut]
+        await asyncio.sleep(120)
+        fleet.close()
+        fleet.check()
+        if fleet._links:
+            assert len(fleet.list_sent(since=10)) >= 0.8 * 120 / TRY_INTERVAL_S
+
+    run()
+
+
+@pytest.mark.parametrize("is_engine", [True, False], ids=["engine", "plain service"])
+def test_restarted_sidecar_keeps_to_a_limit_of_zero(is_engine: bool) -> None:
+    """A new process does not know when the last try was."""
+
+    @in_virtual_time
+    async def run() -> None:
+        fleet = Fleet(size=8, limit=0.0, is_engine=is_engine)
+        fleet.offer_everywhere()
+        for _ in range(20):
+            await asyncio.sleep(random.uniform(2, 4))
+            fleet.start_sidecar()
+        fleet.close()
+        fleet.check()
+        assert len(fleet.list_sent()) >= 10
+
+    run()
 
 
 @in_virtual_time
--- a/tests/test_upstream_subset.py
+++ b/tests/test_upstream_subset.py
@@ -7,7 +7,12 @@
 import pytest
 
 from sycamoreproxy.upstream_book import UpstreamRecord
-from sycamoreproxy.upstream_subset import MAX_ENGINES, MAX_ZONE_ENGINES, select_subset
+from sycamoreproxy.upstream_subset import (
+    MAX_ENGINES,
+    MAX_ZONE_ENGINES,
+    choose_coordinator,
+    select_subset,
+)
 from tests._upstreams import make_upstream
 
 ZONES = ("z1", "z2", "z3")
@@ -67,3 +72,22 @@
     records = make_engines(240)
     subset = select_subset(records, host="10.0.0.9", availability_zone="z9")
     assert len(subset) == MAX_ENGINES
+
+
+def test_hosts_agree_on_the_coordinator_of_an_upstream() -> None:
+    """With two coordinators, an upstream would get twice the requests that it may."""
+    engines = make_engines(24)
+    for number in range(50):
+        chosen = choose_coordinator(engines, f"i-{number}")
+        assert choose_coordinator(engines[::-1], f"i-{number}") == chosen
+        others = [engine for engine in engines if engine.address.ip != chosen]
+        assert choose_coordinator(others, f"i-{number}") not in (chosen, None)
+        # A lost engine does not change the coordinators of upstreams that had another one.
+        kept = [engine for engine in engines if engine.address.ip in (chosen, "10.0.0.3")]
+        assert choose_coordinator(kept, f"i-{number}") == chosen
+    assert choose_coordinator([], "i-1") is None
+
+
+def test_coordinators_spread_over_engines() -> None:
+    chosen = {choose_coordinator(make_engines(8), f"i-{number}") for number in range(100)}
+    assert len(chosen) == 8
