Refuse late requests that the limits of all engines leave no permit for

What callers saw: with limits at all engines, refusals of streams came up to 2.5 s after the request. What can't be served is to be refused at once.

Cause: the forecast of a new request counts those queued before it, without the late ones. A queued request is late after 0.25 s (a goal of 0.4 s), so that each host queued one more every 0.25 s, and the late ones waited until they expired, whatever rate the limits leave.

Two cases of the new test failed without the check.

Change: while all engines name limits, a late request is refused if its host's share of the limits, or its requests sent in the last 4 s if these are more, leave it no permit before it expires. Others stay queued, so that the next permit is used.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -446,6 +446,7 @@
                 clock=self._clock,
                 choose_upstream=lambda requirements: self._choose(name, requirements),
                 nominal_rate=lambda: self._find_nominal_rate(name),
+                limited_rate=lambda: self._find_limited_rate(name),
             )
             self._queues_by_service[name] = queue
         time_left = progress.deadline - self._clock.monotonic()
@@ -798,6 +799,18 @@
             )
         return max(0.0, engines * rate - excess) / max(1, self._selector.entry_hosts)
 
+    def _find_limited_rate(self, service: str) -> float:
+        """Return this host's share of the limits of a service's engines, infinite if one has none."""
+        if not self._limits.has_limits:
+            return math.inf
+        subset = self._selector.engine_subset
+        rates = [
+            self._limits.find_requests_per_s(record)
+            for record in self._catalog.list_usable(service)
+            if not subset or str(record.address) in subset
+        ]
+        return sum(rates) / max(1, self._selector.entry_hosts) if rates else math.inf
+
     def _get_client(self, choice: Choice) -> HttpClient:
         address = str(choice.record.address)
         client = self._clients_by_address.get(address)
--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -20,6 +21,8 @@
 #: Sliding window over which dispatched requests are counted to forecast the queueing time, in
 #: seconds.
 RATE_WINDOW_S = 1.0
+#: The same window while every upstream names a limit, in seconds. Permits may be seconds apart.
+LIMITED_RATE_WINDOW_S = 4.0
 #: Maximum forecast queueing time as a fraction of the latency goal. The engine uses the rest.
 MAX_WAIT_GOAL_FRACTION = 0.5
 #: Fraction of the engines' nominal rate that a host assumes while it dispatches fewer requests. The
@@ -81,14 +84,22 @@
         while no upstream has capacity.
     :param nominal_rate: returns the rate at which this host may expect to dispatch, in requests per
         second.
+    :param limited_rate: returns this host's share of the limits that upstreams named, in requests
+        per second; infinite while an upstream has no limit.
     """
 
     def __init__(
-        self, *, clock: Clock, choose_upstream: ChooseUpstream, nominal_rate: Callable[[], float]
+        self,
+        *,
+        clock: Clock,
+        choose_upstream: ChooseUpstream,
+        nominal_rate: Callable[[], float],
+        limited_rate: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._clock = clock
         self._choose_upstream = choose_upstream
         self._nominal_rate = nominal_rate
+        self._limited_rate = limited_rate
         self._queued_by_order: dict[_Order, deque[QueuedRequest]] = {}
         self._dispatched: deque[tuple[float, _Order]] = deque()
 
@@ -119,15 +130,17 @@
 
         The share of the rate used by more urgent requests is not available to this order.
         """
-        window_start = self._clock.monotonic() - RATE_WINDOW_S
-        while self._dispatched and self._dispatched[0][0] < window_start:
-            self._dispatched.popleft()
-        total = max(
-            len(self._dispatched) / RATE_WINDOW_S, NOMINAL_RATE_FRACTION * self._nominal_rate()
-        )
-        more_urgent = sum(1 for _, other in self._dispatched if other < order) / RATE_WINDOW_S
+        now = self._clock.monotonic()
+        self._drop_old_dispatches(now)
+        orders = [other for at, other in self._dispatched if at >= now - RATE_WINDOW_S]
+        total = max(len(orders) / RATE_WINDOW_S, NOMINAL_RATE_FRACTION * self._nominal_rate())
+        more_urgent = sum(1 for other in orders if other < order) / RATE_WINDOW_S
         return max(MIN_RATE_PER_S, total - more_urgent)
 
+    def _drop_old_dispatches(self, now: float) -> None:
+        while self._dispatched and self._dispatched[0][0] < now - LIMITED_RATE_WINDOW_S:
+            self._dispatched.popleft()
+
     def submit(
         self,
         requirements: Requirements,
@@ -196,10 +209,35 @@
                 )
                 self._queued_by_order.setdefault((True, level), deque()).append(request)
 
+    def _refuse_unreachable(self, now: float) -> None:
+        """Refuse late requests that the limits of upstreams leave no permit for before they expire.
+
+        Requests that may still meet their goal stay queued, to use the next permit at once.
+        """
+        if not len(self) or (limited_rate := self._limited_rate()) == math.inf:
+            return
+        self._drop_old_dispatches(now)
+        rate = max(limited_rate, len(self._dispatched) / LIMITED_RATE_WINDOW_S)
+        ahead = 0
+        for is_late, level in sorted(self._queued_by_order):
+            queued = self._queued_by_order[is_late, level]
+            for request in list(queued):
+                if is_late and (ahead + 1) > rate * (request.expires_at - now):
+                    queued.remove(request)
+                    if not request.choice.done():
+                        request.choice.set_result(None)
+                else:
+                    ahead += 1
+
     def dispatch(self) -> None:
         """Send queued requests to upstreams with capacity, the most urgent first."""
         now = self._clock.monotonic()
         self._demote_late(now)
+        self._dispatch_permitted(now)
+        self._refuse_unreachable(now)
+
+    def _dispatch_permitted(self, now: float) -> None:
+        """Send queued requests while an upstream takes them, and drop those that have expired."""
         for order in sorted(self._queued_by_order):
             queued = self._queued_by_order[order]
             while queued:
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import pytest
 
@@ -31,12 +32,19 @@
         return CHOICE
 
 
-def make_queue(capacity: int, *, rate: float = 10.0) -> tuple[ManualClock, _Engine, RequestQueue]:
+def make_queue(
+    capacity: int, *, rate: float = 10.0, limited_rate: float = math.inf
+) -> tuple[ManualClock, _Engine, RequestQueue]:
     clock, engine = ManualClock(start=5.0), _Engine(capacity)
     return (
         clock,
         engine,
-        RequestQueue(clock=clock, choose_upstream=engine.choose, nominal_rate=lambda: rate),
+        RequestQueue(
+            clock=clock,
+            choose_upstream=engine.choose,
+            nominal_rate=lambda: rate,
+            limited_rate=lambda: limited_rate,
+        ),
     )
 
 
@@ -107,6 +115,42 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("limited_rate", "refused"), [(math.inf, 0), (3.0, 0), (0.9, 1), (0.0, 3)])
+def test_late_requests_that_limits_leave_no_permit_for_are_refused(
+    limited_rate: float, refused: int
+) -> None:
+    """With limits at all engines, refusals came 2.5 s after the request."""
+
+    async def scenario() -> None:
+        clock, engine, queue = make_queue(0, rate=100.0, limited_rate=limited_rate)
+        requests = [submit(queue, 0, goal_s=0.4) for _ in range(3)]
+        assert all(isinstance(request, QueuedRequest) for request in requests)
+        clock.advance(0.3)
+        queue.dispatch()
+        # The caller's time-out leaves 3.3 s, of which 3.0 s are left.
+        assert len(queue) == 3 - refused
+        engine.capacity = 3
+        queue.dispatch()
+        assert len(engine.accepted_levels) == 3 - refused
+
+    asyncio.run(scenario())
+
+
+def test_host_with_more_permits_than_its_share_keeps_its_late_requests() -> None:
+    """A share of the limit says little of the permits of a host that gets nearly all requests."""
+
+    async def scenario() -> None:
+        clock, _, queue = make_queue(8, rate=100.0, limited_rate=0.1)
+        for _ in range(8):
+            assert submit(queue, 0, goal_s=0.4) is CHOICE
+        assert isinstance(submit(queue, 0, goal_s=0.4), QueuedRequest)
+        clock.advance(0.3)
+        queue.dispatch()
+        assert len(queue) == 1
+
+    asyncio.run(scenario())
+
+
 def test_urgent_request_overtakes_queued_ones() -> None:
     async def scenario() -> None:
         _, engine, queue = make_queue(0)
