Change the idle limit and reuse idle connections in the process soak

Cause that the soak missed it: its callers send a request every 0.02 to 0.3 s, and it never changes idle_timeout_ms.

Change: four callers of each entry host pause for 0.7 to 0.95 of the permitted idle time, with streams, idempotent and non-idempotent requests. The fault "idle limit" lowers and raises the limit, also in quick succession. A new check reports a request within the limit that ends without a response, unless the process was killed or stopped, or was disturbed while a change of the limit was to be applied. A result has the number of requests that only a raise permitted, and the test requires some.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+from bench.soak_idle_limits import REUSE_FRACTION, IdleLimits
 from bench.soak_site import (
     CALLER_PORT,
     KEY,
@@ -25,6 +26,10 @@
 GIVE_UP_S = TIMEOUT_S + 6.0
 #: Pause between two requests of one caller, in seconds.
 PAUSE_S = 0.1
+#: Least and greatest part of the permitted idle time after which a pausing caller reuses its connection.
+IDLE_PART_MIN, IDLE_PART_MAX = 0.7, 0.95
+#: Interval at which a pausing caller looks at the idle limit, in seconds.
+IDLE_POLL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,6 +41,8 @@
     :param is_whole: whether the answer ended as its framing says.
     :param is_signed: whether it is a runner's.
     :param is_fresh: whether it was the first request of its connection.
+    :param idle_since: end of the answer before it on its connection; None on the first request.
+    :param was_closed: whether the connection was seen to be closed before it was sent.
     """
 
     request_id: str
@@ -48,6 +55,8 @@
     is_whole: bool = False
     is_signed: bool = False
     is_fresh: bool = False
+    idle_since: float | None = None
+    was_closed: bool = False
     body: bytes = b""
     echoed_id: str = ""
 
@@ -78,6 +87,7 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._lifetime = 0
+        self._idle_since: float | None = None
 
     async def run(self, random_source: random.Random, *, until: asyncio.Event) -> None:
         """Send requests of all kinds until an event is set."""
@@ -86,6 +96,30 @@
             await self.ask(kind)
             await asyncio.sleep(PAUSE_S * random_source.uniform(0.2, 3.0))
 
+    async def run_with_pauses(
+        self, random_source: random.Random, limits: IdleLimits, *, until: asyncio.Event
+    ) -> None:
+        """Send requests after pauses of nearly the permitted idle time until an event is set."""
+        while not until.is_set():
+            await self.ask(random_source.choice(["ask", "read", "post"]))
+            part = random_source.uniform(IDLE_PART_MIN, IDLE_PART_MAX)
+            await self._pause(part, limits, until)
+
+    async def _pause(self, part: float, limits: IdleLimits, until: asyncio.Event) -> None:
+        """Wait for a part of the newest permitted idle time; close a connection that exceeds it."""
+        await asyncio.sleep(IDLE_POLL_S)
+        while self._idle_since is not None and not until.is_set():
+            now = time.monotonic()
+            permitted_s = REUSE_FRACTION * limits.newest_s
+            # A raise counts once all hosts apply it.
+            if now - self._idle_since >= part * permitted_s and limits.permit_reuse(
+                self._idle_since, now
+            ):
+                return
+            if now - self._idle_since > permitted_s:
+                self.close()
+            await asyncio.sleep(IDLE_POLL_S)
+
     async def ask(self, kind: str) -> Outcome | None:
         """Send one request; None if the host takes no connection."""
         is_fresh = self._writer is None
@@ -95,6 +129,7 @@
         assert self._reader is not None and self._writer is not None
         self._count += 1
         request_id = f"{self._name}-{self._count}"
+        idle_since, was_closed = self._idle_since, self._reader.at_eof()
         sent_at = time.monotonic()
         status, body, is_whole = 0, b"", False
         headers: dict[str, str] = {}
@@ -106,6 +141,7 @@
                 async for part in _read_body(self._reader, headers):
                     body += part
                 is_whole = True
+                self._idle_since = time.monotonic()
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             self.close()
         outcome = Outcome(
@@ -119,6 +155,8 @@
             is_whole=is_whole,
             is_signed="sycamoreproxy-response-signature" in headers,
             is_fresh=is_fresh,
+            idle_since=idle_since,
+            was_closed=was_closed,
             body=body,
             echoed_id=headers.get("sycamoreproxy-request-id", ""),
         )
@@ -131,7 +169,7 @@
         """Close the connection."""
         if self._writer is not None:
             self._writer.close()
-        self._reader = self._writer = None
+        self._reader = self._writer = self._idle_since = None
 
     async def _connect(self) -> bool:
         self._lifetime = self._host.lifetime
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
-from bench.soak_callers import STREAM, Outcome
+from bench.soak_callers import GIVE_UP_S, STREAM, Outcome
 from bench.soak_site import (
     CONFIG_S,
     CONTACT_S,
@@ -114,6 +114,26 @@
             yield f"{seen.request_id} was passed on by {seen.host.name} and not answered"
 
 
+@checks.register("a request on a kept connection within the idle limit gets an answer")
+def check_idle_limit(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """A caller can't know that a connection will be closed, nor repeat what may have run."""
+    for seen in outcomes:
+        if seen.status or seen.idle_since is None:
+            continue
+        limits, host = site.idle_limits, seen.host
+        if not limits.permit_reuse(seen.idle_since, seen.sent_at) or seen.took_s >= GIVE_UP_S:
+            continue
+        ends_at = (host.killed_at, host.stopped_at)
+        if any(seen.ended_at >= ended_at.get(seen.lifetime, math.inf) for ended_at in ends_at):
+            continue
+        # A host that was disturbed may have heard of a change late; later faults excuse nothing.
+        if host.had_fault(seen.idle_since, max(seen.idle_since, limits.applied_by(seen.sent_at))):
+            continue
+        idle_s = seen.sent_at - seen.idle_since
+        what = "was sent on a closed connection" if seen.was_closed else "got no answer"
+        yield f"{seen.request_id} at {host.name} {what} after {idle_s:.2f} s without a request"
+
+
 @checks.register("every request ends by its route's time limit")
 def check_time_limits(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
     """A caller that hangs can't turn elsewhere."""
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -24,12 +24,18 @@
 LIMIT_IN_ANSWERS = "limit named in answers"
 #: Name of the fault by which the store comes back from a copy.
 RESTORED_STORE = "restored store"
+#: Name of the fault by which the idle limit of callers' connections changes.
+IDLE_LIMIT = "idle limit"
 #: Faults that are played only if they are asked for.
-EXTRA_FAULTS = (LEAVING_IN_ANSWERS, LIMIT_IN_ANSWERS, RESTORED_STORE)
+EXTRA_FAULTS = (LEAVING_IN_ANSWERS, LIMIT_IN_ANSWERS, RESTORED_STORE, IDLE_LIMIT)
 
 #: Shortest and longest time for which a runner names a limit, in seconds.
 LIMIT_MIN_S = 8.0
 LIMIT_MAX_S = 16.0
+#: Lowest and highest lowered and raised idle limit, in seconds. Callers reuse connections after four
+#: fifths of a raised limit at most, which is later than a lowered one with the hosts' margin of 5 s.
+LOWERED_IDLE_S = (1.0, 2.0)
+RAISED_IDLE_S = (11.0, 14.0)
 #: Time after its return in which a restored store gets again what it lost, in seconds.
 REPEAT_S = 1.0
 
@@ -317,3 +323,20 @@
         site.store_faults.replace({})
         await asyncio.sleep(draw.uniform(0.0, REPEAT_S))
         await site.store.repeat(before)
+
+
+@faults.register(IDLE_LIMIT)
+async def change_idle_limit(site: Site, draw: random.Random) -> None:
+    """Lower the idle limit of callers' connections, also in quick succession, and raise it again.
+
+    The last change is a raise, which stays in force while the site recovers.
+    """
+    for number in range(draw.randint(2, 3)):
+        if number:
+            # Short of a reuse after the raise, or long enough for one.
+            await asyncio.sleep(draw.choice([draw.uniform(0.0, 1.0), draw.uniform(7.0, 10.0)]))
+        for _ in range(draw.randint(1, 3)):
+            await site.set_idle_limit(draw.uniform(*LOWERED_IDLE_S))
+            await asyncio.sleep(draw.uniform(0.0, 0.5))
+        await asyncio.sleep(draw.uniform(1.0, 2.5))
+        await site.set_idle_limit(draw.uniform(*RAISED_IDLE_S))
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -36,6 +36,8 @@
 LATE_START_S = 5.0
 #: Callers of each entry host.
 CALLERS = 8
+#: Callers of each entry host that pause for nearly the permitted idle time.
+PAUSING_CALLERS = 4
 #: Requests to each entry host after the recovery, all of which must be served.
 FINAL_REQUESTS = 8
 #: Pause between two requests of the caller that asks for the newest route, in seconds.
@@ -48,12 +50,15 @@
 
     :param faults: names of the faults in the order of their start.
     :param violations: what was seen against a promise.
+    :param raised_reuses: requests on connections that had been idle for longer than the limit at the
+        start of their pause, as a raise permitted.
     """
 
     seed: int
     faults: tuple[str, ...]
     violations: tuple[str, ...]
     by_status: dict[int, int]
+    raised_reuses: int
     took_s: float
     directory: Path
 
@@ -62,7 +67,8 @@
         statuses = ", ".join(f"{status}: {n}" for status, n in sorted(self.by_status.items()))
         lines = [
             f"seed {self.seed}: {len(self.violations)} violations in {self.took_s:.0f} s;"
-            f" answers {statuses}; faults {', '.join(self.faults)}"
+            f" answers {statuses}; {self.raised_reuses} reuses after a raise;"
+            f" faults {', '.join(self.faults)}"
         ]
         lines += [f"  {violation}" for violation in self.violations]
         if self.violations:
@@ -88,7 +94,13 @@
     try:
         await site.start()
         await _wait_serving(site, outcomes)
-        callers = _start_callers(site, outcomes, draw, until=is_over)
+        callers = [
+            *_start_callers(site, outcomes, draw, until=is_over),
+            # A source of their own: the faults of a seed stay as they were.
+            *_start_pausing_callers(
+                site, outcomes, random.Random(f"pausing {seed}"), until=is_over
+            ),
+        ]
         tasks = [asyncio.create_task(caller) for caller in callers]
         names = await _play_faults(site, draw, extra_faults)
         violations = await _check_recovery(site, outcomes)
@@ -104,6 +116,7 @@
         faults=tuple(names),
         violations=tuple(violations),
         by_status=dict(Counter(seen.status for seen in outcomes)),
+        raised_reuses=sum(_is_reuse_after_raise(site, seen) for seen in outcomes),
         took_s=time.monotonic() - started,
         directory=directory,
     )
@@ -135,6 +148,24 @@
         yield _probe(site, prober, until=until)
 
 
+def _start_pausing_callers(
+    site: Site, outcomes: list[Outcome], draw: random.Random, *, until: asyncio.Event
+) -> Iterator[Coroutine[None, None, None]]:
+    for host in site.entries:
+        for number in range(PAUSING_CALLERS):
+            caller = Caller(name=f"{host.name}-pausing-{number}", host=host, outcomes=outcomes)
+            source = random.Random(draw.random())
+            yield caller.run_with_pauses(source, site.idle_limits, until=until)
+
+
+def _is_reuse_after_raise(site: Site, seen: Outcome) -> bool:
+    return (
+        seen.idle_since is not None
+        and seen.sent_at - seen.idle_since > site.idle_limits.lowest_s(seen.idle_since)
+        and site.idle_limits.permit_reuse(seen.idle_since, seen.sent_at)
+    )
+
+
 async def _probe(site: Site, caller: Caller, *, until: asyncio.Event) -> None:
     """Ask for the newest route, each time on the connection that is open."""
     while not until.is_set():
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -21,6 +21,7 @@
 from tornado.httpserver import HTTPServer
 
 from bench.relay import Relay
+from bench.soak_idle_limits import IdleLimits
 from standins._server import Faults
 from standins.platform import (
     PlatformRunner,
@@ -53,6 +54,8 @@
 START_S = 2.0
 #: Time limit of every route of the stand-in, in seconds.
 TIMEOUT_S = 2.0
+#: Idle limit of callers' connections in the first configuration, in seconds.
+IDLE_LIMIT_S = 15.0
 ZONES = ("z1", "z2")
 #: Slots of an engine: as few as leave room for the least urgent, so that engines queue when they are slow.
 ENGINE_SLOTS = 3
@@ -223,6 +226,8 @@
         self.retired: list[Upstream] = []
         self.config_version = 0
         self.weight_version = 1
+        self.idle_limit_s = IDLE_LIMIT_S
+        self.idle_limits = IdleLimits(IDLE_LIMIT_S, apply_s=CONFIG_S)
         #: Monotonic time at which the store acknowledged a version of the configuration.
         self.acknowledged_at: dict[int, float] = {}
         #: The same of a version of the weights.
@@ -342,10 +347,18 @@
             {"name": "ledger"},
         ]
         value = make_configuration(version, services=services, routes=routes)
+        value["limits"]["idle_timeout_ms"] = int(self.idle_limit_s * 1000)
         await self.store.put("op/config", value)
         self.acknowledged_at[version] = time.monotonic()
         return version
 
+    async def set_idle_limit(self, limit_s: float) -> None:
+        """Put a configuration into force that has another idle limit of callers' connections."""
+        self.idle_limit_s = limit_s
+        change = self.idle_limits.note_written(limit_s, at=time.monotonic())
+        await self.configure()
+        change.acknowledged_at = time.monotonic()
+
     async def name_weights(self) -> None:
         """Name a newer version of the weights."""
         self.weight_version += 1
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -10,7 +10,8 @@
 from bench.relay import Relay
 from bench.soak_callers import STREAM, Outcome
 from bench.soak_checks import checks
-from bench.soak_faults import LEAVING_IN_ANSWERS, LIMIT_IN_ANSWERS, RESTORED_STORE
+from bench.soak_faults import IDLE_LIMIT, LEAVING_IN_ANSWERS, LIMIT_IN_ANSWERS, RESTORED_STORE
+from bench.soak_idle_limits import IdleLimits
 from bench.soak_processes import play
 from bench.soak_site import VERSION_S, FaultSpans, Host, Site, Upstream
 from standins._server import Faults
@@ -39,10 +40,13 @@
     assert result.by_status[200] > 100
 
 
-def test_runners_that_say_only_in_answers_that_they_leave_get_nothing_more() -> None:
-    result = asyncio.run(play(951, extra_faults=[LEAVING_IN_ANSWERS] * 3))
+def test_leaving_runners_get_nothing_more_and_kept_connections_stay_within_the_idle_limit() -> None:
+    """Runners say only in answers that they leave, while the idle limit of callers changes."""
+    extra = [LEAVING_IN_ANSWERS] * 3 + [IDLE_LIMIT]
+    result = asyncio.run(play(951, extra_faults=extra))
     assert result.violations == (), str(result)
-    assert LEAVING_IN_ANSWERS in result.faults
+    assert set(result.faults) >= set(extra)
+    assert result.raised_reuses > 0
 
 
 def test_limits_and_restores_of_the_store_break_no_promise_beside_other_faults() -> None:
@@ -77,6 +81,9 @@
         ("only callers' requests", {"runs": 1, "request_id": "unknown"}),
         ("a request that was passed on", {"status": 0, "runs": 1}),
         ("configurations are in force", {"kind": "new-1", "status": 404, "sent_at": 9.0}),
+        ("a request on a kept connection", {"idle_since": 5.0}),
+        ("a request on a kept connection", {"idle_since": 5.0, "was_closed": True}),
+        ("a request on a kept connection", {"idle_since": 5.0, "fault_span": (6.0, 20.0)}),
     ],
 )
 def test_checks_see_a_broken_promise(tmp_path: Path, promise: str, seen: dict[str, object]) -> None:
@@ -86,6 +93,8 @@
     runner = PlatformRunner("i-1")
     values = dict(seen)
     ran_id = str(values.pop("request_id", "a"))
+    if "fault_span" in values:
+        host.fault_spans.append(values.pop("fault_span"))  # type: ignore[arg-type]
     for _ in range(int(str(values.pop("runs", 0)))):
         runner.ran[ran_id] += 1
         runner.arrived.append((10.0, ran_id))
@@ -208,3 +217,71 @@
     assert [name for name, what in found.items() if what] == [
         "answers are whole and belong to their requests"
     ]
+
+
+@pytest.mark.parametrize(
+    ("idle_s", "at", "is_permitted"),
+    [
+        (7.9, 10.0, True),
+        (8.1, 10.0, False),
+        (1.5, 21.9, True),
+        (1.7, 21.9, False),
+        (9.5, 29.0, True),
+        (9.7, 29.0, False),
+        (9.6, 31.0, False),
+        (1.5, 31.0, True),
+        (11.0, 49.0, False),
+        (9.0, 49.0, False),
+        (8.85, 49.0, True),
+    ],
+    ids=[
+        "within the first limit",
+        "beyond the first limit",
+        "within the lowered limit",
+        "beyond the lowered limit",
+        "within the raised limit",
+        "beyond the raised limit",
+        "within the raised limit, which was lowered since",
+        "within that lowered limit",
+        "beyond the limit at two changes in quick succession",
+        "beyond the limit at the second of them",
+        "within the limit at both of them",
+    ],
+)
+def test_reuse_is_permitted_only_while_the_idle_limit_was_kept(
+    idle_s: float, at: float, is_permitted: bool
+) -> None:
+    """Soak callers that exceed the limit would report closes that hosts are free to make."""
+    limits = IdleLimits(10.0, apply_s=2.0)
+    for limit_s, written_at in [(2.0, 12.0), (12.0, 20.0), (2.0, 30.0), (1.0, 40.2), (20.0, 40.9)]:
+        limits.note_written(limit_s, at=written_at).acknowledged_at = written_at + 0.1
+    assert limits.permit_reuse(at - idle_s, at) is is_permitted
+
+
+@pytest.mark.parametrize("excuse", ["stop", "kill", "fault", "beyond the limit"])
+def test_closed_connections_of_disturbed_hosts_and_late_callers_are_no_violation(
+    tmp_path: Path, excuse: str
+) -> None:
+    """The check must count only closes that its caller could not foresee."""
+    site, host = _make_site(tmp_path)
+    idle_since = 5.0
+    if excuse == "stop":
+        host.stopped_at[1] = 8.0
+    elif excuse == "kill":
+        host.killed_at[1] = 8.0
+    elif excuse == "fault":
+        site.idle_limits.note_written(12.0, at=4.0).acknowledged_at = 4.0
+        host.fault_spans.append((3.0, 5.5))
+    else:
+        idle_since = -3.0
+    seen = Outcome(
+        request_id="a",
+        kind="post",
+        host=host,
+        lifetime=1,
+        sent_at=10.0,
+        ended_at=10.1,
+        idle_since=idle_since,
+    )
+    check = checks.get("a request on a kept connection within the idle limit gets an answer")
+    assert not list(check(site, [seen]))
