Keep a request at a silent upstream until another one responds

Cause: the request was withdrawn from the silent upstream before the other one had answered. The class of fault: something is given up before what replaces it is there.

Change: RunningAttempts holds the attempts of one request. Another one starts only while all are silent, within the limits on executions, resends and refused resends as before; the first one with a complete event, or with a complete response, supersedes the others. Each attempt has its own buffer for an incomplete event, only the ID of the last event is shared. The first failure after which the request may have run is kept with the request, and a request withdrawn from an upstream counts as one. The load of an attempt ends with it; its silence counts as a failure of the upstream when the next attempt starts, as before. A complete response is not cut when the time limit ends just after it: the test of that fails without the check.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -39,6 +39,10 @@
     def has_started(self) -> bool:
         """Whether the caller may have received a part of the response."""
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether the response has ended, as complete or not."""
+
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes not yet written to the caller's connection."""
@@ -81,8 +85,11 @@
 class RequestProgress:
     """State of one request across its attempts.
 
+    :param last_event_id: ID of the last event that the caller has received; None if there is none.
     :param executions: number of attempts that an upstream may have executed.
     :param unexecuted_attempts: number of attempts that no upstream has executed.
+    :param possibly_executed: first failure after which the request may have been executed. It takes
+        precedence over later refusals without execution.
     :param version: weight version of the latest stream that named one; None if none has.
     """
 
@@ -94,11 +101,12 @@
     deadline: float
     level: int
     urgency: float
-    splitter: EventSplitter
+    last_event_id: int | None
     excluded: set[str]
     attempts: int = 0
     executions: int = 0
     unexecuted_attempts: int = 0
+    possibly_executed: Refusal | None = None
     version: int | None = None
     first_output_at: float | None = None
     last_output_at: float = 0.0
@@ -127,9 +135,13 @@
 class AnswerRelay:
     """Relays the response of one upstream to the caller.
 
+    Nothing of the response reaches the caller once another attempt has superseded this one.
+
     :param buffer_budget: limit on the bytes buffered for the responses of all requests together.
     :param on_stream_start: called with the weight version when a stream that names one starts.
     :param on_head: called with the head of a response of the chosen instance.
+    :param on_output: called before output is sent to the caller.
+    :param has_rivals: returns whether other attempts of the request may respond instead.
     """
 
     def __init__(
@@ -144,6 +156,8 @@
         buffer_budget: BufferBudget,
         on_stream_start: Callable[[int], None] = lambda version: None,
         on_head: Callable[[UpstreamResponseHead], None] = lambda head: None,
+        on_output: Callable[[AnswerRelay], None] = lambda relay: None,
+        has_rivals: Callable[[], bool] = lambda: False,
     ) -> None:
         self._progress = progress
         self._choice = choice
@@ -154,6 +168,12 @@
         self._buffer_budget = buffer_budget
         self._on_begin = on_stream_start
         self._on_head = on_head
+        self._on_output = on_output
+        self._has_rivals = has_rivals
+        self._splitter = EventSplitter(last_id=progress.last_event_id)
+        self._is_superseded = False
+        #: Monotonic time of the last output; 0 if there was none.
+        self.last_output_at = 0.0
         self._head: UpstreamResponseHead | None = None
         self._is_stream = False
         self._is_delimited = False
@@ -217,6 +237,8 @@
 
         :raises AnswerTooLongError: if the response exceeds a size limit.
         """
+        if self._is_superseded:
+            return
         self._received_bytes += len(data)
         if self._received_bytes > MAX_BODY_BYTES:
             # A stream that has incorrect event IDs must not be resumed: an upstream without later
@@ -229,15 +251,20 @@
             self._body += data
             return
         try:
-            events = self._progress.splitter.feed(data)
+            events = self._splitter.feed(data)
         except EventTooLongError as error:
             raise AnswerTooLongError(str(error)) from error
         if events:
             self._send_events(events)
-        unsent = self._reply.unsent_bytes
+        # Unread output of another attempt does not count against this one.
+        unsent = self._reply.unsent_bytes if self.last_output_at else 0
         if unsent > MAX_UNSENT_BYTES:
             raise AnswerTooLongError("the caller does not read it", failed=None, may_resend=False)
-        self._reserve_buffer(len(self._progress.splitter.partial) + unsent)
+        self._reserve_buffer(len(self._splitter.partial) + unsent)
+
+    def supersede(self) -> None:
+        """Discard what is still received, because another attempt responds or the request ended."""
+        self._is_superseded = True
 
     def release(self) -> None:
         """Release the buffer space that is reserved for this response."""
@@ -265,8 +292,7 @@
         if head is None:
             return AttemptOutcome(Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN), True, True)
         if self._is_stream:
-            partial = self._progress.splitter.partial
-            if partial:
+            if self._splitter.partial:
                 return AttemptOutcome(
                     Refusal(codes.ANSWER_INCOMPLETE, Executed.UNKNOWN, detail="half an event"),
                     True,
@@ -274,6 +300,8 @@
                 )
             if not self._reply.has_started:
                 self._send_events(b"")
+            else:
+                self._on_output(self)
             self._reply.finish()
             return AttemptOutcome(None)
         if head.not_executed:
@@ -287,7 +315,8 @@
                 failed=True,
                 may_resend=True,
             )
-            if self._progress.executions < self._progress.route.max_attempts:
+            has_attempts_left = self._progress.executions < self._progress.route.max_attempts
+            if has_attempts_left or self._has_rivals():
                 return outcome
         if head.status in _AMBIGUOUS_STATUSES or not head.is_signed:
             return AttemptOutcome(
@@ -309,7 +338,7 @@
             # Free the space at once: the exchange ends only some iterations of the event loop
             # later, and until then all other long responses would exceed the budget and be aborted.
             self._body.clear()
-            self._progress.splitter.discard_partial()
+            self._splitter.discard_partial()
             self.release()
             raise AnswerTooLongError("answers hold too much together", failed=None)
         self._buffered_size = size
@@ -326,6 +355,7 @@
 
     def _send_events(self, data: bytes) -> None:
         self._record_output()
+        self._progress.last_event_id = self._splitter.last_id
         if self._reply.has_started:
             self._reply.write(data)
         else:
@@ -335,8 +365,10 @@
             self._reply.start(self._head.status, headers, data)
 
     def _record_output(self) -> None:
+        self._on_output(self)
         progress = self._progress
         now = self._clock.monotonic()
+        self.last_output_at = now
         if progress.last_output_at:
             gap_s = now - progress.last_output_at
             progress.longest_gap_s = max(progress.longest_gap_s, gap_s)
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -475,6 +475,14 @@
         self._mark_use_changed(view)
         if failed is None:
             return
+        self._record_outcome(view, failed=failed)
+
+    def record_failure(self, choice: Choice) -> None:
+        """Record that an upstream failed a request that it may still answer."""
+        self._record_outcome(self.view(choice.record.instance), failed=True)
+
+    @staticmethod
+    def _record_outcome(view: UpstreamView, *, failed: bool) -> None:
         view.failure_rate += FAILURE_RATE_SMOOTHING * (float(failed) - view.failure_rate)
         if failed:
             view.breaker.record_failure()
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable, Container, Sequence
 from dataclasses import replace
+from functools import partial
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
@@ -30,7 +31,6 @@
 )
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
-from sycamoreproxy.event_splitter import EventSplitter
 from sycamoreproxy.held_bytes import BufferBudget
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import (
@@ -48,6 +48,7 @@
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
+from sycamoreproxy.running_attempts import RunningAttempt, RunningAttempts
 from sycamoreproxy.upstream_book import UpstreamCatalog, UpstreamRecord
 from sycamoreproxy.upstream_limits import UpstreamLimits
 from sycamoreproxy.waiting_line import Overload, QueuedRequest, RequestQueue
@@ -62,13 +63,6 @@
 #: Maximum number of resends of one request after upstreams refused it without execution or the
 #: connection failed. The refused ones count against the resend budget.
 MAX_UNEXECUTED_RESENDS = 3
-#: First-output timeout of a repeatable request: its forecast, plus this multiple of its latency
-#: goal, plus this time in seconds. The request is then resent to another upstream.
-FIRST_OUTPUT_TIMEOUT_GOALS = 1.0
-FIRST_OUTPUT_TIMEOUT_S = 1.0
-#: Event timeout of a resumable stream, as a multiple of its event gap goal. The stream is then
-#: resumed on another upstream.
-EVENT_TIMEOUT_GAPS = 3.0
 #: Time before the end of a version at which a request that has not started is withdrawn from its
 #: engine, in seconds. The new version may become known 0.3 s late behind a large configuration, and
 #: closing the connection may be delayed as long by a weight transfer on the link.
@@ -93,6 +87,9 @@
 #: remaining time.
 HOLD_SPREAD_FRACTION = 0.1
 
+#: Failure of an upstream that gives no output.
+_SILENCE = Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time")
+
 _log = get_logger("routed_dispatch")
 
 
@@ -204,7 +201,7 @@
                 if len(table.priority_levels) > 1
                 else 1.0
             ),
-            splitter=EventSplitter(last_id=request.last_event_id),
+            last_event_id=request.last_event_id,
             excluded=set(),
         )
         self.open_requests += 1
@@ -219,9 +216,13 @@
                 self._limit_timeout(timeout)
                 refusal = await self._run(progress, reply)
         except TimeoutError:
-            refusal = self._make_timeout_refusal(progress)
+            # The response may have been completed just before the end of the time.
+            if not reply.is_finished:
+                refusal = self._make_timeout_refusal(progress)
         except asyncio.CancelledError:
-            self._report(progress, Refusal(codes.CALLER_GONE, Executed.UNKNOWN))
+            if not reply.is_finished:
+                refusal = Refusal(codes.CALLER_GONE, Executed.UNKNOWN)
+            self._report(progress, refusal)
             raise
         finally:
             self._timeouts.discard(timeout)
@@ -288,61 +289,89 @@
 
     async def _run(self, progress: RequestProgress, reply: Reply) -> Refusal | None:
         """Send a request to upstreams until one responds or no further attempt is permitted."""
-        budget = self._budget_for(progress.service.name)
-        # The first failure after which the request may have been executed. It takes precedence over
-        # later refusals without execution.
-        possibly_executed: Refusal | None = None
+        attempts = RunningAttempts(clock=self._clock, route=progress.route)
+        try:
+            while True:
+                if not attempts:
+                    choice = await self._choose_next(progress)
+                    if isinstance(choice, Refusal):
+                        return progress.possibly_executed or choice
+                    self._start_attempt(progress, attempts, choice, reply)
+                ended = await self._await_outcome(progress, attempts, reply)
+                outcome = ended.task.result()
+                refusal = outcome.refusal
+                if refusal is None:
+                    return None
+                self._record_refusal(progress, ended.choice, refusal)
+                # A response that must not be resumed must not be continued by a running attempt.
+                if attempts and (outcome.may_resend or refusal.executed is Executed.NO):
+                    continue
+                if not outcome.may_resend or not self._may_resend(progress, refusal):
+                    return progress.possibly_executed or refusal
+                self._report_resend(progress, ended.choice, refusal)
+        finally:
+            attempts.close()
+
+    async def _choose_next(self, progress: RequestProgress) -> Choice | Refusal:
+        """Return the upstream for the next attempt of a request that no upstream has."""
+        refusal = self._check_quarantine(progress) or self._check_stop(progress)
+        if refusal is not None:
+            return refusal
+        choice = await self._acquire_upstream(progress)
+        if isinstance(choice, Refusal):
+            return choice
+        # The request may have been queued for seconds.
+        refusal = self._check_quarantine(progress) or self._check_stop(
+            progress, forecast_s=choice.forecast_s
+        )
+        if refusal is not None:
+            self._selector.end(choice, failed=None)
+            return refusal
+        return choice
+
+    async def _await_outcome(
+        self, progress: RequestProgress, attempts: RunningAttempts, reply: Reply
+    ) -> RunningAttempt:
+        """Wait until an attempt has ended, and start another one when all are silent.
+
+        A silent upstream may be sound, so the request stays there until another one responds.
+        """
         while True:
-            refusal = self._check_quarantine(progress)
-            if refusal is not None:
-                return possibly_executed or refusal
-            refusal = self._check_stop(progress)
-            if refusal is not None:
-                return possibly_executed or refusal
-            choice = await self._acquire_upstream(progress)
-            if isinstance(choice, Refusal):
-                return possibly_executed or choice
-            # The request may have been queued for seconds.
-            refusal = self._check_quarantine(progress) or self._check_stop(
-                progress, forecast_s=choice.forecast_s
-            )
-            if refusal is not None:
-                self._selector.end(choice, failed=None)
-                return possibly_executed or refusal
-            progress.attempts += 1
-            progress.forecast_s = choice.forecast_s
-            progress.load = (
-                f"occupied {choice.occupied} running {choice.running} waiting {choice.waiting}"
-                f" unreported {choice.unreported}"
-                f" age {round((choice.report_age_s or 0.0) * 1000)} ms"
-            )
-            progress.instances += f" {choice.record.instance}"
-            if progress.attempts == 1:
-                budget.count_first_attempt()
-            failed: bool | None = None
-            try:
-                ended = await self._attempt(progress, choice, reply)
-                failed = ended.failed
-            finally:
-                self._selector.end(choice, failed=failed)
-                self.dispatch_waiting()
-            if ended.refusal is None:
-                return None
-            progress.excluded.add(choice.record.instance)
-            if possibly_executed is None and ended.refusal.executed is not Executed.NO:
-                possibly_executed = ended.refusal
-            if not ended.may_resend or not self._may_resend(progress, ended.refusal, budget):
-                return possibly_executed or ended.refusal
-            RESENDS.inc({"code": str(ended.refusal.code.number), "service": progress.service.name})
-            _log.info(
-                "request resent",
-                request=progress.request.request_id,
-                upstream=choice.record.instance,
-                code=ended.refusal.code.number,
-                executed=str(ended.refusal.executed),
-                last_event=progress.splitter.last_id,
-                age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
-            )
+            ended = attempts.pop_ended()
+            if ended is not None:
+                return ended
+            wait_s = attempts.find_silence_left_s()
+            if wait_s <= 0:
+                choice = self._choose_alternative(progress, attempts)
+                if choice is not None:
+                    for silent in attempts.list_unrecorded_failures():
+                        silent.is_failure_recorded = True
+                        self._selector.record_failure(silent.choice)
+                        self._report_resend(progress, silent.choice, _SILENCE)
+                    self._start_attempt(progress, attempts, choice, reply)
+                    continue
+                wait_s = RESEND_CHECK_INTERVAL_S
+            await attempts.wait(timeout_s=wait_s)
+
+    def _record_refusal(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
+        """Record that an attempt ended without a response to the caller."""
+        progress.excluded.add(choice.record.instance)
+        if refusal.executed is Executed.NO:
+            progress.unexecuted_attempts += 1
+        elif progress.possibly_executed is None:
+            progress.possibly_executed = refusal
+
+    def _report_resend(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
+        RESENDS.inc({"code": str(refusal.code.number), "service": progress.service.name})
+        _log.info(
+            "request resent",
+            request=progress.request.request_id,
+            upstream=choice.record.instance,
+            code=refusal.code.number,
+            executed=str(refusal.executed),
+            last_event=progress.last_event_id,
+            age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
+        )
 
     def _limit_timeout(self, timeout: asyncio.Timeout) -> None:
         """Have the timeout of a request expire when requests must have ended, if not earlier."""
@@ -387,11 +416,10 @@
             retry_after_ms=math.ceil(left_s * 1000),
         )
 
-    def _may_resend(
-        self, progress: RequestProgress, refusal: Refusal, budget: ResendBudget
-    ) -> bool:
+    def _may_resend(self, progress: RequestProgress, refusal: Refusal) -> bool:
+        """Return whether a request that no upstream has may be resent, and count the resend."""
+        budget = self._budget_for(progress.service.name)
         if refusal.executed is Executed.NO:
-            progress.unexecuted_attempts += 1
             if progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS:
                 return False
             return refusal.code is codes.UPSTREAM_LOST or budget.try_acquire()
@@ -405,24 +433,30 @@
             and progress.deadline - self._clock.monotonic() > MIN_TIME_LEFT_S
         )
 
-    def _has_alternative(self, progress: RequestProgress, choice: Choice) -> bool:
-        """Return whether a request would be resent if it were withdrawn from its upstream now."""
+    def _choose_alternative(
+        self, progress: RequestProgress, attempts: RunningAttempts
+    ) -> Choice | None:
+        """Choose another upstream for a request whose upstreams are silent, if that is permitted."""
         service = progress.service
+        budget = self._budget_for(service.name)
         if (
             not self._permits_repeat(progress)
-            or not self._budget_for(service.name).allows()
+            or progress.unexecuted_attempts >= MAX_UNEXECUTED_RESENDS
+            or not budget.allows()
             or self._catalog.find_hold_left_s(service.name) is not None
             or self._check_quarantine(progress) is not None
             or self._check_stop(progress) is not None
         ):
-            return False
+            return None
         requirements = self._make_requirements(progress)
         requirements = replace(
-            requirements, excluded=requirements.excluded | {choice.record.instance}
+            requirements, excluded=requirements.excluded | attempts.list_instances()
         )
         ignore_capacity = service.engine is None or progress.first_output_at is not None
-        found = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
-        return found is not None
+        choice = self._choose(service.name, requirements, ignore_capacity=ignore_capacity)
+        if choice is not None:
+            budget.count_resend()
+        return choice
 
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
@@ -529,15 +563,69 @@
             latest_start=lambda version: self._find_latest_start(requirements.model, version),
         )
 
+    def _start_attempt(
+        self, progress: RequestProgress, attempts: RunningAttempts, choice: Choice, reply: Reply
+    ) -> None:
+        """Start to send a request to one upstream."""
+        progress.attempts += 1
+        progress.forecast_s = choice.forecast_s
+        progress.load = (
+            f"occupied {choice.occupied} running {choice.running} waiting {choice.waiting}"
+            f" unreported {choice.unreported}"
+            f" age {round((choice.report_age_s or 0.0) * 1000)} ms"
+        )
+        progress.instances += f" {choice.record.instance}"
+        if progress.attempts == 1:
+            self._budget_for(progress.service.name).count_first_attempt()
+        sent_at = self._clock.monotonic()
+        relay = AnswerRelay(
+            progress=progress,
+            choice=choice,
+            reply=reply,
+            dialect=self._dialect,
+            selector=self._selector,
+            clock=self._clock,
+            buffer_budget=self.buffer_budget,
+            on_stream_start=lambda version: self._log_ended_version(
+                progress, choice, version, sent_at
+            ),
+            on_head=lambda head: self._apply_head(progress.request, choice, head, sent_at),
+            on_output=lambda relay: attempts.supersede_others(
+                relay, partial(self._record_superseded, progress)
+            ),
+            has_rivals=lambda: len(attempts) > 1,
+        )
+        task = asyncio.create_task(self._attempt(progress, choice, relay))
+        attempt = RunningAttempt(choice, relay, task, started_at=sent_at)
+        attempts.add(attempt)
+        # A task that is cancelled before its first step runs none of its own code.
+        task.add_done_callback(lambda task: self._end_attempt(attempt))
+
+    def _end_attempt(self, attempt: RunningAttempt) -> None:
+        """Record the end of an attempt at its upstream."""
+        failed: bool | None = None
+        if not attempt.task.cancelled() and attempt.task.exception() is None:
+            failed = attempt.task.result().failed
+        if failed and attempt.is_failure_recorded:
+            failed = None
+        self._selector.end(attempt.choice, failed=failed)
+        self.dispatch_waiting()
+
+    def _record_superseded(self, progress: RequestProgress, attempt: RunningAttempt) -> None:
+        """Record that a request was withdrawn from an upstream because another one responds."""
+        if attempt.is_failure_recorded:
+            progress.excluded.add(attempt.choice.record.instance)
+        if progress.possibly_executed is None:
+            progress.possibly_executed = _SILENCE
+
     async def _attempt(
-        self, progress: RequestProgress, choice: Choice, reply: Reply
+        self, progress: RequestProgress, choice: Choice, relay: AnswerRelay
     ) -> AttemptOutcome:
         """Send a request to one upstream and relay its response."""
         request, route = progress.request, progress.route
         time_left = progress.deadline - self._clock.monotonic()
         if time_left < MIN_TIME_LEFT_S:
             return AttemptOutcome(Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO), failed=None)
-        progress.splitter.discard_partial()
         sent_at = self._clock.monotonic()
         headers = self._dialect.write_attempt(
             request,
@@ -547,21 +635,8 @@
                 account=progress.account,
                 weight_version=self._choose_expected_version(request.model, choice),
                 urgency=min(9, progress.level) if progress.service.engine is not None else None,
-                last_event_id=progress.splitter.last_id,
-            ),
-        )
-        relay = AnswerRelay(
-            progress=progress,
-            choice=choice,
-            reply=reply,
-            dialect=self._dialect,
-            selector=self._selector,
-            clock=self._clock,
-            buffer_budget=self.buffer_budget,
-            on_stream_start=lambda version: self._log_ended_version(
-                progress, choice, version, sent_at
+                last_event_id=progress.last_event_id,
             ),
-            on_head=lambda head: self._apply_head(request, choice, head, sent_at),
         )
         client = self._get_client(choice)
         exchange = asyncio.ensure_future(
@@ -586,7 +661,7 @@
             )
         progress.executions += 1
         try:
-            await self._await_exchange(exchange, progress, choice)
+            await self._await_exchange(exchange, progress, choice, relay)
         except NotSentError as error:
             progress.executions -= 1
             return AttemptOutcome(
@@ -613,11 +688,7 @@
         except AnswerTooLongError as error:
             return relay.end_too_long(error)
         except TimeoutError:
-            return AttemptOutcome(
-                Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time"),
-                failed=True,
-                may_resend=True,
-            )
+            return AttemptOutcome(_SILENCE, failed=True, may_resend=True)
         finally:
             relay.release()
         ended = relay.finish()
@@ -733,23 +804,16 @@
         return EngineForecast(engine).generation_s(tokens)
 
     async def _await_exchange(
-        self, exchange: asyncio.Future[None], progress: RequestProgress, choice: Choice
+        self,
+        exchange: asyncio.Future[None],
+        progress: RequestProgress,
+        choice: Choice,
+        relay: AnswerRelay,
     ) -> None:
         """Wait for the end of an exchange.
 
-        A silent upstream may still answer, so a request is withdrawn from it only to be resent.
-
-        :raises TimeoutError: if a repeatable request has no output for too long and would be resent,
-            or if a request has not started before its version ends.
+        :raises TimeoutError: if the request has not started before its version ends.
         """
-        started_at = self._clock.monotonic()
-        silence_deadline = math.inf
-        if progress.route.repeatable:
-            silence_deadline = started_at + (
-                choice.forecast_s
-                + FIRST_OUTPUT_TIMEOUT_GOALS * progress.route.target_latency_s
-                + FIRST_OUTPUT_TIMEOUT_S
-            )
         # Only the first output of a stream shows that the request has started. A plain request that
         # may not be repeated is not withdrawn.
         latest_start = math.inf
@@ -757,23 +821,10 @@
         if choice.version and (is_stream or progress.route.repeatable):
             latest_start = self._find_latest_start(progress.request.model, choice.version)
         try:
-            while not exchange.done():
-                now = self._clock.monotonic()
-                if progress.last_output_at > started_at:
-                    if not progress.route.repeatable:
-                        break
-                    latest_start = math.inf
-                    silence_deadline = progress.last_output_at + EVENT_TIMEOUT_GAPS * max(
-                        0.4, progress.route.target_gap_s
-                    )
-                if now >= latest_start:
-                    raise TimeoutError
-                wait_s = silence_deadline - now
+            while not exchange.done() and not relay.last_output_at:
+                wait_s = latest_start - self._clock.monotonic()
                 if wait_s <= 0:
-                    if self._has_alternative(progress, choice):
-                        raise TimeoutError
-                    wait_s = RESEND_CHECK_INTERVAL_S
-                wait_s = min(wait_s, latest_start - now)
+                    raise TimeoutError
                 await asyncio.wait({exchange}, timeout=None if wait_s == math.inf else wait_s)
             await exchange
         finally:
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -43,7 +43,7 @@
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.routed_dispatch import CRASH_NOTICE_S, VERSION_MARGIN_S, RoutedDispatcher
-from sycamoreproxy.routed_http import RoutedCallerServer
+from sycamoreproxy.routed_http import CallerReply, RoutedCallerServer
 from sycamoreproxy.upstream_book import UpstreamCatalog
 from sycamoreproxy.upstream_limits import UpstreamLimits
 from sycamoreproxy.watched_documents import DocumentReplica
@@ -1556,6 +1556,103 @@
     _run_scripted(upstream, [0, 1, 2, 3], action)
 
 
+LONG_FAILURE = (
+    b"HTTP/1.1 500 Error\r\nSycamoreproxy-Request-Id: {id}\r\nContent-Length: 60000\r\n\r\n"
+    + b"x" * 60_000
+)
+
+
+@pytest.mark.parametrize(
+    "answers",
+    [
+        pytest.param(
+            [
+                [FRAMED, EVENTS[0], EVENTS[1][:9], SILENCE_S, EVENTS[1][9:], EVENTS[2]],
+                [LONG_FAILURE],
+                [LONG_FAILURE],
+            ],
+            id="incomplete-event-kept-beside-a-long-failure",
+        ),
+        pytest.param(
+            [
+                [FRAMED, EVENTS[0], SILENCE_S + 0.4, *EVENTS[1:]],
+                [UNFRAMED, EVENTS[1][:9], 6.0],
+            ],
+            id="incomplete-event-of-the-other-upstream-dropped",
+        ),
+        pytest.param(
+            [
+                [FRAMED, EVENTS[0], EVENTS[1][:9], 6.0],
+                [UNFRAMED, EVENTS[1][:7], 0.2, EVENTS[1][7:], EVENTS[2]],
+            ],
+            id="incomplete-event-of-the-silent-upstream-dropped",
+        ),
+        pytest.param(
+            [
+                [FRAMED, EVENTS[0], EVENTS[1][:9], 1.35, EVENTS[1][9:], 0.3, EVENTS[2]],
+                [UNFRAMED, 0.2, *EVENTS[1:]],
+            ],
+            id="both-upstreams-respond",
+        ),
+        pytest.param(
+            [[FRAMED, EVENTS[0], 9.0], [UNFRAMED, 9.0], [UNFRAMED, *EVENTS[1:]]],
+            id="third-upstream-after-two-silent-ones",
+        ),
+    ],
+)
+def test_stream_with_a_silent_upstream_has_each_event_once(
+    answers: list[list[bytes | float]],
+) -> None:
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=9000, max_attempts=3)
+        _put_upstream(site, "scripted-4", "model", await upstream.listen())
+        status, _, body, is_complete = await site.send(
+            "/ask/x", Sycamoreproxy_Deadline_Ms="9000", **PROMPT
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == len(answers)
+
+    upstream = _ScriptedUpstream(*answers)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize("path", ["/ask/first", "/read/x"])
+def test_request_that_may_have_run_at_a_silent_upstream_is_not_refused_as_not_executed(
+    path: str,
+) -> None:
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=6000)
+        status, _, body, _ = await site.send(path, Sycamoreproxy_Deadline_Ms="6000", **PROMPT)
+        assert status in (502, 504)
+        assert json.loads(body)["error"]["executed"] != "no"
+
+    # The silent upstream closes the connection after the other ones have refused the request.
+    upstream = _ScriptedUpstream([SILENCE_S + 1.5], [NOT_EXECUTED])
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+def test_complete_response_is_not_cut_when_the_time_limit_ends_just_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    finish = CallerReply.finish
+
+    def finish_late(reply: CallerReply) -> None:
+        finish(reply)
+        time.sleep(0.8)
+
+    async def action(site: Site) -> None:
+        monkeypatch.setattr(CallerReply, "finish", finish_late)
+        status, _, received, is_complete = await site.send(
+            "/read/x", Sycamoreproxy_Deadline_Ms="800", **PROMPT
+        )
+        assert (status, len(received), is_complete) == (200, len(body), True)
+
+    # Larger than the buffers of the sockets.
+    body = b"x" * 7_000_000
+    head = UNFRAMED.replace(b"\r\n\r\n", b"\r\nContent-Length: %d\r\n\r\n" % len(body))
+    _run_scripted(_ScriptedUpstream([head, body]), [2, 3], action)
+
+
 @pytest.mark.parametrize("path", SILENT_ANSWERS)
 def test_request_of_a_silent_upstream_is_answered_by_another_one(path: str) -> None:
     async def action(site: Site) -> None:
