--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -344,15 +344,19 @@
             if wait_s <= 0:
                 choice = self._choose_alternative(progress, attempts)
                 if choice is not None:
-                    for silent in attempts.list_unrecorded_failures():
-                        silent.is_failure_recorded = True
-                        self._selector.record_failure(silent.choice)
-                        self._report_resend(progress, silent.choice, _SILENCE)
+                    self._record_silence(attempts)
+                    self._report_resend(progress, attempts.latest.choice, _SILENCE)
                     self._start_attempt(progress, attempts, choice, reply)
                     continue
                 wait_s = RESEND_CHECK_INTERVAL_S
             await attempts.wait(timeout_s=wait_s)
 
+    def _record_silence(self, attempts: RunningAttempts) -> None:
+        """Record that the upstreams of a request failed, once for each of them."""
+        for attempt in attempts.list_unrecorded_failures():
+            attempt.is_failure_recorded = True
+            self._selector.record_failure(attempt.choice)
+
     def _record_refusal(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
         """Record that an attempt ended without a response to the caller."""
         progress.excluded.add(choice.record.instance)
--- a/sycamoreproxy/running_attempts.py
+++ b/sycamoreproxy/running_attempts.py
@@ -56,6 +56,11 @@
     def __len__(self) -> int:
         return len(self._attempts)
 
+    @property
+    def latest(self) -> RunningAttempt:
+        """The attempt that was started last."""
+        return self._attempts[-1]
+
     def list_instances(self) -> frozenset[str]:
         """Return the instances of the upstreams that have the request."""
         return frozenset(attempt.choice.record.instance for attempt in self._attempts)
