--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -265,6 +265,10 @@
     def supersede(self) -> None:
         """Discard what is still received, because another attempt responds or the request ended."""
         self._is_superseded = True
+        # The attempt that responds may need the space before the task of this one has ended.
+        self._body.clear()
+        self._splitter.discard_partial()
+        self.release()
 
     def release(self) -> None:
         """Release the buffer space that is reserved for this response."""
@@ -292,6 +296,14 @@
         if head is None:
             return AttemptOutcome(Refusal(codes.UPSTREAM_LOST, Executed.UNKNOWN), True, True)
         if self._is_stream:
+            # An upstream that breaks off before its first event looks the same as one without events.
+            is_doubtful = not self._is_delimited and not self.last_output_at
+            if is_doubtful and self._has_rivals():
+                return AttemptOutcome(
+                    Refusal(codes.ANSWER_INCOMPLETE, Executed.UNKNOWN, detail="no event"),
+                    True,
+                    True,
+                )
             if self._splitter.partial:
                 return AttemptOutcome(
                     Refusal(codes.ANSWER_INCOMPLETE, Executed.UNKNOWN, detail="half an event"),
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Container, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import replace
 from functools import partial
 
@@ -293,22 +293,21 @@
         try:
             while True:
                 if not attempts:
-                    choice = await self._choose_next(progress)
-                    if isinstance(choice, Refusal):
-                        return progress.possibly_executed or choice
-                    self._start_attempt(progress, attempts, choice, reply)
-                ended = await self._await_outcome(progress, attempts, reply)
-                outcome = ended.task.result()
+                    next_choice = await self._choose_next(progress)
+                    if isinstance(next_choice, Refusal):
+                        return progress.possibly_executed or next_choice
+                    self._start_attempt(progress, attempts, next_choice, reply)
+                choice, outcome = await self._await_outcome(progress, attempts, reply)
                 refusal = outcome.refusal
                 if refusal is None:
                     return None
-                self._record_refusal(progress, ended.choice, refusal)
+                self._record_refusal(progress, choice, refusal)
                 # A response that must not be resumed must not be continued by a running attempt.
                 if attempts and (outcome.may_resend or refusal.executed is Executed.NO):
                     continue
                 if not outcome.may_resend or not self._may_resend(progress, refusal):
                     return progress.possibly_executed or refusal
-                self._report_resend(progress, ended.choice, refusal)
+                self._report_resend(progress, choice, refusal)
         finally:
             attempts.close()
 
@@ -331,17 +330,25 @@
 
     async def _await_outcome(
         self, progress: RequestProgress, attempts: RunningAttempts, reply: Reply
-    ) -> RunningAttempt:
+    ) -> tuple[Choice, AttemptOutcome]:
         """Wait until an attempt has ended, and start another one when all are silent.
 
-        A silent upstream may be sound, so the request stays there until another one responds.
+        A silent upstream may be sound, so the request stays there until another one responds, or
+        until it may no longer start there.
         """
         while True:
             ended = attempts.pop_ended()
             if ended is not None:
-                return ended
+                return ended.choice, ended.task.result()
+            unstarted = attempts.pop_unstarted()
+            if unstarted is not None:
+                self._record_silence([unstarted])
+                return unstarted.choice, AttemptOutcome(_SILENCE, failed=True, may_resend=True)
             wait_s = attempts.find_silence_left_s()
             if wait_s <= 0:
+                for attempt in attempts:
+                    # A newer version may have been set meanwhile.
+                    attempt.latest_start = self._find_start_limit(progress, attempt.choice)
                 choice = self._choose_alternative(progress, attempts)
                 if choice is not None:
                     self._record_silence(attempts)
@@ -349,13 +356,14 @@
                     self._start_attempt(progress, attempts, choice, reply)
                     continue
                 wait_s = RESEND_CHECK_INTERVAL_S
-            await attempts.wait(timeout_s=wait_s)
+            await attempts.wait(timeout_s=min(wait_s, max(0.0, attempts.find_start_left_s())))
 
-    def _record_silence(self, attempts: RunningAttempts) -> None:
-        """Record that the upstreams of a request failed, once for each of them."""
-        for attempt in attempts.list_unrecorded_failures():
-            attempt.is_failure_recorded = True
-            self._selector.record_failure(attempt.choice)
+    def _record_silence(self, attempts: Iterable[RunningAttempt]) -> None:
+        """Record that the upstreams of attempts failed, once for each attempt."""
+        for attempt in attempts:
+            if not attempt.is_failure_recorded:
+                attempt.is_failure_recorded = True
+                self._selector.record_failure(attempt.choice)
 
     def _record_refusal(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
         """Record that an attempt ended without a response to the caller."""
@@ -423,9 +431,9 @@
     def _may_resend(self, progress: RequestProgress, refusal: Refusal) -> bool:
         """Return whether a request that no upstream has may be resent, and count the resend."""
         budget = self._budget_for(progress.service.name)
+        if progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS:
+            return False
         if refusal.executed is Executed.NO:
-            if progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS:
-                return False
             return refusal.code is codes.UPSTREAM_LOST or budget.try_acquire()
         return self._permits_repeat(progress) and budget.try_acquire()
 
@@ -445,7 +453,7 @@
         budget = self._budget_for(service.name)
         if (
             not self._permits_repeat(progress)
-            or progress.unexecuted_attempts >= MAX_UNEXECUTED_RESENDS
+            or progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS
             or not budget.allows()
             or self._catalog.find_hold_left_s(service.name) is not None
             or self._check_quarantine(progress) is not None
@@ -457,10 +465,11 @@
             requirements, excluded=requirements.excluded | attempts.list_instances()
         )
         ignore_capacity = service.engine is None or progress.first_output_at is not None
-        choice = self._choose(service.name, requirements, ignore_capacity=ignore_capacity)
-        if choice is not None:
-            budget.count_resend()
-        return choice
+        choice = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
+        if choice is None:
+            return None
+        budget.count_resend()
+        return self._begin(choice, requirements)
 
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
@@ -538,11 +547,15 @@
         """Choose an upstream and count the request as sent to it."""
         choice = self._find_choice(service, requirements, ignore_capacity=ignore_capacity)
         if choice is not None:
-            self._limits.use_permit(choice.record)
-            choice = self._selector.begin(choice, requirements)
+            choice = self._begin(choice, requirements)
         self._limits.request_permits(self._catalog.list_usable(service), level=requirements.level)
         return choice
 
+    def _begin(self, choice: Choice, requirements: Requirements) -> Choice:
+        """Count a request as sent to an upstream; return the choice with its attempt number."""
+        self._limits.use_permit(choice.record)
+        return self._selector.begin(choice, requirements)
+
     def _find_choice(
         self, service: str, requirements: Requirements, *, ignore_capacity: bool
     ) -> Choice | None:
@@ -597,10 +610,16 @@
             on_output=lambda relay: attempts.supersede_others(
                 relay, partial(self._record_superseded, progress)
             ),
-            has_rivals=lambda: len(attempts) > 1,
+            has_rivals=lambda: attempts.has_rivals(relay),
         )
         task = asyncio.create_task(self._attempt(progress, choice, relay))
-        attempt = RunningAttempt(choice, relay, task, started_at=sent_at)
+        attempt = RunningAttempt(
+            choice,
+            relay,
+            task,
+            started_at=sent_at,
+            latest_start=self._find_start_limit(progress, choice),
+        )
         attempts.add(attempt)
         # A task that is cancelled before its first step runs none of its own code.
         task.add_done_callback(lambda task: self._end_attempt(attempt))
@@ -665,7 +684,8 @@
             )
         progress.executions += 1
         try:
-            await self._await_exchange(exchange, progress, choice, relay)
+            await asyncio.wait({exchange})
+            exchange.result()
         except NotSentError as error:
             progress.executions -= 1
             return AttemptOutcome(
@@ -691,9 +711,10 @@
             )
         except AnswerTooLongError as error:
             return relay.end_too_long(error)
-        except TimeoutError:
-            return AttemptOutcome(_SILENCE, failed=True, may_resend=True)
         finally:
+            # The exchange may raise an error of its own while it is being cancelled.
+            exchange.add_done_callback(_retrieve_error)
+            exchange.cancel()
             relay.release()
         ended = relay.finish()
         if relay.replacement_instance:
@@ -792,6 +813,17 @@
             return None
         return choice.version
 
+    def _find_start_limit(self, progress: RequestProgress, choice: Choice) -> float:
+        """Return the monotonic time until which a request must have started at an upstream.
+
+        Only the first output of a stream shows that the request has started. A plain request that
+        may not be repeated is not withdrawn.
+        """
+        is_stream = progress.route.kind is RouteKind.STREAMING
+        if choice.version and (is_stream or progress.route.repeatable):
+            return self._find_latest_start(progress.request.model, choice.version)
+        return math.inf
+
     def _find_latest_start(self, model: str, version: int) -> float:
         """Return the monotonic time until which a request must have started on a version."""
         return self._targets.find_end_time(model, version) - VERSION_MARGIN_S
@@ -807,35 +839,6 @@
             tokens = min(tokens, request.answer_tokens)
         return EngineForecast(engine).generation_s(tokens)
 
-    async def _await_exchange(
-        self,
-        exchange: asyncio.Future[None],
-        progress: RequestProgress,
-        choice: Choice,
-        relay: AnswerRelay,
-    ) -> None:
-        """Wait for the end of an exchange.
-
-        :raises TimeoutError: if the request has not started before its version ends.
-        """
-        # Only the first output of a stream shows that the request has started. A plain request that
-        # may not be repeated is not withdrawn.
-        latest_start = math.inf
-        is_stream = progress.route.kind is RouteKind.STREAMING
-        if choice.version and (is_stream or progress.route.repeatable):
-            latest_start = self._find_latest_start(progress.request.model, choice.version)
-        try:
-            while not exchange.done() and not relay.last_output_at:
-                wait_s = latest_start - self._clock.monotonic()
-                if wait_s <= 0:
-                    raise TimeoutError
-                await asyncio.wait({exchange}, timeout=None if wait_s == math.inf else wait_s)
-            await exchange
-        finally:
-            # The exchange may raise an error of its own while it is being cancelled.
-            exchange.add_done_callback(_retrieve_error)
-            exchange.cancel()
-
     def _find_nominal_rate(self, service: str) -> float:
         """Return this host's share of the throughput of a service's engines, in requests/s."""
         spec = self._table().services_by_name.get(service)
--- a/sycamoreproxy/running_attempts.py
+++ b/sycamoreproxy/running_attempts.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from sycamoreproxy.answer_relay import AnswerRelay, AttemptOutcome
@@ -27,6 +27,7 @@
 class RunningAttempt:
     """A request that was sent to one upstream and has not ended there.
 
+    :param latest_start: monotonic time by which the upstream must have started with the request.
     :param is_failure_recorded: whether its silence was recorded as a failure of the upstream.
     """
 
@@ -34,6 +35,7 @@
     relay: AnswerRelay
     task: asyncio.Task[AttemptOutcome]
     started_at: float
+    latest_start: float = math.inf
     is_failure_recorded: bool = False
 
 
@@ -56,6 +58,13 @@
     def __len__(self) -> int:
         return len(self._attempts)
 
+    def __iter__(self) -> Iterator[RunningAttempt]:
+        return iter(self._attempts)
+
+    def has_rivals(self, relay: AnswerRelay) -> bool:
+        """Return whether attempts other than that of a relay may still respond."""
+        return any(item.relay is not relay and not item.task.done() for item in self._attempts)
+
     @property
     def latest(self) -> RunningAttempt:
         """The attempt that was started last."""
@@ -65,10 +74,6 @@
         """Return the instances of the upstreams that have the request."""
         return frozenset(attempt.choice.record.instance for attempt in self._attempts)
 
-    def list_unrecorded_failures(self) -> list[RunningAttempt]:
-        """Return the attempts whose silence was not recorded as a failure yet."""
-        return [attempt for attempt in self._attempts if not attempt.is_failure_recorded]
-
     def find_silence_left_s(self) -> float:
         """Return the time until all attempts count as silent, in seconds; infinite if they never do."""
         if not self._route.repeatable:
@@ -76,6 +81,11 @@
         silent_at = max(self._find_silent_at(attempt) for attempt in self._attempts)
         return silent_at - self._clock.monotonic()
 
+    def find_start_left_s(self) -> float:
+        """Return the time until an attempt without output must have started, in seconds."""
+        latest_starts = [item.latest_start for item in self._attempts if _has_no_output(item)]
+        return min(latest_starts, default=math.inf) - self._clock.monotonic()
+
     def _find_silent_at(self, attempt: RunningAttempt) -> float:
         if attempt.relay.last_output_at:
             gap_goal_s = max(MIN_EVENT_GAP_GOAL_S, self._route.target_gap_s)
@@ -100,6 +110,15 @@
                 return attempt
         return None
 
+    def pop_unstarted(self) -> RunningAttempt | None:
+        """Withdraw and return an attempt that has not started in time; None if there is none."""
+        now = self._clock.monotonic()
+        for attempt in self._attempts:
+            if _has_no_output(attempt) and now >= attempt.latest_start:
+                self._end(attempt)
+                return attempt
+        return None
+
     def supersede_others(
         self, relay: AnswerRelay, on_superseded: Callable[[RunningAttempt], None]
     ) -> None:
@@ -133,3 +152,7 @@
         self._attempts.remove(attempt)
         attempt.relay.supersede()
         attempt.task.cancel()
+
+
+def _has_no_output(attempt: RunningAttempt) -> bool:
+    return not attempt.relay.last_output_at
