Do not count the time of a blocked event loop against a stale connection

Nothing was wrong with the upstream, and it got a failure counted.

Cause: a failure of a kept connection is repeated on a fresh one if it is noticed within 0.25 s by the clock. A blocked loop notices it later.

Evidence: without the change, the two new cases in which the loop is blocked for 0.6 s fail in test_http_client (AnswerLostError), and so do both in test_routed_entry (code 1302, sent_ms_ago 609, attempts=1).

Change: the limit is measured by five timers of 0.05 s in a row. The wait for a late timer counts as 0.05 s. A failure 0.5 s after the request, or 0.6 s after a block of 0.4 s, stays a failure (tested). A crash inside a block can't be told from a stale connection; the request is then sent once more to the same address, and a refused connection there is still reported as a loss.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -9,7 +9,6 @@
 import asyncio
 import socket
 import ssl
-import time
 from collections.abc import Callable
 from urllib.parse import urlsplit
 
@@ -28,6 +27,9 @@
 #: A kept connection that the server had closed before fails within this time, in seconds. A later
 #: failure is the server's, and a second run would only add to its load.
 STALE_LIMIT_S = 0.25
+#: Number of timers in a row that measure this time. The wait for a timer of a late event loop counts
+#: as the timer's period: reading a large configuration blocks the loop for longer than the limit.
+STALE_TICKS = 5
 #: A path that no longer answers is noticed by probes after these times, in seconds, and
 #: unacknowledged data after this time, in milliseconds: a connection may go silent without a reset.
 PROBE_IDLE_S = 1
@@ -146,6 +148,35 @@
             raise AnswerTooLargeError(f"an answer of over {self._max_bytes} bytes", received=True)
 
 
+class _StaleWindow:
+    """The time after a request in which a failure of its kept connection is not the server's.
+
+    Time in which the event loop was blocked is not counted, as no failure is noticed in it.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._ticks_left = STALE_TICKS
+        self._timer = self._start_timer()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a failure that is noticed now is one of a stale connection."""
+        return self._ticks_left > 0
+
+    def close(self) -> None:
+        """Stop the timer."""
+        self._timer.cancel()
+
+    def _start_timer(self) -> asyncio.TimerHandle:
+        return self._loop.call_later(STALE_LIMIT_S / STALE_TICKS, self._tick)
+
+    def _tick(self) -> None:
+        self._ticks_left -= 1
+        if self._ticks_left:
+            self._timer = self._start_timer()
+
+
 class HttpClient:
     """Sends requests to one base URL.
 
@@ -211,16 +242,18 @@
         stream = self._take_idle() if repeatable else None
         if stream is not None:
             delegate = _Delegate(on_head, on_data, stream=stream)
-            sent_at = time.monotonic()
+            window = _StaleWindow()
             try:
                 await self._send(stream, delegate, method, path, headers, body)
                 return
             except AnswerLostError as error:
-                if error.received or time.monotonic() - sent_at > STALE_LIMIT_S:
+                if error.received or not window.is_open:
                     raise
                 again = path if repeated_path is None else repeated_path
                 await self._send_again(on_head, on_data, method, again, headers, body, may_send)
                 return
+            finally:
+                window.close()
         stream = await self._connect()
         if not may_send():
             stream.close()
--- a/tests/_raw_upstream.py
+++ b/tests/_raw_upstream.py
@@ -1,8 +1,11 @@
-"""An upstream in trouble: it sends the same bytes again and again until the other end closes."""
+"""Upstreams in trouble: one that sends without end, one that closes a kept connection."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import threading
+import time
 
 from tornado.testing import bind_unused_port
 
@@ -35,8 +38,8 @@
 
     async def start(self) -> None:
         """Open the listener on a port of its own."""
-        socket, self.port = bind_unused_port()
-        self._server = await asyncio.start_server(self._serve, sock=socket)
+        listener, self.port = bind_unused_port()
+        self._server = await asyncio.start_server(self._serve, sock=listener)
 
     def stop(self) -> None:
         """Close the listener."""
@@ -67,3 +70,66 @@
         finally:
             self.closed += 1
             writer.close()
+
+
+class ClosingUpstream:
+    """An upstream in a thread of its own, which runs while the event loop is blocked.
+
+    It answers the first request of its first connection, closes it after the second request, and
+    answers one request on the next connection.
+
+    :param answer: answer to both requests, from the head to the last byte.
+    :param close_after_s: time from the start of the block to the close of the first connection, in
+        seconds.
+    """
+
+    def __init__(self, *, answer: bytes, close_after_s: float) -> None:
+        self.second_received = threading.Event()
+        self._may_close = threading.Event()
+        self.received = 0
+        self._answer = answer
+        self._close_after_s = close_after_s
+        self._listener, self.port = bind_unused_port()
+        self._listener.settimeout(8)
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    def close_while_loop_is_blocked(self, block_s: float) -> None:
+        """Let the first connection be closed, and block the caller's event loop, in seconds."""
+        self._may_close.set()
+        time.sleep(block_s)
+
+    def stop(self) -> None:
+        """End the thread and close the listener."""
+        self._may_close.set()
+        socket.create_connection(("127.0.0.1", self.port)).close()
+        self._thread.join()
+        self._listener.close()
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        connection.settimeout(8)
+        with connection:
+            if not self._read_request(connection):
+                return
+            connection.sendall(self._answer)
+            self._read_request(connection)
+            self.second_received.set()
+            self._may_close.wait(8)
+            time.sleep(self._close_after_s)
+        connection, _ = self._listener.accept()
+        connection.settimeout(8)
+        with connection:
+            if self._read_request(connection):
+                connection.sendall(self._answer)
+
+    def _read_request(self, connection: socket.socket) -> bool:
+        """Read a request without a body; return whether there was one."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            part = connection.recv(PIECE_BYTES)
+            if not part:
+                return False
+            data += part
+        self.received += 1
+        return True
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -13,7 +13,7 @@
 from tornado.testing import bind_unused_port
 
 from sycamoreproxy._http_client import PART_BYTES, AnswerLostError, HttpClient, NotSentError
-from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
+from tests._raw_upstream import PIECE_BYTES, SIGNED, ClosingUpstream, RawUpstream
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -167,6 +167,36 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("close_after_s", "block_s", "is_sent_again"),
+    [(0.0, 0.0, True), (0.0, 0.6, True), (0.2, 0.6, True), (0.5, 0.0, False), (1.0, 0.4, False)],
+)
+def test_time_in_which_the_loop_is_blocked_does_not_make_a_stale_connection_a_failure(
+    close_after_s: float, block_s: float, is_sent_again: bool
+) -> None:
+    """Requests with one attempt got 502 when a large configuration was read meanwhile."""
+
+    async def main() -> None:
+        server = ClosingUpstream(answer=WHOLE, close_after_s=close_after_s)
+        client = HttpClient(f"http://127.0.0.1:{server.port}", max_body_bytes=100)
+        try:
+            assert await _exchange(client, repeatable=True) == b"ok"
+            exchange = asyncio.create_task(_exchange(client, repeatable=True))
+            while not server.second_received.is_set():
+                await asyncio.sleep(0.001)
+            server.close_while_loop_is_blocked(block_s)
+            if is_sent_again:
+                assert await exchange == b"ok"
+            else:
+                with pytest.raises(AnswerLostError):
+                    await exchange
+        finally:
+            client.close()
+            server.stop()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("head", "piece"),
     [
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -49,7 +49,7 @@
 from sycamoreproxy.watched_documents import DocumentReplica
 from sycamoreproxy.weight_targets import WeightTargets
 from tests._fake_hub import FakeHub
-from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
+from tests._raw_upstream import PIECE_BYTES, SIGNED, ClosingUpstream, RawUpstream
 
 ENGINE = {
     "slots": 4,
@@ -253,9 +253,12 @@
         await asyncio.sleep(0.01)
 
 
-async def _replace_runners(site: Site, numbers: Sequence[int], upstream: RawUpstream) -> None:
+async def _replace_runners(
+    site: Site, numbers: Sequence[int], upstream: RawUpstream | ClosingUpstream
+) -> None:
     """Replace runners of one service by a faulty upstream."""
-    await upstream.start()
+    if isinstance(upstream, RawUpstream):
+        await upstream.start()
     for number in numbers:
         instance = f"i-{number}"
         service = "model" if number < 2 else "ledger"
@@ -1752,3 +1755,28 @@
         assert len(site.runners[2].received) <= 1
 
     run_with_site(action)
+
+
+@pytest.mark.parametrize(("path", "number"), [("/read/x", 2), ("/ask/x", 0)])
+def test_request_on_a_stale_connection_is_served_although_the_loop_was_blocked(
+    path: str, number: int
+) -> None:
+    """Requests with one attempt got 502 when a large configuration was read meanwhile."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, max_attempts=1)
+        await _replace_runners(site, [number, number + 1], upstream)
+        assert (await site.send(path, **GENERATION_HEADERS))[2] == EVENTS[0]
+        sent = asyncio.create_task(site.send(path, **GENERATION_HEADERS))
+        await _wait_until(upstream.second_received.is_set)
+        upstream.close_while_loop_is_blocked(0.6)
+        status, _, body, is_complete = await sent
+        assert (status, body, is_complete) == (200, EVENTS[0], True)
+        assert upstream.received == 3
+
+    head = SIGNED + b"Content-Length: %d\r\n\r\n" % len(EVENTS[0])
+    upstream = ClosingUpstream(answer=head + EVENTS[0], close_after_s=0.0)
+    try:
+        run_with_site(action)
+    finally:
+        upstream.stop()
