Test that a changed timeout does not end or extend a request in progress

Which timeout ends it was read, not shown.

Shown: with real sockets, plain requests and streams that may and may not be repeated, eight cases. Lowered from 3 s to 0.5 s: each is answered whole after 1.0 s. Raised from 0.5 s to 3 s: plain requests get 504 with code 1307 at 0.5 s, streams that have begun are cut then. Requests that arrive after the change have the new timeout. All cases pass without a change of the code.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -235,13 +235,13 @@
     site.replica.apply(Document(key, revision, json.dumps(value).encode()), source="test")
 
 
-def _change_routes(site: Site, **fields: Any) -> None:
+def _change_routes(site: Site, *, version: int = 2, **fields: Any) -> None:
     """Change fields of all routes."""
     _put(
         site,
         "op/config",
         make_configuration(
-            2,
+            version,
             services=[{"name": "model", "engine": ENGINE}, {"name": "ledger"}],
             routes=[{**route, **fields} for route in ROUTES],
         ),
@@ -1780,3 +1780,43 @@
         run_with_site(action)
     finally:
         upstream.stop()
+
+
+@pytest.mark.parametrize(
+    ("path", "timeouts_ms", "status", "is_complete"),
+    [
+        ("/read/x", (3000, 500), 200, True),
+        ("/post/x", (3000, 500), 200, True),
+        ("/ask/x", (3000, 500), 200, True),
+        ("/once/x", (3000, 500), 200, True),
+        ("/read/x", (500, 3000), 504, True),
+        ("/post/x", (500, 3000), 504, True),
+        ("/ask/x", (500, 3000), 200, False),
+        ("/once/x", (500, 3000), 200, False),
+    ],
+)
+def test_change_of_a_timeout_does_not_end_or_extend_a_request_in_progress(
+    path: str, timeouts_ms: tuple[int, int], status: int, is_complete: bool
+) -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 1000, "event_s": 0.2})
+        old_ms, new_ms = timeouts_ms
+        _change_routes(site, timeout_ms=old_ms)
+        started_at = time.monotonic()
+        headers = GENERATION_HEADERS if path in ("/ask/x", "/once/x") else {}
+        sent = asyncio.create_task(site.send(path, Sycamoreproxy_Deadline_Ms="5000", **headers))
+        await asyncio.sleep(0.3)
+        _change_routes(site, version=3, timeout_ms=new_ms)
+        answer = await sent
+        duration_s = time.monotonic() - started_at
+        assert (answer[0], answer[3]) == (status, is_complete)
+        if status == 504:
+            assert json.loads(answer[2])["error"]["code"] == 1307
+        if old_ms < new_ms:
+            assert 0.45 < duration_s < 0.8
+        # Requests that arrive after the change have the new timeout.
+        status_after = (await site.send(path, Sycamoreproxy_Deadline_Ms="5000", **headers))[0]
+        assert (status_after == 504) == (new_ms < old_ms and not headers)
+
+    run_with_site(action)
