Let a request that may have run wait for the end of a short hold

Cause: the hold of a service refuses a request at once, whether it is new or has begun. If only the upstream that broke off was not held, no upstream was found and the result was the same. An upstream that refused the request itself with a hold was left out for good.

Evidence: the six cases of test_request_that_may_have_run_is_resent_after_a_short_hold fail without the change: two cut streams, 502 in three and 504 in one.

Change: a stream that has begun, or a request that may have run, waits for the end of the first hold among the upstreams that it has not failed at, if it can still respond within its latency goal before its deadline, the time at which its caller leaves, and the end of a stop. Else it ends at once, as before (tested with holds of 1.95 s and 30 s). An upstream that refused it with a hold may be tried again after that; the limits on executions, refused resends and the resend budget are unchanged. New requests are refused at once as before. A prompt in quarantine still ends its request.

Result: the cases pass, and tests/test_routed_entry.py, test_upstream_book.py, test_waiting_line.py and test_upstream_limits.py pass in one run.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -116,6 +116,11 @@
     load: str = ""
     instances: str = ""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have executed the request, and none has it now."""
+        return self.first_output_at is not None or self.possibly_executed is not None
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptOutcome:
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -317,6 +317,8 @@
         refusal = self._check_quarantine(progress) or self._check_stop(progress)
         if refusal is not None:
             return refusal
+        if progress.may_have_run:
+            await self._wait_for_hold_end(progress)
         choice = await self._acquire_upstream(progress)
         if isinstance(choice, Refusal):
             return choice
@@ -359,7 +361,9 @@
 
     def _record_refusal(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
         """Record that an attempt ended without a response to the caller."""
-        progress.excluded.add(choice.record.instance)
+        # An upstream that named a time for the next request may be tried again after it.
+        if refusal.executed is not Executed.NO or not self._catalog.is_held(choice.record.instance):
+            progress.excluded.add(choice.record.instance)
         if refusal.executed is Executed.NO:
             progress.unexecuted_attempts += 1
         elif progress.possibly_executed is None:
@@ -462,6 +466,24 @@
             budget.count_resend()
         return choice
 
+    async def _wait_for_hold_end(self, progress: RequestProgress) -> None:
+        """Wait until an upstream may be tried if all others are held, and if that is soon enough."""
+        while True:
+            hold_s = self._catalog.find_hold_left_s(
+                progress.service.name, excluded=progress.excluded
+            )
+            if hold_s is None or hold_s > self._find_longest_pause_s(progress):
+                return
+            # Another upstream may become usable earlier.
+            await asyncio.sleep(min(hold_s, RESEND_CHECK_INTERVAL_S))
+
+    def _find_longest_pause_s(self, progress: RequestProgress) -> float:
+        """Return the time after which a request that is sent again may still respond in time."""
+        last_output_at = progress.last_output_at or progress.received_at
+        abandoned_at = last_output_at + progress.route.caller_timeout_s
+        latest_response_at = min(progress.deadline, abandoned_at, self._stop_at)
+        return latest_response_at - progress.route.target_latency_s - self._clock.monotonic()
+
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
         hold_s = self._catalog.find_hold_left_s(progress.service.name)
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 
 from sycamoreproxy.clock import Clock
@@ -221,21 +221,30 @@
             self._usable_by_service[service] = (changes_at, records)
         return records
 
-    def find_hold_left_s(self, service: str) -> float | None:
+    def find_hold_left_s(
+        self, service: str, *, excluded: Container[str] = frozenset()
+    ) -> float | None:
         """Return the time until the first hold of a service's upstreams ends, in seconds.
 
+        :param excluded: instances that are left out.
         :returns: None if an upstream may receive requests now, or if none is held.
         """
-        if self.list_usable(service):
+        if any(record.instance not in excluded for record in self.list_usable(service)):
             return None
         ends = [
             self._find_hold_end(record.instance)
             for record in self._records_by_instance.values()
-            if record.service == service and self._is_usable(record.instance, ignore_hold=True)
+            if record.service == service
+            and record.instance not in excluded
+            and self._is_usable(record.instance, ignore_hold=True)
         ]
         end = min(ends, default=math.inf)
         return None if end == math.inf else end - self._clock.monotonic()
 
+    def is_held(self, instance: str) -> bool:
+        """Return whether an upstream has asked for no requests until a time that is still to come."""
+        return self._find_hold_end(instance) != math.inf
+
     def _find_hold_end(self, instance: str) -> float:
         """Return the monotonic time at which the hold of an upstream ends; infinite if none is."""
         until = self._held_until_by_instance.get(instance)
@@ -289,7 +298,7 @@
     def _is_usable(self, instance: str, *, ignore_hold: bool = False) -> bool:
         if instance in self._replaced_start_by_instance or instance in self._left_start_by_instance:
             return False
-        if not ignore_hold and self._find_hold_end(instance) != math.inf:
+        if not ignore_hold and self.is_held(instance):
             return False
         since = self._leaving_since_by_instance.get(instance)
         return since is None or self._clock.monotonic() < since + (
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1820,3 +1820,67 @@
         assert (status_after == 504) == (new_ms < old_ms and not headers)
 
     run_with_site(action)
+
+
+HELD = NOT_EXECUTED.replace(b"\r\nContent", b"\r\nRetry-After: 0.6\r\nContent")
+
+
+def _hold_all(site: Site, seconds: float) -> None:
+    catalog = site.front.dispatcher._catalog
+    for record in catalog.list_all():
+        catalog.hold(record, seconds)
+
+
+@pytest.mark.parametrize(
+    ("path", "answers", "is_held"),
+    [
+        ("/ask/x", [[UNFRAMED, EVENTS[0], 0.3, b"id: 2"], [UNFRAMED, *EVENTS[1:]]], True),
+        ("/ask/x", [[0.3], [FRAMED, *EVENTS]], True),
+        ("/read/x", [[0.3], [FRAMED, *EVENTS]], True),
+        ("/ask/x", [[UNFRAMED, EVENTS[0], b"id: 2"], [HELD], [UNFRAMED, *EVENTS[1:]]], False),
+        ("/ask/x", [[b""], [HELD], [FRAMED, *EVENTS]], False),
+        ("/read/x", [[b""], [HELD], [FRAMED, *EVENTS]], False),
+    ],
+    ids=["resume", "start", "plain", "resume-refused", "start-refused", "plain-refused"],
+)
+def test_request_that_may_have_run_is_resent_after_a_short_hold(
+    path: str, answers: list[list[bytes | float]], is_held: bool
+) -> None:
+    """Streams were cut, with seconds left, because all other upstreams were held."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=4000)
+        if is_held:
+            asyncio.get_running_loop().call_later(0.1, _hold_all, site, 0.8)
+        started_at = time.monotonic()
+        status, _, body, is_complete = await site.send(
+            path, Sycamoreproxy_Deadline_Ms="4000", **PROMPT
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == len(answers)
+        assert 0.6 <= time.monotonic() - started_at < 1.5
+
+    upstream = _ScriptedUpstream(*answers)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize("hold_s", [1.95, 30.0])
+@pytest.mark.parametrize(
+    ("path", "answer", "status"),
+    [("/ask/x", [UNFRAMED, EVENTS[0], 0.3], 200), ("/ask/x", [0.3], 502), ("/read/x", [0.3], 502)],
+    ids=["resume", "start", "plain"],
+)
+def test_request_that_may_have_run_ends_at_once_in_a_hold_that_is_too_long(
+    path: str, answer: list[bytes | float], status: int, hold_s: float
+) -> None:
+    async def action(site: Site) -> None:
+        asyncio.get_running_loop().call_later(0.1, _hold_all, site, hold_s)
+        started_at = time.monotonic()
+        result = await site.send(path, **PROMPT)
+        assert result[0] == status
+        if status == 200:
+            assert (result[2], result[3]) == (EVENTS[0], False)
+        assert time.monotonic() - started_at < 0.8
+
+    incomplete = [*answer, b"id: 2"] if status == 200 else answer
+    _run_scripted(_ScriptedUpstream(incomplete), [0, 1, 2, 3], action)
