Let a stream that has begun wait for a permit of a limited upstream

What callers saw: a stream whose upstream broke off was cut at once when all others had named a limit and this host had no permit at that moment, although one comes within a second.

Cause: resumed streams are not queued, so a choice without a permit ended them.

Evidence: the case with a limit of 2 a second of test_stream_that_has_begun_waits_for_a_permit_within_its_time fails without the change (cut after its first event).

Change: such a stream looks for an upstream every 0.1 s until its caller leaves, its deadline or a stop, less its latency goal. No request is sent without a permit. Requests whose caller has received nothing do not wait, because the end of the wait is not known.

Result: both cases pass; with a limit of 0.05 a second the stream still ends within 2.3 s.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -477,6 +477,21 @@
             # Another upstream may become usable earlier.
             await asyncio.sleep(min(hold_s, RESEND_CHECK_INTERVAL_S))
 
+    def _may_wait_for_permit(self, progress: RequestProgress) -> bool:
+        """Return whether a stream that has begun may soon be continued by an upstream with a limit.
+
+        The end of the wait is not known, so requests whose caller has received nothing do not wait.
+        """
+        return (
+            progress.first_output_at is not None
+            and self._find_longest_pause_s(progress) > 0
+            and any(
+                self._limits.find_requests_per_s(record) < math.inf
+                for record in self._catalog.list_usable(progress.service.name)
+                if record.instance not in progress.excluded
+            )
+        )
+
     def _find_longest_pause_s(self, progress: RequestProgress) -> float:
         """Return the time after which a request that is sent again may still respond in time."""
         last_output_at = progress.last_output_at or progress.received_at
@@ -499,6 +514,9 @@
         if progress.service.engine is None or progress.first_output_at is not None:
             # Plain services have spare capacity, and resumed streams must not be queued.
             choice = self._choose(name, requirements, ignore_capacity=True)
+            while choice is None and self._may_wait_for_permit(progress):
+                await asyncio.sleep(RESEND_CHECK_INTERVAL_S)
+                choice = self._choose(name, requirements, ignore_capacity=True)
             return choice or Refusal(codes.NO_UPSTREAM, Executed.NO)
         queue = self._queues_by_service.get(name)
         if queue is None:
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -37,6 +37,7 @@
 from sycamoreproxy.document_source import Document
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, RESERVED_BYTES
+from sycamoreproxy.messages import LimitNotice
 from sycamoreproxy.placement import LoadReport, Requirements, UpstreamSelector
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
@@ -1884,3 +1885,31 @@
 
     incomplete = [*answer, b"id: 2"] if status == 200 else answer
     _run_scripted(_ScriptedUpstream(incomplete), [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize(("requests_per_s", "is_complete"), [(2.0, True), (0.05, False)])
+def test_stream_that_has_begun_waits_for_a_permit_within_its_time(
+    requests_per_s: float, is_complete: bool
+) -> None:
+    """Streams were cut, with seconds left, because all other upstreams had named a limit."""
+
+    def limit_all(site: Site) -> None:
+        dispatcher = site.front.dispatcher
+        for record in dispatcher._catalog.list_all():
+            notice = LimitNotice(record.instance, record.started_ms, requests_per_s, 0.0)
+            dispatcher._limits.receive_notice(notice)
+            dispatcher._limits.use_permit(record)
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=4000)
+        asyncio.get_running_loop().call_later(0.1, limit_all, site)
+        started_at = time.monotonic()
+        status, _, body, is_whole = await site.send(
+            "/ask/x", Sycamoreproxy_Deadline_Ms="4000", **PROMPT
+        )
+        expected = b"".join(EVENTS) if is_complete else EVENTS[0]
+        assert (status, body, is_whole) == (200, expected, is_complete)
+        assert time.monotonic() - started_at < 2.3
+
+    upstream = _ScriptedUpstream([UNFRAMED, EVENTS[0], 0.3, b"id: 2"], [UNFRAMED, *EVENTS[1:]])
+    _run_scripted(upstream, [0, 1], action)
