--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -316,6 +316,8 @@
         refusal = self._check_quarantine(progress) or self._check_stop(progress)
         if refusal is not None:
             return refusal
+        if progress.may_have_run:
+            await self._wait_for_hold_end(progress)
         choice = await self._acquire_upstream(progress)
         if isinstance(choice, Refusal):
             return choice
@@ -367,7 +369,9 @@
 
     def _record_refusal(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
         """Record that an attempt ended without a response to the caller."""
-        progress.excluded.add(choice.record.instance)
+        # An upstream that named a time for the next request may be tried again after it.
+        if refusal.executed is not Executed.NO or not self._catalog.is_held(choice.record.instance):
+            progress.excluded.add(choice.record.instance)
         if refusal.executed is Executed.NO:
             progress.unexecuted_attempts += 1
         elif progress.possibly_executed is None:
@@ -471,6 +475,39 @@
         budget.count_resend()
         return self._begin(choice, requirements)
 
+    async def _wait_for_hold_end(self, progress: RequestProgress) -> None:
+        """Wait until an upstream may be tried if all others are held, and if that is soon enough."""
+        while True:
+            hold_s = self._catalog.find_hold_left_s(
+                progress.service.name, excluded=progress.excluded
+            )
+            if hold_s is None or hold_s > self._find_longest_pause_s(progress):
+                return
+            # Another upstream may become usable earlier.
+            await asyncio.sleep(min(hold_s, RESEND_CHECK_INTERVAL_S))
+
+    def _may_wait_for_permit(self, progress: RequestProgress) -> bool:
+        """Return whether a stream that has begun may soon be continued by an upstream with a limit.
+
+        The end of the wait is not known, so requests whose caller has received nothing do not wait.
+        """
+        return (
+            progress.first_output_at is not None
+            and self._find_longest_pause_s(progress) > 0
+            and any(
+                self._limits.find_requests_per_s(record) < math.inf
+                for record in self._catalog.list_usable(progress.service.name)
+                if record.instance not in progress.excluded
+            )
+        )
+
+    def _find_longest_pause_s(self, progress: RequestProgress) -> float:
+        """Return the time after which a request that is sent again may still respond in time."""
+        last_output_at = progress.last_output_at or progress.received_at
+        abandoned_at = last_output_at + progress.route.caller_timeout_s
+        latest_response_at = min(progress.deadline, abandoned_at, self._stop_at)
+        return latest_response_at - progress.route.target_latency_s - self._clock.monotonic()
+
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
         hold_s = self._catalog.find_hold_left_s(progress.service.name)
@@ -486,6 +523,9 @@
         if progress.service.engine is None or progress.first_output_at is not None:
             # Plain services have spare capacity, and resumed streams must not be queued.
             choice = self._choose(name, requirements, ignore_capacity=True)
+            while choice is None and self._may_wait_for_permit(progress):
+                await asyncio.sleep(RESEND_CHECK_INTERVAL_S)
+                choice = self._choose(name, requirements, ignore_capacity=True)
             return choice or Refusal(codes.NO_UPSTREAM, Executed.NO)
         queue = self._queues_by_service.get(name)
         if queue is None:
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -37,6 +37,7 @@
 from sycamoreproxy.document_source import Document
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, RESERVED_BYTES
+from sycamoreproxy.messages import LimitNotice
 from sycamoreproxy.placement import LoadReport, Requirements, UpstreamSelector
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
@@ -49,7 +50,7 @@
 from sycamoreproxy.watched_documents import DocumentReplica
 from sycamoreproxy.weight_targets import WeightTargets
 from tests._fake_hub import FakeHub
-from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
+from tests._raw_upstream import PIECE_BYTES, SIGNED, ClosingUpstream, RawUpstream
 
 ENGINE = {
     "slots": 4,
@@ -235,13 +236,13 @@
     site.replica.apply(Document(key, revision, json.dumps(value).encode()), source="test")
 
 
-def _change_routes(site: Site, **fields: Any) -> None:
+def _change_routes(site: Site, *, version: int = 2, **fields: Any) -> None:
     """Change fields of all routes."""
     _put(
         site,
         "op/config",
         make_configuration(
-            2,
+            version,
             services=[{"name": "model", "engine": ENGINE}, {"name": "ledger"}],
             routes=[{**route, **fields} for route in ROUTES],
         ),
@@ -253,9 +254,12 @@
         await asyncio.sleep(0.01)
 
 
-async def _replace_runners(site: Site, numbers: Sequence[int], upstream: RawUpstream) -> None:
+async def _replace_runners(
+    site: Site, numbers: Sequence[int], upstream: RawUpstream | ClosingUpstream
+) -> None:
     """Replace runners of one service by a faulty upstream."""
-    await upstream.start()
+    if isinstance(upstream, RawUpstream):
+        await upstream.start()
     for number in numbers:
         instance = f"i-{number}"
         service = "model" if number < 2 else "ledger"
@@ -1752,3 +1756,160 @@
         assert len(site.runners[2].received) <= 1
 
     run_with_site(action)
+
+
+@pytest.mark.parametrize(("path", "number"), [("/read/x", 2), ("/ask/x", 0)])
+def test_request_on_a_stale_connection_is_served_although_the_loop_was_blocked(
+    path: str, number: int
+) -> None:
+    """Requests with one attempt got 502 when a large configuration was read meanwhile."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, max_attempts=1)
+        await _replace_runners(site, [number, number + 1], upstream)
+        assert (await site.send(path, **GENERATION_HEADERS))[2] == EVENTS[0]
+        sent = asyncio.create_task(site.send(path, **GENERATION_HEADERS))
+        await _wait_until(upstream.second_received.is_set)
+        upstream.close_while_loop_is_blocked(0.6)
+        status, _, body, is_complete = await sent
+        assert (status, body, is_complete) == (200, EVENTS[0], True)
+        assert upstream.received == 3
+
+    head = SIGNED + b"Content-Length: %d\r\n\r\n" % len(EVENTS[0])
+    upstream = ClosingUpstream(answer=head + EVENTS[0], close_after_s=0.0)
+    try:
+        run_with_site(action)
+    finally:
+        upstream.stop()
+
+
+@pytest.mark.parametrize(
+    ("path", "timeouts_ms", "status", "is_complete"),
+    [
+        ("/read/x", (3000, 500), 200, True),
+        ("/post/x", (3000, 500), 200, True),
+        ("/ask/x", (3000, 500), 200, True),
+        ("/once/x", (3000, 500), 200, True),
+        ("/read/x", (500, 3000), 504, True),
+        ("/post/x", (500, 3000), 504, True),
+        ("/ask/x", (500, 3000), 200, False),
+        ("/once/x", (500, 3000), 200, False),
+    ],
+)
+def test_change_of_a_timeout_does_not_end_or_extend_a_request_in_progress(
+    path: str, timeouts_ms: tuple[int, int], status: int, is_complete: bool
+) -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 1000, "event_s": 0.2})
+        old_ms, new_ms = timeouts_ms
+        _change_routes(site, timeout_ms=old_ms)
+        started_at = time.monotonic()
+        headers = GENERATION_HEADERS if path in ("/ask/x", "/once/x") else {}
+        sent = asyncio.create_task(site.send(path, Sycamoreproxy_Deadline_Ms="5000", **headers))
+        await asyncio.sleep(0.3)
+        _change_routes(site, version=3, timeout_ms=new_ms)
+        answer = await sent
+        duration_s = time.monotonic() - started_at
+        assert (answer[0], answer[3]) == (status, is_complete)
+        if status == 504:
+            assert json.loads(answer[2])["error"]["code"] == 1307
+        if old_ms < new_ms:
+            assert 0.45 < duration_s < 0.8
+        # Requests that arrive after the change have the new timeout.
+        status_after = (await site.send(path, Sycamoreproxy_Deadline_Ms="5000", **headers))[0]
+        assert (status_after == 504) == (new_ms < old_ms and not headers)
+
+    run_with_site(action)
+
+
+HELD = NOT_EXECUTED.replace(b"\r\nContent", b"\r\nRetry-After: 0.6\r\nContent")
+
+
+def _hold_all(site: Site, seconds: float) -> None:
+    catalog = site.front.dispatcher._catalog
+    for record in catalog.list_all():
+        catalog.hold(record, seconds)
+
+
+@pytest.mark.parametrize(
+    ("path", "answers", "is_held"),
+    [
+        ("/ask/x", [[UNFRAMED, EVENTS[0], 0.3, b"id: 2"], [UNFRAMED, *EVENTS[1:]]], True),
+        ("/ask/x", [[0.3], [FRAMED, *EVENTS]], True),
+        ("/read/x", [[0.3], [FRAMED, *EVENTS]], True),
+        ("/ask/x", [[UNFRAMED, EVENTS[0], b"id: 2"], [HELD], [UNFRAMED, *EVENTS[1:]]], False),
+        ("/ask/x", [[b""], [HELD], [FRAMED, *EVENTS]], False),
+        ("/read/x", [[b""], [HELD], [FRAMED, *EVENTS]], False),
+    ],
+    ids=["resume", "start", "plain", "resume-refused", "start-refused", "plain-refused"],
+)
+def test_request_that_may_have_run_is_resent_after_a_short_hold(
+    path: str, answers: list[list[bytes | float]], is_held: bool
+) -> None:
+    """Streams were cut, with seconds left, because all other upstreams were held."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=4000)
+        if is_held:
+            asyncio.get_running_loop().call_later(0.1, _hold_all, site, 0.8)
+        started_at = time.monotonic()
+        status, _, body, is_complete = await site.send(
+            path, Sycamoreproxy_Deadline_Ms="4000", **PROMPT
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == len(answers)
+        assert 0.6 <= time.monotonic() - started_at < 1.5
+
+    upstream = _ScriptedUpstream(*answers)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize("hold_s", [1.95, 30.0])
+@pytest.mark.parametrize(
+    ("path", "answer", "status"),
+    [("/ask/x", [UNFRAMED, EVENTS[0], 0.3], 200), ("/ask/x", [0.3], 502), ("/read/x", [0.3], 502)],
+    ids=["resume", "start", "plain"],
+)
+def test_request_that_may_have_run_ends_at_once_in_a_hold_that_is_too_long(
+    path: str, answer: list[bytes | float], status: int, hold_s: float
+) -> None:
+    async def action(site: Site) -> None:
+        asyncio.get_running_loop().call_later(0.1, _hold_all, site, hold_s)
+        started_at = time.monotonic()
+        result = await site.send(path, **PROMPT)
+        assert result[0] == status
+        if status == 200:
+            assert (result[2], result[3]) == (EVENTS[0], False)
+        assert time.monotonic() - started_at < 0.8
+
+    incomplete = [*answer, b"id: 2"] if status == 200 else answer
+    _run_scripted(_ScriptedUpstream(incomplete), [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize(("requests_per_s", "is_complete"), [(2.0, True), (0.05, False)])
+def test_stream_that_has_begun_waits_for_a_permit_within_its_time(
+    requests_per_s: float, is_complete: bool
+) -> None:
+    """Streams were cut, with seconds left, because all other upstreams had named a limit."""
+
+    def limit_all(site: Site) -> None:
+        dispatcher = site.front.dispatcher
+        for record in dispatcher._catalog.list_all():
+            notice = LimitNotice(record.instance, record.started_ms, requests_per_s, 0.0)
+            dispatcher._limits.receive_notice(notice)
+            dispatcher._limits.use_permit(record)
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=4000)
+        asyncio.get_running_loop().call_later(0.1, limit_all, site)
+        started_at = time.monotonic()
+        status, _, body, is_whole = await site.send(
+            "/ask/x", Sycamoreproxy_Deadline_Ms="4000", **PROMPT
+        )
+        expected = b"".join(EVENTS) if is_complete else EVENTS[0]
+        assert (status, body, is_whole) == (200, expected, is_complete)
+        assert time.monotonic() - started_at < 2.3
+
+    upstream = _ScriptedUpstream([UNFRAMED, EVENTS[0], 0.3, b"id: 2"], [UNFRAMED, *EVENTS[1:]])
+    _run_scripted(upstream, [0, 1], action)
