Log what a stop of an entry host closes, and requests cut after they were read

A stop now writes a line at its first close and one at its end, with the connections closed as idle, those that the kernel had accepted and the process had not (TCP_INFO of the listener), and the requests refused and cut. A request whose connection the process closes after it was read has a line with its identifier and the reason; so has one that is read on a closed connection and not passed on.

Nothing else changes: no connection is closed sooner or later than before.

--- a/sycamoreproxy/idle_connections.py
+++ b/sycamoreproxy/idle_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+from collections import Counter
 from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection
@@ -46,6 +47,8 @@
         self._limit_s = limit_s
         self._header_timeout_s = header_timeout_s
         self._by_server_conn: dict[object, _IdleConnection] = {}
+        #: Number of connections closed so far.
+        self.closed_by_reason: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self._by_server_conn)
@@ -113,6 +116,7 @@
 
     def _close(self, server_conn: object, idle: _IdleConnection, reason: str) -> None:
         self.remove(server_conn)
+        self.closed_by_reason[reason] += 1
         CLOSED_CALLER_CONNECTIONS.inc({"reason": reason})
         idle.connection.close()
 
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+import socket
+import struct
+import sys
 from collections.abc import Callable
-from dataclasses import asdict, replace
+from dataclasses import asdict, dataclass, replace
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
@@ -43,24 +46,42 @@
 _log = get_logger("routed_http")
 
 
+@dataclass(slots=True)
+class StopCounts:
+    """Requests that a stop ends without a response of an upstream, since SIGTERM.
+
+    :param refused: requests that were refused, for any reason.
+    :param cut: requests whose connection the process closed after their head was read.
+    """
+
+    refused: int = 0
+    cut: int = 0
+
+
 class CallerReply:
     """Writes one response to a caller's connection.
 
+    :param request_id: identifier in the logs; empty if the request could not be read.
     :param is_leaving: returns whether the connection is to be closed after the response.
     :param is_early: whether the response is sent before the request was received; the connection
         then stays in use until :meth:`end_exchange`.
     :param has_body: whether the response may have a body; that to ``HEAD`` has none.
+    :param stop_counts: counts refused and cut requests while the process is leaving.
     """
 
     def __init__(
         self,
         connection: HTTP1Connection,
         *,
+        request_id: str,
+        stop_counts: StopCounts,
         is_leaving: Callable[[], bool],
         is_early: bool = False,
         has_body: bool = True,
     ) -> None:
         self._connection = connection
+        self._request_id = request_id
+        self._stop_counts = stop_counts
         self._has_body = has_body
         self._is_leaving = is_leaving
         self._is_early = is_early
@@ -106,10 +127,17 @@
     def abort(self) -> None:
         """Close the connection so that the caller sees an incomplete response."""
         self.is_finished = True
+        if not self._connection.stream.closed():
+            is_leaving = self._is_leaving()
+            if is_leaving:
+                self._stop_counts.cut += 1
+            _log_cut_request(self._request_id, reason="response cut", is_leaving=is_leaving)
         self._connection.close()
 
     def refuse(self, refusal: Refusal, *, retry_after_s: float | None) -> None:
         """Send a refusal as a JSON response."""
+        if self._is_leaving():
+            self._stop_counts.refused += 1
         body = json.dumps(refusal.as_body()).encode()
         headers = HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
@@ -120,6 +148,15 @@
         self.finish()
 
 
+def _log_cut_request(request_id: str, *, reason: str, is_leaving: bool) -> None:
+    _log.warning(
+        "connection closed after its request was read",
+        request=request_id,
+        reason=reason,
+        is_stopping=is_leaving,
+    )
+
+
 def _count_unsent_bytes(stream: IOStream) -> int:
     # Tornado discards the buffer of a closed stream: the attribute is then None.
     return len(stream._write_buffer or ())
@@ -154,6 +191,16 @@
         self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request in the logs; empty if its head could not be read."""
+        return self._request.request_id if self._request is not None else ""
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is closed."""
+        return self._connection.stream.closed()
+
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
@@ -187,6 +234,7 @@
         if stream is None or stream.closed():
             # Tornado still delivers data that was read before the connection closed, but the caller
             # has disconnected.
+            _log.info("request dropped with its closed connection", request=self.request_id)
             self._release_body()
             return
         if self._early_reply is not None:
@@ -225,6 +273,8 @@
     def _make_reply(self, *, is_early: bool = False) -> CallerReply:
         return CallerReply(
             self._connection,
+            request_id=self.request_id,
+            stop_counts=self._caller_server.stop_counts,
             is_leaving=self._caller_server.is_leaving,
             is_early=is_early,
             has_body=self._has_response_body,
@@ -274,11 +324,27 @@
         super().on_close(server_conn)
         self.request_callback.on_close(server_conn)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections, including those that are not served yet."""
+        return len(self._connections)
+
     @property
     def has_connections(self) -> bool:
         """Whether any connection is open, including those that are not served yet."""
         return bool(self._connections)
 
+    def count_unaccepted(self) -> int:
+        """Return the number of connections that the kernel has accepted and the process has not."""
+        if sys.platform != "linux" or self._stopped:
+            return 0
+        count = 0
+        for listener in self._sockets.values():
+            info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 28)
+            # For a listening socket, tcpi_unacked is the length of its accept queue.
+            count += struct.unpack_from("I", info, 24)[0]
+        return count
+
     def close_streams(self) -> None:
         """Close all connections at once, so that none of them delivers another request."""
         for server_conn in list(self._connections):
@@ -299,6 +365,7 @@
         #: Requests whose headers have been received and whose body is incomplete.
         self.receiving: set[_Exchange] = set()
         self.bounds = CallerBounds()
+        self.stop_counts = StopCounts()
         self._is_leaving = False
         self._is_closing = False
         self._http_server: _CallerHTTPServer | None = None
@@ -385,10 +452,21 @@
         self.dispatcher.end_requests_within(max(0.0, wait_s - REFUSAL_RESERVE_S))
         if self._http_server is None:
             return
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        deadline = started_at + wait_s
+        open_count = self._http_server.connection_count
+        unaccepted_count = self._http_server.count_unaccepted()
         self._http_server.stop()
         self._idle_connections.close_unused()
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + wait_s
+        _log.info(
+            "stop begins to close connections",
+            open=open_count,
+            unaccepted=unaccepted_count,
+            closed_idle=self._idle_connections.closed_by_reason["stop"],
+            receiving=len(self.receiving),
+            in_progress=len(self.tasks),
+        )
         while self._http_server.has_connections and loop.time() < deadline:
             if self.tasks and not self.receiving and not len(self._idle_connections):
                 await asyncio.wait(self.tasks, timeout=deadline - loop.time())
@@ -405,8 +483,25 @@
                 task.cancel()
             # A cancelled request is refused if its response has not started.
             await asyncio.wait(self.tasks, timeout=CLOSE_POLL_INTERVAL_S)
+        self._log_incomplete_requests()
         self._http_server.close_streams()
         await self._http_server.close_all_connections()
+        _log.info(
+            "stop closed all connections",
+            unaccepted=unaccepted_count,
+            closed_idle=self._idle_connections.closed_by_reason["stop"],
+            incomplete_heads=self._idle_connections.closed_by_reason["incomplete head"],
+            refused=self.stop_counts.refused,
+            cut=self.stop_counts.cut,
+            took_ms=round((loop.time() - started_at) * 1000),
+        )
+
+    def _log_incomplete_requests(self) -> None:
+        """Write a line for each request whose body has not arrived and that is closed now."""
+        for exchange in self.receiving:
+            if not exchange.is_closed:
+                self.stop_counts.cut += 1
+                _log_cut_request(exchange.request_id, reason="body incomplete", is_leaving=True)
 
     def _count_unsent_responses(self) -> int:
         """Return the number of connections with bytes that are not written yet."""
--- /dev/null
+++ b/tests/test_stop_connections.py
@@ -0,0 +1,79 @@
+"""Tests of callers' connections in a stop of an entry host, with real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import structlog.testing
+
+from tests.test_caller_connections import _Connection, _make_request
+from tests.test_routed_entry import GENERATION_HEADERS, Site, _wait_until, run_with_site
+
+
+def test_stop_logs_what_it_closes() -> None:
+    """Callers saw closed connections, and no line of the host told why."""
+
+    async def action(site: Site) -> None:
+        async with _Connection(site) as idle, _Connection(site) as uploading:
+            assert (await idle.request())[0] == 200
+            uploading.send_at_once(_make_request(b"body")[:-4])
+            await _wait_until(lambda: site.front.receiving)
+            await asyncio.sleep(0.05)
+            unaccepted = socket.create_connection(("127.0.0.1", site.port))
+            with unaccepted, structlog.testing.capture_logs() as lines:
+                await site.front.close(wait_s=0.2)
+        by_event = {line["event"]: line for line in lines}
+        begun = by_event["stop begins to close connections"]
+        assert (begun["open"], begun["unaccepted"], begun["closed_idle"]) == (2, 1, 1)
+        assert (begun["receiving"], begun["in_progress"]) == (1, 0)
+        ended = by_event["stop closed all connections"]
+        assert (ended["unaccepted"], ended["closed_idle"], ended["cut"]) == (1, 1, 1)
+        cut = by_event["connection closed after its request was read"]
+        assert (cut["request"], cut["reason"], cut["is_stopping"]) == ("a", "body incomplete", True)
+
+    run_with_site(action)
+
+
+def test_stop_counts_the_requests_that_it_refuses() -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 3000})
+        sending = asyncio.create_task(site.send("/read/x", Sycamoreproxy_Deadline_Ms="9000"))
+        await _wait_until(lambda: any(runner.received for runner in site.runners))
+        with structlog.testing.capture_logs() as lines:
+            await site.front.close(wait_s=0.5)
+        (line,) = [line for line in lines if line["event"] == "stop closed all connections"]
+        assert (line["refused"], line["cut"]) == (1, 0)
+        assert (await sending)[0] == 504
+
+    run_with_site(action)
+
+
+def test_response_that_the_process_cuts_has_a_log_line() -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"cut_after_events": 2})
+        with structlog.testing.capture_logs() as lines:
+            _, _, _, is_complete = await site.send("/once/x", **GENERATION_HEADERS)
+        assert not is_complete
+        (line,) = [line for line in lines if line["event"].startswith("connection closed after")]
+        assert (line["reason"], line["is_stopping"]) == ("response cut", False)
+        assert line["request"].startswith("id")
+
+    run_with_site(action)
+
+
+def test_request_that_is_read_on_a_closed_connection_has_a_log_line() -> None:
+    async def action(site: Site) -> None:
+        async with _Connection(site) as connection:
+            connection.send_at_once(_make_request(b"body")[:-4])
+            await _wait_until(lambda: site.front.receiving)
+            (exchange,) = site.front.receiving
+            exchange._connection.close()
+            with structlog.testing.capture_logs() as lines:
+                exchange.finish()
+        (line,) = [line for line in lines if line["event"].startswith("request dropped")]
+        assert line["request"] == "a"
+
+    run_with_site(action)
