Answer requests in the accept queue when a stop closes the listener

In a stop of an entry host, callers whose connection the kernel had accepted and the process had not got a reset, also if their whole request had been received: the kernel resets what is in the accept queue when its listener is closed. No line of the host told of them.

The process now accepts what is in the queue before it closes the listener. Requests that have arrived there are served, or refused as not executed (1207) if they can't be finished in the stop; a connection on which nothing has arrived is closed like other idle ones. At most twice the backlog is accepted, so that a flood of connections doesn't delay the stop.

Open: a handshake that is completed between the last accept and the close (two system calls) is still reset.

--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -5,8 +5,6 @@
 import asyncio
 import json
 import socket
-import struct
-import sys
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, replace
 
@@ -42,6 +40,11 @@
 #: Poll interval while requests are still being received or responses written during shutdown, in
 #: seconds.
 CLOSE_POLL_INTERVAL_S = 0.01
+#: Connections that the kernel queues until the process accepts them.
+LISTEN_BACKLOG = 1024
+#: Connections accepted from the queue at the close of the listener, so that a flood of new ones
+#: does not delay a stop.
+MAX_QUEUED_CONNECTIONS = 2 * LISTEN_BACKLOG
 
 _log = get_logger("routed_http")
 
@@ -334,16 +337,32 @@
         """Whether any connection is open, including those that are not served yet."""
         return bool(self._connections)
 
-    def count_unaccepted(self) -> int:
-        """Return the number of connections that the kernel has accepted and the process has not."""
-        if sys.platform != "linux" or self._stopped:
+    def stop_listening(self) -> int:
+        """Accept what the kernel has accepted already, and close the listener.
+
+        The kernel resets the connections that are in the accept queue when their listener is closed.
+
+        :return: number of connections that were in the queue.
+        """
+        if self._stopped:
             return 0
-        count = 0
-        for listener in self._sockets.values():
-            info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 28)
-            # For a listening socket, tcpi_unacked is the length of its accept queue.
-            count += struct.unpack_from("I", info, 24)[0]
-        return count
+        accepted = sum(self._accept_queued(listener) for listener in self._sockets.values())
+        self.stop()
+        return accepted
+
+    def _accept_queued(self, listener: socket.socket) -> int:
+        for accepted in range(MAX_QUEUED_CONNECTIONS):
+            try:
+                connection, address = listener.accept()
+            except BlockingIOError:
+                return accepted
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                _log.warning("accept queue not emptied", accepted=accepted, error=str(error))
+                return accepted
+            self._handle_connection(connection, address)
+        return MAX_QUEUED_CONNECTIONS
 
     def close_streams(self) -> None:
         """Close all connections at once, so that none of them delivers another request."""
@@ -412,7 +431,7 @@
         )
         # The idle connections have a limit that changes with the configuration.
         self._http_server.conn_params.header_timeout = None
-        self._http_server.listen(port, ip, backlog=1024)
+        self._http_server.listen(port, ip, backlog=LISTEN_BACKLOG)
 
     def set_bounds(self, bounds: CallerBounds) -> None:
         """Apply the configured bounds to all connections from their next request on.
@@ -456,8 +475,7 @@
         started_at = loop.time()
         deadline = started_at + wait_s
         open_count = self._http_server.connection_count
-        unaccepted_count = self._http_server.count_unaccepted()
-        self._http_server.stop()
+        unaccepted_count = self._http_server.stop_listening()
         self._idle_connections.close_unused()
         _log.info(
             "stop begins to close connections",
