Wait for the first request on connections opened just before a stop closes

When a stop of an entry host closed connections without a request, it also closed those that a caller had opened a moment before: the request followed, and its caller saw a closed connection. So did callers whose connections had only just been accepted from the queue of the listener.

A connection is now closed by a stop once it has waited for 0.5 s since it was opened or last used, within the time of the stop; a change of the configuration doesn't raise that limit. Connections that have waited longer are closed at once, as before. Each new connection is checked alone, where all of them were checked again for each one (quadratic with a full accept queue). Connections that wait at the end of the stop are counted as closed.

The stop takes 0.5 s with a new connection that sends nothing, and no longer than its limit. The test of the log lines waits 0.5 s for its connection to count as idle.

--- a/sycamoreproxy/idle_connections.py
+++ b/sycamoreproxy/idle_connections.py
@@ -13,6 +13,11 @@
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import CLOSED_CALLER_CONNECTIONS
 
+#: Time that a stop leaves a connection to wait for a request, since it was opened or last used, in
+#: seconds. A request follows so soon on a connection that was opened for it, and covers a round
+#: trip between regions and a late event loop.
+STOP_WAIT_S = 0.5
+
 _log = get_logger("idle_connections")
 
 
@@ -23,6 +28,7 @@
     :param idle_until: end of the idle limit, on the clock of the event loop.
     :param head_due_at: time by which the head must be complete once part of it was seen at the end
         of the limit, or in a stop; None before that.
+    :param is_stopping: whether the limit was shortened by a stop; then no other limit raises it.
     """
 
     connection: HTTP1Connection
@@ -30,6 +36,7 @@
     idle_until: float
     timer: asyncio.TimerHandle
     head_due_at: float | None = None
+    is_stopping: bool = False
 
 
 class IdleConnections:
@@ -58,6 +65,8 @@
         self._limit_s = limit_s
         self._header_timeout_s = header_timeout_s
         for idle in self._by_server_conn.values():
+            if idle.is_stopping:
+                continue
             idle.idle_until = max(idle.idle_until, idle.waiting_since + limit_s)
 
     def add(self, server_conn: object, connection: HTTP1Connection) -> None:
@@ -78,12 +87,30 @@
             idle.timer.cancel()
 
     def close_unused(self) -> None:
-        """Close the connections on which no request is arriving."""
+        """Close the connections on which no request is arriving, as in :meth:`close_if_unused`."""
+        for server_conn in list(self._by_server_conn):
+            self.close_if_unused(server_conn)
+
+    def close_if_unused(self, server_conn: object) -> None:
+        """Close a connection for a stop if no request is arriving.
+
+        If it has waited for less than ``STOP_WAIT_S``, it is closed at the end of that time.
+        """
+        idle = self._by_server_conn.get(server_conn)
+        if idle is None or idle.head_due_at is not None or idle.is_stopping:
+            return
+        idle.is_stopping = True
+        idle.idle_until = min(idle.idle_until, idle.waiting_since + STOP_WAIT_S)
+        self._end_limit(server_conn)
+
+    def close_all(self) -> None:
+        """Close all connections at the end of a stop, whether or not a request is arriving."""
         for server_conn, idle in list(self._by_server_conn.items()):
             if idle.connection.stream.closed():
                 self.remove(server_conn)
-            elif idle.head_due_at is None and not self._await_head(server_conn, idle):
-                self._close(server_conn, idle, "stop")
+            else:
+                reason = "stop" if idle.head_due_at is None else "incomplete head"
+                self._close(server_conn, idle, reason)
 
     def _end_limit(self, server_conn: object) -> None:
         idle = self._by_server_conn[server_conn]
@@ -95,12 +122,13 @@
         elif asyncio.get_running_loop().time() < idle.idle_until:
             self._schedule(server_conn, idle, idle.idle_until)
         elif self._await_head(server_conn, idle):
-            _log.info(
-                "request arrives at the end of the idle limit",
-                has_head=has_head(idle.connection.stream),
-            )
+            if not idle.is_stopping:
+                _log.info(
+                    "request arrives at the end of the idle limit",
+                    has_head=has_head(idle.connection.stream),
+                )
         else:
-            self._close(server_conn, idle, "idle")
+            self._close(server_conn, idle, "stop" if idle.is_stopping else "idle")
 
     def _await_head(self, server_conn: object, idle: _IdleConnection) -> bool:
         """Limit the time for a head that is arriving; return False if none is."""
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -409,7 +409,9 @@
         self._idle_connections.add(server_conn, request_conn)
         if self._is_closing:
             # Tornado starts to read only after this call.
-            asyncio.get_running_loop().call_soon(self._idle_connections.close_unused)
+            asyncio.get_running_loop().call_soon(
+                self._idle_connections.close_if_unused, server_conn
+            )
         return _Exchange(
             self,
             request_conn,
@@ -502,6 +504,7 @@
             # A cancelled request is refused if its response has not started.
             await asyncio.wait(self.tasks, timeout=CLOSE_POLL_INTERVAL_S)
         self._log_incomplete_requests()
+        self._idle_connections.close_all()
         self._http_server.close_streams()
         await self._http_server.close_all_connections()
         _log.info(
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 import structlog.testing
 
+from sycamoreproxy.idle_connections import STOP_WAIT_S
+from sycamoreproxy.route_table import CallerBounds
 from tests.test_caller_connections import _Connection, _make_request
 from tests.test_routed_entry import (
     GENERATION_HEADERS,
@@ -27,7 +30,7 @@
             assert (await idle.request())[0] == 200
             uploading.send_at_once(_make_request(b"body")[:-4])
             await _wait_until(lambda: site.front.receiving)
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(STOP_WAIT_S)
             unaccepted = socket.create_connection(("127.0.0.1", site.port))
             with unaccepted, structlog.testing.capture_logs() as lines:
                 await site.front.close(wait_s=0.2)
@@ -126,3 +129,46 @@
         assert site.count_runs() == 0
 
     run_with_site(action)
+
+
+@pytest.mark.parametrize("is_accepted", [False, True], ids=["in the accept queue", "accepted"])
+@pytest.mark.parametrize("pause_s", [0.01, 0.3])
+def test_first_request_on_a_connection_opened_just_before_a_stop_is_answered(
+    is_accepted: bool, pause_s: float
+) -> None:
+    """The connection was closed before the caller had sent the request for which it opened it."""
+
+    async def action(site: Site) -> None:
+        async with _Connection(site) as connection:
+            if is_accepted:
+                await _wait_until(lambda: len(site.front._idle_connections))
+            closing = asyncio.create_task(site.front.close(wait_s=3))
+            await asyncio.sleep(pause_s)
+            status, headers = await connection.request()
+            assert (status, headers.get("Connection")) == (200, "close")
+            await closing
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "waited_s", "took_s"),
+    [(3.0, 0.0, STOP_WAIT_S), (3.0, STOP_WAIT_S, 0.0), (0.1, 0.0, 0.1)],
+    ids=["new", "not new", "end of the grace period"],
+)
+def test_stop_waits_for_a_request_on_a_new_connection_for_a_limited_time(
+    wait_s: float, waited_s: float, took_s: float
+) -> None:
+    async def action(site: Site) -> None:
+        async with _Connection(site) as connection:
+            await _wait_until(lambda: len(site.front._idle_connections))
+            await asyncio.sleep(waited_s)
+            started_at = time.monotonic()
+            closing = asyncio.create_task(site.front.close(wait_s=wait_s))
+            await asyncio.sleep(0)
+            site.front.set_bounds(CallerBounds(idle_timeout_s=30))
+            assert await connection.read_response() == (0, {})
+            await closing
+            assert took_s - 0.05 < time.monotonic() - started_at < took_s + 0.3
+
+    run_with_site(action)
