Keep a connection open after a response that did not announce its close

From SIGTERM on, an entry host closed each connection at the end of its current response, also of a response whose head had been sent before the SIGTERM, without "Connection: close". The caller of a stream that ended in the stop had every reason to use the connection again, and its next request met the close: it got no response, and the host wrote no line about it.

Only a response that announces the close ends its connection now.

The two cases of the new test (response that ends before and during the close of the server, next request sent as soon as it is read) failed before without a response; both requests get 200 with "Connection: close" now.

--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -65,7 +65,7 @@
     """Writes one response to a caller's connection.
 
     :param request_id: identifier in the logs; empty if the request could not be read.
-    :param is_leaving: returns whether the connection is to be closed after the response.
+    :param is_leaving: returns whether the connection is to be closed after a response that begins.
     :param is_early: whether the response is sent before the request was received; the connection
         then stays in use until :meth:`end_exchange`.
     :param has_body: whether the response may have a body; that to ``HEAD`` has none.
@@ -90,6 +90,8 @@
         self._is_early = is_early
         self.has_started = False
         self.is_finished = False
+        #: Whether the response told its caller that the connection is closed after it.
+        self._is_last = False
 
     @property
     def unsent_bytes(self) -> int:
@@ -100,6 +102,7 @@
         """Send the status line, the headers and the first part of the body."""
         if self._is_leaving():
             headers["Connection"] = "close"
+            self._is_last = True
         reason = responses.get(status, "Unknown")
         written = self._connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, reason),
@@ -121,8 +124,11 @@
             self.end_exchange()
 
     def end_exchange(self) -> None:
-        """Free the connection for the next request, or close it."""
-        if self._is_leaving():
+        """Free the connection for the next request, or close it if the response announced that.
+
+        After a response that began before the stop, its caller may send the next request at once.
+        """
+        if self._is_last:
             # Tornado decides this when it reads the request, possibly before the shutdown began.
             self._connection._disconnect_on_finish = True
         self._connection.finish()
@@ -396,7 +402,7 @@
         )
 
     def is_leaving(self) -> bool:
-        """Return whether connections are closed after their next response."""
+        """Return whether responses that begin now announce the close of their connection."""
         return self._is_leaving
 
     def start_request(
@@ -456,7 +462,7 @@
         )
 
     def leave(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the next response that begins."""
         self._is_leaving = True
 
     async def close(self, *, wait_s: float) -> None:
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -8,9 +8,12 @@
 
 import pytest
 import structlog.testing
+from tornado.httputil import HTTPHeaders
 
+from sycamoreproxy.caller_request import CallerRequest
 from sycamoreproxy.idle_connections import STOP_WAIT_S
 from sycamoreproxy.route_table import CallerBounds
+from sycamoreproxy.routed_http import CallerReply
 from tests.test_caller_connections import _Connection, _make_request
 from tests.test_routed_entry import (
     GENERATION_HEADERS,
@@ -172,3 +175,37 @@
             assert took_s - 0.05 < time.monotonic() - started_at < took_s + 0.3
 
     run_with_site(action)
+
+
+@pytest.mark.parametrize("is_closing", [False, True], ids=["before the close", "in the close"])
+def test_request_after_a_response_that_did_not_announce_the_close_is_answered(
+    is_closing: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The connection of a response that had begun before SIGTERM was closed at its end."""
+
+    async def action(site: Site) -> None:
+        handle, ends = site.front.dispatcher.handle, asyncio.Event()
+
+        async def respond_slowly(request: CallerRequest, reply: CallerReply) -> None:
+            reply.start(200, HTTPHeaders({"Content-Length": "4"}), b"bo")
+            await ends.wait()
+            reply.write(b"dy")
+            reply.finish()
+
+        monkeypatch.setattr(site.front.dispatcher, "handle", respond_slowly)
+        async with _Connection(site) as connection:
+            connection.send_at_once(_make_request())
+            await _wait_until(lambda: site.front.tasks)
+            await asyncio.sleep(0.05)
+            site.front.leave()
+            closing = asyncio.create_task(site.front.close(wait_s=3)) if is_closing else None
+            await asyncio.sleep(0.05)
+            monkeypatch.setattr(site.front.dispatcher, "handle", handle)
+            ends.set()
+            assert (await connection.read_response())[0] == 200
+            status, headers = await connection.request()
+            assert (status, headers.get("Connection")) == (200, "close")
+            if closing is not None:
+                await closing
+
+    run_with_site(action)
