Refuse late requests at the end of a stop of the model API

At the end of a stop the model API closed its listener with the connections that the kernel had accepted and the process had not, and all open connections at once. Callers got a reset for a request that had been received, and for one that followed a response that had begun before the stop and did not announce the close.

The code that empties the queue is shared with the routed deployments.

The new tests (1 and 20 queued connections, a request after such a response) failed before with a reset and without a response.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -28,8 +28,9 @@
 from tornado.iostream import IOStream, SSLIOStream, StreamBufferFullError, StreamClosedError
 
 from sycamoreproxy import result_codes as codes
+from sycamoreproxy.accept_queue import stop_listening
 from sycamoreproxy.dispatch import CallerRequest, PolicyView, Response
-from sycamoreproxy.idle_connections import has_head, is_request_arriving
+from sycamoreproxy.idle_connections import STOP_WAIT_S, has_head, is_request_arriving
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.membership import Membership
 from sycamoreproxy.messages import HeaderPairs
@@ -214,6 +215,18 @@
         give_up_at = time.monotonic() + FLUSH_LIMIT_S
         while self._server.is_writing() and time.monotonic() < give_up_at:
             await asyncio.sleep(POLL_S)
+        await self._refuse_late_requests()
+
+    async def _refuse_late_requests(self) -> None:
+        """Close the listener, and refuse the requests that arrive on open connections for a moment.
+
+        They may have been sent before the close, or right after a response that began before the
+        process was leaving.
+        """
+        stop_listening(self._server)
+        give_up_at = time.monotonic() + STOP_WAIT_S
+        while self._server.has_connections and time.monotonic() < give_up_at:
+            await asyncio.sleep(POLL_S)
 
     async def close(self) -> None:
         """Stop listening, cancel what is in progress and close every connection."""
@@ -235,6 +248,11 @@
         # HTTPServer tells this to no delegate.
         self.request_callback.on_close(server_conn)
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection is open."""
+        return bool(self._connections)
+
     def is_writing(self) -> bool:
         """Return whether a connection has data that its caller has not read."""
         return any(connection.stream.writing() for connection in self._connections)
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -23,6 +23,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from sycamoreproxy import result_codes as codes
+from sycamoreproxy.accept_queue import LISTEN_BACKLOG, stop_listening
 from sycamoreproxy.caller_request import BadRequestError, CallerRequest, Dialect
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, BufferBudget
 from sycamoreproxy.idle_connections import IdleConnections
@@ -41,11 +42,6 @@
 #: Poll interval while requests are still being received or responses written during shutdown, in
 #: seconds.
 CLOSE_POLL_INTERVAL_S = 0.01
-#: Connections that the kernel queues until the process accepts them.
-LISTEN_BACKLOG = 1024
-#: Connections accepted from the queue at the close of the listener, so that a flood of new ones
-#: does not delay a stop.
-MAX_QUEUED_CONNECTIONS = 2 * LISTEN_BACKLOG
 
 _log = get_logger("routed_http")
 
@@ -377,33 +373,6 @@
         """Whether any connection is open, including those that are not served yet."""
         return bool(self._connections)
 
-    def stop_listening(self) -> int:
-        """Accept what the kernel has accepted already, and close the listener.
-
-        The kernel resets the connections that are in the accept queue when their listener is closed.
-
-        :return: number of connections that were in the queue.
-        """
-        if self._stopped:
-            return 0
-        accepted = sum(self._accept_queued(listener) for listener in self._sockets.values())
-        self.stop()
-        return accepted
-
-    def _accept_queued(self, listener: socket.socket) -> int:
-        for accepted in range(MAX_QUEUED_CONNECTIONS):
-            try:
-                connection, address = listener.accept()
-            except BlockingIOError:
-                return accepted
-            except ConnectionAbortedError:
-                continue
-            except OSError as error:
-                _log.warning("accept queue not emptied", accepted=accepted, error=str(error))
-                return accepted
-            self._handle_connection(connection, address)
-        return MAX_QUEUED_CONNECTIONS
-
     def close_streams(self) -> None:
         """Close all connections at once, so that none of them delivers another request."""
         for server_conn in list(self._connections):
@@ -517,7 +486,7 @@
         started_at = loop.time()
         deadline = started_at + wait_s
         open_count = self._http_server.connection_count
-        unaccepted_count = self._http_server.stop_listening()
+        unaccepted_count = stop_listening(self._http_server)
         self._idle_connections.close_unused()
         _log.info(
             "stop begins to close connections",
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -281,6 +281,48 @@
     writer.close()
 
 
+@pytest.mark.parametrize("callers", [1, 20])
+@with_entry()
+async def test_requests_in_the_accept_queue_at_the_end_of_a_stop_are_refused(
+    entry: Entry, callers: int
+) -> None:
+    """They were reset: the listener was closed with the connections that nobody had accepted."""
+    entry.server.leave()
+    with contextlib.ExitStack() as stack:
+        connections = [
+            stack.enter_context(socket.create_connection(("127.0.0.1", entry.port)))
+            for _ in range(callers)
+        ]
+        for connection in connections:
+            connection.send(_with_length(_chat()))
+        await entry.server.wait_idle()
+        await entry.server.close()
+        for connection in connections:
+            assert b" 503 " in connection.recv(100)
+
+
+@with_entry()
+async def test_request_after_a_response_that_began_before_a_stop_is_refused(entry: Entry) -> None:
+    """The connection was closed, though the response had not announced that."""
+    (upstream,) = await entry.add()
+    reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    writer.write(_with_length(_chat()))
+    assert b"Connection: close" not in await reader.readuntil(b"\r\n\r\n")
+    entry.server.leave()
+    stopping = asyncio.create_task(_stop(entry))
+    await reader.readexactly(len(upstream.host) + 1 + len(CHAT) + 1 + len(_chat()))
+    await asyncio.sleep(0.05)
+    writer.write(_with_length(_chat()))
+    assert b" 503 " in await reader.readuntil(b"\r\n\r\n")
+    await stopping
+    writer.close()
+
+
+async def _stop(entry: Entry) -> None:
+    await entry.server.wait_idle()
+    await entry.server.close()
+
+
 def _block_event_loop(seconds: float) -> None:
     """Have what comes meanwhile, data and timers, meet in the next iteration."""
     time.sleep(seconds)
