--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import json
+import socket
+import struct
 from collections.abc import Callable
-from dataclasses import asdict, replace
+from dataclasses import asdict, dataclass, replace
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
@@ -21,6 +23,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from sycamoreproxy import result_codes as codes
+from sycamoreproxy.accept_queue import LISTEN_BACKLOG, stop_listening
 from sycamoreproxy.caller_request import BadRequestError, CallerRequest, Dialect
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, BufferBudget
 from sycamoreproxy.idle_connections import IdleConnections
@@ -43,29 +46,51 @@
 _log = get_logger("routed_http")
 
 
+@dataclass(slots=True)
+class StopCounts:
+    """Requests that a stop ends without a response of an upstream, since SIGTERM.
+
+    :param refused: requests that were refused, for any reason.
+    :param cut: requests whose connection the process closed after their head was read.
+    :param crossed: requests that arrived after the close of their connection.
+    """
+
+    refused: int = 0
+    cut: int = 0
+    crossed: int = 0
+
+
 class CallerReply:
     """Writes one response to a caller's connection.
 
-    :param is_leaving: returns whether the connection is to be closed after the response.
+    :param request_id: identifier in the logs; empty if the request could not be read.
+    :param is_leaving: returns whether the connection is to be closed after a response that begins.
     :param is_early: whether the response is sent before the request was received; the connection
         then stays in use until :meth:`end_exchange`.
     :param has_body: whether the response may have a body; that to ``HEAD`` has none.
+    :param stop_counts: counts refused and cut requests while the process is leaving.
     """
 
     def __init__(
         self,
         connection: HTTP1Connection,
         *,
+        request_id: str,
+        stop_counts: StopCounts,
         is_leaving: Callable[[], bool],
         is_early: bool = False,
         has_body: bool = True,
     ) -> None:
         self._connection = connection
+        self._request_id = request_id
+        self._stop_counts = stop_counts
         self._has_body = has_body
         self._is_leaving = is_leaving
         self._is_early = is_early
         self.has_started = False
         self.is_finished = False
+        #: Whether the response told its caller that the connection is closed after it.
+        self._is_last = False
 
     @property
     def unsent_bytes(self) -> int:
@@ -76,6 +101,7 @@
         """Send the status line, the headers and the first part of the body."""
         if self._is_leaving():
             headers["Connection"] = "close"
+            self._is_last = True
         reason = responses.get(status, "Unknown")
         written = self._connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, reason),
@@ -97,8 +123,11 @@
             self.end_exchange()
 
     def end_exchange(self) -> None:
-        """Free the connection for the next request, or close it."""
-        if self._is_leaving():
+        """Free the connection for the next request, or close it if the response announced that.
+
+        After a response that began before the stop, its caller may send the next request at once.
+        """
+        if self._is_last:
             # Tornado decides this when it reads the request, possibly before the shutdown began.
             self._connection._disconnect_on_finish = True
         self._connection.finish()
@@ -106,10 +135,17 @@
     def abort(self) -> None:
         """Close the connection so that the caller sees an incomplete response."""
         self.is_finished = True
+        if not self._connection.stream.closed():
+            is_leaving = self._is_leaving()
+            if is_leaving:
+                self._stop_counts.cut += 1
+            _log_cut_request(self._request_id, reason="response cut", is_leaving=is_leaving)
         self._connection.close()
 
     def refuse(self, refusal: Refusal, *, retry_after_s: float | None) -> None:
         """Send a refusal as a JSON response."""
+        if self._is_leaving():
+            self._stop_counts.refused += 1
         body = json.dumps(refusal.as_body()).encode()
         headers = HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
@@ -120,6 +156,26 @@
         self.finish()
 
 
+def _log_cut_request(request_id: str, *, reason: str, is_leaving: bool) -> None:
+    _log.warning(
+        "connection closed after its request was read",
+        request=request_id,
+        reason=reason,
+        is_stopping=is_leaving,
+    )
+
+
+def _reset(connection: HTTP1Connection) -> None:
+    """Close a connection as the kernel does when data arrives on a closed one.
+
+    Proxies that do not pass on a half-closed connection would otherwise not see its end.
+    """
+    stream = connection.stream
+    if stream is not None and not stream.closed():
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
 def _count_unsent_bytes(stream: IOStream) -> int:
     # Tornado discards the buffer of a closed stream: the attribute is then None.
     return len(stream._write_buffer or ())
@@ -133,7 +189,8 @@
 class _Exchange(HTTPMessageDelegate):
     """Receives one request and runs the task that answers it.
 
-    :param on_headers: called when the request headers have been received.
+    :param on_headers: called when the request headers have been received; returns whether the
+        request can be answered.
     """
 
     def __init__(
@@ -141,7 +198,7 @@
         caller_server: RoutedCallerServer,
         connection: HTTP1Connection,
         *,
-        on_headers: Callable[[], object],
+        on_headers: Callable[[], bool],
     ) -> None:
         self._caller_server = caller_server
         self._on_headers = on_headers
@@ -149,30 +206,46 @@
         self._request: CallerRequest | None = None
         self._refusal: Refusal | None = None
         self._early_reply: CallerReply | None = None
+        #: Whether the request arrived after its connection was closed for sending.
+        self._has_crossed = False
         self._has_response_body = True
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request in the logs; empty if its head could not be read."""
+        return self._request.request_id if self._request is not None else ""
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is closed."""
+        return self._connection.stream.closed()
+
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
-        self._on_headers()
+        self._has_crossed = not self._on_headers()
         self._has_response_body = start_line.method != "HEAD"
         self._connection.set_max_body_size(self._caller_server.bounds.max_body_bytes)
-        self._caller_server.receiving.add(self)
+        if not self._has_crossed:
+            self._caller_server.receiving.add(self)
         try:
             self._request = self._caller_server.dialect.read_request(start_line, headers)
         except BadRequestError as error:
             self._refusal = Refusal(codes.INVALID_HEADER, Executed.NO, detail=str(error))
+        if self._has_crossed:
+            self._log_crossing()
+        if self._request is None or self._has_crossed:
             return
         length = headers.get("Content-Length", "")
         if length.isdecimal() and not self._caller_server.body_budget.permits(0, int(length)):
             self._refuse_body()
 
     def data_received(self, chunk: bytes) -> None:
-        if self._request is None or self._early_reply is not None:
+        if self._request is None or self._early_reply is not None or self._has_crossed:
             return
         size = self._body_bytes + len(chunk)
         if not self._caller_server.body_budget.resize(self._body_bytes, size):
@@ -183,10 +256,14 @@
 
     def finish(self) -> None:
         self._caller_server.receiving.discard(self)
+        if self._has_crossed:
+            _reset(self._connection)
+            return
         stream = self._connection.stream
         if stream is None or stream.closed():
             # Tornado still delivers data that was read before the connection closed, but the caller
             # has disconnected.
+            _log.info("request dropped with its closed connection", request=self.request_id)
             self._release_body()
             return
         if self._early_reply is not None:
@@ -214,6 +291,16 @@
             self._release_body()
         self._cancel()
 
+    def _log_crossing(self) -> None:
+        is_leaving = self._caller_server.is_leaving()
+        if is_leaving:
+            self._caller_server.stop_counts.crossed += 1
+        _log.info(
+            "request crossed the close of its connection",
+            request=self.request_id,
+            is_stopping=is_leaving,
+        )
+
     def _refuse_body(self) -> None:
         """Refuse the request before its body was received; the rest of the body is discarded."""
         assert self._request is not None
@@ -225,6 +312,8 @@
     def _make_reply(self, *, is_early: bool = False) -> CallerReply:
         return CallerReply(
             self._connection,
+            request_id=self.request_id,
+            stop_counts=self._caller_server.stop_counts,
             is_leaving=self._caller_server.is_leaving,
             is_early=is_early,
             has_body=self._has_response_body,
@@ -274,6 +363,11 @@
         super().on_close(server_conn)
         self.request_callback.on_close(server_conn)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections, including those that are not served yet."""
+        return len(self._connections)
+
     @property
     def has_connections(self) -> bool:
         """Whether any connection is open, including those that are not served yet."""
@@ -299,6 +393,7 @@
         #: Requests whose headers have been received and whose body is incomplete.
         self.receiving: set[_Exchange] = set()
         self.bounds = CallerBounds()
+        self.stop_counts = StopCounts()
         self._is_leaving = False
         self._is_closing = False
         self._http_server: _CallerHTTPServer | None = None
@@ -310,7 +405,7 @@
         )
 
     def is_leaving(self) -> bool:
-        """Return whether connections are closed after their next response."""
+        """Return whether responses that begin now announce the close of their connection."""
         return self._is_leaving
 
     def start_request(
@@ -323,11 +418,13 @@
         self._idle_connections.add(server_conn, request_conn)
         if self._is_closing:
             # Tornado starts to read only after this call.
-            asyncio.get_running_loop().call_soon(self._idle_connections.close_unused)
+            asyncio.get_running_loop().call_soon(
+                self._idle_connections.close_if_unused, server_conn
+            )
         return _Exchange(
             self,
             request_conn,
-            on_headers=lambda: self._idle_connections.remove(server_conn),
+            on_headers=lambda: self._idle_connections.end_waiting(server_conn),
         )
 
     def on_close(self, server_conn: object) -> None:
@@ -345,7 +442,7 @@
         )
         # The idle connections have a limit that changes with the configuration.
         self._http_server.conn_params.header_timeout = None
-        self._http_server.listen(port, ip, backlog=1024)
+        self._http_server.listen(port, ip, backlog=LISTEN_BACKLOG)
 
     def set_bounds(self, bounds: CallerBounds) -> None:
         """Apply the configured bounds to all connections from their next request on.
@@ -368,7 +465,7 @@
         )
 
     def leave(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the next response that begins."""
         self._is_leaving = True
 
     async def close(self, *, wait_s: float) -> None:
@@ -385,10 +482,20 @@
         self.dispatcher.end_requests_within(max(0.0, wait_s - REFUSAL_RESERVE_S))
         if self._http_server is None:
             return
-        self._http_server.stop()
-        self._idle_connections.close_unused()
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + wait_s
+        started_at = loop.time()
+        deadline = started_at + wait_s
+        open_count = self._http_server.connection_count
+        unaccepted_count = stop_listening(self._http_server)
+        self._idle_connections.close_unused()
+        _log.info(
+            "stop begins to close connections",
+            open=open_count,
+            unaccepted=unaccepted_count,
+            closed_idle=self._idle_connections.closed_by_reason["stop"],
+            receiving=len(self.receiving),
+            in_progress=len(self.tasks),
+        )
         while self._http_server.has_connections and loop.time() < deadline:
             if self.tasks and not self.receiving and not len(self._idle_connections):
                 await asyncio.wait(self.tasks, timeout=deadline - loop.time())
@@ -405,8 +512,27 @@
                 task.cancel()
             # A cancelled request is refused if its response has not started.
             await asyncio.wait(self.tasks, timeout=CLOSE_POLL_INTERVAL_S)
+        self._log_incomplete_requests()
+        self._idle_connections.close_all()
         self._http_server.close_streams()
         await self._http_server.close_all_connections()
+        _log.info(
+            "stop closed all connections",
+            unaccepted=unaccepted_count,
+            closed_idle=self._idle_connections.closed_by_reason["stop"],
+            incomplete_heads=self._idle_connections.closed_by_reason["incomplete head"],
+            refused=self.stop_counts.refused,
+            cut=self.stop_counts.cut,
+            crossed=self.stop_counts.crossed,
+            took_ms=round((loop.time() - started_at) * 1000),
+        )
+
+    def _log_incomplete_requests(self) -> None:
+        """Write a line for each request whose body has not arrived and that is closed now."""
+        for exchange in self.receiving:
+            if not exchange.is_closed:
+                self.stop_counts.cut += 1
+                _log_cut_request(exchange.request_id, reason="body incomplete", is_leaving=True)
 
     def _count_unsent_responses(self) -> int:
         """Return the number of connections with bytes that are not written yet."""
--- /dev/null
+++ b/tests/test_stop_connections.py
@@ -0,0 +1,261 @@
+"""Tests of callers' connections in a stop of an entry host, with real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+import structlog.testing
+from tornado.httputil import HTTPHeaders
+
+from sycamoreproxy.caller_request import CallerRequest
+from sycamoreproxy.idle_connections import LINGER_S, STOP_WAIT_S
+from sycamoreproxy.route_table import CallerBounds
+from sycamoreproxy.routed_http import CallerReply
+from tests.test_caller_connections import _Connection, _make_request
+from tests.test_routed_entry import (
+    GENERATION_HEADERS,
+    Site,
+    _change_routes,
+    _read_answer,
+    _wait_until,
+    run_with_site,
+)
+
+
+def test_stop_logs_what_it_closes() -> None:
+    """Callers saw closed connections, and no line of the host told why."""
+
+    async def action(site: Site) -> None:
+        async with _Connection(site) as idle, _Connection(site) as uploading:
+            assert (await idle.request())[0] == 200
+            uploading.send_at_once(_make_request(b"body")[:-4])
+            await _wait_until(lambda: site.front.receiving)
+            await asyncio.sleep(STOP_WAIT_S)
+            unaccepted = socket.create_connection(("127.0.0.1", site.port))
+            with unaccepted, structlog.testing.capture_logs() as lines:
+                await site.front.close(wait_s=0.2)
+        by_event = {line["event"]: line for line in lines}
+        begun = by_event["stop begins to close connections"]
+        assert (begun["open"], begun["unaccepted"], begun["closed_idle"]) == (2, 1, 1)
+        assert (begun["receiving"], begun["in_progress"]) == (1, 0)
+        ended = by_event["stop closed all connections"]
+        assert (ended["unaccepted"], ended["closed_idle"], ended["cut"]) == (1, 2, 1)
+        cut = by_event["connection closed after its request was read"]
+        assert (cut["request"], cut["reason"], cut["is_stopping"]) == ("a", "body incomplete", True)
+
+    run_with_site(action)
+
+
+def test_stop_counts_the_requests_that_it_refuses() -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 3000})
+        sending = asyncio.create_task(site.send("/read/x", Sycamoreproxy_Deadline_Ms="9000"))
+        await _wait_until(lambda: any(runner.received for runner in site.runners))
+        with structlog.testing.capture_logs() as lines:
+            await site.front.close(wait_s=0.5)
+        (line,) = [line for line in lines if line["event"] == "stop closed all connections"]
+        assert (line["refused"], line["cut"]) == (1, 0)
+        assert (await sending)[0] == 504
+
+    run_with_site(action)
+
+
+def test_response_that_the_process_cuts_has_a_log_line() -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"cut_after_events": 2})
+        with structlog.testing.capture_logs() as lines:
+            _, _, _, is_complete = await site.send("/once/x", **GENERATION_HEADERS)
+        assert not is_complete
+        (line,) = [line for line in lines if line["event"].startswith("connection closed after")]
+        assert (line["reason"], line["is_stopping"]) == ("response cut", False)
+        assert line["request"].startswith("id")
+
+    run_with_site(action)
+
+
+def test_request_that_is_read_on_a_closed_connection_has_a_log_line() -> None:
+    async def action(site: Site) -> None:
+        async with _Connection(site) as connection:
+            connection.send_at_once(_make_request(b"body")[:-4])
+            await _wait_until(lambda: site.front.receiving)
+            (exchange,) = site.front.receiving
+            exchange._connection.close()
+            with structlog.testing.capture_logs() as lines:
+                exchange.finish()
+        (line,) = [line for line in lines if line["event"].startswith("request dropped")]
+        assert line["request"] == "a"
+
+    run_with_site(action)
+
+
+async def _read_status(caller: socket.socket) -> int:
+    """Return the status of the next response; 0 without a response."""
+    reader, writer = await asyncio.open_connection(sock=caller)
+    try:
+        status, _, _, is_complete = await _read_answer(reader)
+    except ConnectionError:
+        return 0
+    finally:
+        writer.close()
+    return status if is_complete else 0
+
+
+@pytest.mark.parametrize("callers", [1, 20, 300])
+def test_requests_in_the_accept_queue_at_a_stop_are_answered(callers: int) -> None:
+    """They were reset: the listener was closed with the connections that nobody had accepted."""
+
+    async def action(site: Site) -> None:
+        connections = [socket.create_connection(("127.0.0.1", site.port)) for _ in range(callers)]
+        for connection in connections:
+            connection.send(_make_request())
+        closing = asyncio.create_task(site.front.close(wait_s=3))
+        statuses = await asyncio.gather(*(_read_status(each) for each in connections))
+        assert statuses == [200] * callers
+        await closing
+
+    run_with_site(action)
+
+
+def test_request_in_the_accept_queue_that_comes_too_late_in_a_stop_is_refused() -> None:
+    async def action(site: Site) -> None:
+        _change_routes(site, target_latency_ms=1000)
+        with socket.create_connection(("127.0.0.1", site.port)) as connection:
+            connection.send(_make_request())
+            closing = asyncio.create_task(site.front.close(wait_s=0.5))
+            assert await _read_status(connection) == 503
+            await closing
+        assert site.count_runs() == 0
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize("is_accepted", [False, True], ids=["in the accept queue", "accepted"])
+@pytest.mark.parametrize("pause_s", [0.01, 0.3])
+def test_first_request_on_a_connection_opened_just_before_a_stop_is_answered(
+    is_accepted: bool, pause_s: float
+) -> None:
+    """The connection was closed before the caller had sent the request for which it opened it."""
+
+    async def action(site: Site) -> None:
+        async with _Connection(site) as connection:
+            if is_accepted:
+                await _wait_until(lambda: len(site.front._idle_connections))
+            closing = asyncio.create_task(site.front.close(wait_s=3))
+            await asyncio.sleep(pause_s)
+            status, headers = await connection.request()
+            assert (status, headers.get("Connection")) == (200, "close")
+            await closing
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "waited_s", "took_s"),
+    [(3.0, 0.0, STOP_WAIT_S + LINGER_S), (3.0, STOP_WAIT_S, LINGER_S), (0.1, 0.0, 0.1)],
+    ids=["new", "not new", "end of the grace period"],
+)
+def test_stop_waits_for_a_request_on_a_new_connection_for_a_limited_time(
+    wait_s: float, waited_s: float, took_s: float
+) -> None:
+    async def action(site: Site) -> None:
+        async with _Connection(site) as connection:
+            await _wait_until(lambda: len(site.front._idle_connections))
+            await asyncio.sleep(waited_s)
+            started_at = time.monotonic()
+            closing = asyncio.create_task(site.front.close(wait_s=wait_s))
+            await asyncio.sleep(0)
+            site.front.set_bounds(CallerBounds(idle_timeout_s=30))
+            assert await connection.read_response() == (0, {})
+            await closing
+            assert took_s - 0.05 < time.monotonic() - started_at < took_s + 0.3
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize("is_closing", [False, True], ids=["before the close", "in the close"])
+def test_request_after_a_response_that_did_not_announce_the_close_is_answered(
+    is_closing: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The connection of a response that had begun before SIGTERM was closed at its end."""
+
+    async def action(site: Site) -> None:
+        handle, ends = site.front.dispatcher.handle, asyncio.Event()
+
+        async def respond_slowly(request: CallerRequest, reply: CallerReply) -> None:
+            reply.start(200, HTTPHeaders({"Content-Length": "4"}), b"bo")
+            await ends.wait()
+            reply.write(b"dy")
+            reply.finish()
+
+        monkeypatch.setattr(site.front.dispatcher, "handle", respond_slowly)
+        async with _Connection(site) as connection:
+            connection.send_at_once(_make_request())
+            await _wait_until(lambda: site.front.tasks)
+            await asyncio.sleep(0.05)
+            site.front.leave()
+            closing = asyncio.create_task(site.front.close(wait_s=3)) if is_closing else None
+            await asyncio.sleep(0.05)
+            monkeypatch.setattr(site.front.dispatcher, "handle", handle)
+            ends.set()
+            assert (await connection.read_response())[0] == 200
+            status, headers = await connection.request()
+            assert (status, headers.get("Connection")) == (200, "close")
+            if closing is not None:
+                await closing
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize("body", [b"", b"body", b"x" * 500_000], ids=["no body", "body", "large"])
+@pytest.mark.parametrize("is_stopping", [False, True], ids=["idle limit", "stop"])
+def test_request_that_crosses_the_close_of_its_connection_is_named_and_not_run(
+    body: bytes, is_stopping: bool
+) -> None:
+    """No line told that a request had come after the close."""
+
+    async def action(site: Site) -> None:
+        async with _Connection(site) as connection:
+            await _wait_until(lambda: len(site.front._idle_connections))
+            with structlog.testing.capture_logs() as lines:
+                if is_stopping:
+                    await asyncio.sleep(STOP_WAIT_S)
+                    closing = asyncio.create_task(site.front.close(wait_s=3))
+                else:
+                    closing = asyncio.create_task(asyncio.sleep(LINGER_S))
+                    (idle,) = site.front._idle_connections._by_server_conn.values()
+                    idle.idle_until = 0.0
+                    site.front._idle_connections._end_limit(*site.front._server_conns)
+                await _wait_until(lambda: not len(site.front._idle_connections))
+                # As the caller has not read the close yet.
+                connection._writer.write(_make_request(body))
+                assert await connection.read_response() == (0, {})
+                await closing
+            events = [line["event"] for line in lines]
+            (line,) = [line for line in lines if "crossed" in line["event"]]
+            assert (line["request"], line["is_stopping"]) == ("a", is_stopping)
+            assert not any(event.startswith("request dropped") for event in events)
+            assert not site.count_runs()
+
+    run_with_site(action)
+
+
+def test_connection_of_a_request_that_crosses_its_close_is_reset() -> None:
+    """A proxy that passes on no half-closed connection would not notice its end."""
+
+    async def action(site: Site) -> None:
+        with socket.create_connection(("127.0.0.1", site.port)) as caller:
+            await _wait_until(lambda: len(site.front._idle_connections))
+            await asyncio.sleep(STOP_WAIT_S)
+            closing = asyncio.create_task(site.front.close(wait_s=3))
+            await _wait_until(lambda: not len(site.front._idle_connections))
+            caller.send(_make_request(b"body"))
+            await closing
+            with pytest.raises(ConnectionError):
+                caller.send(_make_request())
+
+    run_with_site(action)
