Revert "Name requests that cross the close of their idle connection"

It helps no caller: a request that crosses the close can't be answered. Without it the kernel resets the connection and the request is never read.

--- a/sycamoreproxy/idle_connections.py
+++ b/sycamoreproxy/idle_connections.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import select
-import socket
 from collections import Counter
 from dataclasses import dataclass
 
@@ -18,9 +17,6 @@
 #: seconds. A request follows so soon on a connection that was opened for it, and covers a round
 #: trip between regions and a late event loop.
 STOP_WAIT_S = 0.5
-#: Time for which a connection that waits is read after its sending side was closed, in seconds. A
-#: request that was sent before its caller got the close arrives within it.
-LINGER_S = 0.5
 
 _log = get_logger("idle_connections")
 
@@ -58,8 +54,6 @@
         self._limit_s = limit_s
         self._header_timeout_s = header_timeout_s
         self._by_server_conn: dict[object, _IdleConnection] = {}
-        #: Timers that close the connections whose sending side is closed.
-        self._linger_timer_by_server_conn: dict[object, asyncio.TimerHandle] = {}
         #: Number of connections closed so far.
         self.closed_by_reason: Counter[str] = Counter()
 
@@ -87,21 +81,7 @@
         self._by_server_conn[server_conn] = _IdleConnection(connection, now, idle_until, timer)
 
     def remove(self, server_conn: object) -> None:
-        """Remove a connection that is closed."""
-        self._end_waiting(server_conn)
-        timer = self._linger_timer_by_server_conn.pop(server_conn, None)
-        if timer is not None:
-            timer.cancel()
-
-    def end_waiting(self, server_conn: object) -> bool:
-        """Remove a connection whose request is processed.
-
-        :return: whether a response can be sent; not if the sending side is closed.
-        """
-        self._end_waiting(server_conn)
-        return server_conn not in self._linger_timer_by_server_conn
-
-    def _end_waiting(self, server_conn: object) -> None:
+        """Remove a connection that is closed or whose request is processed."""
         idle = self._by_server_conn.pop(server_conn, None)
         if idle is not None:
             idle.timer.cancel()
@@ -163,22 +143,10 @@
         idle.timer = asyncio.get_running_loop().call_at(at, self._end_limit, server_conn)
 
     def _close(self, server_conn: object, idle: _IdleConnection, reason: str) -> None:
-        self._end_waiting(server_conn)
+        self.remove(server_conn)
         self.closed_by_reason[reason] += 1
         CLOSED_CALLER_CONNECTIONS.inc({"reason": reason})
-        stream = idle.connection.stream
-        if reason == "incomplete head":
-            stream.close()
-            return
-        # A close with unread data, or before data arrives, resets the connection (RFC 9112, 9.6).
-        try:
-            stream.socket.shutdown(socket.SHUT_WR)
-        except OSError:
-            stream.close()
-            return
-        self._linger_timer_by_server_conn[server_conn] = asyncio.get_running_loop().call_later(
-            LINGER_S, stream.close
-        )
+        idle.connection.close()
 
 
 def has_head(stream: IOStream) -> bool:
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import json
-import socket
-import struct
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, replace
 
@@ -52,12 +50,10 @@
 
     :param refused: requests that were refused, for any reason.
     :param cut: requests whose connection the process closed after their head was read.
-    :param crossed: requests that arrived after the close of their connection.
     """
 
     refused: int = 0
     cut: int = 0
-    crossed: int = 0
 
 
 class CallerReply:
@@ -165,17 +161,6 @@
     )
 
 
-def _reset(connection: HTTP1Connection) -> None:
-    """Close a connection as the kernel does when data arrives on a closed one.
-
-    Proxies that do not pass on a half-closed connection would otherwise not see its end.
-    """
-    stream = connection.stream
-    if stream is not None and not stream.closed():
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    connection.close()
-
-
 def _count_unsent_bytes(stream: IOStream) -> int:
     # Tornado discards the buffer of a closed stream: the attribute is then None.
     return len(stream._write_buffer or ())
@@ -189,8 +174,7 @@
 class _Exchange(HTTPMessageDelegate):
     """Receives one request and runs the task that answers it.
 
-    :param on_headers: called when the request headers have been received; returns whether the
-        request can be answered.
+    :param on_headers: called when the request headers have been received.
     """
 
     def __init__(
@@ -198,7 +182,7 @@
         caller_server: RoutedCallerServer,
         connection: HTTP1Connection,
         *,
-        on_headers: Callable[[], bool],
+        on_headers: Callable[[], object],
     ) -> None:
         self._caller_server = caller_server
         self._on_headers = on_headers
@@ -206,8 +190,6 @@
         self._request: CallerRequest | None = None
         self._refusal: Refusal | None = None
         self._early_reply: CallerReply | None = None
-        #: Whether the request arrived after its connection was closed for sending.
-        self._has_crossed = False
         self._has_response_body = True
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
@@ -227,25 +209,21 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
-        self._has_crossed = not self._on_headers()
+        self._on_headers()
         self._has_response_body = start_line.method != "HEAD"
         self._connection.set_max_body_size(self._caller_server.bounds.max_body_bytes)
-        if not self._has_crossed:
-            self._caller_server.receiving.add(self)
+        self._caller_server.receiving.add(self)
         try:
             self._request = self._caller_server.dialect.read_request(start_line, headers)
         except BadRequestError as error:
             self._refusal = Refusal(codes.INVALID_HEADER, Executed.NO, detail=str(error))
-        if self._has_crossed:
-            self._log_crossing()
-        if self._request is None or self._has_crossed:
             return
         length = headers.get("Content-Length", "")
         if length.isdecimal() and not self._caller_server.body_budget.permits(0, int(length)):
             self._refuse_body()
 
     def data_received(self, chunk: bytes) -> None:
-        if self._request is None or self._early_reply is not None or self._has_crossed:
+        if self._request is None or self._early_reply is not None:
             return
         size = self._body_bytes + len(chunk)
         if not self._caller_server.body_budget.resize(self._body_bytes, size):
@@ -256,9 +234,6 @@
 
     def finish(self) -> None:
         self._caller_server.receiving.discard(self)
-        if self._has_crossed:
-            _reset(self._connection)
-            return
         stream = self._connection.stream
         if stream is None or stream.closed():
             # Tornado still delivers data that was read before the connection closed, but the caller
@@ -291,16 +266,6 @@
             self._release_body()
         self._cancel()
 
-    def _log_crossing(self) -> None:
-        is_leaving = self._caller_server.is_leaving()
-        if is_leaving:
-            self._caller_server.stop_counts.crossed += 1
-        _log.info(
-            "request crossed the close of its connection",
-            request=self.request_id,
-            is_stopping=is_leaving,
-        )
-
     def _refuse_body(self) -> None:
         """Refuse the request before its body was received; the rest of the body is discarded."""
         assert self._request is not None
@@ -424,7 +389,7 @@
         return _Exchange(
             self,
             request_conn,
-            on_headers=lambda: self._idle_connections.end_waiting(server_conn),
+            on_headers=lambda: self._idle_connections.remove(server_conn),
         )
 
     def on_close(self, server_conn: object) -> None:
@@ -523,7 +488,6 @@
             incomplete_heads=self._idle_connections.closed_by_reason["incomplete head"],
             refused=self.stop_counts.refused,
             cut=self.stop_counts.cut,
-            crossed=self.stop_counts.crossed,
             took_ms=round((loop.time() - started_at) * 1000),
         )
 
