Choose addresses of a routed deployment that no other one uses

Seen: test_example_answers_its_own_line_and_ends failed once with "Address already in use" beside other deployments.

Cause: the second part of the addresses was 20 plus the remainder of the process id by 200, and was used whether it was free or not. Two deployments at once whose ids have the same remainder met, and so did a deployment and processes that a killed launcher had left.

Evidence: two launchers of the platform example at once, both made to see process id 1000. The second one ended with "OSError: [Errno 98] Address already in use" and status 1.

Change: a site reserves the address of its store and the state page of each of its processes before it starts, goes on to the next octet if one of them is in use, and keeps them reserved until it is closed. A reserved address is a bound socket that does not listen; SO_REUSEADDR, set after it was bound, lets the server open the address beside it, but no second reservation. The seeds of the faults of store and origin, which followed from the octet, are 0.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -8,7 +8,6 @@
 
 import argparse
 import asyncio
-import os
 import random
 import shutil
 import sys
@@ -87,7 +86,7 @@
     draw = random.Random(seed)
     started = time.monotonic()
     directory = Path(tempfile.mkdtemp(prefix=f"sycamore-soak-{seed}-"))
-    site = Site(octet=20 + os.getpid() % 200, directory=directory, entries=entries, engines=engines)
+    site = Site(directory=directory, entries=entries, engines=engines)
     outcomes: list[Outcome] = []
     tasks: list[asyncio.Task[None]] = []
     is_over = asyncio.Event()
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import contextlib
+import errno
 import math
+import os
 import signal
 import sys
 import time
@@ -32,6 +34,7 @@
     make_runner_routes,
     make_store_routes,
 )
+from tools.addresses import reserve_address
 
 #: Ports, the same on every host.
 CALLER_PORT = 8080
@@ -42,6 +45,8 @@
 STATE_PORT = 7002
 STORE_PORT = 2379
 ORIGIN_PORT = 8390
+#: Range of the second part of the addresses, 127.20.0.0 to 127.219.255.255.
+FIRST_OCTET, OCTETS = 20, 200
 #: Bounds of the deployment, as on the users' sites, in seconds; theirs on versions is 8 s, of which a
 #: run of 14 s of faults would seldom have a whole one without a fault of the store.
 STOP_S = 8.0
@@ -204,21 +209,21 @@
 
     Addresses are ``127.OCTET.GROUP.NUMBER``: groups 1 and 2 are hosts (2 with the relays before their
     runners), 3 the runners themselves, 9 store and origin; 1x is the relay of host x to the store.
+    The octet is one that no other deployment uses; :meth:`reserve_addresses` chooses it.
 
-    :param octet: second part of the addresses, so that runs don't meet.
     :param directory: where settings and logs are written.
     """
 
-    def __init__(self, *, octet: int, directory: Path, entries: int, engines: int) -> None:
-        self._octet = octet
+    def __init__(self, *, directory: Path, entries: int, engines: int) -> None:
+        self._octet = 0
+        self._reserved = contextlib.ExitStack()
         self._directory = directory
         self._counts = (entries, engines)
         self.store = PlatformStore()
-        self.store_faults = Faults(seed=octet)
+        self.store_faults = Faults(seed=0)
         self.store_spans = FaultSpans()
         self.restore_lock = asyncio.Lock()
-        self.store_address = self._ip(9, 1)
-        self.origin_faults = Faults(seed=octet)
+        self.origin_faults = Faults(seed=0)
         self.origin_outages = 0
         self.entries: list[Host] = []
         self.engine_hosts: list[Host] = []
@@ -245,9 +250,46 @@
     def _ip(self, group: int, number: int) -> str:
         return f"127.{self._octet}.{group}.{number}"
 
+    @property
+    def store_address(self) -> str:
+        """IP address of the store; known once addresses are reserved."""
+        return self._ip(9, 1)
+
+    def reserve_addresses(self) -> None:
+        """Choose an octet that is free, and keep others from using it until the site is closed.
+
+        The store and each process have an address here, so that nothing is shared with a deployment
+        that runs, nor with a process that was left by one.
+
+        :raises OSError: if all octets are in use.
+        """
+        entries, engines = self._counts
+        first = os.getpid()
+        for number in range(first, first + OCTETS):
+            self._octet = FIRST_OCTET + number % OCTETS
+            addresses = [
+                (self.store_address, STORE_PORT),
+                *((self._ip(1, n), STATE_PORT) for n in range(1, entries + 1)),
+                *((self._ip(2, n), STATE_PORT) for n in range(1, engines + 1)),
+            ]
+            with contextlib.ExitStack() as reserved:
+                try:
+                    for ip, port in addresses:
+                        reserved.enter_context(reserve_address(ip, port))
+                except OSError as error:
+                    if error.errno != errno.EADDRINUSE:
+                        raise
+                    continue
+                self._reserved = reserved.pop_all()
+                return
+        raise OSError(errno.EADDRINUSE, "the addresses of every octet are in use")
+
     async def start(self) -> None:
         """Start the stand-ins and the processes."""
-        self._serve(make_store_routes(self.store, self.store_faults), self._ip(9, 1), STORE_PORT)
+        self.reserve_addresses()
+        self._serve(
+            make_store_routes(self.store, self.store_faults), self.store_address, STORE_PORT
+        )
         origin = make_origin_routes(Counter(), self.origin_faults)
         self._serve(origin, self._ip(9, 2), ORIGIN_PORT)
         entries, engines = self._counts
@@ -273,6 +315,7 @@
             server.close()
         for http in self._server_by_ip.values():
             http.stop()
+        self._reserved.close()
 
     # Processes
 
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -57,7 +57,7 @@
 
 
 def _make_site(tmp_path: Path) -> tuple[Site, Host]:
-    site = Site(octet=19, directory=tmp_path, entries=0, engines=0)
+    site = Site(directory=tmp_path, entries=0, engines=0)
     host = Host(
         name="entry-1", ip="", settings=tmp_path, log=tmp_path, store=Relay(port=0), lifetime=1
     )
--- a/tools/launch_platform.py
+++ b/tools/launch_platform.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import os
 from pathlib import Path
 
 from bench.soak_site import CALLER_PORT, KEY, MODEL, STATE_PORT, Site
@@ -35,8 +34,7 @@
     stopped = asyncio.Event()
     for number in STOP_SIGNALS:
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
-    # Addresses of 127.0.0.0/8 that other deployments of this machine do not use.
-    site = Site(octet=20 + os.getpid() % 200, directory=directory, entries=ENTRIES, engines=ENGINES)
+    site = Site(directory=directory, entries=ENTRIES, engines=ENGINES)
     start = asyncio.create_task(_start(site))
     stop = asyncio.create_task(stopped.wait())
     try:
