Keep the ports of tests reserved until their servers open them

Seen: test_reload_that_is_asked_for_during_the_start_is_done_after_it failed once with "Address already in use" beside other deployments.

Cause: tests/test_daemon.py chose ports by opening and closing them, so that they were free until the daemon opened them. The kernel could give them to another listener or to an outgoing connection. run_with_site of tests/test_routed_entry.py and test_responses_have_status_body_and_content_length did the same, for a shorter time.

Change: the ports are reserved by tools/addresses.py, in tests/test_daemon.py until the test ends.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
-from tornado.testing import bind_unused_port
+
+from tools.addresses import reserve_address
 
 _SETTINGS = """
 [process]
@@ -32,20 +35,22 @@
 """
 
 
-def _find_ports(count: int) -> list[int]:
-    sockets = [bind_unused_port() for _ in range(count)]
-    for socket, _ in sockets:
-        socket.close()
-    return [port for _, port in sockets]
+@pytest.fixture
+def settings(tmp_path: Path) -> Iterator[Path]:
+    """Settings of a daemon whose ports stay reserved until the test ends."""
+    with contextlib.ExitStack() as reserved:
+        holders = [reserved.enter_context(reserve_address()) for _ in range(5)]
+        ports = [holder.getsockname()[1] for holder in holders]
+        file = tmp_path / "entry.toml"
+        file.write_text(_SETTINGS.format(*ports), encoding="utf-8")
+        yield file
 
 
 @pytest.mark.parametrize("repeated", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
 def test_repeated_signals_do_not_kill_a_process_that_ends(
-    tmp_path: Path, repeated: signal.Signals
+    settings: Path, repeated: signal.Signals
 ) -> None:
     """A signal that came after the event loop had closed ended the process with status -15 or -1."""
-    settings = tmp_path / "entry.toml"
-    settings.write_text(_SETTINGS.format(*_find_ports(5)), encoding="utf-8")
     command = [sys.executable, "-m", "sycamoreproxy.daemon", "--config", str(settings)]
     process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
     assert process.stdout is not None
@@ -72,10 +77,8 @@
 """
 
 
-def test_reload_that_is_asked_for_during_the_start_is_done_after_it(tmp_path: Path) -> None:
+def test_reload_that_is_asked_for_during_the_start_is_done_after_it(settings: Path) -> None:
     """SIGHUP before its handler was installed ended the process with status -1."""
-    settings = tmp_path / "entry.toml"
-    settings.write_text(_SETTINGS.format(*_find_ports(5)), encoding="utf-8")
     command = [sys.executable, "-c", _EARLY_HANG_UP, str(settings)]
     process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
     assert process.stdout is not None
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -50,6 +50,7 @@
 from sycamoreproxy.weight_targets import WeightTargets
 from tests._fake_hub import FakeHub
 from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
+from tools.addresses import reserve_address
 
 ENGINE = {
     "slots": 4,
@@ -175,9 +176,9 @@
             random_source=random.Random(1),
         )
         front = RoutedCallerServer(dispatcher=dispatcher, dialect=dialect)
-        listener, port = bind_unused_port()
-        listener.close()
-        front.listen("127.0.0.1", port)
+        with reserve_address() as holder:
+            port = holder.getsockname()[1]
+            front.listen("127.0.0.1", port)
         site = Site(replica, front, port, [], [], quarantine=quarantine)
         for number in range(4):
             await _add_runner(site, number)
--- a/tests/test_state_http.py
+++ b/tests/test_state_http.py
@@ -8,9 +8,9 @@
 import sys
 
 import pytest
-from tornado.testing import bind_unused_port
 
 from sycamoreproxy.state_http import StateServer
+from tools.addresses import reserve_address
 
 
 async def _request(port: int, request_line: str) -> tuple[int, bytes, bytes]:
@@ -35,9 +35,9 @@
 ) -> None:
     async def run() -> None:
         server = StateServer(sections_by_name={"upstreams": lambda: {"i-1": {1, 2}}})
-        socket, port = bind_unused_port()
-        socket.close()
-        server.listen("127.0.0.1", port)
+        with reserve_address() as holder:
+            port = holder.getsockname()[1]
+            server.listen("127.0.0.1", port)
         actual_status, head, body = await _request(port, request_line)
         assert actual_status == status and expected_part in body
         assert f"content-length: {len(body)}".encode() in head.lower()
