Let tests connect to reserved ports where nobody may listen

None was seen to fail.

Cause: the port is free, and any listener on the machine may be given it before the test connects.

Change: the port is reserved by tools/addresses.py until the test ends; connections to it are refused. The checks are the same.

--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -32,6 +32,7 @@
 )
 from sycamoreproxy.weights import Manifest, compute_chunk_digest
 from tests._raw_upstream import PIECE_BYTES, RawUpstream
+from tools.addresses import reserve_address
 
 Action = Callable[[RunnerStandIn, Faults, PlatformRunner, PlatformOrigin], Awaitable[None]]
 
@@ -228,12 +229,13 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.transport.abort()
 
-        socket, port = bind_unused_port()
-        server = await asyncio.start_server(reset, sock=socket)
-        lost = await _read_manifest_error(f"127.0.0.1:{port}")
-        server.close()
-        await server.wait_closed()
-        return lost, await _read_manifest_error(f"127.0.0.1:{port}")
+        with reserve_address() as holder:
+            ip, port = holder.getsockname()
+            server = await asyncio.start_server(reset, ip, port)
+            lost = await _read_manifest_error(f"{ip}:{port}")
+            server.close()
+            await server.wait_closed()
+            return lost, await _read_manifest_error(f"{ip}:{port}")
 
     lost, refused = asyncio.run(main())
     assert "no answer: StreamClosedError" in lost
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -22,6 +22,7 @@
 from sycamoreproxy.platform.store import MAX_ANSWER_BYTES, PlatformStore
 from sycamoreproxy.store_position import MAX_ERA, make_position
 from tests._raw_upstream import PIECE_BYTES, RawUpstream
+from tools.addresses import reserve_address
 
 
 def play(action: Callable[[StoreStandIn, Faults, PlatformStore], Awaitable[None]]) -> None:
@@ -86,11 +87,10 @@
 
 def test_store_that_is_gone_is_unavailable() -> None:
     async def action(stand_in: StoreStandIn, faults: Faults, store: PlatformStore) -> None:
-        socket, port = bind_unused_port()
-        socket.close()
-        gone = PlatformStore(f"127.0.0.1:{port}")
-        with pytest.raises(SourceUnavailableError):
-            await gone.read_all("servers/")
+        with reserve_address() as holder:
+            gone = PlatformStore(f"127.0.0.1:{holder.getsockname()[1]}")
+            with pytest.raises(SourceUnavailableError):
+                await gone.read_all("servers/")
 
     play(action)
 
--- a/tests/test_engine_control.py
+++ b/tests/test_engine_control.py
@@ -19,6 +19,7 @@
     OrderRefusedError,
 )
 from tests._weight_fakes import make_manifest
+from tools.addresses import reserve_address
 
 _CHUNKS = [b"one", b"two"]
 _MANIFEST = make_manifest("v1", _CHUNKS, 3)
@@ -89,15 +90,15 @@
 
 def test_refused_connection_raises_engine_unreachable() -> None:
     async def main() -> None:
-        socket, port = bind_unused_port()
-        socket.close()
-        control = HttpEngineControl(f"http://127.0.0.1:{port}", timeout_s=5, order_timeout_s=5)
-        try:
-            await control.read_state()
-        except EngineUnreachableError:
-            return
-        finally:
-            control.close()
-        raise AssertionError("the call did not fail")
+        with reserve_address() as holder:
+            url = f"http://127.0.0.1:{holder.getsockname()[1]}"
+            control = HttpEngineControl(url, timeout_s=5, order_timeout_s=5)
+            try:
+                await control.read_state()
+            except EngineUnreachableError:
+                return
+            finally:
+                control.close()
+            raise AssertionError("the call did not fail")
 
     asyncio.run(main())
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -14,6 +14,7 @@
 
 from sycamoreproxy._http_client import PART_BYTES, AnswerLostError, HttpClient, NotSentError
 from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
+from tools.addresses import reserve_address
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -105,11 +106,10 @@
 
 
 def test_no_listener_means_that_nothing_was_sent() -> None:
-    socket, port = bind_unused_port()
-    socket.close()
-    client = HttpClient(f"http://127.0.0.1:{port}", max_body_bytes=100)
-    with pytest.raises(NotSentError):
-        asyncio.run(_exchange(client, repeatable=True))
+    with reserve_address() as holder:
+        client = HttpClient(f"http://127.0.0.1:{holder.getsockname()[1]}", max_body_bytes=100)
+        with pytest.raises(NotSentError):
+            asyncio.run(_exchange(client, repeatable=True))
 
 
 def test_an_answer_that_is_too_long_is_lost() -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -17,6 +17,7 @@
     StreamLostError,
     open_stream,
 )
+from tools.addresses import reserve_address
 
 
 async def _echo(stream: MessageStream) -> None:
@@ -67,10 +68,8 @@
 
 
 def test_connecting_without_a_listener_raises_stream_lost() -> None:
-    socket, port = bind_unused_port()
-    socket.close()
-    with pytest.raises(StreamLostError):
-        asyncio.run(open_stream(Address("127.0.0.1", port), tls=None))
+    with reserve_address() as holder, pytest.raises(StreamLostError):
+        asyncio.run(open_stream(Address(*holder.getsockname()), tls=None))
 
 
 @pytest.mark.parametrize(("is_buffer_full", "is_sent"), [(True, False), (False, True)])
