Keep the ports of a launched deployment reserved while it runs

Cause: the launcher released a port before it started the process that opens it, and did not reserve it again for a restart. Another launcher could choose it until the process had opened it.

Change: ports are reserved by tools/addresses.py until the deployment is stopped, and processes open them beside the reservation.

--- a/tests/test_launch.py
+++ b/tests/test_launch.py
@@ -267,3 +267,25 @@
     answer = json.loads(result.stdout)
     assert answer["faults"] == {}
     assert mode == "in-popen" or answer["lines"] > 20
+
+
+def test_deployments_do_not_share_ports_of_processes_that_have_not_opened_them(
+    tmp_path: Path,
+) -> None:
+    """A port was free between the start of a process and its listener; both launchers chose it."""
+    first, second = (_OnlyHostList(directory=tmp_path / name, upstreams=()) for name in "ab")
+    process = first.prepare()["store"]
+    process.command = ["sleep", "60"]
+    try:
+        first._spawn(process)
+        second.prepare()
+        ports = [
+            port
+            for deployment in (first, second)
+            for process in deployment.list_processes()
+            for port in process.ports.values()
+        ]
+        assert len(set(ports)) == len(ports)
+    finally:
+        first.stop()
+        second.stop()
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -6,13 +6,13 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import csv
 import hashlib
 import json
 import os
 import shutil
 import signal
-import socket
 import ssl
 import subprocess
 import sys
@@ -32,6 +32,8 @@
     # `python tools/launch.py` puts tools/ on the path instead of the repository.
     sys.path.insert(0, str(ROOT))
 
+from tools.addresses import reserve_address  # noqa: E402  after the path is set
+
 #: Ports are taken below the usual range of outgoing connections, so that those do not collide.
 _FIRST_PORT = 11_000
 _LAST_PORT = 31_000
@@ -175,37 +177,25 @@
 
 
 class _Ports:
-    """Reserves loopback ports; a reserved port stays bound until its process starts."""
+    """Reserves loopback ports until the deployment is stopped; their processes can open them."""
 
     def __init__(self) -> None:
         self._next = _FIRST_PORT + (os.getpid() * 131) % (_LAST_PORT - _FIRST_PORT)
-        self._sockets_by_port: dict[int, socket.socket] = {}
+        self._reserved = contextlib.ExitStack()
 
     def reserve(self) -> int:
         """Return a free port."""
         for _ in range(_LAST_PORT - _FIRST_PORT):
             port = self._next
             self._next = self._next + 1 if self._next < _LAST_PORT else _FIRST_PORT
-            holder = socket.socket()
-            try:
-                holder.bind(("127.0.0.1", port))
-            except OSError:
-                holder.close()
-                continue
-            self._sockets_by_port[port] = holder
-            return port
+            with contextlib.suppress(OSError):
+                self._reserved.enter_context(reserve_address(port=port))
+                return port
         raise LaunchError("no free port")
 
-    def release(self, port: int) -> None:
-        """Free a port for its process."""
-        holder = self._sockets_by_port.pop(port, None)
-        if holder is not None:
-            holder.close()
-
     def release_all(self) -> None:
         """Free every reserved port."""
-        for port in list(self._sockets_by_port):
-            self.release(port)
+        self._reserved.close()
 
 
 def example_key(name: str) -> str:
@@ -582,8 +572,6 @@
 
     def _spawn(self, process: ManagedProcess) -> None:
         self._check_stop()
-        for port in process.ports.values():
-            self._ports.release(port)
         with process.log.open("ab") as log:
             process.popen = subprocess.Popen(
                 process.command,
