Compare a request's time with that of its route's other requests to detect retries

What callers saw: where a route's timeout exceeds the time that its callers give a request by more than a ninth, e.g. after a configuration has raised it, every new request to an engine was queued behind all others as a retry of a refused one, without urgency.

Cause: a request with less than 0.9 of the route's timeout left counted as a retry. That holds only if the timeout is the time that callers give.

The cases of 3 s and 60 s of test_new_request_of_a_route_with_a_longer_timeout_is_not_queued_as_a_retry fail without the change.

Change: the reference is the longest time that callers of the route gave in the last 30 to 60 s, and the timeout if that is shorter. Real retries are still found (tested with 1.6 s after 1.9 s). A retry under a timeout that was lowered below its time still counts as new, as before.

Result: the cases pass; test_routed_entry.py, test_waiting_line.py and seven other files pass in one run.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -23,6 +23,7 @@
     RequestProgress,
     ResponseMismatchError,
 )
+from sycamoreproxy.caller_deadlines import CallerDeadlines
 from sycamoreproxy.caller_request import (
     Attempt,
     CallerRequest,
@@ -72,8 +73,8 @@
 #: Shortest remaining time with which a request is sent, in seconds. With less, it would not reach
 #: the upstream in time.
 MIN_TIME_LEFT_S = 0.03
-#: Fraction of a route's timeout. A request that arrives with less time left counts as a retry of a
-#: refused request.
+#: Fraction of the usual time of a route's requests. A request that arrives with less time left counts
+#: as a retry of a refused request.
 RETRY_TIME_LEFT_FRACTION = 0.9
 #: Range of the retry delay of a refused request, as fractions of its remaining time. Delays are
 #: random so that retries do not form the next burst, and short enough to leave time for a response.
@@ -129,6 +130,7 @@
         self._random = random_source
         self._clients_by_address: dict[str, HttpClient] = {}
         self._queues_by_service: dict[str, RequestQueue] = {}
+        self._deadlines = CallerDeadlines(clock=clock)
         self.buffer_budget = BufferBudget()
         self.open_requests = 0
         self._stop_at = math.inf
@@ -187,6 +189,7 @@
             self.refuse(request, None, resolved, reply)
             return
         route, account, service = resolved
+        self._deadlines.observe(route.name, request.time_left_s)
         level = table.find_priority_level(account, route)
         progress = RequestProgress(
             request=request,
@@ -528,7 +531,9 @@
             )
             self._queues_by_service[name] = queue
         time_left = progress.deadline - self._clock.monotonic()
-        is_retry = time_left < RETRY_TIME_LEFT_FRACTION * progress.route.timeout_s
+        # The timeout may be longer than the time that any caller gives a request.
+        usual_s = min(progress.route.timeout_s, self._deadlines.find_longest_s(progress.route.name))
+        is_retry = time_left < RETRY_TIME_LEFT_FRACTION * usual_s
         if is_retry:
             requirements = replace(requirements, urgency=0.0)
         outcome = queue.submit(
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1913,3 +1913,35 @@
 
     upstream = _ScriptedUpstream([UNFRAMED, EVENTS[0], 0.3, b"id: 2"], [UNFRAMED, *EVENTS[1:]])
     _run_scripted(upstream, [0, 1], action)
+
+
+@pytest.mark.parametrize(
+    ("timeout_ms", "deadline_ms", "order"),
+    [
+        (2000, 1900, "on time 0"),
+        (3000, 1900, "on time 0"),
+        (60_000, 1900, "on time 0"),
+        (2000, 1600, "late 0"),
+        (3000, 1600, "late 0"),
+    ],
+)
+def test_new_request_of_a_route_with_a_longer_timeout_is_not_queued_as_a_retry(
+    timeout_ms: int, deadline_ms: int, order: str
+) -> None:
+    """After a configuration had raised a timeout, all requests queued as if refused before."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=timeout_ms, target_latency_ms=400)
+        await site.send("/ask/x", **GENERATION_HEADERS)
+        for faults in site.faults:
+            faults.replace({"event_s": 0.3})
+        headers = {**GENERATION_HEADERS, "Sycamoreproxy_Deadline_Ms": str(deadline_ms)}
+        sent = [asyncio.create_task(site.send("/ask/x", **headers)) for _ in range(40)]
+        await _wait_until(lambda: site.front.dispatcher.has_waiting)
+        orders = site.front.dispatcher.count_waiting()["model"]
+        for task in sent:
+            task.cancel()
+        await asyncio.gather(*sent, return_exceptions=True)
+        assert [name for name, count in orders.items() if count] == [order]
+
+    run_with_site(action)
