--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -9,8 +9,9 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Container, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import replace
+from functools import partial
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
@@ -22,6 +23,7 @@
     RequestProgress,
     ResponseMismatchError,
 )
+from sycamoreproxy.caller_deadlines import CallerDeadlines
 from sycamoreproxy.caller_request import (
     Attempt,
     CallerRequest,
@@ -30,7 +32,6 @@
 )
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
-from sycamoreproxy.event_splitter import EventSplitter
 from sycamoreproxy.held_bytes import BufferBudget
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import (
@@ -48,6 +49,7 @@
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
+from sycamoreproxy.running_attempts import RunningAttempt, RunningAttempts
 from sycamoreproxy.upstream_book import UpstreamCatalog, UpstreamRecord
 from sycamoreproxy.upstream_limits import UpstreamLimits
 from sycamoreproxy.waiting_line import Overload, QueuedRequest, RequestQueue
@@ -62,13 +64,6 @@
 #: Maximum number of resends of one request after upstreams refused it without execution or the
 #: connection failed. The refused ones count against the resend budget.
 MAX_UNEXECUTED_RESENDS = 3
-#: First-output timeout of a repeatable request: its forecast, plus this multiple of its latency
-#: goal, plus this time in seconds. The request is then resent to another upstream.
-FIRST_OUTPUT_TIMEOUT_GOALS = 1.0
-FIRST_OUTPUT_TIMEOUT_S = 1.0
-#: Event timeout of a resumable stream, as a multiple of its event gap goal. The stream is then
-#: resumed on another upstream.
-EVENT_TIMEOUT_GAPS = 3.0
 #: Time before the end of a version at which a request that has not started is withdrawn from its
 #: engine, in seconds. The new version may become known 0.3 s late behind a large configuration, and
 #: closing the connection may be delayed as long by a weight transfer on the link.
@@ -78,8 +73,8 @@
 #: Shortest remaining time with which a request is sent, in seconds. With less, it would not reach
 #: the upstream in time.
 MIN_TIME_LEFT_S = 0.03
-#: Fraction of a route's timeout. A request that arrives with less time left counts as a retry of a
-#: refused request.
+#: Fraction of the usual time of a route's requests. A request that arrives with less time left counts
+#: as a retry of a refused request.
 RETRY_TIME_LEFT_FRACTION = 0.9
 #: Range of the retry delay of a refused request, as fractions of its remaining time. Delays are
 #: random so that retries do not form the next burst, and short enough to leave time for a response.
@@ -93,6 +88,9 @@
 #: remaining time.
 HOLD_SPREAD_FRACTION = 0.1
 
+#: Failure of an upstream that gives no output.
+_SILENCE = Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time")
+
 _log = get_logger("routed_dispatch")
 
 
@@ -132,6 +130,7 @@
         self._random = random_source
         self._clients_by_address: dict[str, HttpClient] = {}
         self._queues_by_service: dict[str, RequestQueue] = {}
+        self._deadlines = CallerDeadlines(clock=clock)
         self.buffer_budget = BufferBudget()
         self.open_requests = 0
         self._stop_at = math.inf
@@ -190,6 +189,7 @@
             self.refuse(request, None, resolved, reply)
             return
         route, account, service = resolved
+        self._deadlines.observe(route.name, request.time_left_s)
         level = table.find_priority_level(account, route)
         progress = RequestProgress(
             request=request,
@@ -204,7 +204,7 @@
                 if len(table.priority_levels) > 1
                 else 1.0
             ),
-            splitter=EventSplitter(last_id=request.last_event_id),
+            last_event_id=request.last_event_id,
             excluded=set(),
         )
         self.open_requests += 1
@@ -219,9 +219,13 @@
                 self._limit_timeout(timeout)
                 refusal = await self._run(progress, reply)
         except TimeoutError:
-            refusal = self._make_timeout_refusal(progress)
+            # The response may have been completed just before the end of the time.
+            if not reply.is_finished:
+                refusal = self._make_timeout_refusal(progress)
         except asyncio.CancelledError:
-            self._report(progress, Refusal(codes.CALLER_GONE, Executed.UNKNOWN))
+            if not reply.is_finished:
+                refusal = Refusal(codes.CALLER_GONE, Executed.UNKNOWN)
+            self._report(progress, refusal)
             raise
         finally:
             self._timeouts.discard(timeout)
@@ -288,61 +292,105 @@
 
     async def _run(self, progress: RequestProgress, reply: Reply) -> Refusal | None:
         """Send a request to upstreams until one responds or no further attempt is permitted."""
-        budget = self._budget_for(progress.service.name)
-        # The first failure after which the request may have been executed. It takes precedence over
-        # later refusals without execution.
-        possibly_executed: Refusal | None = None
+        attempts = RunningAttempts(clock=self._clock, route=progress.route)
+        try:
+            while True:
+                if not attempts:
+                    next_choice = await self._choose_next(progress)
+                    if isinstance(next_choice, Refusal):
+                        return progress.possibly_executed or next_choice
+                    self._start_attempt(progress, attempts, next_choice, reply)
+                choice, outcome = await self._await_outcome(progress, attempts, reply)
+                refusal = outcome.refusal
+                if refusal is None:
+                    return None
+                self._record_refusal(progress, choice, refusal)
+                # A response that must not be resumed must not be continued by a running attempt.
+                if attempts and (outcome.may_resend or refusal.executed is Executed.NO):
+                    continue
+                if not outcome.may_resend or not self._may_resend(progress, refusal):
+                    return progress.possibly_executed or refusal
+                self._report_resend(progress, choice, refusal)
+        finally:
+            attempts.close()
+
+    async def _choose_next(self, progress: RequestProgress) -> Choice | Refusal:
+        """Return the upstream for the next attempt of a request that no upstream has."""
+        refusal = self._check_quarantine(progress) or self._check_stop(progress)
+        if refusal is not None:
+            return refusal
+        if progress.may_have_run:
+            await self._wait_for_hold_end(progress)
+        choice = await self._acquire_upstream(progress)
+        if isinstance(choice, Refusal):
+            return choice
+        # The request may have been queued for seconds.
+        refusal = self._check_quarantine(progress) or self._check_stop(
+            progress, forecast_s=choice.forecast_s
+        )
+        if refusal is not None:
+            self._selector.end(choice, failed=None)
+            return refusal
+        return choice
+
+    async def _await_outcome(
+        self, progress: RequestProgress, attempts: RunningAttempts, reply: Reply
+    ) -> tuple[Choice, AttemptOutcome]:
+        """Wait until an attempt has ended, and start another one when all are silent.
+
+        A silent upstream may be sound, so the request stays there until another one responds, or
+        until it may no longer start there.
+        """
         while True:
-            refusal = self._check_quarantine(progress)
-            if refusal is not None:
-                return possibly_executed or refusal
-            refusal = self._check_stop(progress)
-            if refusal is not None:
-                return possibly_executed or refusal
-            choice = await self._acquire_upstream(progress)
-            if isinstance(choice, Refusal):
-                return possibly_executed or choice
-            # The request may have been queued for seconds.
-            refusal = self._check_quarantine(progress) or self._check_stop(
-                progress, forecast_s=choice.forecast_s
-            )
-            if refusal is not None:
-                self._selector.end(choice, failed=None)
-                return possibly_executed or refusal
-            progress.attempts += 1
-            progress.forecast_s = choice.forecast_s
-            progress.load = (
-                f"occupied {choice.occupied} running {choice.running} waiting {choice.waiting}"
-                f" unreported {choice.unreported}"
-                f" age {round((choice.report_age_s or 0.0) * 1000)} ms"
-            )
-            progress.instances += f" {choice.record.instance}"
-            if progress.attempts == 1:
-                budget.count_first_attempt()
-            failed: bool | None = None
-            try:
-                ended = await self._attempt(progress, choice, reply)
-                failed = ended.failed
-            finally:
-                self._selector.end(choice, failed=failed)
-                self.dispatch_waiting()
-            if ended.refusal is None:
-                return None
+            ended = attempts.pop_ended()
+            if ended is not None:
+                return ended.choice, ended.task.result()
+            unstarted = attempts.pop_unstarted()
+            if unstarted is not None:
+                self._record_silence([unstarted])
+                return unstarted.choice, AttemptOutcome(_SILENCE, failed=True, may_resend=True)
+            wait_s = attempts.find_silence_left_s()
+            if wait_s <= 0:
+                for attempt in attempts:
+                    # A newer version may have been set meanwhile.
+                    attempt.latest_start = self._find_start_limit(progress, attempt.choice)
+                choice = self._choose_alternative(progress, attempts)
+                if choice is not None:
+                    self._record_silence(attempts)
+                    self._report_resend(progress, attempts.latest.choice, _SILENCE)
+                    self._start_attempt(progress, attempts, choice, reply)
+                    continue
+                wait_s = RESEND_CHECK_INTERVAL_S
+            await attempts.wait(timeout_s=min(wait_s, max(0.0, attempts.find_start_left_s())))
+
+    def _record_silence(self, attempts: Iterable[RunningAttempt]) -> None:
+        """Record that the upstreams of attempts failed, once for each attempt."""
+        for attempt in attempts:
+            if not attempt.is_failure_recorded:
+                attempt.is_failure_recorded = True
+                self._selector.record_failure(attempt.choice)
+
+    def _record_refusal(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
+        """Record that an attempt ended without a response to the caller."""
+        # An upstream that named a time for the next request may be tried again after it.
+        if refusal.executed is not Executed.NO or not self._catalog.is_held(choice.record.instance):
             progress.excluded.add(choice.record.instance)
-            if possibly_executed is None and ended.refusal.executed is not Executed.NO:
-                possibly_executed = ended.refusal
-            if not ended.may_resend or not self._may_resend(progress, ended.refusal, budget):
-                return possibly_executed or ended.refusal
-            RESENDS.inc({"code": str(ended.refusal.code.number), "service": progress.service.name})
-            _log.info(
-                "request resent",
-                request=progress.request.request_id,
-                upstream=choice.record.instance,
-                code=ended.refusal.code.number,
-                executed=str(ended.refusal.executed),
-                last_event=progress.splitter.last_id,
-                age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
-            )
+        if refusal.executed is Executed.NO:
+            progress.unexecuted_attempts += 1
+        elif progress.possibly_executed is None:
+            progress.possibly_executed = refusal
+
+    def _report_resend(self, progress: RequestProgress, choice: Choice, refusal: Refusal) -> None:
+        RESENDS.inc({"code": str(refusal.code.number), "service": progress.service.name})
+        _log.info(
+            "request resent",
+            request=progress.request.request_id,
+            upstream=choice.record.instance,
+            code=refusal.code.number,
+            executed=str(refusal.executed),
+            last_event=progress.last_event_id,
+            age_ms=round((self._clock.monotonic() - progress.received_at) * 1000),
+        )
 
     def _limit_timeout(self, timeout: asyncio.Timeout) -> None:
         """Have the timeout of a request expire when requests must have ended, if not earlier."""
@@ -387,13 +435,12 @@
             retry_after_ms=math.ceil(left_s * 1000),
         )
 
-    def _may_resend(
-        self, progress: RequestProgress, refusal: Refusal, budget: ResendBudget
-    ) -> bool:
+    def _may_resend(self, progress: RequestProgress, refusal: Refusal) -> bool:
+        """Return whether a request that no upstream has may be resent, and count the resend."""
+        budget = self._budget_for(progress.service.name)
+        if progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS:
+            return False
         if refusal.executed is Executed.NO:
-            progress.unexecuted_attempts += 1
-            if progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS:
-                return False
             return refusal.code is codes.UPSTREAM_LOST or budget.try_acquire()
         return self._permits_repeat(progress) and budget.try_acquire()
 
@@ -405,24 +452,64 @@
             and progress.deadline - self._clock.monotonic() > MIN_TIME_LEFT_S
         )
 
-    def _has_alternative(self, progress: RequestProgress, choice: Choice) -> bool:
-        """Return whether a request would be resent if it were withdrawn from its upstream now."""
+    def _choose_alternative(
+        self, progress: RequestProgress, attempts: RunningAttempts
+    ) -> Choice | None:
+        """Choose another upstream for a request whose upstreams are silent, if that is permitted."""
         service = progress.service
+        budget = self._budget_for(service.name)
         if (
             not self._permits_repeat(progress)
-            or not self._budget_for(service.name).allows()
+            or progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS
+            or not budget.allows()
             or self._catalog.find_hold_left_s(service.name) is not None
             or self._check_quarantine(progress) is not None
             or self._check_stop(progress) is not None
         ):
-            return False
+            return None
         requirements = self._make_requirements(progress)
         requirements = replace(
-            requirements, excluded=requirements.excluded | {choice.record.instance}
+            requirements, excluded=requirements.excluded | attempts.list_instances()
         )
         ignore_capacity = service.engine is None or progress.first_output_at is not None
-        found = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
-        return found is not None
+        choice = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
+        if choice is None:
+            return None
+        budget.count_resend()
+        return self._begin(choice, requirements)
+
+    async def _wait_for_hold_end(self, progress: RequestProgress) -> None:
+        """Wait until an upstream may be tried if all others are held, and if that is soon enough."""
+        while True:
+            hold_s = self._catalog.find_hold_left_s(
+                progress.service.name, excluded=progress.excluded
+            )
+            if hold_s is None or hold_s > self._find_longest_pause_s(progress):
+                return
+            # Another upstream may become usable earlier.
+            await asyncio.sleep(min(hold_s, RESEND_CHECK_INTERVAL_S))
+
+    def _may_wait_for_permit(self, progress: RequestProgress) -> bool:
+        """Return whether a stream that has begun may soon be continued by an upstream with a limit.
+
+        The end of the wait is not known, so requests whose caller has received nothing do not wait.
+        """
+        return (
+            progress.first_output_at is not None
+            and self._find_longest_pause_s(progress) > 0
+            and any(
+                self._limits.find_requests_per_s(record) < math.inf
+                for record in self._catalog.list_usable(progress.service.name)
+                if record.instance not in progress.excluded
+            )
+        )
+
+    def _find_longest_pause_s(self, progress: RequestProgress) -> float:
+        """Return the time after which a request that is sent again may still respond in time."""
+        last_output_at = progress.last_output_at or progress.received_at
+        abandoned_at = last_output_at + progress.route.caller_timeout_s
+        latest_response_at = min(progress.deadline, abandoned_at, self._stop_at)
+        return latest_response_at - progress.route.target_latency_s - self._clock.monotonic()
 
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
@@ -439,6 +526,9 @@
         if progress.service.engine is None or progress.first_output_at is not None:
             # Plain services have spare capacity, and resumed streams must not be queued.
             choice = self._choose(name, requirements, ignore_capacity=True)
+            while choice is None and self._may_wait_for_permit(progress):
+                await asyncio.sleep(RESEND_CHECK_INTERVAL_S)
+                choice = self._choose(name, requirements, ignore_capacity=True)
             return choice or Refusal(codes.NO_UPSTREAM, Executed.NO)
         queue = self._queues_by_service.get(name)
         if queue is None:
@@ -450,7 +540,9 @@
             )
             self._queues_by_service[name] = queue
         time_left = progress.deadline - self._clock.monotonic()
-        is_retry = time_left < RETRY_TIME_LEFT_FRACTION * progress.route.timeout_s
+        # The timeout may be longer than the time that any caller gives a request.
+        usual_s = min(progress.route.timeout_s, self._deadlines.find_longest_s(progress.route.name))
+        is_retry = time_left < RETRY_TIME_LEFT_FRACTION * usual_s
         if is_retry:
             requirements = replace(requirements, urgency=0.0)
         outcome = queue.submit(
@@ -500,11 +592,15 @@
         """Choose an upstream and count the request as sent to it."""
         choice = self._find_choice(service, requirements, ignore_capacity=ignore_capacity)
         if choice is not None:
-            self._limits.use_permit(choice.record)
-            choice = self._selector.begin(choice, requirements)
+            choice = self._begin(choice, requirements)
         self._limits.request_permits(self._catalog.list_usable(service), level=requirements.level)
         return choice
 
+    def _begin(self, choice: Choice, requirements: Requirements) -> Choice:
+        """Count a request as sent to an upstream; return the choice with its attempt number."""
+        self._limits.use_permit(choice.record)
+        return self._selector.begin(choice, requirements)
+
     def _find_choice(
         self, service: str, requirements: Requirements, *, ignore_capacity: bool
     ) -> Choice | None:
@@ -529,15 +625,75 @@
             latest_start=lambda version: self._find_latest_start(requirements.model, version),
         )
 
+    def _start_attempt(
+        self, progress: RequestProgress, attempts: RunningAttempts, choice: Choice, reply: Reply
+    ) -> None:
+        """Start to send a request to one upstream."""
+        progress.attempts += 1
+        progress.forecast_s = choice.forecast_s
+        progress.load = (
+            f"occupied {choice.occupied} running {choice.running} waiting {choice.waiting}"
+            f" unreported {choice.unreported}"
+            f" age {round((choice.report_age_s or 0.0) * 1000)} ms"
+        )
+        progress.instances += f" {choice.record.instance}"
+        if progress.attempts == 1:
+            self._budget_for(progress.service.name).count_first_attempt()
+        sent_at = self._clock.monotonic()
+        relay = AnswerRelay(
+            progress=progress,
+            choice=choice,
+            reply=reply,
+            dialect=self._dialect,
+            selector=self._selector,
+            clock=self._clock,
+            buffer_budget=self.buffer_budget,
+            on_stream_start=lambda version: self._log_ended_version(
+                progress, choice, version, sent_at
+            ),
+            on_head=lambda head: self._apply_head(progress.request, choice, head, sent_at),
+            on_output=lambda relay: attempts.supersede_others(
+                relay, partial(self._record_superseded, progress)
+            ),
+            has_rivals=lambda: attempts.has_rivals(relay),
+        )
+        task = asyncio.create_task(self._attempt(progress, choice, relay))
+        attempt = RunningAttempt(
+            choice,
+            relay,
+            task,
+            started_at=sent_at,
+            latest_start=self._find_start_limit(progress, choice),
+        )
+        attempts.add(attempt)
+        # A task that is cancelled before its first step runs none of its own code.
+        task.add_done_callback(lambda task: self._end_attempt(attempt))
+
+    def _end_attempt(self, attempt: RunningAttempt) -> None:
+        """Record the end of an attempt at its upstream."""
+        failed: bool | None = None
+        if not attempt.task.cancelled() and attempt.task.exception() is None:
+            failed = attempt.task.result().failed
+        if failed and attempt.is_failure_recorded:
+            failed = None
+        self._selector.end(attempt.choice, failed=failed)
+        self.dispatch_waiting()
+
+    def _record_superseded(self, progress: RequestProgress, attempt: RunningAttempt) -> None:
+        """Record that a request was withdrawn from an upstream because another one responds."""
+        if attempt.is_failure_recorded:
+            progress.excluded.add(attempt.choice.record.instance)
+        if progress.possibly_executed is None:
+            progress.possibly_executed = _SILENCE
+
     async def _attempt(
-        self, progress: RequestProgress, choice: Choice, reply: Reply
+        self, progress: RequestProgress, choice: Choice, relay: AnswerRelay
     ) -> AttemptOutcome:
         """Send a request to one upstream and relay its response."""
         request, route = progress.request, progress.route
         time_left = progress.deadline - self._clock.monotonic()
         if time_left < MIN_TIME_LEFT_S:
             return AttemptOutcome(Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO), failed=None)
-        progress.splitter.discard_partial()
         sent_at = self._clock.monotonic()
         headers = self._dialect.write_attempt(
             request,
@@ -547,22 +703,9 @@
                 account=progress.account,
                 weight_version=self._choose_expected_version(request.model, choice),
                 urgency=min(9, progress.level) if progress.service.engine is not None else None,
-                last_event_id=progress.splitter.last_id,
+                last_event_id=progress.last_event_id,
             ),
         )
-        relay = AnswerRelay(
-            progress=progress,
-            choice=choice,
-            reply=reply,
-            dialect=self._dialect,
-            selector=self._selector,
-            clock=self._clock,
-            buffer_budget=self.buffer_budget,
-            on_stream_start=lambda version: self._log_ended_version(
-                progress, choice, version, sent_at
-            ),
-            on_head=lambda head: self._apply_head(request, choice, head, sent_at),
-        )
         client = self._get_client(choice)
         exchange = asyncio.ensure_future(
             client.exchange(
@@ -586,7 +729,8 @@
             )
         progress.executions += 1
         try:
-            await self._await_exchange(exchange, progress, choice)
+            await asyncio.wait({exchange})
+            exchange.result()
         except NotSentError as error:
             progress.executions -= 1
             return AttemptOutcome(
@@ -612,13 +756,10 @@
             )
         except AnswerTooLongError as error:
             return relay.end_too_long(error)
-        except TimeoutError:
-            return AttemptOutcome(
-                Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail="no output in time"),
-                failed=True,
-                may_resend=True,
-            )
         finally:
+            # The exchange may raise an error of its own while it is being cancelled.
+            exchange.add_done_callback(_retrieve_error)
+            exchange.cancel()
             relay.release()
         ended = relay.finish()
         if relay.replacement_instance:
@@ -717,6 +858,17 @@
             return None
         return choice.version
 
+    def _find_start_limit(self, progress: RequestProgress, choice: Choice) -> float:
+        """Return the monotonic time until which a request must have started at an upstream.
+
+        Only the first output of a stream shows that the request has started. A plain request that
+        may not be repeated is not withdrawn.
+        """
+        is_stream = progress.route.kind is RouteKind.STREAMING
+        if choice.version and (is_stream or progress.route.repeatable):
+            return self._find_latest_start(progress.request.model, choice.version)
+        return math.inf
+
     def _find_latest_start(self, model: str, version: int) -> float:
         """Return the monotonic time until which a request must have started on a version."""
         return self._targets.find_end_time(model, version) - VERSION_MARGIN_S
@@ -732,55 +884,6 @@
             tokens = min(tokens, request.answer_tokens)
         return EngineForecast(engine).generation_s(tokens)
 
-    async def _await_exchange(
-        self, exchange: asyncio.Future[None], progress: RequestProgress, choice: Choice
-    ) -> None:
-        """Wait for the end of an exchange.
-
-        A silent upstream may still answer, so a request is withdrawn from it only to be resent.
-
-        :raises TimeoutError: if a repeatable request has no output for too long and would be resent,
-            or if a request has not started before its version ends.
-        """
-        started_at = self._clock.monotonic()
-        silence_deadline = math.inf
-        if progress.route.repeatable:
-            silence_deadline = started_at + (
-                choice.forecast_s
-                + FIRST_OUTPUT_TIMEOUT_GOALS * progress.route.target_latency_s
-                + FIRST_OUTPUT_TIMEOUT_S
-            )
-        # Only the first output of a stream shows that the request has started. A plain request that
-        # may not be repeated is not withdrawn.
-        latest_start = math.inf
-        is_stream = progress.route.kind is RouteKind.STREAMING
-        if choice.version and (is_stream or progress.route.repeatable):
-            latest_start = self._find_latest_start(progress.request.model, choice.version)
-        try:
-            while not exchange.done():
-                now = self._clock.monotonic()
-                if progress.last_output_at > started_at:
-                    if not progress.route.repeatable:
-                        break
-                    latest_start = math.inf
-                    silence_deadline = progress.last_output_at + EVENT_TIMEOUT_GAPS * max(
-                        0.4, progress.route.target_gap_s
-                    )
-                if now >= latest_start:
-                    raise TimeoutError
-                wait_s = silence_deadline - now
-                if wait_s <= 0:
-                    if self._has_alternative(progress, choice):
-                        raise TimeoutError
-                    wait_s = RESEND_CHECK_INTERVAL_S
-                wait_s = min(wait_s, latest_start - now)
-                await asyncio.wait({exchange}, timeout=None if wait_s == math.inf else wait_s)
-            await exchange
-        finally:
-            # The exchange may raise an error of its own while it is being cancelled.
-            exchange.add_done_callback(_retrieve_error)
-            exchange.cancel()
-
     def _find_nominal_rate(self, service: str) -> float:
         """Return this host's share of the throughput of a service's engines, in requests/s."""
         spec = self._table().services_by_name.get(service)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -13,7 +13,8 @@
 from tornado.testing import bind_unused_port
 
 from sycamoreproxy._http_client import PART_BYTES, AnswerLostError, HttpClient, NotSentError
-from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
+from tests._raw_upstream import PIECE_BYTES, SIGNED, ClosingUpstream, RawUpstream
+from tools.addresses import reserve_address
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -105,11 +106,10 @@
 
 
 def test_no_listener_means_that_nothing_was_sent() -> None:
-    socket, port = bind_unused_port()
-    socket.close()
-    client = HttpClient(f"http://127.0.0.1:{port}", max_body_bytes=100)
-    with pytest.raises(NotSentError):
-        asyncio.run(_exchange(client, repeatable=True))
+    with reserve_address() as holder:
+        client = HttpClient(f"http://127.0.0.1:{holder.getsockname()[1]}", max_body_bytes=100)
+        with pytest.raises(NotSentError):
+            asyncio.run(_exchange(client, repeatable=True))
 
 
 def test_an_answer_that_is_too_long_is_lost() -> None:
@@ -167,6 +167,36 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("close_after_s", "block_s", "is_sent_again"),
+    [(0.0, 0.0, True), (0.0, 0.6, True), (0.2, 0.6, True), (0.5, 0.0, False), (1.0, 0.4, False)],
+)
+def test_time_in_which_the_loop_is_blocked_does_not_make_a_stale_connection_a_failure(
+    close_after_s: float, block_s: float, is_sent_again: bool
+) -> None:
+    """Requests with one attempt got 502 when a large configuration was read meanwhile."""
+
+    async def main() -> None:
+        server = ClosingUpstream(answer=WHOLE, close_after_s=close_after_s)
+        client = HttpClient(f"http://127.0.0.1:{server.port}", max_body_bytes=100)
+        try:
+            assert await _exchange(client, repeatable=True) == b"ok"
+            exchange = asyncio.create_task(_exchange(client, repeatable=True))
+            while not server.second_received.is_set():
+                await asyncio.sleep(0.001)
+            server.close_while_loop_is_blocked(block_s)
+            if is_sent_again:
+                assert await exchange == b"ok"
+            else:
+                with pytest.raises(AnswerLostError):
+                    await exchange
+        finally:
+            client.close()
+            server.stop()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("head", "piece"),
     [
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -6,6 +6,7 @@
 import contextlib
 import gc
 import json
+import math
 import random
 import re
 import socket
@@ -37,19 +38,21 @@
 from sycamoreproxy.document_source import Document
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, RESERVED_BYTES
+from sycamoreproxy.messages import LimitNotice
 from sycamoreproxy.placement import LoadReport, Requirements, UpstreamSelector
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.routed_dispatch import CRASH_NOTICE_S, VERSION_MARGIN_S, RoutedDispatcher
-from sycamoreproxy.routed_http import RoutedCallerServer
+from sycamoreproxy.routed_http import CallerReply, RoutedCallerServer
 from sycamoreproxy.upstream_book import UpstreamCatalog
 from sycamoreproxy.upstream_limits import UpstreamLimits
 from sycamoreproxy.watched_documents import DocumentReplica
 from sycamoreproxy.weight_targets import WeightTargets
 from tests._fake_hub import FakeHub
-from tests._raw_upstream import PIECE_BYTES, SIGNED, RawUpstream
+from tests._raw_upstream import PIECE_BYTES, SIGNED, ClosingUpstream, RawUpstream
+from tools.addresses import reserve_address
 
 ENGINE = {
     "slots": 4,
@@ -175,9 +178,9 @@
             random_source=random.Random(1),
         )
         front = RoutedCallerServer(dispatcher=dispatcher, dialect=dialect)
-        listener, port = bind_unused_port()
-        listener.close()
-        front.listen("127.0.0.1", port)
+        with reserve_address() as holder:
+            port = holder.getsockname()[1]
+            front.listen("127.0.0.1", port)
         site = Site(replica, front, port, [], [], quarantine=quarantine)
         for number in range(4):
             await _add_runner(site, number)
@@ -235,13 +238,13 @@
     site.replica.apply(Document(key, revision, json.dumps(value).encode()), source="test")
 
 
-def _change_routes(site: Site, **fields: Any) -> None:
+def _change_routes(site: Site, *, version: int = 2, **fields: Any) -> None:
     """Change fields of all routes."""
     _put(
         site,
         "op/config",
         make_configuration(
-            2,
+            version,
             services=[{"name": "model", "engine": ENGINE}, {"name": "ledger"}],
             routes=[{**route, **fields} for route in ROUTES],
         ),
@@ -253,9 +256,12 @@
         await asyncio.sleep(0.01)
 
 
-async def _replace_runners(site: Site, numbers: Sequence[int], upstream: RawUpstream) -> None:
+async def _replace_runners(
+    site: Site, numbers: Sequence[int], upstream: RawUpstream | ClosingUpstream
+) -> None:
     """Replace runners of one service by a faulty upstream."""
-    await upstream.start()
+    if isinstance(upstream, RawUpstream):
+        await upstream.start()
     for number in numbers:
         instance = f"i-{number}"
         service = "model" if number < 2 else "ledger"
@@ -1556,6 +1562,103 @@
     _run_scripted(upstream, [0, 1, 2, 3], action)
 
 
+LONG_FAILURE = (
+    b"HTTP/1.1 500 Error\r\nSycamoreproxy-Request-Id: {id}\r\nContent-Length: 60000\r\n\r\n"
+    + b"x" * 60_000
+)
+
+
+@pytest.mark.parametrize(
+    "answers",
+    [
+        pytest.param(
+            [
+                [FRAMED, EVENTS[0], EVENTS[1][:9], SILENCE_S, EVENTS[1][9:], EVENTS[2]],
+                [LONG_FAILURE],
+                [LONG_FAILURE],
+            ],
+            id="incomplete-event-kept-beside-a-long-failure",
+        ),
+        pytest.param(
+            [
+                [FRAMED, EVENTS[0], SILENCE_S + 0.4, *EVENTS[1:]],
+                [UNFRAMED, EVENTS[1][:9], 6.0],
+            ],
+            id="incomplete-event-of-the-other-upstream-dropped",
+        ),
+        pytest.param(
+            [
+                [FRAMED, EVENTS[0], EVENTS[1][:9], 6.0],
+                [UNFRAMED, EVENTS[1][:7], 0.2, EVENTS[1][7:], EVENTS[2]],
+            ],
+            id="incomplete-event-of-the-silent-upstream-dropped",
+        ),
+        pytest.param(
+            [
+                [FRAMED, EVENTS[0], EVENTS[1][:9], 1.35, EVENTS[1][9:], 0.3, EVENTS[2]],
+                [UNFRAMED, 0.2, *EVENTS[1:]],
+            ],
+            id="both-upstreams-respond",
+        ),
+        pytest.param(
+            [[FRAMED, EVENTS[0], 9.0], [UNFRAMED, 9.0], [UNFRAMED, *EVENTS[1:]]],
+            id="third-upstream-after-two-silent-ones",
+        ),
+    ],
+)
+def test_stream_with_a_silent_upstream_has_each_event_once(
+    answers: list[list[bytes | float]],
+) -> None:
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=9000, max_attempts=3)
+        _put_upstream(site, "scripted-4", "model", await upstream.listen())
+        status, _, body, is_complete = await site.send(
+            "/ask/x", Sycamoreproxy_Deadline_Ms="9000", **PROMPT
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == len(answers)
+
+    upstream = _ScriptedUpstream(*answers)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize("path", ["/ask/first", "/read/x"])
+def test_request_that_may_have_run_at_a_silent_upstream_is_not_refused_as_not_executed(
+    path: str,
+) -> None:
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=6000)
+        status, _, body, _ = await site.send(path, Sycamoreproxy_Deadline_Ms="6000", **PROMPT)
+        assert status in (502, 504)
+        assert json.loads(body)["error"]["executed"] != "no"
+
+    # The silent upstream closes the connection after the other ones have refused the request.
+    upstream = _ScriptedUpstream([SILENCE_S + 1.5], [NOT_EXECUTED])
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+def test_complete_response_is_not_cut_when_the_time_limit_ends_just_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    finish = CallerReply.finish
+
+    def finish_late(reply: CallerReply) -> None:
+        finish(reply)
+        time.sleep(0.8)
+
+    async def action(site: Site) -> None:
+        monkeypatch.setattr(CallerReply, "finish", finish_late)
+        status, _, received, is_complete = await site.send(
+            "/read/x", Sycamoreproxy_Deadline_Ms="800", **PROMPT
+        )
+        assert (status, len(received), is_complete) == (200, len(body), True)
+
+    # Larger than the buffers of the sockets.
+    body = b"x" * 7_000_000
+    head = UNFRAMED.replace(b"\r\n\r\n", b"\r\nContent-Length: %d\r\n\r\n" % len(body))
+    _run_scripted(_ScriptedUpstream([head, body]), [2, 3], action)
+
+
 @pytest.mark.parametrize("path", SILENT_ANSWERS)
 def test_request_of_a_silent_upstream_is_answered_by_another_one(path: str) -> None:
     async def action(site: Site) -> None:
@@ -1627,22 +1730,61 @@
     _run_scripted(upstream, [2, 3], action)
 
 
-@pytest.mark.parametrize(("path", "first"), [("/ask/x", 0), ("/read/x", 2), ("/post/x", 2)])
+#: Routes, and the first of the two runners that serve each.
+_HELD_ROUTES = [("/ask/x", 0), ("/read/x", 2), ("/post/x", 2)]
+
+
+@pytest.mark.parametrize(("path", "first"), _HELD_ROUTES)
 def test_upstream_gets_nothing_for_the_time_that_its_503_names(path: str, first: int) -> None:
     headers = GENERATION_HEADERS if first == 0 else {}
+    # Longer than the time limit of the test, so that a slow machine does not reach its end.
+    hold_s = 30.0
 
     async def action(site: Site) -> None:
         for faults in site.faults[first : first + 2]:
-            faults.replace({"shed": 1, "hold_s": "1.5"})
+            faults.replace({"shed": 1, "hold_s": str(hold_s)})
+        begun_at, held_at = time.monotonic(), math.inf
         for _ in range(8):
+            sent_at = time.monotonic()
             status, answer_headers, body, _ = await site.send(path, **headers)
+            ended_at = time.monotonic()
             assert status == 503 and json.loads(body)["error"]["executed"] == "no"
-        assert all(len(runner.received) == 1 for runner in site.runners[first : first + 2])
-        assert 0.9 < float(answer_headers["Retry-After"]) < 1.9
+            assert all(len(runner.received) == 1 for runner in site.runners[first : first + 2])
+            # The hold begins during the first request; retries are spread over 0.19 s after its end.
+            held_at = min(held_at, ended_at)
+            retry_after_s = float(answer_headers["Retry-After"])
+            assert ended_at + retry_after_s > begun_at + hold_s - 0.01
+            assert sent_at + retry_after_s < held_at + hold_s + 0.2
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize(("path", "first"), _HELD_ROUTES)
+def test_upstream_gets_requests_again_after_the_time_that_its_503_names(
+    path: str, first: int
+) -> None:
+    headers = GENERATION_HEADERS if first == 0 else {}
+    hold_s = 1.5
+
+    async def action(site: Site) -> None:
+        runners = site.runners[first : first + 2]
+        for faults in site.faults[first : first + 2]:
+            faults.replace({"shed": 1, "hold_s": str(hold_s)})
+        assert (await site.send(path, **headers))[0] == 503
+        held_at = time.monotonic()
         for faults in site.faults[first : first + 2]:
             faults.replace({})
-        await asyncio.sleep(1.6)
-        assert (await site.send(path, **headers))[0] == 200
+        while True:
+            sent_at = time.monotonic()
+            status, _, body, _ = await site.send(path, **headers)
+            if status == 200:
+                break
+            assert status == 503 and json.loads(body)["error"]["executed"] == "no"
+            assert sent_at < held_at + hold_s
+            await asyncio.sleep(0.02)
+        times = [[at for at, _ in runner.arrived] for runner in runners]
+        assert sorted(map(len, times)) == [1, 2]
+        assert all(at - begun_at >= hold_s for begun_at, *later in times for at in later)
 
     run_with_site(action)
 
@@ -1655,3 +1797,192 @@
         assert len(site.runners[2].received) <= 1
 
     run_with_site(action)
+
+
+@pytest.mark.parametrize(("path", "number"), [("/read/x", 2), ("/ask/x", 0)])
+def test_request_on_a_stale_connection_is_served_although_the_loop_was_blocked(
+    path: str, number: int
+) -> None:
+    """Requests with one attempt got 502 when a large configuration was read meanwhile."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, max_attempts=1)
+        await _replace_runners(site, [number, number + 1], upstream)
+        assert (await site.send(path, **GENERATION_HEADERS))[2] == EVENTS[0]
+        sent = asyncio.create_task(site.send(path, **GENERATION_HEADERS))
+        await _wait_until(upstream.second_received.is_set)
+        upstream.close_while_loop_is_blocked(0.6)
+        status, _, body, is_complete = await sent
+        assert (status, body, is_complete) == (200, EVENTS[0], True)
+        assert upstream.received == 3
+
+    head = SIGNED + b"Content-Length: %d\r\n\r\n" % len(EVENTS[0])
+    upstream = ClosingUpstream(answer=head + EVENTS[0], close_after_s=0.0)
+    try:
+        run_with_site(action)
+    finally:
+        upstream.stop()
+
+
+@pytest.mark.parametrize(
+    ("path", "timeouts_ms", "status", "is_complete"),
+    [
+        ("/read/x", (3000, 500), 200, True),
+        ("/post/x", (3000, 500), 200, True),
+        ("/ask/x", (3000, 500), 200, True),
+        ("/once/x", (3000, 500), 200, True),
+        ("/read/x", (500, 3000), 504, True),
+        ("/post/x", (500, 3000), 504, True),
+        ("/ask/x", (500, 3000), 200, False),
+        ("/once/x", (500, 3000), 200, False),
+    ],
+)
+def test_change_of_a_timeout_does_not_end_or_extend_a_request_in_progress(
+    path: str, timeouts_ms: tuple[int, int], status: int, is_complete: bool
+) -> None:
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"delay_ms": 1000, "event_s": 0.2})
+        old_ms, new_ms = timeouts_ms
+        _change_routes(site, timeout_ms=old_ms)
+        started_at = time.monotonic()
+        headers = GENERATION_HEADERS if path in ("/ask/x", "/once/x") else {}
+        sent = asyncio.create_task(site.send(path, Sycamoreproxy_Deadline_Ms="5000", **headers))
+        await asyncio.sleep(0.3)
+        _change_routes(site, version=3, timeout_ms=new_ms)
+        answer = await sent
+        duration_s = time.monotonic() - started_at
+        assert (answer[0], answer[3]) == (status, is_complete)
+        if status == 504:
+            assert json.loads(answer[2])["error"]["code"] == 1307
+        if old_ms < new_ms:
+            assert 0.45 < duration_s < 0.8
+        # Requests that arrive after the change have the new timeout.
+        status_after = (await site.send(path, Sycamoreproxy_Deadline_Ms="5000", **headers))[0]
+        assert (status_after == 504) == (new_ms < old_ms and not headers)
+
+    run_with_site(action)
+
+
+HELD = NOT_EXECUTED.replace(b"\r\nContent", b"\r\nRetry-After: 0.6\r\nContent")
+
+
+def _hold_all(site: Site, seconds: float) -> None:
+    catalog = site.front.dispatcher._catalog
+    for record in catalog.list_all():
+        catalog.hold(record, seconds)
+
+
+@pytest.mark.parametrize(
+    ("path", "answers", "is_held"),
+    [
+        ("/ask/x", [[UNFRAMED, EVENTS[0], 0.3, b"id: 2"], [UNFRAMED, *EVENTS[1:]]], True),
+        ("/ask/x", [[0.3], [FRAMED, *EVENTS]], True),
+        ("/read/x", [[0.3], [FRAMED, *EVENTS]], True),
+        ("/ask/x", [[UNFRAMED, EVENTS[0], b"id: 2"], [HELD], [UNFRAMED, *EVENTS[1:]]], False),
+        ("/ask/x", [[b""], [HELD], [FRAMED, *EVENTS]], False),
+        ("/read/x", [[b""], [HELD], [FRAMED, *EVENTS]], False),
+    ],
+    ids=["resume", "start", "plain", "resume-refused", "start-refused", "plain-refused"],
+)
+def test_request_that_may_have_run_is_resent_after_a_short_hold(
+    path: str, answers: list[list[bytes | float]], is_held: bool
+) -> None:
+    """Streams were cut, with seconds left, because all other upstreams were held."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=4000)
+        if is_held:
+            asyncio.get_running_loop().call_later(0.1, _hold_all, site, 0.8)
+        started_at = time.monotonic()
+        status, _, body, is_complete = await site.send(
+            path, Sycamoreproxy_Deadline_Ms="4000", **PROMPT
+        )
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == len(answers)
+        assert 0.6 <= time.monotonic() - started_at < 1.5
+
+    upstream = _ScriptedUpstream(*answers)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize("hold_s", [1.95, 30.0])
+@pytest.mark.parametrize(
+    ("path", "answer", "status"),
+    [("/ask/x", [UNFRAMED, EVENTS[0], 0.3], 200), ("/ask/x", [0.3], 502), ("/read/x", [0.3], 502)],
+    ids=["resume", "start", "plain"],
+)
+def test_request_that_may_have_run_ends_at_once_in_a_hold_that_is_too_long(
+    path: str, answer: list[bytes | float], status: int, hold_s: float
+) -> None:
+    async def action(site: Site) -> None:
+        asyncio.get_running_loop().call_later(0.1, _hold_all, site, hold_s)
+        started_at = time.monotonic()
+        result = await site.send(path, **PROMPT)
+        assert result[0] == status
+        if status == 200:
+            assert (result[2], result[3]) == (EVENTS[0], False)
+        assert time.monotonic() - started_at < 0.8
+
+    incomplete = [*answer, b"id: 2"] if status == 200 else answer
+    _run_scripted(_ScriptedUpstream(incomplete), [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize(("requests_per_s", "is_complete"), [(2.0, True), (0.05, False)])
+def test_stream_that_has_begun_waits_for_a_permit_within_its_time(
+    requests_per_s: float, is_complete: bool
+) -> None:
+    """Streams were cut, with seconds left, because all other upstreams had named a limit."""
+
+    def limit_all(site: Site) -> None:
+        dispatcher = site.front.dispatcher
+        for record in dispatcher._catalog.list_all():
+            notice = LimitNotice(record.instance, record.started_ms, requests_per_s, 0.0)
+            dispatcher._limits.receive_notice(notice)
+            dispatcher._limits.use_permit(record)
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=4000)
+        asyncio.get_running_loop().call_later(0.1, limit_all, site)
+        started_at = time.monotonic()
+        status, _, body, is_whole = await site.send(
+            "/ask/x", Sycamoreproxy_Deadline_Ms="4000", **PROMPT
+        )
+        expected = b"".join(EVENTS) if is_complete else EVENTS[0]
+        assert (status, body, is_whole) == (200, expected, is_complete)
+        assert time.monotonic() - started_at < 2.3
+
+    upstream = _ScriptedUpstream([UNFRAMED, EVENTS[0], 0.3, b"id: 2"], [UNFRAMED, *EVENTS[1:]])
+    _run_scripted(upstream, [0, 1], action)
+
+
+@pytest.mark.parametrize(
+    ("timeout_ms", "deadline_ms", "order"),
+    [
+        (2000, 1900, "on time 0"),
+        (3000, 1900, "on time 0"),
+        (60_000, 1900, "on time 0"),
+        (2000, 1600, "late 0"),
+        (3000, 1600, "late 0"),
+    ],
+)
+def test_new_request_of_a_route_with_a_longer_timeout_is_not_queued_as_a_retry(
+    timeout_ms: int, deadline_ms: int, order: str
+) -> None:
+    """After a configuration had raised a timeout, all requests queued as if refused before."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=timeout_ms, target_latency_ms=400)
+        await site.send("/ask/x", **GENERATION_HEADERS)
+        for faults in site.faults:
+            faults.replace({"event_s": 0.3})
+        headers = {**GENERATION_HEADERS, "Sycamoreproxy_Deadline_Ms": str(deadline_ms)}
+        sent = [asyncio.create_task(site.send("/ask/x", **headers)) for _ in range(40)]
+        await _wait_until(lambda: site.front.dispatcher.has_waiting)
+        orders = site.front.dispatcher.count_waiting()["model"]
+        for task in sent:
+            task.cancel()
+        await asyncio.gather(*sent, return_exceptions=True)
+        assert [name for name, count in orders.items() if count] == [order]
+
+    run_with_site(action)
