Keep a model API request at a silent upstream that nothing replaces

Cause: the attempt was ended when its upstream had sent nothing since, without asking whether a retry would follow: no other upstream ready, the retry budget spent, or the last attempt.

Evidence: the seven new cases fail without the change (one run, same working tree) and pass with it.

The retry after silence may use the reserve of the budget, as before; a stalled stream may not. Neither ends the last attempt of a request any more.

--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -201,7 +201,7 @@
         considered unresponsive.
     :param on_unresponsive: called when the upstream is considered unresponsive.
     :param may_retry_elsewhere: returns whether a retry is allowed and another upstream could
-        respond in time.
+        respond in time; the argument is whether it must leave the reserve of retries.
     """
 
     __slots__ = (
@@ -236,7 +236,7 @@
         deadline: float,
         heartbeat_timeout_s: float,
         on_unresponsive: Callable[[], None],
-        may_retry_elsewhere: Callable[[], bool],
+        may_retry_elsewhere: Callable[[bool], bool],
     ) -> None:
         self._on_unresponsive = on_unresponsive
         self._may_retry_elsewhere = may_retry_elsewhere
@@ -354,16 +354,17 @@
             return
         if now >= self._stall_timeout_at:
             self._stall_timeout_at = math.inf
-            if not self.status and self._request.stream and self._may_retry_elsewhere():
+            if not self.status and self._request.stream and self._may_retry_elsewhere(True):
                 self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "No first output."))
                 return
         if now >= self._unresponsive_at:
             self._unresponsive_at = math.inf
             if attempt is not None and attempt.peer.last_message_at < self._submitted_at:
                 self._on_unresponsive()
-                if self._request.idempotent:
+                if self._request.idempotent and self._may_retry_elsewhere(False):
                     self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "It is silent."))
                     return
+                self._unresponsive_at = now + TIMEOUT_CHECK_PERIOD_S
         self._timer = self._loop.call_at(
             min(
                 self._unresponsive_at,
@@ -581,7 +582,7 @@
                 ),
                 on_unresponsive=partial(self._router.mark_suspected, state),
                 may_retry_elsewhere=partial(
-                    self._may_retry_elsewhere, request, state, deadline, excluded
+                    self._may_retry_elsewhere, request, state, deadline, excluded, attempt_number
                 ),
             )
             result = await self._run_attempt(request, state, handler, int(time_left_ms))
@@ -608,10 +609,16 @@
         return Failure(refusal)
 
     def _may_retry_elsewhere(
-        self, request: CallerRequest, state: UpstreamState, deadline: float, excluded: set[str]
+        self,
+        request: CallerRequest,
+        state: UpstreamState,
+        deadline: float,
+        excluded: set[str],
+        attempt_number: int,
+        keep_reserve: bool,
     ) -> bool:
         """Return whether an attempt without output may be retried on another upstream."""
-        if not self._budget.has_spare_retries:
+        if attempt_number == MAX_ATTEMPTS or not self._budget.has_retry(keep_reserve=keep_reserve):
             return False
         time_left_ms = (deadline - asyncio.get_running_loop().time()) * 1000
         other = self._router.choose(
--- a/tests/_entry.py
+++ b/tests/_entry.py
@@ -125,6 +125,7 @@
         self.links = UpstreamLinks(hub=self.hub)
         self.hub.on(Status, self.membership.record_status)
         self.hub.on_close(self.membership.remove_peer)
+        self.budget = RetryBudget(clock=clock)
         router = Router(
             membership=self.membership, availability_zone="z1", clock=clock, rng=random.Random(7)
         )
@@ -132,7 +133,7 @@
             dispatcher=Dispatcher(
                 links=self.links,
                 router=router,
-                budget=RetryBudget(clock=clock),
+                budget=self.budget,
                 get_view=lambda: view,
                 claims=claims,
             ),
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 from collections.abc import Callable
 from typing import Any
@@ -188,6 +189,62 @@
     assert submits.count(submits[0]) == 1
 
 
+@pytest.mark.parametrize("kind", ["chat", "service"])
+@pytest.mark.parametrize("reason", ["only upstream", "retries spent", "last attempt"])
+@with_entry()
+async def test_request_stays_at_a_silent_upstream_that_nothing_replaces(
+    entry: Entry, kind: str, reason: str
+) -> None:
+    """It was ended with seconds left although the upstream would have responded."""
+    count, silent = {"only upstream": (1, 1), "retries spent": (2, 1), "last attempt": (4, 3)}[
+        reason
+    ]
+    submits: list[ScriptedUpstream] = []
+
+    def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
+        submits.append(upstream)
+        upstream.is_frozen = True
+
+        def resume() -> None:
+            upstream.is_frozen = False
+            respond_plain(upstream, peer, submit)
+
+        if len(submits) == silent:
+            asyncio.get_running_loop().call_later(0.9, resume)
+
+    await entry.add(script, count=count, service="" if kind == "chat" else "ledger")
+    if reason == "retries spent":
+        while entry.budget.try_withdraw(keep_reserve=False):
+            pass
+    path, options = (CHAT, {"body": PLAIN}) if kind == "chat" else (LEDGER, {})
+    response = await entry.fetch(
+        path,
+        method="POST" if kind == "chat" else "GET",
+        headers={"X-Deadline-Ms": "2500" if silent > 1 else "1500"},
+        **options,
+    )
+    assert (response.code, len(submits)) == (200, silent), response.body
+    assert response.body.startswith(submits[-1].host.encode())
+
+
+@with_entry()
+async def test_request_leaves_a_silent_upstream_once_another_one_is_ready(entry: Entry) -> None:
+    def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
+        upstream.is_frozen = upstream is first
+        if upstream is second:
+            respond_plain(upstream, peer, submit)
+
+    first, second = await entry.add(script, count=2)
+    second.status = dataclasses.replace(second.status, state="leaving")
+    second.hub.broadcast(second.status)
+    await asyncio.sleep(0.1)
+    fetch = asyncio.create_task(entry.fetch(CHAT, method="POST", body=PLAIN))
+    await asyncio.sleep(1.8)
+    second.status = dataclasses.replace(second.status, state="ready")
+    response = await fetch
+    assert (response.code, len(first.submits), len(second.submits)) == (200, 1, 1)
+
+
 def _make_claims(**faults: float) -> ClaimRegistry:
     return ClaimRegistry(store=InProcessStore(MemoryStore(), **faults), prefix="/t", owner="e1")
 
