Keep a model API request at a silent upstream until another one responds

Cause: the attempt was withdrawn from the silent upstream before the other one had responded. The class of fault: something is given up before what replaces it is there.

Change: a request may have several attempts. Another one starts only while all are silent, within MAX_ATTEMPTS and the retry budget as before. Each attempt has its own buffer; the first one that has a complete event, or a complete response, cancels the others before anything is forwarded. The silence counts as a failure of the upstream when its attempt is superseded, no longer when it is withdrawn. Requests that must not run twice are never silent in this sense and stay at one upstream.

If the retry fails in a way that is not retried, the request waits at the first upstream, as it does when that is the only one.

--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -199,9 +199,11 @@
     :param deadline: deadline of the first output, by the event loop's clock.
     :param heartbeat_timeout_s: seconds from now after which an upstream that has sent nothing is
         considered unresponsive.
-    :param on_unresponsive: called when the upstream is considered unresponsive.
-    :param may_retry_elsewhere: returns whether a retry is allowed and another upstream could
-        respond in time; the argument is whether it must leave the reserve of retries.
+    :param state: the upstream.
+    :param on_unresponsive: called while the upstream is considered unresponsive.
+    :param on_response: called before the first output is forwarded and when the response is
+        complete; no other attempt may respond from then on.
+    :param on_change: called when the attempt has ended and while it is silent.
     """
 
     __slots__ = (
@@ -210,7 +212,8 @@
         "_deadline",
         "_is_buffered",
         "_loop",
-        "_may_retry_elsewhere",
+        "_on_change",
+        "_on_response",
         "_on_unresponsive",
         "_request",
         "_request_started_at",
@@ -223,7 +226,11 @@
         "has_forwarded_output",
         "has_started",
         "headers",
+        "is_replaced",
+        "is_silent",
+        "is_unresponsive",
         "result",
+        "state",
         "status",
         "version",
     )
@@ -235,11 +242,21 @@
         request_started_at: float,
         deadline: float,
         heartbeat_timeout_s: float,
+        state: UpstreamState,
         on_unresponsive: Callable[[], None],
-        may_retry_elsewhere: Callable[[bool], bool],
+        on_response: Callable[[_AttemptHandler], None],
+        on_change: Callable[[], None],
     ) -> None:
         self._on_unresponsive = on_unresponsive
-        self._may_retry_elsewhere = may_retry_elsewhere
+        self._on_response = on_response
+        self._on_change = on_change
+        self.state = state
+        #: Whether it may be repeated on another upstream while it continues here.
+        self.is_silent = False
+        #: Whether the upstream has sent nothing at all since the attempt was submitted.
+        self.is_unresponsive = False
+        #: Whether another attempt was started because this one was silent.
+        self.is_replaced = False
         self._stall_timeout_at = math.inf
         self._request_started_at = request_started_at
         self._loop = asyncio.get_running_loop()
@@ -250,7 +267,7 @@
         self._buffer = bytearray()
         self._is_buffered = True
         self.attempt: Attempt | None = None
-        self.result: asyncio.Future[CompletedAttempt | Refusal] = self._loop.create_future()
+        self.result: CompletedAttempt | Refusal | None = None
         self.has_started = False
         self.has_forwarded_output = False
         self.status = 0
@@ -265,6 +282,7 @@
     def on_started(self) -> None:
         """Extend the timeout of an engine; a service must respond within the deadline."""
         self.has_started = True
+        self.is_silent = False
         if self._request.kind == "engine":
             now = self._loop.time()
             stall_s = max(STALL_TIMEOUT_MIN_S, STALL_TIMEOUT_FRACTION * (self._deadline - now))
@@ -274,6 +292,7 @@
     def on_head(self, status: int, headers: HeaderPairs, version: str) -> None:
         """Record the status and headers."""
         self.has_started = True
+        self.is_silent = False
         self.status = status
         self.headers = headers
         self.version = version
@@ -317,8 +336,12 @@
 
     def on_end(self, end: CompletedAttempt | Refusal) -> None:
         """Pass the result to the waiting dispatcher."""
-        if not self.result.done():
-            self.result.set_result(end)
+        if self.result is not None:
+            return
+        self.result = end
+        if isinstance(end, CompletedAttempt):
+            self._on_response(self)
+        self._on_change()
 
     def close(self) -> None:
         """Stop the timer."""
@@ -342,6 +365,7 @@
         writer = self._request.writer
         if not self.has_forwarded_output:
             self.has_forwarded_output = True
+            self._on_response(self)
             writer.start(self.status, self.headers, self.version)
         if data:
             writer.write(data)
@@ -354,17 +378,17 @@
             return
         if now >= self._stall_timeout_at:
             self._stall_timeout_at = math.inf
-            if not self.status and self._request.stream and self._may_retry_elsewhere(True):
-                self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "No first output."))
-                return
+            if not self.status and self._request.stream:
+                self.is_silent = True
+                self._on_change()
         if now >= self._unresponsive_at:
             self._unresponsive_at = math.inf
             if attempt is not None and attempt.peer.last_message_at < self._submitted_at:
                 self._on_unresponsive()
-                if self._request.idempotent and self._may_retry_elsewhere(False):
-                    self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, "It is silent."))
-                    return
                 self._unresponsive_at = now + TIMEOUT_CHECK_PERIOD_S
+                if self._request.idempotent:
+                    self.is_silent = self.is_unresponsive = True
+                    self._on_change()
         self._timer = self._loop.call_at(
             min(
                 self._unresponsive_at,
@@ -376,6 +400,84 @@
         )
 
 
+class _RunningAttempts:
+    """The attempts of one request that have not ended.
+
+    Several run only while all of them are silent: the first one that responds ends the others.
+
+    :param links: cancels attempts.
+    :param router: tracks the outcomes of attempts.
+    """
+
+    __slots__ = ("_change", "_handlers", "_links", "_router")
+
+    def __init__(self, *, links: UpstreamLinks, router: Router) -> None:
+        self._links = links
+        self._router = router
+        self._handlers: list[_AttemptHandler] = []
+        self._change = asyncio.Event()
+
+    def __len__(self) -> int:
+        return len(self._handlers)
+
+    @property
+    def are_silent(self) -> bool:
+        """Whether no running attempt is expected to respond; true if there is none."""
+        return all(handler.is_silent for handler in self._handlers)
+
+    @property
+    def has_unresponsive(self) -> bool:
+        """Whether the upstream of an attempt is unresponsive."""
+        return any(handler.is_unresponsive for handler in self._handlers)
+
+    def add(self, added_handler: _AttemptHandler) -> None:
+        """Add an attempt that is about to be sent, beside those that are silent."""
+        for handler in self._handlers:
+            handler.is_replaced = True
+        self._handlers.append(added_handler)
+
+    async def wait(self) -> None:
+        """Wait until an attempt has ended or is silent."""
+        await self._change.wait()
+        self._change.clear()
+
+    def notify(self) -> None:
+        """End the wait."""
+        self._change.set()
+
+    def pop_ended(self) -> tuple[_AttemptHandler, CompletedAttempt | Refusal] | None:
+        """Remove and return an attempt that has ended, with its result; None if all are running."""
+        for handler in self._handlers:
+            result = handler.result
+            if result is not None:
+                self._remove(handler, result if isinstance(result, Refusal) else None)
+                return handler, result
+        return None
+
+    def supersede_others(self, responding_handler: _AttemptHandler) -> None:
+        """Cancel all attempts but the one that responds."""
+        for handler in [item for item in self._handlers if item is not responding_handler]:
+            self._cancel(handler)
+
+    def close(self) -> None:
+        """Cancel all attempts."""
+        for handler in list(self._handlers):
+            self._cancel(handler)
+
+    def _cancel(self, handler: _AttemptHandler) -> None:
+        refusal = handler.result if isinstance(handler.result, Refusal) else None
+        if refusal is None and handler.is_replaced:
+            refusal = Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN)
+        self._remove(handler, refusal)
+
+    def _remove(self, handler: _AttemptHandler, refusal: Refusal | None) -> None:
+        self._handlers.remove(handler)
+        handler.close()
+        if handler.attempt is not None:
+            self._links.cancel(handler.attempt)
+        self._router.end_attempt(handler.state, refusal)
+
+
 class Dispatcher:
     """Dispatches caller requests to upstream processes.
 
@@ -541,62 +643,51 @@
     async def _run_attempts(
         self, request: CallerRequest, deadline: float
     ) -> Result[Response, Refusal]:
-        loop = asyncio.get_running_loop()
-        request_started_at = loop.time()
+        request_started_at = asyncio.get_running_loop().time()
         self._budget.count_request()
-        excluded: set[str] = set()
+        attempts = _RunningAttempts(links=self._links, router=self._router)
+        tried_hosts: set[str] = set()
         may_have_executed = False
+        may_start = True
         refusal: Refusal | None = None
-        for attempt_number in range(1, MAX_ATTEMPTS + 1):
-            time_left_ms = (deadline - loop.time()) * 1000
-            if time_left_ms < 1:
-                refusal = refusal or Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO)
-                break
-            state = self._router.choose(
-                kind=request.kind,
-                name=request.name,
-                rank=request.rank,
-                time_left_ms=time_left_ms,
-                prefix_key=request.prefix_key,
-                excluded=excluded,
-                only_in_time=attempt_number > 1,
-            )
-            if state is None:
-                refusal = refusal or Refusal(codes.NO_UPSTREAM, Executed.NO, "", 1000)
-                break
-            if refusal is not None and not self._budget.try_withdraw(
-                keep_reserve=refusal.code not in UPSTREAM_FAULTS
-            ):
-                break
-            check_invariant(
-                "non_idempotent_runs_once",
-                request.idempotent or not may_have_executed,
-                target=request.name,
-            )
-            handler = _AttemptHandler(
-                request=request,
-                request_started_at=request_started_at,
-                deadline=deadline,
-                heartbeat_timeout_s=self._choose_heartbeat_timeout_s(
-                    state, request.rank, time_left_ms
-                ),
-                on_unresponsive=partial(self._router.mark_suspected, state),
-                may_retry_elsewhere=partial(
-                    self._may_retry_elsewhere, request, state, deadline, excluded, attempt_number
-                ),
-            )
-            result = await self._run_attempt(request, state, handler, int(time_left_ms))
-            if isinstance(result, CompletedAttempt):
-                # A complete response has a status.
-                check_invariant("answer_has_head", handler.status > 0, target=request.name)
-                return Success(handler.make_response(result))
-            refusal = result
-            may_have_executed = may_have_executed or result.executed is not Executed.NO
-            excluded.add(state.host)
-            if not may_retry(
-                result, idempotent=request.idempotent, sent_to_caller=request.writer.is_started
-            ):
-                break
+        try:
+            while True:
+                if may_start and attempts.are_silent and len(tried_hosts) < MAX_ATTEMPTS:
+                    if attempts:
+                        keep_reserve = not attempts.has_unresponsive
+                    else:
+                        keep_reserve = refusal is not None and refusal.code not in UPSTREAM_FAULTS
+                    chosen = self._choose_upstream(
+                        request, deadline, tried_hosts, keep_reserve=keep_reserve
+                    )
+                    if isinstance(chosen, UpstreamState):
+                        check_invariant(
+                            "non_idempotent_runs_once",
+                            request.idempotent or not (may_have_executed or attempts),
+                            target=request.name,
+                        )
+                        tried_hosts.add(chosen.host)
+                        self._start_attempt(request, chosen, attempts, request_started_at, deadline)
+                    else:
+                        refusal = refusal or chosen
+                if not attempts:
+                    break
+                await attempts.wait()
+                while (ended := attempts.pop_ended()) is not None:
+                    handler, result = ended
+                    if isinstance(result, CompletedAttempt):
+                        # A complete response has a status.
+                        check_invariant("answer_has_head", handler.status > 0, target=request.name)
+                        return Success(handler.make_response(result))
+                    refusal = result
+                    may_have_executed = may_have_executed or result.executed is not Executed.NO
+                    may_start = may_start and may_retry(
+                        result,
+                        idempotent=request.idempotent,
+                        sent_to_caller=request.writer.is_started,
+                    )
+        finally:
+            attempts.close()
         assert refusal is not None
         if may_have_executed and refusal.executed is Executed.NO:
             refusal = replace(refusal, executed=Executed.UNKNOWN)
@@ -608,28 +699,35 @@
         )
         return Failure(refusal)
 
-    def _may_retry_elsewhere(
+    def _choose_upstream(
         self,
         request: CallerRequest,
-        state: UpstreamState,
         deadline: float,
-        excluded: set[str],
-        attempt_number: int,
+        tried_hosts: set[str],
+        *,
         keep_reserve: bool,
-    ) -> bool:
-        """Return whether an attempt without output may be retried on another upstream."""
-        if attempt_number == MAX_ATTEMPTS or not self._budget.has_retry(keep_reserve=keep_reserve):
-            return False
+    ) -> UpstreamState | Refusal:
+        """Return the upstream of the next attempt, and withdraw a retry unless it is the first.
+
+        :param keep_reserve: whether the retry must leave the reserve for failures.
+        """
         time_left_ms = (deadline - asyncio.get_running_loop().time()) * 1000
-        other = self._router.choose(
+        if time_left_ms < 1:
+            return Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO)
+        state = self._router.choose(
             kind=request.kind,
             name=request.name,
             rank=request.rank,
             time_left_ms=time_left_ms,
-            excluded=excluded | {state.host},
-            only_in_time=True,
+            prefix_key=request.prefix_key,
+            excluded=tried_hosts,
+            only_in_time=bool(tried_hosts),
         )
-        return other is not None
+        if state is None:
+            return Refusal(codes.NO_UPSTREAM, Executed.NO, "", 1000)
+        if tried_hosts and not self._budget.try_withdraw(keep_reserve=keep_reserve):
+            return Refusal(codes.RETRY_BUDGET_SPENT, Executed.NO)
+        return state
 
     def _choose_heartbeat_timeout_s(
         self, state: UpstreamState, rank: str, time_left_ms: float
@@ -641,24 +739,36 @@
             max(SHORT_WAIT_TIMEOUT_MIN_S, SHORT_WAIT_TIMEOUT_FRACTION * time_left_ms / 1000),
         )
 
-    async def _run_attempt(
+    def _start_attempt(
         self,
         request: CallerRequest,
         state: UpstreamState,
-        handler: _AttemptHandler,
-        time_left_ms: int,
-    ) -> CompletedAttempt | Refusal:
+        attempts: _RunningAttempts,
+        request_started_at: float,
+        deadline: float,
+    ) -> None:
         peer = state.peer
         # Attempts are sent only to upstreams that accept them.
         check_invariant("work_only_to_ready", self._router.accepts_work(state), host=state.host)
         assert peer is not None
+        time_left_ms = (deadline - asyncio.get_running_loop().time()) * 1000
+        handler = _AttemptHandler(
+            request=request,
+            request_started_at=request_started_at,
+            deadline=deadline,
+            heartbeat_timeout_s=self._choose_heartbeat_timeout_s(state, request.rank, time_left_ms),
+            state=state,
+            on_unresponsive=partial(self._router.mark_suspected, state),
+            on_response=attempts.supersede_others,
+            on_change=attempts.notify,
+        )
         submit = Submit(
             attempt_id=self._links.make_id(),
             kind=request.kind,
             name=request.name,
             client_account=request.client_account,
             rank=request.rank,
-            time_left_ms=time_left_ms,
+            time_left_ms=int(time_left_ms),
             method=request.method,
             path=request.path,
             headers=request.headers,
@@ -668,23 +778,17 @@
             estimated_tokens=request.estimated_tokens,
             stream=request.stream,
         )
-        result: CompletedAttempt | Refusal | None = None
+        attempts.add(handler)
         self._router.begin_attempt(state, prefix_key=request.prefix_key)
         try:
             handler.attempt = self._links.submit(peer, submit, handler)
-            if handler.attempt is None:
-                result = Refusal(codes.UPSTREAM_LOST, Executed.NO)
-            else:
-                ATTEMPTS.inc({"kind": request.kind})
-                result = await handler.result
         except MessageError:
-            result = Refusal(codes.BODY_TOO_LARGE, Executed.NO)
-        finally:
-            handler.close()
-            if handler.attempt is not None:
-                self._links.cancel(handler.attempt)
-            self._router.end_attempt(state, result if isinstance(result, Refusal) else None)
-        return result
+            handler.on_end(Refusal(codes.BODY_TOO_LARGE, Executed.NO))
+            return
+        if handler.attempt is None:
+            handler.on_end(Refusal(codes.UPSTREAM_LOST, Executed.NO))
+        else:
+            ATTEMPTS.inc({"kind": request.kind})
 
 
 def _fingerprint(request: CallerRequest) -> str:
--- a/sycamoreproxy/retries.py
+++ b/sycamoreproxy/retries.py
@@ -73,28 +73,21 @@
         """Record the first attempt of a request."""
         self._tokens = min(MAX_SAVED_RETRIES, self._tokens + RETRY_FRACTION)
 
-    def has_retry(self, *, keep_reserve: bool) -> bool:
-        """Return whether :meth:`try_withdraw` would withdraw a retry."""
-        self._refill()
-        return self._tokens >= (1.0 + RETRY_RESERVE if keep_reserve else 1.0)
-
     def try_withdraw(self, *, keep_reserve: bool) -> bool:
         """Withdraw one retry from the budget; return whether it was available.
 
         :param keep_reserve: whether the retry is for lack of capacity, so that the reserve for
             failures must be kept.
         """
-        if not self.has_retry(keep_reserve=keep_reserve):
-            return False
-        self._tokens -= 1.0
-        return True
-
-    def _refill(self) -> None:
         now = self._clock.monotonic()
         if self._tokens < 2 * RETRY_RESERVE:
             refill = (now - self._refilled_at) * 2 * RETRY_RESERVE / RESERVE_REFILL_S
             self._tokens = min(2 * RETRY_RESERVE, self._tokens + refill)
         self._refilled_at = now
+        if self._tokens < (1.0 + RETRY_RESERVE if keep_reserve else 1.0):
+            return False
+        self._tokens -= 1.0
+        return True
 
 
 class CircuitBreaker:
