--- a/sycamoreproxy/retries.py
+++ b/sycamoreproxy/retries.py
@@ -73,11 +73,6 @@
         """Record the first attempt of a request."""
         self._tokens = min(MAX_SAVED_RETRIES, self._tokens + RETRY_FRACTION)
 
-    @property
-    def has_spare_retries(self) -> bool:
-        """Whether a retry would leave the reserve for failures."""
-        return self._tokens >= 1.0 + RETRY_RESERVE
-
     def try_withdraw(self, *, keep_reserve: bool) -> bool:
         """Withdraw one retry from the budget; return whether it was available.
 
