Refuse late requests of the model API in the drain of the role, not in wait_idle

Change: refuse_late_requests is a step of its own, which the drain of the entry role takes after wait_idle.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -215,9 +215,8 @@
         give_up_at = time.monotonic() + FLUSH_LIMIT_S
         while self._server.is_writing() and time.monotonic() < give_up_at:
             await asyncio.sleep(POLL_S)
-        await self._refuse_late_requests()
 
-    async def _refuse_late_requests(self) -> None:
+    async def refuse_late_requests(self) -> None:
         """Close the listener, and refuse the requests that arrive on open connections for a moment.
 
         They may have been sent before the close, or right after a response that began before the
--- a/sycamoreproxy/entry_role.py
+++ b/sycamoreproxy/entry_role.py
@@ -111,6 +111,7 @@
         await asyncio.sleep(BALANCER_LAG_S)
         self._callers.leave()
         await self._callers.wait_idle()
+        await self._callers.refuse_late_requests()
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -295,8 +295,7 @@
         ]
         for connection in connections:
             connection.send(_with_length(_chat()))
-        await entry.server.wait_idle()
-        await entry.server.close()
+        await _stop(entry)
         for connection in connections:
             assert b" 503 " in connection.recv(100)
 
@@ -320,6 +319,7 @@
 
 async def _stop(entry: Entry) -> None:
     await entry.server.wait_idle()
+    await entry.server.refuse_late_requests()
     await entry.server.close()
 
 
