--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -118,7 +118,7 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether an upstream may have executed the request, and none has it now."""
+        """Whether an attempt that has ended or has output may have been executed."""
         return self.first_output_at is not None or self.possibly_executed is not None
 
 
