Test silent upstreams on kept connections while the configuration changes

Now a caller sends three requests on one connection; each is at a silent upstream while the timeout of its route is raised or lowered and the other upstream fails.

--- a/tests/_raw_upstream.py
+++ b/tests/_raw_upstream.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+from collections.abc import Iterable
 
 from tornado.testing import bind_unused_port
 
@@ -72,6 +73,16 @@
             writer.close()
 
 
+async def write_parts(writer: asyncio.StreamWriter, parts: Iterable[bytes | float]) -> None:
+    """Write the bytes among the parts; a number is a pause in seconds."""
+    for part in parts:
+        if isinstance(part, bytes):
+            writer.write(part)
+            await writer.drain()
+        else:
+            await asyncio.sleep(part)
+
+
 class ClosingUpstream:
     """An upstream in a thread of its own, which runs while the event loop is blocked.
 
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -51,7 +51,7 @@
 from sycamoreproxy.watched_documents import DocumentReplica
 from sycamoreproxy.weight_targets import WeightTargets
 from tests._fake_hub import FakeHub
-from tests._raw_upstream import PIECE_BYTES, SIGNED, ClosingUpstream, RawUpstream
+from tests._raw_upstream import PIECE_BYTES, SIGNED, ClosingUpstream, RawUpstream, write_parts
 from tools.addresses import reserve_address
 
 ENGINE = {
@@ -1362,12 +1362,11 @@
                 request_id = re.search(rb"Sycamoreproxy-Request-Id: (\S+)", head)
                 assert request_id is not None
                 answer = self._answers[min(len(self.requests), len(self._answers)) - 1]
-                for part in answer:
-                    if isinstance(part, bytes):
-                        writer.write(part.replace(b"{id}", request_id[1]))
-                        await writer.drain()
-                    else:
-                        await asyncio.sleep(part)
+                parts = (
+                    part.replace(b"{id}", request_id[1]) if isinstance(part, bytes) else part
+                    for part in answer
+                )
+                await write_parts(writer, parts)
         finally:
             writer.close()
 
--- a/tests/test_running_attempts.py
+++ b/tests/test_running_attempts.py
@@ -13,15 +13,18 @@
 from sycamoreproxy.watched_documents import Document
 from tests.test_routed_entry import (
     EVENTS,
+    FAILED,
     FRAMED,
     NOT_EXECUTED,
     PROMPT,
     SILENCE_S,
+    SILENT_ANSWERS,
     UNFRAMED,
     Site,
     _change_routes,
     _put,
     _put_upstream,
+    _read_answer,
     _run_scripted,
     _ScriptedUpstream,
 )
@@ -180,3 +183,30 @@
 
     upstream = _ScriptedUpstream([SILENCE_S + 0.9, FRAMED, *EVENTS], [OWN_FAILURE])
     _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize("timeouts_ms", [(6000, 9000), (9000, 6000)], ids=["raised", "lowered"])
+@pytest.mark.parametrize("path", ["/ask/x", "/read/x"])
+def test_kept_connection_with_a_silent_upstream_survives_changes_of_the_configuration(
+    path: str, timeouts_ms: tuple[int, int]
+) -> None:
+    async def action(site: Site) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        fields = {"Host": "office.example", "X-Api-Key": "office-key", "Content-Length": "0"}
+        fields |= {name.replace("_", "-"): value for name, value in PROMPT.items()}
+        for number in range(3):
+            _change_routes(site, timeout_ms=timeouts_ms[0])
+            fields["Sycamoreproxy-Request-Id"] = f"kept-{number}"
+            fields["Sycamoreproxy-Deadline-Ms"] = "6000"
+            head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+            writer.write(f"POST {path} HTTP/1.1\r\n{head}\r\n".encode())
+            answer = asyncio.create_task(_read_answer(reader))
+            await asyncio.sleep(0.3)
+            assert not answer.done()
+            _change_routes(site, timeout_ms=timeouts_ms[1])
+            status, _, body, is_complete = await answer
+            assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        writer.close()
+
+    upstream = _ScriptedUpstream(*[SILENT_ANSWERS[path], [FAILED]] * 3)
+    _run_scripted(upstream, [0, 1, 2, 3], action)
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -13,7 +13,7 @@
 from tornado.testing import bind_unused_port
 
 from sycamoreproxy.watched_documents import Document
-from tests._raw_upstream import SIGNED
+from tests._raw_upstream import SIGNED, write_parts
 from tests.test_routed_entry import (
     GENERATION_HEADERS,
     NOT_EXECUTED,
@@ -98,12 +98,8 @@
                 draw = random.Random(f"{self._seed} {request_id} {attempt}")
                 last_event = int(_find(rb"Last-Event-Id: (\d+)", head) or 0)
                 make = _answer_sound if attempt == 1 else _answer_failing
-                for part in make(draw, request_id.encode(), b"".join(EVENTS[last_event:])):
-                    if isinstance(part, bytes):
-                        writer.write(part)
-                        await writer.drain()
-                    else:
-                        await asyncio.sleep(part)
+                rest = b"".join(EVENTS[last_event:])
+                await write_parts(writer, make(draw, request_id.encode(), rest))
         finally:
             writer.close()
 
