Name the limit that ended a request in its log line

What callers saw: streams cut in the middle.

Change: detail names the limit, also in the 504 that a caller gets; request ended has the caller's time, the route's timeout, the time until the end of a stop and the largest output that the caller permits.

Evidence: test_log_line_of_a_cut_stream_names_the_limit_that_ended_it, three cases; the detail of two was empty before.

--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -81,6 +82,14 @@
         self.may_resend = may_resend
 
 
+class TimeLimit(StrEnum):
+    """A limit on the time of a request; the value tells the caller which one has ended it."""
+
+    CALLER = "the caller's deadline has passed"
+    ROUTE = "the route's timeout has passed"
+    STOP = "the process is stopping"
+
+
 @dataclass(slots=True)
 class RequestProgress:
     """State of one request across its attempts.
@@ -121,6 +130,13 @@
         """Whether an attempt that has ended or has output may have been executed."""
         return self.first_output_at is not None or self.possibly_executed is not None
 
+    @property
+    def deadline_source(self) -> TimeLimit:
+        """The limit that sets the deadline."""
+        if self.route.timeout_s < self.request.time_left_s:
+            return TimeLimit.ROUTE
+        return TimeLimit.CALLER
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptOutcome:
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -22,6 +22,7 @@
     Reply,
     RequestProgress,
     ResponseMismatchError,
+    TimeLimit,
 )
 from sycamoreproxy.caller_deadlines import CallerDeadlines
 from sycamoreproxy.caller_request import (
@@ -402,11 +403,11 @@
     def _make_timeout_refusal(self, progress: RequestProgress) -> Refusal:
         """Return the refusal of a request whose timeout has expired."""
         is_stopping = self._stop_at < progress.deadline
+        limit = TimeLimit.STOP if is_stopping else progress.deadline_source
         if progress.executions:
-            detail = "the process is stopping" if is_stopping else ""
-            return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=detail)
+            return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=str(limit))
         code = codes.LEAVING if is_stopping else codes.DEADLINE_UNREACHABLE
-        return Refusal(code, Executed.NO)
+        return Refusal(code, Executed.NO, detail=str(limit))
 
     def _check_stop(self, progress: RequestProgress, *, forecast_s: float = 0.0) -> Refusal | None:
         """Return a refusal if the process stops before a request can be finished.
@@ -947,6 +948,14 @@
             rank=progress.route.rank,
             level=progress.level,
             prompt=progress.request.prompt_tokens,
+            output_max=progress.request.answer_tokens,
+            caller_ms=round(progress.request.time_left_s * 1000),
+            timeout_ms=round(progress.route.timeout_s * 1000),
+            stop_ms=(
+                None
+                if self._stop_at == math.inf
+                else round((self._stop_at - progress.received_at) * 1000)
+            ),
             upstreams=progress.instances.strip(),
             attempts=progress.attempts,
             waited_ms=round(progress.waited_s * 1000),
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -10,6 +10,7 @@
 import structlog.testing
 from tornado.httputil import HTTPHeaders
 
+from sycamoreproxy.answer_relay import TimeLimit
 from sycamoreproxy.caller_request import CallerRequest
 from sycamoreproxy.idle_connections import STOP_WAIT_S
 from sycamoreproxy.route_table import CallerBounds
@@ -64,6 +65,38 @@
     run_with_site(action)
 
 
+@pytest.mark.parametrize(
+    ("deadline_ms", "timeout_ms", "limit"),
+    [
+        (300, 9000, TimeLimit.CALLER),
+        (9000, 300, TimeLimit.ROUTE),
+        (9000, 9000, TimeLimit.STOP),
+    ],
+)
+def test_log_line_of_a_cut_stream_names_the_limit_that_ended_it(
+    deadline_ms: int, timeout_ms: int, limit: TimeLimit
+) -> None:
+    """Streams cut by their caller's deadline and by their route's timeout looked the same."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=timeout_ms)
+        for faults in site.faults:
+            faults.replace({"event_s": 0.4})
+        headers = GENERATION_HEADERS | {"Sycamoreproxy_Deadline_Ms": str(deadline_ms)}
+        with structlog.testing.capture_logs() as lines:
+            sending = asyncio.create_task(site.send("/ask/x", **headers))
+            await _wait_until(lambda: site.count_runs())
+            if limit is TimeLimit.STOP:
+                site.front.dispatcher.end_requests_within(0.3)
+            assert not (await sending)[3]
+        (line,) = [line for line in lines if line["event"] == "request ended"]
+        assert (line["code"], line["detail"]) == (1307, limit)
+        assert (line["caller_ms"], line["timeout_ms"]) == (deadline_ms, timeout_ms)
+        assert line["output_max"] == 25
+
+    run_with_site(action)
+
+
 def test_response_that_the_process_cuts_has_a_log_line() -> None:
     async def action(site: Site) -> None:
         for faults in site.faults:
