Refuse in a stop what may outlast it

Cause: _check_stop compared the time left with the latency goal or the forecast of a mean response at nominal pace, so a longer or slower response was begun.

Change: a generation is begun in a stop only if the longest output that its caller permits, at the pace that the engine reports, ends in time. From the close of unused connections on, any request is begun only if its caller's deadline or its route's timeout ends before the stop. Retry-After of code 1207 was 0.2 to 0.33 of the caller's time, as for an overload; it is now the time until the load balancer sends new connections elsewhere (2 s after SIGTERM), plus up to 0.1 s. What an upstream may have executed is judged by the forecast of the mean as before.

Evidence: 17 of the 22 new cases in tests/test_stop_connections.py fail on the parent; in six of them the caller gets a cut 200 or a 504, in the others a request is begun that may outlast the stop.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -51,6 +51,7 @@
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
 from sycamoreproxy.running_attempts import RunningAttempt, RunningAttempts
+from sycamoreproxy.stop_schedule import StopSchedule
 from sycamoreproxy.upstream_book import UpstreamCatalog, UpstreamRecord
 from sycamoreproxy.upstream_limits import UpstreamLimits
 from sycamoreproxy.waiting_line import Overload, QueuedRequest, RequestQueue
@@ -85,6 +86,8 @@
 #: engine's last report may have by then, in seconds.
 CRASH_NOTICE_S = 1.0
 CRASH_NOTICE_REPORT_AGE_S = 0.5
+#: Range over which the retries of callers that a stopping host refused are spread, in seconds.
+LEAVING_SPREAD_S = 0.1
 #: Range over which retries are spread after the end of a hold or a quarantine, as a fraction of the
 #: remaining time.
 HOLD_SPREAD_FRACTION = 0.1
@@ -134,7 +137,7 @@
         self._deadlines = CallerDeadlines(clock=clock)
         self.buffer_budget = BufferBudget()
         self.open_requests = 0
-        self._stop_at = math.inf
+        self._stop = StopSchedule()
         self._timeouts: set[asyncio.Timeout] = set()
         #: Called when a request is queued for lack of capacity.
         self.on_queued: Callable[[], None] = lambda: None
@@ -171,13 +174,25 @@
             client.close()
         self._clients_by_address.clear()
 
-    def end_requests_within(self, seconds: float) -> None:
+    def end_requests_within(
+        self, seconds: float, *, unlisted_in_s: float = 0.0, closes_in_s: float = 0.0
+    ) -> None:
         """End all requests within this time, in seconds, including those that are still to come.
 
         Requests that cannot be finished by then are refused at once; those in progress at the end
         are refused then.
+
+        :param unlisted_in_s: time until load balancers send no new connections here, in seconds.
+        :param closes_in_s: time until connections without a request are closed, in seconds.
         """
-        self._stop_at = min(self._stop_at, self._clock.monotonic() + seconds)
+        now = self._clock.monotonic()
+        self._stop = self._stop.advance(
+            StopSchedule(
+                unlisted_at=now + unlisted_in_s,
+                closes_at=now + closes_in_s,
+                ends_at=now + seconds,
+            )
+        )
         for timeout in self._timeouts:
             self._limit_timeout(timeout)
 
@@ -262,14 +277,21 @@
             return
         retry_after = None
         if refusal.executed is Executed.NO and refusal.code.retry_helps:
-            retry_after = request.time_left_s * self._random.uniform(
-                RETRY_AFTER_MIN_FRACTION, RETRY_AFTER_MAX_FRACTION
-            )
-            if refusal.retry_after_ms:
-                spread_s = HOLD_SPREAD_FRACTION * request.time_left_s * self._random.random()
-                retry_after = refusal.retry_after_ms / 1000 + spread_s
+            retry_after = self._choose_retry_delay_s(request, refusal)
         reply.refuse(refusal, retry_after_s=retry_after)
 
+    def _choose_retry_delay_s(self, request: CallerRequest, refusal: Refusal) -> float:
+        """Return the time after which a refused caller may retry, in seconds."""
+        if refusal.code is codes.LEAVING:
+            unlisted_s = max(0.0, self._stop.unlisted_at - self._clock.monotonic())
+            return unlisted_s + LEAVING_SPREAD_S * self._random.random()
+        if refusal.retry_after_ms:
+            spread_s = HOLD_SPREAD_FRACTION * request.time_left_s * self._random.random()
+            return refusal.retry_after_ms / 1000 + spread_s
+        return request.time_left_s * self._random.uniform(
+            RETRY_AFTER_MIN_FRACTION, RETRY_AFTER_MAX_FRACTION
+        )
+
     # Steps
 
     def _resolve(
@@ -326,9 +348,7 @@
         if isinstance(choice, Refusal):
             return choice
         # The request may have been queued for seconds.
-        refusal = self._check_quarantine(progress) or self._check_stop(
-            progress, forecast_s=choice.forecast_s
-        )
+        refusal = self._check_quarantine(progress) or self._check_stop(progress, choice)
         if refusal is not None:
             self._selector.end(choice, failed=None)
             return refusal
@@ -395,34 +415,50 @@
 
     def _limit_timeout(self, timeout: asyncio.Timeout) -> None:
         """Have the timeout of a request expire when requests must have ended, if not earlier."""
-        stop_at = asyncio.get_running_loop().time() + self._stop_at - self._clock.monotonic()
+        stop_at = asyncio.get_running_loop().time() + self._stop.ends_at - self._clock.monotonic()
         deadline = timeout.when()
         if deadline is not None and stop_at < deadline and not timeout.expired():
             timeout.reschedule(stop_at)
 
     def _make_timeout_refusal(self, progress: RequestProgress) -> Refusal:
         """Return the refusal of a request whose timeout has expired."""
-        is_stopping = self._stop_at < progress.deadline
+        is_stopping = self._stop.ends_at < progress.deadline
         limit = TimeLimit.STOP if is_stopping else progress.deadline_source
         if progress.executions:
             return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=str(limit))
         code = codes.LEAVING if is_stopping else codes.DEADLINE_UNREACHABLE
         return Refusal(code, Executed.NO, detail=str(limit))
 
-    def _check_stop(self, progress: RequestProgress, *, forecast_s: float = 0.0) -> Refusal | None:
-        """Return a refusal if the process stops before a request can be finished.
+    def _check_stop(
+        self, progress: RequestProgress, choice: Choice | None = None
+    ) -> Refusal | None:
+        """Return a refusal if the process may stop before a request is finished.
 
-        :param forecast_s: forecast time to the first token, in seconds.
+        :param choice: upstream for the request; None if it is not chosen yet.
         """
-        if self._stop_at == math.inf:
+        if not self._stop.is_stopping:
             return None
-        needed_s = max(
-            progress.route.target_latency_s, forecast_s + self._forecast_generation_s(progress)
-        )
-        if self._stop_at - self._clock.monotonic() >= needed_s:
+        needed_s = self._find_needed_s(progress, choice)
+        if self._stop.ends_at - self._clock.monotonic() >= needed_s:
             return None
         return Refusal(codes.LEAVING, Executed.NO, detail=f"{needed_s:.2f} s needed")
 
+    def _find_needed_s(self, progress: RequestProgress, choice: Choice | None) -> float:
+        """Return the time that a request needs in a stop, in seconds.
+
+        One that an upstream may have executed needs that of a mean response: its caller gains
+        nothing if it is ended early.
+        """
+        longest_s = progress.deadline - self._clock.monotonic()
+        first_s = choice.forecast_s if choice is not None else 0.0
+        if progress.executions:
+            generation_s = self._forecast_generation_s(progress)
+        elif progress.received_at >= self._stop.closes_at:
+            return longest_s
+        else:
+            generation_s = self._forecast_longest_generation_s(progress, choice)
+        return min(longest_s, max(progress.route.target_latency_s, first_s + generation_s))
+
     def _check_quarantine(self, progress: RequestProgress) -> Refusal | None:
         """Return a refusal if a part of the prompt is in quarantine."""
         found = self._quarantine.find(progress.request.prompt_parts)
@@ -509,7 +545,7 @@
         """Return the time after which a request that is sent again may still respond in time."""
         last_output_at = progress.last_output_at or progress.received_at
         abandoned_at = last_output_at + progress.route.caller_timeout_s
-        latest_response_at = min(progress.deadline, abandoned_at, self._stop_at)
+        latest_response_at = min(progress.deadline, abandoned_at, self._stop.ends_at)
         return latest_response_at - progress.route.target_latency_s - self._clock.monotonic()
 
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
@@ -549,7 +585,7 @@
         outcome = queue.submit(
             requirements,
             goal_s=progress.route.target_latency_s,
-            time_left_s=min(time_left, self._stop_at - self._clock.monotonic()),
+            time_left_s=min(time_left, self._stop.ends_at - self._clock.monotonic()),
             caller_timeout_s=progress.route.caller_timeout_s
             - (self._clock.monotonic() - progress.received_at),
             generation_s=self._forecast_generation_s(progress),
@@ -885,6 +921,22 @@
             tokens = min(tokens, request.answer_tokens)
         return EngineForecast(engine).generation_s(tokens)
 
+    def _forecast_longest_generation_s(
+        self, progress: RequestProgress, choice: Choice | None
+    ) -> float:
+        """Return the time from the first token to the end of the longest response, in seconds.
+
+        It is infinite for a stream whose caller names no maximum length.
+        """
+        engine = progress.service.engine
+        if engine is None:
+            return math.inf if progress.route.kind is RouteKind.STREAMING else 0.0
+        tokens = progress.request.answer_tokens
+        if not tokens:
+            return math.inf
+        pace = choice.pace if choice is not None else 1.0
+        return EngineForecast(engine, pace).generation_s(tokens)
+
     def _find_nominal_rate(self, service: str) -> float:
         """Return this host's share of the throughput of a service's engines, in requests/s."""
         spec = self._table().services_by_name.get(service)
@@ -952,9 +1004,9 @@
             caller_ms=round(progress.request.time_left_s * 1000),
             timeout_ms=round(progress.route.timeout_s * 1000),
             stop_ms=(
-                None
-                if self._stop_at == math.inf
-                else round((self._stop_at - progress.received_at) * 1000)
+                round((self._stop.ends_at - progress.received_at) * 1000)
+                if self._stop.is_stopping
+                else None
             ),
             upstreams=progress.instances.strip(),
             attempts=progress.attempts,
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -45,8 +45,10 @@
 #: Minimum interval between attempts to dispatch queued requests after load reports, in seconds. An
 #: attempt takes about as long as handling ten reports; a host receives up to 280 a second.
 MIN_DISPATCH_INTERVAL_S = 0.02
-#: Time after SIGTERM during which new connections are still accepted, in seconds. The load balancer
-#: probes once per second and sends no new connections after two failed probes.
+#: Time after SIGTERM until the load balancer sends no new connections, in seconds. It probes once per
+#: second and stops after two failed probes.
+UNLISTED_S = 2.0
+#: Time after SIGTERM during which new connections are still accepted, in seconds.
 READY_DRAIN_S = 2.8
 #: Part of the grace period that is reserved for closing connections, in seconds.
 CLOSE_RESERVE_S = 1.0
@@ -146,7 +148,9 @@
         self._is_leaving = True
         self._caller_server.leave()
         close_timeout_s = max(0.1, self.settings.bounds.stop_s - READY_DRAIN_S - CLOSE_RESERVE_S)
-        self._dispatcher.end_requests_within(READY_DRAIN_S + close_timeout_s)
+        self._dispatcher.end_requests_within(
+            READY_DRAIN_S + close_timeout_s, unlisted_in_s=UNLISTED_S, closes_in_s=READY_DRAIN_S
+        )
         await asyncio.sleep(READY_DRAIN_S)
         await self._caller_server.close(wait_s=close_timeout_s)
 
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import time
 
@@ -13,7 +14,9 @@
 from sycamoreproxy.answer_relay import TimeLimit
 from sycamoreproxy.caller_request import CallerRequest
 from sycamoreproxy.idle_connections import STOP_WAIT_S
+from sycamoreproxy.placement import LoadReport
 from sycamoreproxy.route_table import CallerBounds
+from sycamoreproxy.routed_dispatch import LEAVING_SPREAD_S
 from sycamoreproxy.routed_http import CallerReply
 from tests.test_caller_connections import _Connection, _make_request
 from tests.test_routed_entry import (
@@ -126,6 +129,99 @@
     run_with_site(action)
 
 
+@pytest.mark.parametrize("answer_tokens", [25, 0], ids=["long", "of unknown length"])
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x", "/order/x"])
+def test_generation_that_may_outlast_a_stop_is_not_begun_in_the_close(
+    path: str, answer_tokens: int
+) -> None:
+    """A generation that took longer than the forecast was cut, or answered with 504, at the end."""
+
+    async def action(site: Site) -> None:
+        for faults in site.faults:
+            faults.replace({"event_s": 0.5})
+        headers = _make_generation_headers(answer_tokens)
+        answer = await _send_in_the_close(site, path, headers)
+        status, answer_headers, body, is_complete = answer
+        assert (status, is_complete) == (503, True)
+        error = json.loads(body)["error"]
+        assert (error["code"], error["executed"]) == (1207, "no")
+        assert float(answer_headers["Retry-After"]) <= LEAVING_SPREAD_S
+        assert not any(runner.received for runner in site.runners)
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize(
+    ("answer_tokens", "pace", "status"),
+    [(25, 1.0, 200), (2000, 1.0, 503), (25, 100.0, 503), (0, 1.0, 503)],
+    ids=["short", "long", "slow engine", "of unknown length"],
+)
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x", "/order/x"])
+def test_generation_whose_longest_response_outlasts_a_stop_is_not_begun(
+    path: str, answer_tokens: int, pace: float, status: int
+) -> None:
+    """The forecast of a mean response let streams begin that the stop cut."""
+
+    async def action(site: Site) -> None:
+        for runner in site.runners[:2]:
+            report = LoadReport(
+                received_at=time.monotonic(),
+                running=0,
+                waiting=0,
+                pace=pace,
+                version_by_model=(("m1", 1),),
+            )
+            site.front.dispatcher._selector.update_report(runner.instance, report)
+        site.front.leave()
+        site.front.dispatcher.end_requests_within(1.5, unlisted_in_s=0.8, closes_in_s=1.0)
+        answer = await site.send(path, **_make_generation_headers(answer_tokens))
+        assert (answer[0], answer[3]) == (status, True)
+        if status == 503:
+            assert 0.7 < float(answer[1]["Retry-After"]) < 0.8 + LEAVING_SPREAD_S
+            assert not site.count_runs()
+
+    run_with_site(action)
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/post/x"])
+@pytest.mark.parametrize(("deadline_ms", "status"), [(500, 200), (9000, 503)])
+def test_plain_request_that_may_outlast_a_stop_is_not_begun_in_the_close(
+    path: str, deadline_ms: int, status: int
+) -> None:
+    async def action(site: Site) -> None:
+        headers = {"Sycamoreproxy_Deadline_Ms": str(deadline_ms)}
+        answer = await _send_in_the_close(site, path, headers)
+        assert (answer[0], answer[3]) == (status, True)
+        assert site.count_runs() == (status == 200)
+
+    run_with_site(action)
+
+
+def _make_generation_headers(answer_tokens: int) -> dict[str, str]:
+    """Return the headers of a generation with a limit on its tokens; 0 for none."""
+    return GENERATION_HEADERS | {
+        "Sycamoreproxy_Token_Count": f"100,{answer_tokens}" if answer_tokens else "100",
+        "Sycamoreproxy_Deadline_Ms": "9000",
+    }
+
+
+async def _send_in_the_close(
+    site: Site, path: str, headers: dict[str, str]
+) -> tuple[int, dict[str, str], bytes, bool]:
+    """Stop the host and send a request on a new connection; return its response as `Site.send`."""
+    async with _Connection(site) as connection:
+        closing = asyncio.create_task(site.front.close(wait_s=1.6))
+        await asyncio.sleep(0.1)
+        fields = "".join(f"{name.replace('_', '-')}: {text}\r\n" for name, text in headers.items())
+        connection.send_at_once(
+            f"POST {path} HTTP/1.1\r\nHost: office.example\r\nSycamoreproxy-Request-Id: a\r\n"
+            f"X-Api-Key: office-key\r\nContent-Length: 0\r\n{fields}\r\n".encode()
+        )
+        answer = await _read_answer(connection._reader)
+        await closing
+    return answer
+
+
 async def _read_status(caller: socket.socket) -> int:
     """Return the status of the next response; 0 without a response."""
     reader, writer = await asyncio.open_connection(sock=caller)
