Do not queue a request in a stop beyond the time that its longest response needs

Cause: the queue subtracted the mean response from the time left until the stop, while the check at dispatch asks for the longest.

Change: the queue gets the time left less what the check asks for; a request that would wait only for the stop is refused with 1207, so that its caller is told to go elsewhere at once, also when it expires in the queue.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -54,7 +54,12 @@
 from sycamoreproxy.stop_schedule import StopSchedule
 from sycamoreproxy.upstream_book import UpstreamCatalog, UpstreamRecord
 from sycamoreproxy.upstream_limits import UpstreamLimits
-from sycamoreproxy.waiting_line import Overload, QueuedRequest, RequestQueue
+from sycamoreproxy.waiting_line import (
+    MAX_WAIT_GOAL_FRACTION,
+    Overload,
+    QueuedRequest,
+    RequestQueue,
+)
 from sycamoreproxy.weight_targets import WeightTargets
 
 #: Largest declared content length of a response that is read, in bytes. The received bytes are
@@ -420,13 +425,23 @@
         if deadline is not None and stop_at < deadline and not timeout.expired():
             timeout.reschedule(stop_at)
 
+    def _find_time_limit(self, progress: RequestProgress) -> TimeLimit:
+        """Return the limit that ends a request first."""
+        if self._stop.ends_at < progress.deadline:
+            return TimeLimit.STOP
+        return progress.deadline_source
+
     def _make_timeout_refusal(self, progress: RequestProgress) -> Refusal:
         """Return the refusal of a request whose timeout has expired."""
-        is_stopping = self._stop.ends_at < progress.deadline
-        limit = TimeLimit.STOP if is_stopping else progress.deadline_source
-        if progress.executions:
-            return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=str(limit))
-        code = codes.LEAVING if is_stopping else codes.DEADLINE_UNREACHABLE
+        if not progress.executions:
+            return self._make_unsent_refusal(progress)
+        limit = self._find_time_limit(progress)
+        return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=str(limit))
+
+    def _make_unsent_refusal(self, progress: RequestProgress) -> Refusal:
+        """Return the refusal of a request that no upstream took in time."""
+        limit = self._find_time_limit(progress)
+        code = codes.LEAVING if limit is TimeLimit.STOP else codes.DEADLINE_UNREACHABLE
         return Refusal(code, Executed.NO, detail=str(limit))
 
     def _check_stop(
@@ -459,6 +474,17 @@
             generation_s = self._forecast_longest_generation_s(progress, choice)
         return min(longest_s, max(progress.route.target_latency_s, first_s + generation_s))
 
+    def _find_stop_time_left_s(self, progress: RequestProgress) -> float:
+        """Return the time within which a queued generation of mean length must end for a stop, in seconds.
+
+        A request that waits longer would be refused by :meth:`_check_stop` when it is dispatched.
+        """
+        if self._stop.ends_at >= progress.deadline:
+            return math.inf
+        needed_s = self._find_needed_s(progress, None)
+        reserve_s = max(0.0, needed_s - self._forecast_generation_s(progress))
+        return self._stop.ends_at - reserve_s - self._clock.monotonic()
+
     def _check_quarantine(self, progress: RequestProgress) -> Refusal | None:
         """Return a refusal if a part of the prompt is in quarantine."""
         found = self._quarantine.find(progress.request.prompt_parts)
@@ -585,13 +611,17 @@
         outcome = queue.submit(
             requirements,
             goal_s=progress.route.target_latency_s,
-            time_left_s=min(time_left, self._stop.ends_at - self._clock.monotonic()),
+            time_left_s=min(time_left, self._find_stop_time_left_s(progress)),
             caller_timeout_s=progress.route.caller_timeout_s
             - (self._clock.monotonic() - progress.received_at),
             generation_s=self._forecast_generation_s(progress),
             is_retry=is_retry,
         )
         if isinstance(outcome, Overload):
+            longest_wait_s = MAX_WAIT_GOAL_FRACTION * progress.route.target_latency_s
+            is_stopping = self._find_time_limit(progress) is TimeLimit.STOP
+            if is_stopping and outcome.wait_s <= longest_wait_s:
+                return self._make_unsent_refusal(progress)
             return Refusal(codes.OVERLOADED, Executed.NO, detail=f"wait {outcome.wait_s:.2f} s")
         if isinstance(outcome, QueuedRequest):
             self.on_queued()
@@ -609,7 +639,7 @@
             finally:
                 queue.remove(outcome)
             progress.waited_s = self._clock.monotonic() - outcome.arrived_at
-            return choice or Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO)
+            return choice or self._make_unsent_refusal(progress)
         return outcome
 
     def _make_requirements(self, progress: RequestProgress) -> Requirements:
--- a/tests/test_stop_connections.py
+++ b/tests/test_stop_connections.py
@@ -183,6 +183,33 @@
     run_with_site(action)
 
 
+def test_generation_is_not_queued_in_a_stop_until_its_longest_response_outlasts_it() -> None:
+    """Requests waited for an engine up to 2.6 s and were then refused as too long for the stop."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=9000, target_latency_ms=2000)
+        for faults in site.faults[:2]:
+            faults.replace({"read_s": 3.0})
+        headers = _make_generation_headers(3000)
+        filling = [asyncio.create_task(site.send("/once/x", **headers)) for _ in range(24)]
+        await _wait_until(lambda: site.front.dispatcher.has_waiting)
+        site.front.leave()
+        site.front.dispatcher.end_requests_within(4.1, unlisted_in_s=1.0, closes_in_s=2.0)
+        started_at = time.monotonic()
+        sending = asyncio.create_task(site.send("/order/x", **headers))
+        while not sending.done():
+            site.front.dispatcher.dispatch_waiting()
+            await asyncio.sleep(0.02)
+        status, _, body, _ = sending.result()
+        error = json.loads(body)["error"]
+        assert (status, error["code"], error["executed"]) == (503, 1207, "no")
+        assert time.monotonic() - started_at < 2.0
+        for task in filling:
+            task.cancel()
+
+    run_with_site(action)
+
+
 @pytest.mark.parametrize("path", ["/read/x", "/post/x"])
 @pytest.mark.parametrize(("deadline_ms", "status"), [(500, 200), (9000, 503)])
 def test_plain_request_that_may_outlast_a_stop_is_not_begun_in_the_close(
