--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -33,6 +33,7 @@
 )
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
+from sycamoreproxy.generation_forecast import forecast_mean_generation_s
 from sycamoreproxy.held_bytes import BufferBudget
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import (
@@ -51,7 +52,7 @@
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
 from sycamoreproxy.running_attempts import RunningAttempt, RunningAttempts
-from sycamoreproxy.stop_schedule import StopSchedule
+from sycamoreproxy.stop_limit import StopLimit
 from sycamoreproxy.upstream_book import UpstreamCatalog, UpstreamRecord
 from sycamoreproxy.upstream_limits import UpstreamLimits
 from sycamoreproxy.waiting_line import (
@@ -142,7 +143,7 @@
         self._deadlines = CallerDeadlines(clock=clock)
         self.buffer_budget = BufferBudget()
         self.open_requests = 0
-        self._stop = StopSchedule()
+        self._stop = StopLimit(clock=clock)
         self._timeouts: set[asyncio.Timeout] = set()
         #: Called when a request is queued for lack of capacity.
         self.on_queued: Callable[[], None] = lambda: None
@@ -190,14 +191,7 @@
         :param unlisted_in_s: time until load balancers send no new connections here, in seconds.
         :param closes_in_s: time until connections without a request are closed, in seconds.
         """
-        now = self._clock.monotonic()
-        self._stop = self._stop.advance(
-            StopSchedule(
-                unlisted_at=now + unlisted_in_s,
-                closes_at=now + closes_in_s,
-                ends_at=now + seconds,
-            )
-        )
+        self._stop.shorten(ends_in_s=seconds, unlisted_in_s=unlisted_in_s, closes_in_s=closes_in_s)
         for timeout in self._timeouts:
             self._limit_timeout(timeout)
 
@@ -288,8 +282,7 @@
     def _choose_retry_delay_s(self, request: CallerRequest, refusal: Refusal) -> float:
         """Return the time after which a refused caller may retry, in seconds."""
         if refusal.code is codes.LEAVING:
-            unlisted_s = max(0.0, self._stop.unlisted_at - self._clock.monotonic())
-            return unlisted_s + LEAVING_SPREAD_S * self._random.random()
+            return self._stop.find_unlisted_s() + LEAVING_SPREAD_S * self._random.random()
         if refusal.retry_after_ms:
             spread_s = HOLD_SPREAD_FRACTION * request.time_left_s * self._random.random()
             return refusal.retry_after_ms / 1000 + spread_s
@@ -344,7 +337,7 @@
 
     async def _choose_next(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt of a request that no upstream has."""
-        refusal = self._check_quarantine(progress) or self._check_stop(progress)
+        refusal = self._check_quarantine(progress) or self._stop.check(progress)
         if refusal is not None:
             return refusal
         if progress.may_have_run:
@@ -353,7 +346,7 @@
         if isinstance(choice, Refusal):
             return choice
         # The request may have been queued for seconds.
-        refusal = self._check_quarantine(progress) or self._check_stop(progress, choice)
+        refusal = self._check_quarantine(progress) or self._stop.check(progress, choice)
         if refusal is not None:
             self._selector.end(choice, failed=None)
             return refusal
@@ -425,66 +418,19 @@
         if deadline is not None and stop_at < deadline and not timeout.expired():
             timeout.reschedule(stop_at)
 
-    def _find_time_limit(self, progress: RequestProgress) -> TimeLimit:
-        """Return the limit that ends a request first."""
-        if self._stop.ends_at < progress.deadline:
-            return TimeLimit.STOP
-        return progress.deadline_source
-
     def _make_timeout_refusal(self, progress: RequestProgress) -> Refusal:
         """Return the refusal of a request whose timeout has expired."""
         if not progress.executions:
             return self._make_unsent_refusal(progress)
-        limit = self._find_time_limit(progress)
+        limit = self._stop.find_time_limit(progress)
         return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=str(limit))
 
     def _make_unsent_refusal(self, progress: RequestProgress) -> Refusal:
         """Return the refusal of a request that no upstream took in time."""
-        limit = self._find_time_limit(progress)
+        limit = self._stop.find_time_limit(progress)
         code = codes.LEAVING if limit is TimeLimit.STOP else codes.DEADLINE_UNREACHABLE
         return Refusal(code, Executed.NO, detail=str(limit))
 
-    def _check_stop(
-        self, progress: RequestProgress, choice: Choice | None = None
-    ) -> Refusal | None:
-        """Return a refusal if the process may stop before a request is finished.
-
-        :param choice: upstream for the request; None if it is not chosen yet.
-        """
-        if not self._stop.is_stopping:
-            return None
-        needed_s = self._find_needed_s(progress, choice)
-        if self._stop.ends_at - self._clock.monotonic() >= needed_s:
-            return None
-        return Refusal(codes.LEAVING, Executed.NO, detail=f"{needed_s:.2f} s needed")
-
-    def _find_needed_s(self, progress: RequestProgress, choice: Choice | None) -> float:
-        """Return the time that a request needs in a stop, in seconds.
-
-        One that an upstream may have executed needs that of a mean response: its caller gains
-        nothing if it is ended early.
-        """
-        longest_s = progress.deadline - self._clock.monotonic()
-        first_s = choice.forecast_s if choice is not None else 0.0
-        if progress.executions:
-            generation_s = self._forecast_generation_s(progress)
-        elif progress.received_at >= self._stop.closes_at:
-            return longest_s
-        else:
-            generation_s = self._forecast_longest_generation_s(progress, choice)
-        return min(longest_s, max(progress.route.target_latency_s, first_s + generation_s))
-
-    def _find_stop_time_left_s(self, progress: RequestProgress) -> float:
-        """Return the time within which a queued generation of mean length must end for a stop, in seconds.
-
-        A request that waits longer would be refused by :meth:`_check_stop` when it is dispatched.
-        """
-        if self._stop.ends_at >= progress.deadline:
-            return math.inf
-        needed_s = self._find_needed_s(progress, None)
-        reserve_s = max(0.0, needed_s - self._forecast_generation_s(progress))
-        return self._stop.ends_at - reserve_s - self._clock.monotonic()
-
     def _check_quarantine(self, progress: RequestProgress) -> Refusal | None:
         """Return a refusal if a part of the prompt is in quarantine."""
         found = self._quarantine.find(progress.request.prompt_parts)
@@ -527,7 +473,7 @@
             or not budget.allows()
             or self._catalog.find_hold_left_s(service.name) is not None
             or self._check_quarantine(progress) is not None
-            or self._check_stop(progress) is not None
+            or self._stop.check(progress) is not None
         ):
             return None
         requirements = self._make_requirements(progress)
@@ -611,15 +557,15 @@
         outcome = queue.submit(
             requirements,
             goal_s=progress.route.target_latency_s,
-            time_left_s=min(time_left, self._find_stop_time_left_s(progress)),
+            time_left_s=min(time_left, self._stop.find_queue_time_left_s(progress)),
             caller_timeout_s=progress.route.caller_timeout_s
             - (self._clock.monotonic() - progress.received_at),
-            generation_s=self._forecast_generation_s(progress),
+            generation_s=forecast_mean_generation_s(progress),
             is_retry=is_retry,
         )
         if isinstance(outcome, Overload):
             longest_wait_s = MAX_WAIT_GOAL_FRACTION * progress.route.target_latency_s
-            is_stopping = self._find_time_limit(progress) is TimeLimit.STOP
+            is_stopping = self._stop.find_time_limit(progress) is TimeLimit.STOP
             if is_stopping and outcome.wait_s <= longest_wait_s:
                 return self._make_unsent_refusal(progress)
             return Refusal(codes.OVERLOADED, Executed.NO, detail=f"wait {outcome.wait_s:.2f} s")
@@ -940,33 +886,6 @@
         """Return the monotonic time until which a request must have started on a version."""
         return self._targets.find_end_time(model, version) - VERSION_MARGIN_S
 
-    def _forecast_generation_s(self, progress: RequestProgress) -> float:
-        """Return the forecast time from the first token to the end of the response, in seconds."""
-        engine = progress.service.engine
-        if engine is None:
-            return 0.0
-        request = progress.request
-        tokens = request.length_hint or engine.mean_output_tokens
-        if request.answer_tokens:
-            tokens = min(tokens, request.answer_tokens)
-        return EngineForecast(engine).generation_s(tokens)
-
-    def _forecast_longest_generation_s(
-        self, progress: RequestProgress, choice: Choice | None
-    ) -> float:
-        """Return the time from the first token to the end of the longest response, in seconds.
-
-        It is infinite for a stream whose caller names no maximum length.
-        """
-        engine = progress.service.engine
-        if engine is None:
-            return math.inf if progress.route.kind is RouteKind.STREAMING else 0.0
-        tokens = progress.request.answer_tokens
-        if not tokens:
-            return math.inf
-        pace = choice.pace if choice is not None else 1.0
-        return EngineForecast(engine, pace).generation_s(tokens)
-
     def _find_nominal_rate(self, service: str) -> float:
         """Return this host's share of the throughput of a service's engines, in requests/s."""
         spec = self._table().services_by_name.get(service)
