Hold the silent upstream of a test until the request was resent

test_request_of_a_silent_upstream_survives_a_resend_that_fails[/ask/x-refuses] failed once beside a load of 20 on 8 processors, and once in 123 repetitions beside the like load: the response was whole, but the upstream had received one request instead of two.

Cause, shown by a trial that blocks the event loop for 0.8 s, 1.0 to 1.15 s after the request: the loop notices the silence (1.2 s after the first event) only when the rest of the response (1.6 s after it) has arrived too, so nothing is resent and nothing need be. The check says nothing about the product then.

Change: the silent upstream goes on after its pause and only when the other one has received the request, so the case that the test is for always occurs. The assertions are the same.

--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1342,11 +1342,17 @@
     """Two upstreams that give the n-th answer to the n-th request that either of them receives.
 
     They close the connection after an answer. ``{id}`` stands for the request's id; a part that is a number is a pause in seconds.
+
+    :param is_silent_until_resend: whether a pause of the first answer also lasts until the next
+        request was received.
     """
 
-    def __init__(self, *answers: Sequence[bytes | float]) -> None:
+    def __init__(
+        self, *answers: Sequence[bytes | float], is_silent_until_resend: bool = False
+    ) -> None:
         self.requests: list[bytes] = []
         self._answers = list(answers)
+        self._is_silent_until_resend = is_silent_until_resend
 
     async def listen(self) -> int:
         """Add a listener and return its port."""
@@ -1361,12 +1367,14 @@
                 self.requests.append(head)
                 request_id = re.search(rb"Sycamoreproxy-Request-Id: (\S+)", head)
                 assert request_id is not None
-                answer = self._answers[min(len(self.requests), len(self._answers)) - 1]
-                parts = (
-                    part.replace(b"{id}", request_id[1]) if isinstance(part, bytes) else part
-                    for part in answer
-                )
-                await write_parts(writer, parts)
+                is_first = len(self.requests) == 1
+                for part in self._answers[min(len(self.requests), len(self._answers)) - 1]:
+                    if isinstance(part, bytes):
+                        await write_parts(writer, [part.replace(b"{id}", request_id[1])])
+                        continue
+                    await asyncio.sleep(part)
+                    if is_first and self._is_silent_until_resend:
+                        await _wait_until(lambda: len(self.requests) > 1)
         finally:
             writer.close()
 
@@ -1557,7 +1565,7 @@
         assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
         assert len(upstream.requests) == 2
 
-    upstream = _ScriptedUpstream(SILENT_ANSWERS[path], other)
+    upstream = _ScriptedUpstream(SILENT_ANSWERS[path], other, is_silent_until_resend=True)
     _run_scripted(upstream, [0, 1, 2, 3], action)
 
 
