--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -282,7 +282,9 @@
     def _choose_retry_delay_s(self, request: CallerRequest, refusal: Refusal) -> float:
         """Return the time after which a refused caller may retry, in seconds."""
         if refusal.code is codes.LEAVING:
-            return self._stop.find_unlisted_s() + LEAVING_SPREAD_S * self._random.random()
+            delay_s = self._stop.find_unlisted_s() + LEAVING_SPREAD_S * self._random.random()
+            # Callers with little time would otherwise give up, or retry too late.
+            return min(delay_s, RETRY_AFTER_MAX_FRACTION * request.time_left_s)
         if refusal.retry_after_ms:
             spread_s = HOLD_SPREAD_FRACTION * request.time_left_s * self._random.random()
             return refusal.retry_after_ms / 1000 + spread_s
