Do not tell a caller of a deadline that has not passed

What callers saw: a request that expired in the queue after 1.35 s was refused with 1204 and "the caller's deadline has passed", with 7.6 s left; the log line said the same. Nobody reads there that engines were full.

Cause: since the refusal names the limit that would end the request, also when the queue gives it up before, for the caller's patience or for want of permits.

Evidence: test_request_that_expires_in_the_queue_names_no_limit_that_has_not_passed fails on the parent.

Change: such a refusal says that no upstream was free in time. A request that expires in a stop still gets 1207.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -427,11 +427,15 @@
         limit = self._stop.find_time_limit(progress)
         return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=str(limit))
 
-    def _make_unsent_refusal(self, progress: RequestProgress) -> Refusal:
-        """Return the refusal of a request that no upstream took in time."""
+    def _make_unsent_refusal(self, progress: RequestProgress, *, detail: str = "") -> Refusal:
+        """Return the refusal of a request that no upstream took in time.
+
+        :param detail: reason if no limit has passed yet; by default, the limit that has.
+        """
         limit = self._stop.find_time_limit(progress)
-        code = codes.LEAVING if limit is TimeLimit.STOP else codes.DEADLINE_UNREACHABLE
-        return Refusal(code, Executed.NO, detail=str(limit))
+        if limit is TimeLimit.STOP:
+            return Refusal(codes.LEAVING, Executed.NO, detail=str(limit))
+        return Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO, detail=detail or str(limit))
 
     def _check_quarantine(self, progress: RequestProgress) -> Refusal | None:
         """Return a refusal if a part of the prompt is in quarantine."""
@@ -587,7 +591,9 @@
             finally:
                 queue.remove(outcome)
             progress.waited_s = self._clock.monotonic() - outcome.arrived_at
-            return choice or self._make_unsent_refusal(progress)
+            return choice or self._make_unsent_refusal(
+                progress, detail="no upstream was free in time"
+            )
         return outcome
 
     def _make_requirements(self, progress: RequestProgress) -> Requirements:
--- a/tests/test_stop_refusals.py
+++ b/tests/test_stop_refusals.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
 
 from sycamoreproxy.routed_dispatch import RETRY_AFTER_MAX_FRACTION
-from tests.test_routed_entry import GENERATION_HEADERS, Site, run_with_site
+from tests.test_routed_entry import (
+    GENERATION_HEADERS,
+    Site,
+    _change_routes,
+    _wait_until,
+    run_with_site,
+)
 
 
 @pytest.mark.parametrize("deadline_ms", [300, 900, 3000])
@@ -25,3 +32,33 @@
         assert float(answer_headers["Retry-After"]) <= longest_s + 0.01
 
     run_with_site(action)
+
+
+def test_request_that_expires_in_the_queue_names_no_limit_that_has_not_passed() -> None:
+    """The caller was told that its deadline had passed, seconds before it did."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=9000, target_latency_ms=500)
+        for faults in site.faults[:2]:
+            faults.replace({"read_s": 9.0})
+        headers = _make_headers(25)
+        filling = [asyncio.create_task(site.send("/once/x", **headers)) for _ in range(24)]
+        await _wait_until(lambda: site.front.dispatcher.has_waiting)
+        sending = asyncio.create_task(site.send("/once/x", **headers))
+        while not sending.done():
+            site.front.dispatcher.dispatch_waiting()
+            await asyncio.sleep(0.02)
+        status, _, body, _ = sending.result()
+        assert status == 503
+        assert "has passed" not in json.loads(body)["error"]["message"]
+        for task in filling:
+            task.cancel()
+
+    run_with_site(action)
+
+
+def _make_headers(answer_tokens: int) -> dict[str, str]:
+    return GENERATION_HEADERS | {
+        "Sycamoreproxy_Token_Count": f"100,{answer_tokens}",
+        "Sycamoreproxy_Deadline_Ms": "9000",
+    }
