Resume a stream that has begun while a stop still leaves time for it

What callers saw: a stream that broke off after four of five events, 1.3 s before the end of a stop, was cut there, with another engine free (log: `request resent`, though nothing was sent).

Evidence: test_stream_that_breaks_off_in_a_stop_is_resumed_if_its_rest_fits fails on the parent, three runs of three.

Change: a stream that has begun is resumed if the forecast of its next output fits. How many tokens are missing is not known; a refusal cuts it for certain. It costs resends near the end of a stop, within the budget.

Measured: tests/test_stop_refusals.py, test_stop_connections.py and test_stop_limit.py pass, three runs.

--- a/sycamoreproxy/stop_limit.py
+++ b/sycamoreproxy/stop_limit.py
@@ -75,8 +75,11 @@
 
         A caller that is refused after the close reaches another host, so only the latest end counts
         from then on. A request that an upstream may have executed needs the time of a mean
-        response: its caller gains nothing if it is ended early.
+        response: its caller gains nothing if it is ended early. A stream that has begun needs only
+        the time to go on, as its caller loses what it has read if it is ended.
         """
+        if progress.first_output_at is not None:
+            return choice.forecast_s if choice is not None else 0.0
         longest_s = progress.deadline - self._clock.monotonic()
         if not progress.executions and progress.received_at >= self._closes_at:
             return longest_s
--- a/tests/test_stop_refusals.py
+++ b/tests/test_stop_refusals.py
@@ -8,7 +8,9 @@
 import pytest
 
 from sycamoreproxy.routed_dispatch import RETRY_AFTER_MAX_FRACTION
+from sycamoreproxy.upstream_book import UpstreamRecord
 from tests.test_routed_entry import (
+    COMPLETE_STREAM,
     GENERATION_HEADERS,
     Site,
     _change_routes,
@@ -57,6 +59,32 @@
     run_with_site(action)
 
 
+def test_stream_that_breaks_off_in_a_stop_is_resumed_if_its_rest_fits() -> None:
+    """A stream with only its last event missing was cut, as a whole response no longer fitted."""
+
+    async def action(site: Site) -> None:
+        headers = _make_headers(3000) | {"Sycamoreproxy_Length_Hint": "3000"}
+        for faults in site.faults[:2]:
+            faults.replace({"event_s": 0.05})
+        site.faults[0].replace({"event_s": 0.05, "cut_after_events": 4})
+        # The other engine is to be chosen for the rest only.
+        site.front.dispatcher._catalog.hold(_find_record(site, "i-1"), 0.1)
+        sending = asyncio.create_task(site.send("/ask/x", **headers))
+        await _wait_until(lambda: site.runners[0].ran)
+        site.front.leave()
+        site.front.dispatcher.end_requests_within(1.5, unlisted_in_s=1.0, closes_in_s=1.2)
+        status, _, body, is_complete = await sending
+        assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+
+    run_with_site(action)
+
+
+def _find_record(site: Site, instance: str) -> UpstreamRecord:
+    record = site.front.dispatcher._catalog.find(instance)
+    assert record is not None
+    return record
+
+
 def _make_headers(answer_tokens: int) -> dict[str, str]:
     return GENERATION_HEADERS | {
         "Sycamoreproxy_Token_Count": f"100,{answer_tokens}",
