Refuse requests that cross the announcement of a stop of an upstream process

What callers saw: a non-idempotent request that an entry host sent to a stopping, idle process before the status had reached the host ended with 502 upstream_lost, executed: unknown, though it was not run. Idempotent ones cost a retry.

Change: the process refuses requests for at least 0.5 s from its status on before it closes its streams.

--- a/sycamoreproxy/upstream_role.py
+++ b/sycamoreproxy/upstream_role.py
@@ -51,6 +51,11 @@
 ROUND_S = 0.1
 #: Time between heartbeats and between load reports, in seconds.
 STATUS_PERIOD_S = 1.0
+#: Shortest time for which a stopping process refuses requests before it closes its streams, in
+#: seconds. Entry hosts send work until they have read the status; a request that arrives after the
+#: close looks possibly executed to them. It covers a round trip between regions and a late event
+#: loop.
+LATE_SUBMIT_WAIT_S = 0.5
 #: Shortest time between checks for requests that became late, in seconds.
 EXPIRE_PERIOD_S = 0.02
 #: Longest silence of a streamed answer before and after its first output, and longest time of an
@@ -240,10 +245,12 @@
     async def leave(self) -> None:
         """Refuse new work from now on and return when all accepted work is finished.
 
-        The wait is bounded by the time limits of each attempt.
+        The wait is bounded by the time limits of each attempt, and takes at least
+        :data:`LATE_SUBMIT_WAIT_S`.
         """
         self._is_leaving = True
         self._send_status()
+        await asyncio.sleep(LATE_SUBMIT_WAIT_S)
         await self._idle.wait()
 
     async def close(self) -> None:
--- a/tests/_upstream.py
+++ b/tests/_upstream.py
@@ -83,6 +83,7 @@
         self.role = role
         self.entry = entry
         self.engine: Any = None
+        self.hub: PeerHub
         self.clock = ShiftedClock()
         self.runs: Counter[Any] = Counter()
         self.address: Address | None = None
@@ -189,6 +190,7 @@
     entry = PeerHub(hello=Hello("e", "2", "entry", "z", "r"), client_tls=None)
     deployment = Deployment(port=port, faults=faults, role=role, entry=entry)
     deployment.engine, deployment.runs, deployment.clock = engine, runs, clock
+    deployment.hub = hub
     deployment.address = Address("127.0.0.1", peer_port)
     entry.on(Status, lambda peer, status: deployment.statuses.append(status))
     for message_type in MESSAGES:
