Wait in a stop of an upstream process until entry hosts have received the responses

What callers saw: a response that was complete at the upstream process was cut (upstream_lost, executed: unknown) when its last part had not left the process or its host by the end of the stop, as on the links of 12 Mbit/s, which take 2.7 s for the largest response of a service (4 MiB).

Cause: the stop waited until the work was finished and then closed the streams by abort, which drops what the socket has not accepted; what the kernel has accepted is dropped when the entry host sends its next heartbeat.

Change: after its work, the process waits until its entry hosts have acknowledged all that was sent (get_write_buffer_size and SIOCOUTQ), up to 30 s.

Evidence: both cases of the new test (1 MiB, which the kernel takes, and 6 MiB) failed before: the response never ended. With the process's own buffer alone the case of 1 MiB still failed.

--- a/sycamoreproxy/peers.py
+++ b/sycamoreproxy/peers.py
@@ -69,6 +69,11 @@
         """Whether the stream is closed."""
         return self._stream.is_closed
 
+    @property
+    def is_acknowledged(self) -> bool:
+        """Whether the peer's host has acknowledged all that was sent, or the stream is closed."""
+        return self._stream.is_acknowledged
+
     @property
     def bytes_in(self) -> int:
         """Bytes received on this stream."""
--- a/sycamoreproxy/streams.py
+++ b/sycamoreproxy/streams.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
 import ssl
 import struct
+import termios
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -17,6 +19,8 @@
 from sycamoreproxy.messages import MAX_FRAME_BYTES, MessageError, decode_message, encode_message
 
 _LENGTH_PREFIX = struct.Struct(">I")
+#: Native ``int`` of an ioctl.
+_INT = struct.Struct("i")
 #: Receive buffer that all streams share, because the event loop reads one stream at a time; up to
 #: 64 KiB per read.
 _READ_BUFFER = memoryview(bytearray(64 * 1024))
@@ -96,6 +100,23 @@
         """Whether the connection is closed."""
         return self._transport is None or self._is_disconnected or self._transport.is_closing()
 
+    @property
+    def is_acknowledged(self) -> bool:
+        """Whether the peer's host has acknowledged all that was sent, or the connection is closed.
+
+        A connection that is closed before that loses what is left of it, also what the kernel has
+        taken if the peer sends more.
+        """
+        transport = self._transport
+        if transport is None or self.is_closed:
+            return True
+        if self._unsent or transport.get_write_buffer_size():
+            return False
+        descriptor = transport.get_extra_info("socket").fileno()
+        # For TCP the number of bytes that are not acknowledged (tcp(7), SIOCOUTQ).
+        (size,) = _INT.unpack(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size)))
+        return bool(size == 0)
+
     # Transport callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/sycamoreproxy/upstream_process.py
+++ b/sycamoreproxy/upstream_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from sycamoreproxy.logs import get_logger
@@ -26,6 +27,10 @@
 HEARTBEAT_S = 1.0
 #: Longest wait at start for a table; it also arrives with the first entry host's stream.
 TABLE_WAIT_S = 5.0
+#: Longest wait at a stop for entry hosts that have not received their responses, and its steps, in
+#: seconds. The stream of an entry host that is silent ends sooner.
+ACKNOWLEDGE_TIMEOUT_S = 30.0
+ACKNOWLEDGE_POLL_S = 0.02
 
 _log = get_logger("upstream_process")
 
@@ -87,8 +92,13 @@
             self._tasks.start("engine orders", self._owner.run)
 
     async def drain(self) -> None:
-        """Take no new work and wait until all accepted work is finished."""
+        """Take no new work and wait until all accepted work is finished and received."""
         await self._role.leave()
+        give_up_at = time.monotonic() + ACKNOWLEDGE_TIMEOUT_S
+        while (hosts := self._list_receiving_hosts()) and time.monotonic() < give_up_at:
+            await asyncio.sleep(ACKNOWLEDGE_POLL_S)
+        if hosts:
+            _log.warning("responses not received at the end of a stop", hosts=hosts)
 
     async def close(self) -> None:
         """Stop all tasks, release the engine and close all sockets."""
@@ -102,6 +112,11 @@
         await self._admin.close()
         self._store.close()
 
+    def _list_receiving_hosts(self) -> list[str]:
+        """Return the entry hosts that have not received all that was sent to them."""
+        peers = self._hub.list_peers(role="entry")
+        return [peer.hello.host for peer in peers if not peer.is_acknowledged]
+
     async def _beat(self) -> None:
         while True:
             view = self._replica.view
--- a/tests/test_upstream_process.py
+++ b/tests/test_upstream_process.py
@@ -7,7 +7,10 @@
 from typing import Any
 from unittest.mock import AsyncMock, Mock
 
-from sycamoreproxy.messages import Refuse
+import pytest
+
+from sycamoreproxy.messages import Finish, PeerStatus, Refuse
+from sycamoreproxy.upstream_answers import AnswerListener, AnswerTotals, UpstreamRequest
 from sycamoreproxy.upstream_process import UpstreamProcess
 from tests._upstream import Deployment, run_deployment, wait_until
 
@@ -55,3 +58,39 @@
         assert not deployment.runs
 
     _run(action, kind="service")
+
+
+class _LargeAnswers:
+    """A service with responses of a fixed size."""
+
+    def __init__(self, size: int) -> None:
+        self.body = bytes(size)
+
+    async def call(self, request: UpstreamRequest, listener: AnswerListener) -> AnswerTotals:
+        listener.on_head(200, (), "")
+        listener.on_output(self.body, 0)
+        return AnswerTotals()
+
+
+@pytest.mark.parametrize("size", [1024 * 1024, 6 * 1024 * 1024], ids=["kernel", "process"])
+def test_stop_waits_until_entry_hosts_have_received_the_responses(size: int) -> None:
+    """What the process and the kernel had not sent yet was lost, and the response was cut."""
+
+    async def action(deployment: Deployment) -> None:
+        service = _LargeAnswers(size)
+        deployment.role._service = service  # type: ignore[assignment]
+        transport = deployment.peer._stream._require_transport()
+        transport.pause_reading()
+        deployment.submit("a", b"1", kind="service", path="/x")
+        await wait_until(lambda: deployment.hub.bytes_out > size)
+        stopping = asyncio.create_task(_stop(deployment))
+        await asyncio.wait({stopping}, timeout=1.0)
+        # The kernel resets a closed connection with unsent data when its peer sends more.
+        deployment.peer.send(PeerStatus("ready", 0, ""))
+        await asyncio.sleep(0.05)
+        transport.resume_reading()
+        assert isinstance(await deployment.wait_end("a"), Finish)
+        assert deployment.read_data("a") == service.body
+        await stopping
+
+    _run(action, kind="service")
