Name the time limit that ended a request of the model API

What callers saw: 504 or an error event with code 1303 and the same text, whether the deadline, the wait for the first output, a pause between outputs or the time of an attempt had ended the request. What operators saw: a metric by code; no log line named a request that was cut or possibly executed.

Cause: one timer stands for four limits, and its refusal had no detail.

Change: the refusal names the limit, and an entry host logs each request that ends without a response and may have been executed, with its hosts, times, code and detail. Requests refused as not run get no line.

--- a/sycamoreproxy/dispatch.py
+++ b/sycamoreproxy/dispatch.py
@@ -11,6 +11,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from enum import Enum, auto
 from functools import partial
 from typing import Any, Protocol, TypeAlias
 
@@ -189,6 +190,28 @@
         """Mark the claim of a request that was not executed as released."""
 
 
+class _TimeLimit(Enum):
+    """A limit on the time of an attempt."""
+
+    DEADLINE = auto()
+    FIRST_OUTPUT = auto()
+    OUTPUT_IDLE = auto()
+    ATTEMPT = auto()
+
+
+def _describe_limit(limit: _TimeLimit) -> str:
+    """Return the sentence that tells the caller and the logs which limit ended an attempt."""
+    match limit:
+        case _TimeLimit.DEADLINE:
+            return "The deadline has passed."
+        case _TimeLimit.FIRST_OUTPUT:
+            return f"No output within {FIRST_OUTPUT_TIMEOUT_S:g} s of the start."
+        case _TimeLimit.OUTPUT_IDLE:
+            return f"No output for {OUTPUT_IDLE_TIMEOUT_S:g} s."
+        case _TimeLimit.ATTEMPT:
+            return f"The attempt took longer than {ATTEMPT_TIMEOUT_S:g} s."
+
+
 class _AttemptHandler:
     """Handles the messages and timeouts of one attempt.
 
@@ -219,6 +242,7 @@
         "_request_started_at",
         "_stall_timeout_at",
         "_submitted_at",
+        "_time_limit",
         "_timeout_at",
         "_timer",
         "_unresponsive_at",
@@ -263,6 +287,7 @@
         self._request = request
         self._deadline = deadline
         self._timeout_at = deadline + DEADLINE_GRACE_S
+        self._time_limit = _TimeLimit.DEADLINE
         self._attempt_deadline = self._loop.time() + ATTEMPT_TIMEOUT_S
         self._buffer = bytearray()
         self._is_buffered = True
@@ -287,7 +312,7 @@
             now = self._loop.time()
             stall_s = max(STALL_TIMEOUT_MIN_S, STALL_TIMEOUT_FRACTION * (self._deadline - now))
             self._stall_timeout_at = now + stall_s
-            self._timeout_at = max(self._timeout_at, self._loop.time() + FIRST_OUTPUT_TIMEOUT_S)
+            self._extend_timeout(now + FIRST_OUTPUT_TIMEOUT_S, _TimeLimit.FIRST_OUTPUT)
 
     def on_head(self, status: int, headers: HeaderPairs, version: str) -> None:
         """Record the status and headers."""
@@ -296,7 +321,7 @@
         self.status = status
         self.headers = headers
         self.version = version
-        self._timeout_at = max(self._timeout_at, self._loop.time() + OUTPUT_IDLE_TIMEOUT_S)
+        self._extend_timeout(self._loop.time() + OUTPUT_IDLE_TIMEOUT_S, _TimeLimit.OUTPUT_IDLE)
         for name, value in headers:
             if name.lower() == "content-type" and value.startswith("text/event-stream"):
                 self._is_buffered = False
@@ -305,6 +330,7 @@
         """Buffer a part of the body, or forward it if it completes an event of a stream."""
         now = self._loop.time()
         self._timeout_at = now + OUTPUT_IDLE_TIMEOUT_S
+        self._time_limit = _TimeLimit.OUTPUT_IDLE
         if self._request_started_at:
             FIRST_OUTPUT_SECONDS.observe(
                 {"rank": self._request.rank}, now - self._request_started_at
@@ -370,11 +396,19 @@
         if data:
             writer.write(data)
 
+    def _extend_timeout(self, timeout_at: float, limit: _TimeLimit) -> None:
+        """Move the timeout unless it is later already."""
+        if timeout_at > self._timeout_at:
+            self._timeout_at = timeout_at
+            self._time_limit = limit
+
     def _check_timeouts(self) -> None:
         now = self._loop.time()
         attempt = self.attempt
         if now >= self._timeout_at or now >= self._attempt_deadline:
-            self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN))
+            limit = self._time_limit if now >= self._timeout_at else _TimeLimit.ATTEMPT
+            detail = _describe_limit(limit)
+            self.on_end(Refusal(codes.UPSTREAM_TIMEOUT, Executed.UNKNOWN, detail))
             return
         if now >= self._stall_timeout_at:
             self._stall_timeout_at = math.inf
@@ -697,6 +731,22 @@
             not (refusal.executed is Executed.NO and request.writer.is_started),
             target=request.name,
         )
+        if refusal.executed is not Executed.NO:
+            now = asyncio.get_running_loop().time()
+            _log.info(
+                "request ended without a response",
+                kind=request.kind,
+                target=request.name,
+                account=request.client_account,
+                rank=request.rank,
+                hosts=sorted(tried_hosts),
+                deadline_ms=round((deadline - request_started_at) * 1000),
+                total_ms=round((now - request_started_at) * 1000),
+                sent_to_caller=request.writer.is_started,
+                code=refusal.code.number,
+                executed=str(refusal.executed),
+                detail=refusal.detail,
+            )
         return Failure(refusal)
 
     def _choose_upstream(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,10 +9,12 @@
 from typing import Any
 
 import pytest
+import structlog.testing
 from tornado.simple_httpclient import HTTPStreamClosedError
 
 from standins.in_process_store import InProcessStore
 from standins.store import MemoryStore
+from sycamoreproxy import dispatch
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.claims import ClaimRegistry
 from sycamoreproxy.messages import Finish, Output, Refuse, Started, Submit
@@ -173,6 +175,40 @@
         await asyncio.sleep(0.005)
 
 
+@pytest.mark.parametrize(
+    ("sent", "constant", "detail"),
+    [
+        (0, "", "The deadline has passed."),
+        (1, "FIRST_OUTPUT_TIMEOUT_S", "No output within 0.4 s of the start."),
+        (3, "OUTPUT_IDLE_TIMEOUT_S", "No output for 0.4 s."),
+        (3, "ATTEMPT_TIMEOUT_S", "The attempt took longer than 0.4 s."),
+    ],
+)
+@with_entry()
+async def test_log_line_of_a_request_that_was_ended_names_the_limit(
+    entry: Entry, monkeypatch: pytest.MonkeyPatch, sent: int, constant: str, detail: str
+) -> None:
+    """Four limits ended requests with the same code and without a detail."""
+    if constant:
+        monkeypatch.setattr(dispatch, constant, 0.4)
+
+    def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
+        for message in make_response_messages(submit.attempt_id, EVENTS, EVENT_STREAM)[:sent]:
+            peer.send(message)
+
+    await entry.add(script)
+    with structlog.testing.capture_logs() as lines:
+        response = await entry.fetch(
+            CHAT, method="POST", body=STREAM, headers={"X-Deadline-Ms": "50"}
+        )
+    assert detail.encode() in response.body
+    (line,) = [line for line in lines if line["event"] == "request ended without a response"]
+    assert (line["code"], line["executed"], line["detail"]) == (1303, "unknown", detail)
+    assert 0 < line["deadline_ms"] <= 50
+    assert line["sent_to_caller"] == (sent == 3)
+    assert line["hosts"] == ["u0"]
+
+
 @with_entry()
 async def test_frozen_upstream_is_abandoned_in_time_and_avoided(entry: Entry) -> None:
     submits: list[ScriptedUpstream] = []
