Let callers finish the bodies of refused requests at the end of a stop

What callers saw: a request refused in a stop of an entry host of the model API ended with a broken pipe or reset while its body was sent, so a caller that reads the response after the body did not learn that it was not run.

Change: the last step of the stop waits until refused requests have arrived whole, up to receive_timeout_s, after which a slow sender is closed as before.

Evidence: test_refused_caller_that_sends_its_body_at_the_end_of_a_stop_is_not_reset failed before with a broken pipe. test_stop_does_not_wait_for_a_refused_caller_that_sends_nothing, new as well, shows that the stop ends.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -167,6 +167,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         #: Requests that are accepted and not yet received whole.
         self.receiving: set[HTTPMessageDelegate] = set()
+        #: Requests that are refused and not yet received whole.
+        self.refused: set[HTTPMessageDelegate] = set()
         self._used_connections: set[object] = set()
         self._server = _BoundedServer(
             self,
@@ -220,11 +222,15 @@
         """Close the listener, and refuse the requests that arrive on open connections for a moment.
 
         They may have been sent before the close, or right after a response that began before the
-        process was leaving.
+        process was leaving. A caller that still sends a refused request gets its time to do so,
+        because it may read the refusal only after that, and a close would reset its connection.
         """
         stop_listening(self._server)
-        give_up_at = time.monotonic() + STOP_WAIT_S
-        while self._server.has_connections and time.monotonic() < give_up_at:
+        closes_idle_at = time.monotonic() + STOP_WAIT_S
+        give_up_at = closes_idle_at + self.limits.receive_timeout_s
+        while self._server.has_connections and time.monotonic() < (
+            give_up_at if self.refused else closes_idle_at
+        ):
             await asyncio.sleep(POLL_S)
 
     async def close(self) -> None:
@@ -346,6 +352,7 @@
         """Take the whole request on."""
         self._timer.cancel()
         self._server.receiving.discard(self)
+        self._server.refused.discard(self)
         if self._is_refused:
             self._finish_and_close()
             return
@@ -360,6 +367,7 @@
         """Cancel the request of a caller that is gone."""
         self._timer.cancel()
         self._server.receiving.discard(self)
+        self._server.refused.discard(self)
         self._release_body()
         if self._task is not None:
             self._task.cancel()
@@ -642,6 +650,7 @@
         self._is_refused = True
         self.is_started = True
         self._server.receiving.discard(self)
+        self._server.refused.add(self)
         self._release_body()
         REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
         try:
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -220,6 +220,8 @@
     assert answer.count(b"HTTP/1.1") == bool(status)
     assert (await entry.fetch("/v1/models")).code == 200
     assert entry.server.held_bytes == 0
+    assert not entry.server.receiving
+    assert not entry.server.refused
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -317,6 +319,34 @@
     writer.close()
 
 
+@with_entry()
+async def test_refused_caller_that_sends_its_body_at_the_end_of_a_stop_is_not_reset(
+    entry: Entry,
+) -> None:
+    """Callers that read the response after the body got a reset instead of the refusal."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    entry.server.leave()
+    data = _with_length(_chat(user="x" * 2000))
+    writer.write(data[:-1000])
+    stopping = asyncio.create_task(_stop(entry))
+    await asyncio.wait({stopping}, timeout=1.0)
+    for start in (-1000, -500):
+        writer.write(data[start : start + 500 or None])
+        await asyncio.sleep(0.05)
+    assert b" 503 " in await reader.read()
+    await stopping
+    writer.close()
+
+
+@with_entry(limits=CallerLimits(receive_timeout_s=0.8))
+async def test_stop_does_not_wait_for_a_refused_caller_that_sends_nothing(entry: Entry) -> None:
+    _, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    entry.server.leave()
+    writer.write(_with_length(_chat())[:-5])
+    await _stop(entry)
+    writer.close()
+
+
 async def _stop(entry: Entry) -> None:
     await entry.server.wait_idle()
     await entry.server.refuse_late_requests()
