Name no wait to callers that a stop of the model API refuses on a kept connection

A caller that obeys loses 1 s of its deadline, though the host refuses only once it has been reported as not ready for 1 s and another one takes the request at once.

Cause: one fixed wait. It is right for a connection that is opened in the stop, which shows that the balancer still sends here; a kept connection was opened before it.

Change: Retry-After is 0 on a connection that has carried a request before; 1 s otherwise, as before.

Evidence: test_caller_that_a_stop_refuses_waits_only_while_the_balancer_sends_here failed before (1 on both connections). The time that callers gain was not measured: no balancer is played before the model API.

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -287,6 +287,7 @@
             self._end_slow_head if is_first else self._end_idle,
         )
         self._task: asyncio.Task[None] | None = None
+        self._is_first = is_first
         self._account: ClientAccountSettings | None = None
         self._is_refused = False
         self._is_last = False
@@ -629,13 +630,21 @@
         fields["Content-Type"] = "application/json"
         fields["Content-Length"] = str(len(body))
         if refusal is not None and (refusal.retry_after_ms or refusal.code.retry_helps):
-            fields["Retry-After"] = str(max(1, -(-refusal.retry_after_ms // 1000)))
+            fields["Retry-After"] = str(self._choose_retry_after_s(refusal))
         if refusal is not None and refusal.code.http_status == 401:
             fields["WWW-Authenticate"] = "Bearer"
         if close:
             fields["Connection"] = "close"
         self._write_head(status, fields, body)
 
+    def _choose_retry_after_s(self, refusal: Refusal) -> int:
+        """Return the time after which the caller should repeat a refused request, in seconds."""
+        if refusal.code is codes.LEAVING and self._server.is_leaving and not self._is_first:
+            # The connection was opened before the stop, so a new one goes to another host. A
+            # connection that is opened in the stop shows that the balancer still sends here.
+            return 0
+        return max(1, -(-refusal.retry_after_ms // 1000))
+
     def _write_head(self, status: int, fields: HTTPHeaders, body: bytes | None) -> None:
         fields["Date"] = _format_date()
         if self._server.is_leaving:
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -319,6 +319,27 @@
     writer.close()
 
 
+@with_entry()
+async def test_caller_that_a_stop_refuses_waits_only_while_the_balancer_sends_here(
+    entry: Entry,
+) -> None:
+    """Callers on kept connections waited for 1 s, though another host takes the request at once."""
+    (upstream,) = await entry.add()
+    kept = await asyncio.open_connection("127.0.0.1", entry.port)
+    request = _with_length(_chat())
+    kept[1].write(request)
+    await kept[0].readuntil(b"\r\n\r\n")
+    await kept[0].readexactly(len(upstream.host) + 1 + len(CHAT) + 1 + len(_chat()))
+    entry.server.leave()
+    opened = await asyncio.open_connection("127.0.0.1", entry.port)
+    for (reader, writer), wait_s in ((kept, b"0"), (opened, b"1")):
+        writer.write(request)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b" 503 " in head
+        assert b"\r\nRetry-After: " + wait_s + b"\r\n" in head
+        writer.close()
+
+
 @with_entry()
 async def test_refused_caller_that_sends_its_body_at_the_end_of_a_stop_is_not_reset(
     entry: Entry,
