--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -167,6 +167,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         #: Requests that are accepted and not yet received whole.
         self.receiving: set[HTTPMessageDelegate] = set()
+        #: Requests that are refused and not yet received whole.
+        self.refused: set[HTTPMessageDelegate] = set()
         self._used_connections: set[object] = set()
         self._server = _BoundedServer(
             self,
@@ -220,11 +222,15 @@
         """Close the listener, and refuse the requests that arrive on open connections for a moment.
 
         They may have been sent before the close, or right after a response that began before the
-        process was leaving.
+        process was leaving. A caller that still sends a refused request gets its time to do so,
+        because it may read the refusal only after that, and a close would reset its connection.
         """
         stop_listening(self._server)
-        give_up_at = time.monotonic() + STOP_WAIT_S
-        while self._server.has_connections and time.monotonic() < give_up_at:
+        closes_idle_at = time.monotonic() + STOP_WAIT_S
+        give_up_at = closes_idle_at + self.limits.receive_timeout_s
+        while self._server.has_connections and time.monotonic() < (
+            give_up_at if self.refused else closes_idle_at
+        ):
             await asyncio.sleep(POLL_S)
 
     async def close(self) -> None:
@@ -281,6 +287,7 @@
             self._end_slow_head if is_first else self._end_idle,
         )
         self._task: asyncio.Task[None] | None = None
+        self._is_first = is_first
         self._account: ClientAccountSettings | None = None
         self._is_refused = False
         self._is_last = False
@@ -346,6 +353,7 @@
         """Take the whole request on."""
         self._timer.cancel()
         self._server.receiving.discard(self)
+        self._server.refused.discard(self)
         if self._is_refused:
             self._finish_and_close()
             return
@@ -360,6 +368,7 @@
         """Cancel the request of a caller that is gone."""
         self._timer.cancel()
         self._server.receiving.discard(self)
+        self._server.refused.discard(self)
         self._release_body()
         if self._task is not None:
             self._task.cancel()
@@ -621,13 +630,21 @@
         fields["Content-Type"] = "application/json"
         fields["Content-Length"] = str(len(body))
         if refusal is not None and (refusal.retry_after_ms or refusal.code.retry_helps):
-            fields["Retry-After"] = str(max(1, -(-refusal.retry_after_ms // 1000)))
+            fields["Retry-After"] = str(self._choose_retry_after_s(refusal))
         if refusal is not None and refusal.code.http_status == 401:
             fields["WWW-Authenticate"] = "Bearer"
         if close:
             fields["Connection"] = "close"
         self._write_head(status, fields, body)
 
+    def _choose_retry_after_s(self, refusal: Refusal) -> int:
+        """Return the time after which the caller should repeat a refused request, in seconds."""
+        if refusal.code is codes.LEAVING and self._server.is_leaving and not self._is_first:
+            # The connection was opened before the stop, so a new one goes to another host. A
+            # connection that is opened in the stop shows that the balancer still sends here.
+            return 0
+        return max(1, -(-refusal.retry_after_ms // 1000))
+
     def _write_head(self, status: int, fields: HTTPHeaders, body: bytes | None) -> None:
         fields["Date"] = _format_date()
         if self._server.is_leaving:
@@ -642,6 +659,7 @@
         self._is_refused = True
         self.is_started = True
         self._server.receiving.discard(self)
+        self._server.refused.add(self)
         self._release_body()
         REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
         try:
