Shorten the wait of requests that are queued as a stop begins

What callers saw: a request that waited for an engine when SIGTERM came was held until an engine was free or the stop ended, and then refused with 1207, although its longest response no longer fitted.

Cause: limits the wait of requests that are queued in a stop, not of those that are queued already.

Evidence: test_request_that_is_queued_as_a_stop_begins_is_refused_at_once, three cases, fail on the parent: not answered 0.5 s after a stop that leaves 1.5 s for a response of 3 s.

Change: the beginning of a stop shortens the expiry of queued requests by the same rule, and dispatches once.

--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -145,6 +145,9 @@
         self.open_requests = 0
         self._stop = StopLimit(clock=clock)
         self._timeouts: set[asyncio.Timeout] = set()
+        self._queued_by_choice: dict[
+            asyncio.Future[Choice | None], tuple[RequestProgress, QueuedRequest]
+        ] = {}
         #: Called when a request is queued for lack of capacity.
         self.on_queued: Callable[[], None] = lambda: None
         #: Called with the engine's record and the prompt's shared parts when a request may have been
@@ -194,6 +197,13 @@
         self._stop.shorten(ends_in_s=seconds, unlisted_in_s=unlisted_in_s, closes_in_s=closes_in_s)
         for timeout in self._timeouts:
             self._limit_timeout(timeout)
+        for progress, queued in self._queued_by_choice.values():
+            queued.shorten(
+                time_left_s=self._stop.find_queue_time_left_s(progress),
+                generation_s=forecast_mean_generation_s(progress),
+                now=self._clock.monotonic(),
+            )
+        self.dispatch_waiting()
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Handle one request; cancelling the task also cancels the request on the upstream."""
@@ -576,6 +586,7 @@
                 return self._make_unsent_refusal(progress)
             return Refusal(codes.OVERLOADED, Executed.NO, detail=f"wait {outcome.wait_s:.2f} s")
         if isinstance(outcome, QueuedRequest):
+            self._queued_by_choice[outcome.choice] = progress, outcome
             self.on_queued()
             try:
                 choice = await outcome.choice
@@ -589,6 +600,7 @@
                     self._selector.end(unused, failed=None)
                 raise
             finally:
+                del self._queued_by_choice[outcome.choice]
                 queue.remove(outcome)
             progress.waited_s = self._clock.monotonic() - outcome.arrived_at
             return choice or self._make_unsent_refusal(
--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -71,6 +71,14 @@
     is_late: bool
     choice: asyncio.Future[Choice | None]
 
+    def shorten(self, *, time_left_s: float, generation_s: float, now: float) -> None:
+        """Have the request expire earlier if its response must end earlier than was known.
+
+        The parameters are those of :meth:`RequestQueue.submit`.
+        """
+        expires_at = now + time_left_s - generation_s - LATE_FIRST_TOKEN_S
+        self.expires_at = min(self.expires_at, expires_at)
+
 
 ChooseUpstream = Callable[[Requirements], Choice | None]
 #: Sort key of queued requests: whether they are late, then their priority level.
--- a/tests/test_stop_refusals.py
+++ b/tests/test_stop_refusals.py
@@ -36,6 +36,34 @@
     run_with_site(action)
 
 
+@pytest.mark.parametrize("path", ["/ask/x", "/once/x", "/order/x"])
+def test_request_that_is_queued_as_a_stop_begins_is_refused_at_once(path: str) -> None:
+    """Queued requests waited for an engine, to be refused then as too long for the stop."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=9000, target_latency_ms=2000)
+        for faults in site.faults[:2]:
+            faults.replace({"read_s": 3.0})
+        headers = _make_headers(3000)
+        filling = [asyncio.create_task(site.send("/once/x", **headers)) for _ in range(24)]
+        await _wait_until(lambda: site.front.dispatcher.has_waiting)
+        sending = asyncio.create_task(site.send(path, **headers))
+        await _wait_until(lambda: site.front.dispatcher.open_requests == 25)
+        site.front.leave()
+        site.front.dispatcher.end_requests_within(1.5, unlisted_in_s=1.0, closes_in_s=1.2)
+        for _ in range(25):
+            site.front.dispatcher.dispatch_waiting()
+            await asyncio.sleep(0.02)
+        assert sending.done()
+        status, _, body, _ = sending.result()
+        error = json.loads(body)["error"]
+        assert (status, error["code"], error["executed"]) == (503, 1207, "no")
+        for task in filling:
+            task.cancel()
+
+    run_with_site(action)
+
+
 def test_request_that_expires_in_the_queue_names_no_limit_that_has_not_passed() -> None:
     """The caller was told that its deadline had passed, seconds before it did."""
 
