Show two faults of a stop that are not mended

What callers see: with `bounds.stop_s` 1, requests may run until 2.9 s after SIGTERM, when the process has been killed. A generation is begun in a stop on an engine that was slow in its last report, if that report is over 1 s old, and cut by the stop.

Cause: READY_DRAIN_S is not part of stop_s, and no lower bound is checked. Placement takes pace 1 for an old report.

Change: tests only. Each mend is a choice for the lead: a shorter drain or a lower bound for stop_s; the last known pace.

--- a/tests/test_stop_refusals.py
+++ b/tests/test_stop_refusals.py
@@ -4,10 +4,17 @@
 
 import asyncio
 import json
+import time
+from types import SimpleNamespace
+from unittest.mock import MagicMock
 
 import pytest
 
+from sycamoreproxy import routed_entry
+from sycamoreproxy.placement import REPORT_MAX_AGE_S, LoadReport
 from sycamoreproxy.routed_dispatch import RETRY_AFTER_MAX_FRACTION
+from sycamoreproxy.routed_entry import RoutedEntry
+from sycamoreproxy.routed_settings import RoutedBounds
 from sycamoreproxy.upstream_book import UpstreamRecord
 from tests.test_routed_entry import (
     COMPLETE_STREAM,
@@ -107,6 +114,76 @@
     run_with_site(action)
 
 
+@pytest.mark.parametrize("stop_s", [1.0, 3.0, 4.0, 8.0])
+def test_requests_must_have_ended_before_the_process_is_killed(
+    stop_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With a short stop, requests were begun and then cut by the kill."""
+
+    async def run() -> None:
+        dispatcher, front = MagicMock(), MagicMock()
+        slept: list[float] = []
+
+        async def sleep(seconds: float) -> None:
+            slept.append(seconds)
+
+        async def close(*, wait_s: float) -> None:
+            slept.append(wait_s)
+
+        front.close = close
+        monkeypatch.setattr(routed_entry.asyncio, "sleep", sleep)
+        parts = {
+            name: MagicMock()
+            for name in (
+                "documents",
+                "hub",
+                "replica",
+                "routing_state",
+                "selector",
+                "state",
+                "tasks",
+            )
+        }
+        entry = RoutedEntry(
+            settings=SimpleNamespace(bounds=RoutedBounds(stop_s=stop_s)),  # type: ignore[arg-type]
+            dispatcher=dispatcher,
+            caller_server=front,
+            budgets_by_service={},
+            quarantine=MagicMock(),
+            limits=MagicMock(),
+            now=lambda: 0.0,
+            **parts,
+        )
+        await entry.drain()
+        (call,) = dispatcher.end_requests_within.call_args_list
+        assert call.args[0] < stop_s
+        assert sum(slept) < stop_s
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("age_s", [0.0, REPORT_MAX_AGE_S + 0.1], ids=["fresh", "old"])
+def test_generation_is_not_begun_in_a_stop_on_an_engine_that_was_slow(age_s: float) -> None:
+    """An engine whose report was over a second old counted as one at nominal pace."""
+
+    async def action(site: Site) -> None:
+        for runner, faults in zip(site.runners[:2], site.faults[:2], strict=True):
+            faults.replace({"event_s": 0.6})
+            report = LoadReport(
+                received_at=time.monotonic() - age_s,
+                running=0,
+                waiting=0,
+                pace=100.0,
+                version_by_model=(("m1", 1),),
+            )
+            site.front.dispatcher._selector.update_report(runner.instance, report)
+        site.front.dispatcher.end_requests_within(1.5, unlisted_in_s=0.8, closes_in_s=1.0)
+        status, _, _, is_complete = await site.send("/ask/x", **_make_headers(25))
+        assert (status, is_complete) == (503, True)
+
+    run_with_site(action)
+
+
 def _find_record(site: Site, instance: str) -> UpstreamRecord:
     record = site.front.dispatcher._catalog.find(instance)
     assert record is not None
