Refuse requests that a service is known not to answer within their deadline

What callers saw: 504 upstream_timeout, executed: unknown, for a request whose deadline was shorter than the service ever needed. It ran, and a non-idempotent one could not be repeated. Five of them opened the breaker of the upstream, so the next callers got 1206.

Cause: the process beside a service compared the deadline with the wait for a place only, not with the time of responses.

Change: the process keeps the shortest time of recent responses by method and path (at least 5, for 30 to 60 s, 256 paths), and refuses as not run (1204) what could not be in time. One request a second is admitted as a probe; without it a service that has become faster would not be noticed.

Not covered: a request that waits longer for its place than predicted, and other hosts' times.

--- a/sycamoreproxy/upstream_role.py
+++ b/sycamoreproxy/upstream_role.py
@@ -28,6 +28,7 @@
 )
 from sycamoreproxy.metrics import REFUSALS, RUNNING, WAITING, WINDOW
 from sycamoreproxy.peers import Peer, PeerHub
+from sycamoreproxy.response_times import ResponseTimes
 from sycamoreproxy.result_codes import (
     DEADLINE_UNREACHABLE,
     INTERNAL,
@@ -93,6 +94,7 @@
     __slots__ = (
         "_now",
         "_on_gap",
+        "_on_head",
         "_on_tokens",
         "cost",
         "had_output",
@@ -114,10 +116,12 @@
         peer: Peer,
         ticket: Ticket,
         now: Callable[[], float],
+        on_head: Callable[[_Attempt], None],
         on_gap: Callable[[float, int], None],
         on_tokens: Callable[[Ticket, int], None],
     ) -> None:
         self._now = now
+        self._on_head = on_head
         self._on_gap = on_gap
         self._on_tokens = on_tokens
         self.submit = submit
@@ -135,6 +139,7 @@
     def on_head(self, status: int, headers: HeaderPairs, version: str) -> None:
         """Pass status and headers on."""
         self.version = version
+        self._on_head(self)
         self.peer.send(ResponseHead(self.submit.attempt_id, status, headers, version))
 
     def on_output(self, data: bytes, tokens: int) -> None:
@@ -207,6 +212,7 @@
         )
         self._attempts_by_id: dict[str, _Attempt] = {}
         self._waiting_bytes = 0
+        self._response_times = ResponseTimes(clock=clock)
         self._prefixes: OrderedDict[str, None] = OrderedDict()
         self._rounds: asyncio.Task[None] | None = None
         self._reports: asyncio.Task[None] | None = None
@@ -293,6 +299,8 @@
             _log.warning("attempt ID is in use", attempt_id=submit.attempt_id)
             return
         refusal = self._check(submit)
+        if refusal is None:
+            refusal = self._check_response_time(submit)
         if refusal is None:
             refusal = self._enqueue(peer, submit)
         if refusal is not None:
@@ -332,6 +340,27 @@
             return None
         return Refusal(code, Executed.NO, retry_after_ms=1000 if code.retry_helps else 0)
 
+    def _check_response_time(self, submit: Submit) -> Refusal | None:
+        """Return a refusal if the service cannot respond within the deadline, as it is known.
+
+        Otherwise the request would run, and its caller would get a timeout.
+        """
+        if self._service is None:
+            return None
+        wait_s = self._queue.predict_wait(submit.rank, submit.client_account)
+        time_left_s = submit.time_left_ms / 1000.0 - wait_s
+        if self._response_times.try_admit(submit.method, submit.path, time_left_s):
+            return None
+        shortest_s = self._response_times.find_shortest(submit.method, submit.path)
+        detail = f"Recent responses took {shortest_s * 1000:.0f} ms or more."
+        return Refusal(DEADLINE_UNREACHABLE, Executed.NO, detail, retry_after_ms=1000)
+
+    def _record_response_time(self, attempt: _Attempt) -> None:
+        if self._service is not None:
+            seconds = self._clock.monotonic() - attempt.ticket.started_at
+            submit = attempt.submit
+            self._response_times.record(submit.method, submit.path, seconds)
+
     def _enqueue(self, peer: Peer, submit: Submit) -> Refusal | None:
         now = self._clock.monotonic()
         cost = float(max(1, submit.estimated_tokens)) if self._engine is not None else 1.0
@@ -355,6 +384,7 @@
             peer=peer,
             ticket=ticket,
             now=self._clock.monotonic,
+            on_head=self._record_response_time,
             on_gap=self._window.add_gap,
             on_tokens=self._add_tokens,
         )
--- a/tests/test_upstream_role.py
+++ b/tests/test_upstream_role.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from sycamoreproxy import response_times
 from sycamoreproxy.messages import Cancel, Finish, Refuse, ResponseHead, Started
+from sycamoreproxy.response_times import MIN_RESPONSES
 from sycamoreproxy.upstream_role import SILENCE_LIMIT_S
 from tests._upstream import Deployment, run_deployment, wait_until
 
@@ -210,6 +212,32 @@
     _run(action)
 
 
+def test_request_that_the_service_cannot_answer_in_time_is_refused_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It ran, and its caller got a timeout that left its execution open."""
+    monkeypatch.setattr(response_times, "PROBE_PERIOD_S", 60.0)
+
+    async def action(deployment: Deployment) -> None:
+        deployment.faults.replace({"delay_ms": 100})
+        service = {"kind": "service", "path": "/x", "idempotent": False}
+        for number in range(MIN_RESPONSES):
+            deployment.submit(f"a{number}", b"%d" % number, **service)
+            assert isinstance(await deployment.wait_end(f"a{number}"), Finish)
+        # The first one is a probe.
+        ends = []
+        for number in range(3):
+            deployment.submit(f"b{number}", b"b%d" % number, time_left_ms=50, **service)
+            ends.append(await deployment.wait_end(f"b{number}"))
+        assert isinstance(ends[0], Finish)
+        for end in ends[1:]:
+            assert isinstance(end, Refuse)
+            assert (end.code, end.executed) == (1204, "no")
+        assert sum(deployment.runs.values()) == MIN_RESPONSES + 1
+
+    _run(action, kind="service")
+
+
 @pytest.mark.parametrize(("faults", "runs"), [({"drop_before": 1}, 0), ({"drop_after": 1}, 1)])
 def test_lost_service_answer_is_unknown_and_runs_once(faults: dict[str, object], runs: int) -> None:
     async def action(deployment: Deployment) -> None:
