Drain a process of the model API on SIGHUP

What callers saw: all requests of a process of the model API lost at once when it got SIGHUP, also while it was drained after SIGTERM (status -1).

Cause: only SIGTERM and SIGINT had handlers; the default action of SIGHUP ends the process. A routed process reads its settings again on it, so an operator has reason to send it.

Change: SIGHUP has the effect of SIGTERM, as this role does not read settings again.

Evidence: test_no_signal_ends_a_process_of_the_model_api_before_it_is_drained, the case of SIGHUP, failed before with status -1 during the start; those of SIGTERM and SIGINT passed.

--- a/sycamoreproxy/daemon.py
+++ b/sycamoreproxy/daemon.py
@@ -139,7 +139,11 @@
 
 
 async def run(settings: Settings) -> None:
-    """Run the process of these settings until SIGTERM or SIGINT, then drain it."""
+    """Run the process of these settings until SIGTERM, SIGINT or SIGHUP, then drain it.
+
+    The settings are not read again, so SIGHUP has the effect of SIGTERM; its default action would
+    cut the requests in progress.
+    """
     from sycamoreproxy._resolver import use_number_resolver
     from sycamoreproxy.composition import build_process
     from sycamoreproxy.logs import configure_logs, get_logger
@@ -148,7 +152,7 @@
     log = get_logger("daemon")
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         # A second signal sets the same event again and so has no effect.
         loop.add_signal_handler(number, stop.set)
     use_number_resolver()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -89,3 +89,34 @@
         seen += line
     process.send_signal(signal.SIGTERM)
     assert process.wait(20) == 0
+
+
+#: Runs a process of the model API that gets a signal while it starts and one while it drains.
+_SIGNALLED_TWICE = """
+import asyncio, os, signal, sys
+from types import SimpleNamespace
+import sycamoreproxy.composition, sycamoreproxy.daemon
+number = int(sys.argv[1])
+class Process:
+    async def start(self):
+        os.kill(os.getpid(), number)
+    async def drain(self):
+        os.kill(os.getpid(), number)
+        await asyncio.sleep(0.05)
+        print("drained")
+    async def close(self):
+        pass
+sycamoreproxy.composition.build_process = lambda settings: Process()
+part = SimpleNamespace(format="json", level="info", host="h", role="entry", peer="")
+asyncio.run(sycamoreproxy.daemon.run(SimpleNamespace(log=part, process=part, listen=part)))
+"""
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_no_signal_ends_a_process_of_the_model_api_before_it_is_drained(
+    number: signal.Signals,
+) -> None:
+    """SIGHUP ended it at once, with all its requests, also while it was drained."""
+    command = [sys.executable, "-c", _SIGNALLED_TWICE, str(int(number))]
+    process = subprocess.run(command, stdout=subprocess.PIPE, text=True, timeout=60, check=False)
+    assert (process.returncode, process.stdout) == (0, "drained\n")
