Log the responses of the model API that are cut because their callers do not read

Change: a line for each: "response cut, caller reads too slowly" and "responses not read at the end of a stop" with the number of connections. The limits are unchanged.

Evidence: both cases of test_response_that_is_cut_because_its_caller_does_not_read_has_a_log_line failed before (no line).

--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -215,8 +215,14 @@
                 await asyncio.sleep(POLL_S)
         await self.dispatcher.wait_idle()
         give_up_at = time.monotonic() + FLUSH_LIMIT_S
-        while self._server.is_writing() and time.monotonic() < give_up_at:
+        while (unread := self._server.count_unread()) and time.monotonic() < give_up_at:
             await asyncio.sleep(POLL_S)
+        if unread:
+            _log.warning(
+                "responses not read at the end of a stop",
+                connections=unread,
+                waited_s=FLUSH_LIMIT_S,
+            )
 
     async def refuse_late_requests(self) -> None:
         """Close the listener, and refuse the requests that arrive on open connections for a moment.
@@ -258,9 +264,9 @@
         """Whether any connection is open."""
         return bool(self._connections)
 
-    def is_writing(self) -> bool:
-        """Return whether a connection has data that its caller has not read."""
-        return any(connection.stream.writing() for connection in self._connections)
+    def count_unread(self) -> int:
+        """Return the number of connections with data that their callers have not read."""
+        return sum(connection.stream.writing() for connection in self._connections)
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         stream.max_write_buffer_size = MAX_UNREAD_BYTES
@@ -410,7 +416,7 @@
         try:
             stream.write(data)
         except StreamBufferFullError:
-            stream.close()
+            self._close_slow_reader()
         except StreamClosedError:
             pass
 
@@ -436,9 +442,12 @@
                 refusal = result.failure()
             number = refusal.code.number
             self._send_refusal(refusal)
-        except (StreamClosedError, StreamBufferFullError):
+        except StreamClosedError:
             number = codes.CALLER_GONE.number
             self._stream.close()
+        except StreamBufferFullError:
+            number = codes.CALLER_GONE.number
+            self._close_slow_reader()
         except asyncio.CancelledError:
             number = codes.CALLER_GONE.number
             raise
@@ -446,6 +455,12 @@
             self._release_body()
             REQUESTS.inc({"kind": kind, "rank": rank, "code": str(number)})
 
+    def _close_slow_reader(self) -> None:
+        """Cut a response of which the caller has left too much unread."""
+        path = self._start_line.path.partition("?")[0]
+        _log.warning("response cut, caller reads too slowly", path=path, unread=MAX_UNREAD_BYTES)
+        self._stream.close()
+
     def _release_body(self) -> None:
         self._server.held_bytes -= self._held_bytes
         self._held_bytes = 0
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import pytest
+import structlog.testing
 
 from sycamoreproxy import caller_http
 from sycamoreproxy.messages import Output, Refuse, ResponseHead
@@ -21,6 +22,7 @@
     Entry,
     ScriptedUpstream,
     respond_plain,
+    send_response,
     with_entry,
 )
 
@@ -319,6 +321,37 @@
     writer.close()
 
 
+@pytest.mark.parametrize(
+    ("unread_bytes", "event"),
+    [
+        (64 * 1024 * 1024, "responses not read at the end of a stop"),
+        (256 * 1024, "response cut, caller reads too slowly"),
+    ],
+)
+@with_entry()
+async def test_response_that_is_cut_because_its_caller_does_not_read_has_a_log_line(
+    entry: Entry, monkeypatch: pytest.MonkeyPatch, unread_bytes: int, event: str
+) -> None:
+    monkeypatch.setattr(caller_http, "FLUSH_LIMIT_S", 0.1)
+    monkeypatch.setattr(caller_http, "MAX_UNREAD_BYTES", unread_bytes)
+    body = bytes(900_000)
+    await entry.add(
+        lambda upstream, peer, submit: send_response(peer, submit.attempt_id, [body] * 8),
+        service="ledger",
+    )
+    with (
+        socket.create_connection(("127.0.0.1", entry.port)) as connection,
+        structlog.testing.capture_logs() as lines,
+    ):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.send(b"GET /services/ledger/ HTTP/1.1\r\nAuthorization: Bearer k1\r\n\r\n")
+        while not entry.server.tasks:
+            await asyncio.sleep(0.005)
+        entry.server.leave()
+        await _stop(entry)
+    assert [line["event"] for line in lines if line["module"] == "caller_http"] == [event]
+
+
 @with_entry()
 async def test_caller_that_a_stop_refuses_waits_only_while_the_balancer_sends_here(
     entry: Entry,
