Send a silent engine one request of each entry host at a time

Cause: the last load report of an engine no longer counts 1 s after it, and only the entry host's own requests do. A full engine (16 running, 3 waiting) then looked idle, so every entry host sent it what waited for capacity, 0.96 s after its host was suspended. Requests of silent upstreams were also resent to engines that were silent as well.

Change: an engine without report and output for 0.6 s gets no request for capacity or as a resend while it has one of this host; that one, or the next report, shows that it responds. An interrupted stream may still be resumed there if no other engine can. An engine whose output goes on without reports is used as before.

The new tests fail before the change where they should (five of eleven cases).

--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -41,7 +41,8 @@
 #: gap.
 MAX_PREFILL_BACKLOG_PROMPTS = 3.0
 #: Time without a load report after which an engine is used only if no other has capacity, in
-#: seconds. Reports arrive every 0.1 s, so network jitter does not explain a gap of this length.
+#: seconds. Reports arrive every 0.1 s, so network jitter does not explain a gap of this length. An
+#: engine without output in this time either gets one request of each entry host at a time.
 REPORT_TIMEOUT_S = 0.6
 #: Difference up to which costs count as equal, in seconds. The upstream is picked at random among
 #: equal ones: all entry hosts see the same reports and would otherwise choose the same engine.
@@ -150,6 +151,23 @@
         ]
         return len(overdue) >= UNRESPONSIVE_MIN_OVERDUE and self.last_output_at < min(overdue)
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether neither a load report nor output arrived within the report timeout.
+
+        The whole host of the engine may be suspended or cut off. An upstream that has never
+        reported does not count as silent.
+        """
+        if self.report is None:
+            return False
+        return now - max(self.report.received_at, self.last_output_at) > REPORT_TIMEOUT_S
+
+    def has_pending_probe(self, now: float) -> bool:
+        """Return whether the engine is silent and has a request of this host.
+
+        The output of that request or the next load report shows when the engine responds again.
+        """
+        return bool(self.in_flight_by_number) and self.is_silent(now)
+
     def count_unreported(self) -> int:
         """Return the number of own requests sent too late to be included in the last report."""
         return len(self._list_unreported())
@@ -327,7 +345,12 @@
             version = self.find_version(record, requirements.model) if requirements.model else 0
             if requirements.model and version < max(1, requirements.minimum_version):
                 continue
-            is_last_resort = not view.breaker.allows() or view.is_unresponsive(now)
+            has_pending_probe = profile is not None and view.has_pending_probe(now)
+            if has_pending_probe and not ignore_capacity:
+                continue
+            is_last_resort = (
+                not view.breaker.allows() or view.is_unresponsive(now) or has_pending_probe
+            )
             choice = self._evaluate(
                 record, view, requirements, profile, now, ignore_capacity, version
             )
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -476,6 +476,10 @@
         choice = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
         if choice is None:
             return None
+        view = self._selector.view(choice.record.instance)
+        if service.engine is not None and view.has_pending_probe(self._clock.monotonic()):
+            # Its host may be suspended as well, and would then run the request after it has ended.
+            return None
         budget.count_resend()
         return self._begin(choice, requirements)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,15 @@
 
 from sycamoreproxy.clock import ManualClock
 from sycamoreproxy.messages import EngineUse
-from sycamoreproxy.placement import NO_USE, Choice, LoadReport, Requirements, UpstreamSelector
+from sycamoreproxy.placement import (
+    NO_USE,
+    REPORT_MAX_AGE_S,
+    REPORT_TIMEOUT_S,
+    Choice,
+    LoadReport,
+    Requirements,
+    UpstreamSelector,
+)
 from sycamoreproxy.retries import BREAKER_MIN_OPEN_S
 from sycamoreproxy.upstream_book import UpstreamRecord
 from tests._upstreams import PROFILE, make_upstream
@@ -272,6 +280,61 @@
     assert _send(selector, records)[0].record.instance == "i-1"
 
 
+@pytest.mark.parametrize(
+    ("own", "output_age_s", "is_reporting", "ignore_capacity", "expected"),
+    [
+        (1, None, False, False, None),
+        (1, REPORT_TIMEOUT_S + 0.1, False, False, None),
+        (1, 0.1, False, False, "i-1"),  # Only the process beside the engine is gone.
+        (0, None, False, False, "i-1"),  # One request shows whether the engine responds.
+        (1, None, True, False, "i-1"),
+        (1, None, False, True, "i-1"),  # An interrupted stream that no other engine can resume.
+    ],
+)
+def test_engine_on_a_suspended_host_gets_no_queued_requests(
+    own: int,
+    output_age_s: float | None,
+    is_reporting: bool,
+    ignore_capacity: bool,
+    expected: str | None,
+) -> None:
+    """A full engine looked idle 1 s after its last report, and got what waited for capacity."""
+    clock, selector = make_selector((16, 3), (16, 4))
+    records = [make_upstream(1), make_upstream(2)]
+    sent = [selector.begin(_choose_any(selector, records[:1]), MOST_URGENT) for _ in range(own)]
+    silent_s = REPORT_MAX_AGE_S + 0.1
+    clock.advance(silent_s - (output_age_s or 0.0))
+    if output_age_s is not None:
+        selector.record_output(sent[0])
+        clock.advance(output_age_s)
+    if is_reporting:
+        _report(clock, selector, "i-1", running=13)
+    _report(clock, selector, "i-2", running=30)
+    choice = selector.choose(
+        records[:1] if ignore_capacity else records,
+        MOST_URGENT,
+        profile=PROFILE,
+        ignore_capacity=ignore_capacity,
+    )
+    assert (choice.record.instance if choice else None) == expected
+
+
+def test_engine_on_a_suspended_host_gets_requests_with_its_next_report() -> None:
+    """Otherwise an engine whose only request was lost would never serve again."""
+    clock, selector = make_selector((0, 0))
+    _send(selector, [make_upstream(1)])
+    clock.advance(REPORT_TIMEOUT_S + 0.1)
+    assert selector.choose([make_upstream(1)], MOST_URGENT, profile=PROFILE) is None
+    _report(clock, selector, "i-1", running=0)
+    assert len(_send(selector, [make_upstream(1)])) == 1
+
+
+def _choose_any(selector: UpstreamSelector, records: list[UpstreamRecord]) -> Choice:
+    choice = selector.choose(records, MOST_URGENT, profile=PROFILE, ignore_capacity=True)
+    assert choice is not None
+    return choice
+
+
 def test_request_waits_instead_of_using_a_failing_engine() -> None:
     """Failing engines always have capacity, so each burst was sent to them."""
     clock, selector = make_selector((0, 0), (30, 0))
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -39,7 +39,12 @@
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, RESERVED_BYTES
 from sycamoreproxy.messages import LimitNotice
-from sycamoreproxy.placement import LoadReport, Requirements, UpstreamSelector
+from sycamoreproxy.placement import (
+    InFlightRequest,
+    LoadReport,
+    Requirements,
+    UpstreamSelector,
+)
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
@@ -1540,6 +1545,39 @@
 }
 
 
+@pytest.mark.parametrize("is_reporting", [False, True])
+@pytest.mark.parametrize("path", ["/ask/x", "/ask/first"])
+def test_request_is_not_resent_to_an_engine_that_is_silent_too(
+    path: str, is_reporting: bool
+) -> None:
+    """Requests were resent from one suspended host to another, and arrived after their callers left."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=6000)
+        dispatcher = site.front.dispatcher
+        sent = asyncio.create_task(site.send(path, Sycamoreproxy_Deadline_Ms="6000", **PROMPT))
+        while not upstream.requests:
+            await asyncio.sleep(0.01)
+        now = time.monotonic()
+        report = LoadReport(
+            received_at=now + 60.0 if is_reporting else now - 60.0,
+            running=0,
+            waiting=0,
+            version_by_model=(("m1", 1),),
+        )
+        for number in range(2):
+            dispatcher._selector.update_report(f"scripted-{number}", report)
+            view = dispatcher._selector.view(f"scripted-{number}")
+            # A request of another caller, so that each engine has one.
+            view.in_flight_by_number.setdefault(0, InFlightRequest(now, 100, overdue_at=now))
+        status, _, body, is_complete = await sent
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == (2 if is_reporting else 1)
+
+    upstream = _ScriptedUpstream(SILENT_ANSWERS[path], [6.0])
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
 @pytest.mark.parametrize(
     "other", [[NOT_EXECUTED], [FAILED], [b""], [6.0]], ids=["refuses", "fails", "closes", "silent"]
 )
