End the requests of a stop before a short grace period is over

What callers would see: with bounds.stop_s 1, requests may run until 2.9 s after SIGTERM, when the process has been killed, so they end without a response.

Cause: READY_DRAIN_S was not part of stop_s, and the close had at least 0.1 s after it.

Change: connections are accepted for half of the grace period at most, and closing has a fifth of it at most. From 5.6 s on nothing changes.

Evidence: test_requests_must_have_ended_before_the_process_is_killed[1.0] failed before (2.9 s); 1, 3, 4 and 8 s pass.

--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -52,6 +52,9 @@
 READY_DRAIN_S = 2.8
 #: Part of the grace period that is reserved for closing connections, in seconds.
 CLOSE_RESERVE_S = 1.0
+#: Largest parts of a short grace period for accepting connections and for closing them.
+MAX_DRAIN_FRACTION = 0.5
+MAX_RESERVE_FRACTION = 0.2
 
 _log = get_logger("routed_entry")
 
@@ -147,12 +150,14 @@
         """Fail readiness probes, stop accepting connections and finish requests in progress."""
         self._is_leaving = True
         self._caller_server.leave()
-        close_timeout_s = max(0.1, self.settings.bounds.stop_s - READY_DRAIN_S - CLOSE_RESERVE_S)
+        stop_s = self.settings.bounds.stop_s
+        drain_s = min(READY_DRAIN_S, MAX_DRAIN_FRACTION * stop_s)
+        reserve_s = min(CLOSE_RESERVE_S, MAX_RESERVE_FRACTION * stop_s)
         self._dispatcher.end_requests_within(
-            READY_DRAIN_S + close_timeout_s, unlisted_in_s=UNLISTED_S, closes_in_s=READY_DRAIN_S
+            stop_s - reserve_s, unlisted_in_s=UNLISTED_S, closes_in_s=drain_s
         )
-        await asyncio.sleep(READY_DRAIN_S)
-        await self._caller_server.close(wait_s=close_timeout_s)
+        await asyncio.sleep(drain_s)
+        await self._caller_server.close(wait_s=stop_s - reserve_s - drain_s)
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
