Judge a request in a stop by the last known pace of its engine

What callers saw in a test: a stream begun in a stop on an engine that had reported pace 100 over 1 s before was cut.

Cause: placement takes pace 1 for an old report, and the check of a stop took its pace.

Change: the choice has the pace of the last report, however old, for that check only.

Evidence: test_generation_is_not_begun_in_a_stop_on_an_engine_that_was_slow[old] failed before (200, incomplete).

--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -226,7 +226,8 @@
     :param waiting: requests accepted but not started according to its last report.
     :param unreported: own requests sent too late to be included in the report.
     :param occupied: estimated requests on the upstream, from the last report if it is recent.
-    :param pace: factor on the upstream's timings according to its last report; above 1 is slower.
+    :param last_pace: factor on the upstream's timings in its last report, however old; above 1 is
+        slower.
     :param version: version of the weights that the upstream is expected to hold, 0 for plain
         services.
     :param number: number of the attempt for :meth:`UpstreamSelector.end`; 0 before
@@ -240,7 +241,7 @@
     unreported: int
     report_age_s: float | None
     occupied: int = 0
-    pace: float = 1.0
+    last_pace: float = 1.0
     version: int = 0
     number: int = 0
 
@@ -554,10 +555,12 @@
             occupied = own.open_requests * max(1, self.entry_hosts)
         slots = max(1, record.slots if profile is None else profile.slots)
         excess = occupied + 1 - slots
-        pace = 1.0
         if profile is None:
-            if report is not None and now - report.received_at < PACE_MAX_AGE_S:
-                pace = report.pace
+            pace = (
+                report.pace
+                if report is not None and now - report.received_at < PACE_MAX_AGE_S
+                else 1.0
+            )
             forecast = PLAIN_SERVICE_LATENCY_S * pace * (1 + occupied / slots)
         else:
             max_excess = (
@@ -567,9 +570,7 @@
             )
             if excess > max_excess and not ignore_capacity:
                 return None
-            if is_fresh and report is not None:
-                pace = report.pace
-            engine = EngineForecast(profile, pace)
+            engine = EngineForecast(profile, pace=report.pace if is_fresh and report else 1.0)
             forecast = engine.time_to_first_token_s(
                 queued_ahead=max(0, excess),
                 batch_size=min(occupied, slots),
@@ -591,7 +592,7 @@
             unreported=view.count_unreported(),
             report_age_s=age,
             occupied=occupied,
-            pace=pace,
+            last_pace=report.pace if report is not None else 1.0,
             version=version,
         )
 
--- a/sycamoreproxy/stop_limit.py
+++ b/sycamoreproxy/stop_limit.py
@@ -86,7 +86,7 @@
         if progress.executions:
             generation_s = forecast_mean_generation_s(progress)
         else:
-            pace = choice.pace if choice is not None else 1.0
+            pace = choice.last_pace if choice is not None else 1.0
             generation_s = forecast_longest_generation_s(progress, pace=pace)
         first_s = choice.forecast_s if choice is not None else 0.0
         return min(longest_s, max(progress.route.target_latency_s, first_s + generation_s))
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -104,7 +104,7 @@
         waiting=0,
         unreported=0,
         report_age_s=0.0,
-        pace=pace,
+        last_pace=pace,
     )
 
 
