Let hosts take turns at the origin by what they have announced

Cause: a host always ranked itself among the hosts that can upload, while its peers left it out once it had spent its uploads. All such hosts were in the first turn by their own view. Peers did not recognise spent uploads by the announced bytes either, because the reserve for missing chunks was not subtracted. Hosts that had waited long also did not notice that an earlier turn was still in progress.

Change: hosts announce whether they can still upload the next chunk that they fetch, and rank themselves by what they announced last, as their peers do. Hosts that announced a request to the origin come first until it is over, then the others, then those that don't use the origin after a failure or have spent their uploads. A later turn begins once no host has announced a request for as long as a request may take. Requests to the origin and spent uploads are announced at once where the number of hosts at the origin is limited. ChunkHave has one more field at its end.

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -8,6 +8,7 @@
 
 import functools
 import hashlib
+import math
 import random
 from collections import Counter, defaultdict
 from collections.abc import Iterable
@@ -171,6 +172,10 @@
     :param busy_count: requests declined since its last chunk, up to ``_MAX_BUSY_BACKOFF``.
     :param budget_spent_until: monotonic time until which it is not used because its upload budget
         is spent.
+    :param has_spent_uploads: whether it can't upload the next chunk that it fetches.
+    :param bytes_requested_from_origin: bytes that it requested from the origin.
+    :param requested_from_origin_at: monotonic time at which it announced its last request to the
+        origin.
     """
 
     bitmap: int = 0
@@ -181,6 +186,15 @@
     backoff_until: float = 0.0
     busy_count: int = 0
     budget_spent_until: float = 0.0
+    has_spent_uploads: bool = False
+    bytes_requested_from_origin: int = 0
+    requested_from_origin_at: float = -math.inf
+
+    def record_origin_requests(self, requested_bytes: int, now: float) -> None:
+        """Apply the announced number of bytes requested from the origin."""
+        if requested_bytes > self.bytes_requested_from_origin:
+            self.requested_from_origin_at = now
+        self.bytes_requested_from_origin = requested_bytes
 
 
 @functools.lru_cache(maxsize=4_096)
@@ -348,6 +362,9 @@
         )
         self._held = sum(1 << self._first_index_by_digest[digest] for digest in set(held))
         self._peers_by_host: dict[str, _PeerState] = {}
+        #: This host as the peers know it from its last announcement. Turns at the origin are found
+        #: by it, so that this host and its peers agree on them.
+        self._announced = _PeerState()
         self._neighbours_by_host: dict[str, HostRecord] = {}
         is_small = limits.balances_small_versions and len(manifest.chunks) <= MAX_BALANCED_CHUNKS
         assignment_class = BoundedLoadAssignment if is_small else RendezvousAssignment
@@ -409,6 +426,21 @@
         """Whether this host uses the origin now, which it does unless the origin is in back-off."""
         return self._backoff_until_by_source.get(ORIGIN, 0.0) <= self._clock.monotonic()
 
+    @property
+    def has_spent_uploads(self) -> bool:
+        """Whether this host can't upload the next chunk that it fetches."""
+        missing_chunks = max(1, (self._unique_chunks & ~self._held).bit_count())
+        budget = self._compute_hard_upload_budget(missing_chunks - 1)
+        return self.bytes_uploaded + self.manifest.chunk_bytes > budget
+
+    @property
+    def has_unannounced_turn(self) -> bool:
+        """Whether the last announcement does not show what decides this host's turn."""
+        return self._origin_hosts is not None and (
+            self.has_spent_uploads != self._announced.has_spent_uploads
+            or self.bytes_requested_from_origin != self._announced.bytes_requested_from_origin
+        )
+
     def list_sources_in_backoff(self) -> list[str]:
         """Return the sources that are not used now because they failed or sent a corrupt chunk."""
         now = self._clock.monotonic()
@@ -434,8 +466,8 @@
         :param records: the hosts, with or without this one.
         :param zones: number of availability zones that receive the version, in all regions.
         :param regions: number of regions that receive the version.
-        :param origin_hosts: number of hosts of the region that may be assigned chunks to fetch from
-            the origin; None for all.
+        :param origin_hosts: number of hosts of the region that may use the origin at once; None for
+            all.
         """
         records_by_host = {r.host: r for r in records if r.host != self._host}
         self._zones, self._regions = max(1, zones), max(1, regions)
@@ -466,6 +498,7 @@
         closed: bool,
         fetches_from_origin: bool = True,
         bytes_requested_from_origin: int = 0,
+        has_spent_uploads: bool = False,
     ) -> None:
         """Apply a peer's announcement about this version.
 
@@ -474,6 +507,7 @@
         :param closed: whether it accepts no requests for chunks.
         :param fetches_from_origin: whether it fetches its assigned chunks from the origin now.
         :param bytes_requested_from_origin: bytes that it requested from the origin.
+        :param has_spent_uploads: whether it can't upload the next chunk that it fetches.
         """
         peer = self._peers_by_host.setdefault(host, _PeerState())
         bitmap &= self._unique_chunks
@@ -499,6 +533,8 @@
             closed,
             fetches_from_origin,
         )
+        peer.has_spent_uploads = has_spent_uploads
+        peer.record_origin_requests(bytes_requested_from_origin, self._clock.monotonic())
         if bytes_requested_from_origin < self._origin_bytes_by_host.get(host, 0):
             # The peer's process was replaced and counts from 0 again.
             self._origin_bytes_of_replaced_peers += self._origin_bytes_by_host[host]
@@ -506,6 +542,13 @@
         if was_active != (host not in self._stalled_hosts and fetches_from_origin):
             self._reassign()
 
+    def record_announced(self) -> None:
+        """Record that the current state is announced to the peers."""
+        own = self._announced
+        own.fetches_from_origin = self.fetches_from_origin
+        own.has_spent_uploads = self.has_spent_uploads
+        own.record_origin_requests(self.bytes_requested_from_origin, self._clock.monotonic())
+
     def remove_peer(self, host: str) -> None:
         """Remove a peer whose stream closed; its chunks in flight may be requested elsewhere."""
         peer = self._peers_by_host.pop(host, None)
@@ -713,11 +756,14 @@
 
     @property
     def _hard_upload_budget(self) -> float:
-        """Upload budget for any chunk.
+        """Upload budget for any chunk."""
+        return self._compute_hard_upload_budget((self._unique_chunks & ~self._held).bit_count())
+
+    def _compute_hard_upload_budget(self, missing_chunks: int) -> float:
+        """Return the upload budget for any chunk while a number of chunks is missing.
 
         A reserve is withheld because the last chunks to arrive may be corrupt.
         """
-        missing_chunks = (self._unique_chunks & ~self._held).bit_count()
         reserve_bytes = min(missing_chunks, _UPLOAD_RESERVE_CHUNKS) * self.manifest.chunk_bytes
         return self._total_upload_budget - self._wasted_bytes - reserve_bytes
 
@@ -796,12 +842,18 @@
         it, two fetch it first, chosen by rendezvous hash; the others wait to receive it from them.
         """
         idle_s = now - self._last_peer_chunk_at
-        fallback_s = max(
-            _MIN_FALLBACK_IDLE_S, 5 * self.manifest.chunk_bytes / self._limits.bytes_per_s
-        )
-        wait_s = fallback_s * (1 + _ORIGIN_TURN_FALLBACKS * self._find_origin_turn())
-        if self._in_flight_by_index or idle_s < wait_s or not self._may_request_from_origin():
+        fallback_s = self._find_fallback_s()
+        if self._in_flight_by_index or idle_s < fallback_s or not self._may_request_from_origin():
             return None
+        turn = self._find_origin_turn()
+        if turn:
+            # Hosts may have been idle for long when the origin becomes free, so that their idle time
+            # alone would not keep the turns apart.
+            unused_s = now - self._find_last_origin_use()
+            turn_s = _ORIGIN_TURN_FALLBACKS * fallback_s
+            is_idle = idle_s >= fallback_s + turn * turn_s
+            if not is_idle or unused_s < self._find_origin_use_s() + (turn - 1) * turn_s:
+                return None
         served_chunks = 0
         for host, peer in self._peers_by_host.items():
             is_in_backoff = self._backoff_until_by_source.get(host, 0.0) > now
@@ -821,6 +873,10 @@
             self._make_fetch(index, ORIGIN) if self._may_exceed_origin_share(index, now) else None
         )
 
+    def _find_fallback_s(self) -> float:
+        """Return the time after which chunks that no peer serves are fetched from the origin."""
+        return max(_MIN_FALLBACK_IDLE_S, 5 * self.manifest.chunk_bytes / self._limits.bytes_per_s)
+
     def _find_origin_turn(self) -> int:
         """Return how many groups of hosts that lack chunks use the origin before this host."""
         if self._origin_hosts is None:
@@ -832,19 +888,51 @@
         if self._origin_hosts is None:
             return list(self._peers_by_host)
         order = self._rank_reseeding_hosts()
-        turn = order.index(self._host) // self._origin_hosts
-        hosts = order[: (turn + 1) * self._origin_hosts]
+        hosts = order[: (self._find_origin_turn() + 1) * self._origin_hosts]
         return [host for host in hosts if host != self._host]
 
     def _rank_reseeding_hosts(self) -> list[str]:
-        """Return the hosts that lack chunks and can upload them, in the order of their turns."""
+        """Return the hosts that lack chunks, in the order of their turns.
+
+        Those that use the origin already come first. Those that don't use it after a failure, or
+        have spent their uploads and can't pass on what they fetch, come after the others.
+        """
+        now = self._clock.monotonic()
         lacking = {
-            host
-            for host, peer in self._peers_by_host.items()
-            if peer.bitmap != self._unique_chunks and peer.fetches_from_origin
+            host for host, peer in self._peers_by_host.items() if peer.bitmap != self._unique_chunks
         }
-        spent = {host for host in lacking if self._has_spent_budget(self._peers_by_host[host])}
-        return rank_origin_hosts(self.manifest.version, {self._host, *(lacking - spent)})
+        return sorted(
+            rank_origin_hosts(self.manifest.version, {self._host, *lacking}),
+            key=lambda host: (
+                not self._is_at_origin(host, now),
+                not self._find_announced(host).fetches_from_origin,
+                self._find_announced(host).has_spent_uploads,
+            ),
+        )
+
+    def _find_announced(self, host: str) -> _PeerState:
+        """Return what a peer, or this host itself, announced last."""
+        return self._announced if host == self._host else self._peers_by_host[host]
+
+    def _is_at_origin(self, host: str, now: float) -> bool:
+        """Return whether a host that lacks chunks uses the origin, as its announcements show."""
+        elapsed_s = now - self._find_announced(host).requested_from_origin_at
+        return elapsed_s < self._find_origin_use_s()
+
+    def _find_origin_use_s(self) -> float:
+        """Return how long a host counts as using the origin after a request to it, in seconds.
+
+        It does until the longest request is over, and until the next turn would begin.
+        """
+        turn_s = _ORIGIN_TURN_FALLBACKS * self._find_fallback_s()
+        return max(self._limits.request_timeout_s, turn_s)
+
+    def _find_last_origin_use(self) -> float:
+        """Return when a peer announced the last request to the origin, as monotonic time."""
+        return max(
+            (peer.requested_from_origin_at for peer in self._peers_by_host.values()),
+            default=-math.inf,
+        )
 
     def _has_spent_budget(self, peer: _PeerState) -> bool:
         return (
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -356,6 +356,7 @@
     :param closed: whether the host accepts no chunk requests.
     :param fetches: whether the host currently fetches its share of the chunks from the origin.
     :param from_origin: bytes of this version requested from the origin so far.
+    :param spent: whether the host can't upload the next chunk that it fetches.
     """
 
     version: str
@@ -364,6 +365,7 @@
     closed: bool = False
     fetches: bool = True
     from_origin: int = 0
+    spent: bool = False
 
 
 @message(31)
--- a/sycamoreproxy/weight_transfer.py
+++ b/sycamoreproxy/weight_transfer.py
@@ -337,6 +337,8 @@
                 if self._plan is not None and not self._plan.is_done:
                     for fetch in self._plan.choose_fetches():
                         self._send_request(self._plan, fetch)
+                    if self._plan.has_unannounced_turn:
+                        self._schedule_announcement()
                 await self._notify_waiters()
                 await self._wait_for_wake()
         finally:
@@ -626,6 +628,7 @@
             closed=have.closed or not is_same_version,
             fetches_from_origin=have.fetches,
             bytes_requested_from_origin=have.from_origin if is_same_version else 0,
+            has_spent_uploads=have.spent and is_same_version,
         )
         self._wake.set()
 
@@ -653,6 +656,8 @@
             return
         self._uploads.append((peer, request.digest))
         self._upload_wake.set()
+        if plan.has_unannounced_turn:
+            self._schedule_announcement()
 
     def _handle_data(self, peer: Peer, answer: ChunkData) -> None:
         if answer.digest:
@@ -763,6 +768,7 @@
                 # The announcement contains the uploaded bytes, which are reset after a rollout.
                 if self._plan is not None:
                     self._plan.renew_budget()
+                    self._plan.record_announced()
                 have = self._make_have()
                 timer.record_sent()
                 for peer in peers:
@@ -816,4 +822,5 @@
             plan.bytes_uploaded,
             fetches=plan.fetches_from_origin,
             from_origin=plan.bytes_requested_from_origin,
+            spent=plan.has_spent_uploads,
         )
--- a/tests/test_chunk_plan.py
+++ b/tests/test_chunk_plan.py
@@ -475,3 +475,181 @@
         fixture.plan.record_declined(_DIGESTS[-1], requested[-1], "busy")
         fixture.clock.advance(5e-4)
     assert ORIGIN in requested
+
+
+class _OriginRegion:
+    """Hosts that lack chunks whose holder has spent its uploads; two may use the origin at once.
+
+    Every step takes 50 ms and ends with the announcements of all hosts, if any are due.
+
+    :param missing: number of chunks that each host lacks; if it is all, the holder lacks them too.
+    :param spent: number of hosts that have spent their uploads.
+    :param refused: number of first requests that the origin refuses.
+    :param request_s: duration of a request to the origin.
+    :param late: number of hosts that received their last chunk just now.
+    :param announce_steps: number of steps from one announcement to the next.
+    :param idle_s: time since the hosts received their last chunks.
+    """
+
+    _STEP_S = 0.05
+
+    def __init__(
+        self,
+        *,
+        hosts: int = 9,
+        missing: int = 1,
+        spent: int = 0,
+        refused: int = 0,
+        request_s: float = 0.05,
+        late: int = 0,
+        announce_steps: int = 1,
+        takeover_timeout_s: float = 5.0,
+        idle_s: float = 1.2,
+    ) -> None:
+        self.clock = ManualClock()
+        self.frozen_host = ""
+        self._limits = PlanLimits(
+            bytes_per_s=1e9,
+            origin_copies_per_zone=4,
+            request_timeout_s=1.5,
+            takeover_timeout_s=takeover_timeout_s,
+        )
+        self._announce_steps = announce_steps
+        self._steps = 0
+        names = [f"h{number}" for number in range(hosts)]
+        self.spent_hosts = set(random.Random(spent).sample(names, spent))
+        self._refused = refused
+        self._request_s = request_s
+        self._records = [make_record(name) for name in [*names, "holder"]]
+        self._answers: list[tuple[float, str, str]] = []
+        self.plans_by_host = {name: self._make_plan(name, _DIGESTS[:-missing]) for name in names}
+        self.plans_by_host["holder"] = self._make_plan(
+            "holder", _DIGESTS if missing < len(_DIGESTS) else []
+        )
+        for name in (*self.spent_hosts, "holder"):
+            self.plans_by_host[name].bytes_uploaded = _MANIFEST.total_bytes
+        self._announce()
+        self.clock.advance(idle_s)
+        for name in names[:late]:
+            self.plans_by_host[name].record_received(_DIGESTS[0], "holder")
+
+    def _make_plan(self, host: str, held: list[str]) -> ChunkPlan:
+        plan = ChunkPlan(
+            host=host,
+            manifest=_MANIFEST,
+            held=held,
+            limits=self._limits,
+            clock=self.clock,
+            random_source=random.Random(host),
+        )
+        plan.set_neighbours(self._records, zones=1, regions=1, origin_hosts=2)
+        return plan
+
+    @property
+    def hosts_at_origin(self) -> set[str]:
+        return {host for _, host, _ in self._answers}
+
+    @property
+    def orders(self) -> set[tuple[str, ...]]:
+        """The orders of turns at the hosts that lack chunks; one if all hosts agree on it."""
+        return {
+            tuple(plan._rank_reseeding_hosts())
+            for plan in self.plans_by_host.values()
+            if not plan.is_done
+        }
+
+    @property
+    def is_done(self) -> bool:
+        return all(plan.is_done for plan in self._running_plans.values())
+
+    def step(self) -> None:
+        self.clock.advance(self._STEP_S)
+        self._answer_requests()
+        for host, plan in self._running_plans.items():
+            for fetch in plan.choose_fetches():
+                if fetch.source == ORIGIN:
+                    until = self.clock.monotonic() + self._request_s - self._STEP_S / 2
+                    self._answers.append((until, host, fetch.digest))
+                    continue
+                source = self.plans_by_host[fetch.source]
+                if fetch.source == self.frozen_host:
+                    continue
+                reason = source.decide_upload(fetch.digest, host=host, queued=0)
+                if reason:
+                    plan.record_declined(fetch.digest, fetch.source, reason)
+                else:
+                    plan.record_received(fetch.digest, fetch.source)
+        self._steps += 1
+        if self._steps % self._announce_steps == 0:
+            self._announce()
+
+    @property
+    def _running_plans(self) -> dict[str, ChunkPlan]:
+        return {h: plan for h, plan in self.plans_by_host.items() if h != self.frozen_host}
+
+    def _answer_requests(self) -> None:
+        now = self.clock.monotonic()
+        arrived = [answer for answer in self._answers if answer[0] <= now]
+        self._answers = [answer for answer in self._answers if answer[0] > now]
+        for _, host, digest in arrived:
+            if self._refused:
+                self._refused -= 1
+                self.plans_by_host[host].record_failed(digest, ORIGIN)
+            else:
+                self.plans_by_host[host].record_received(digest, ORIGIN)
+
+    def _announce(self) -> None:
+        for name, plan in self._running_plans.items():
+            plan.record_announced()
+            for other, receiver in self.plans_by_host.items():
+                if other != name:
+                    receiver.update_peer(
+                        name,
+                        bitmap=plan.held,
+                        bytes_uploaded=plan.bytes_uploaded,
+                        closed=False,
+                        fetches_from_origin=plan.fetches_from_origin,
+                        bytes_requested_from_origin=plan.bytes_requested_from_origin,
+                        has_spent_uploads=plan.has_spent_uploads,
+                    )
+
+
+@pytest.mark.parametrize("spent", [0, 3, 6, 8, 9])
+@pytest.mark.parametrize(
+    ("missing", "refused", "request_s", "late"),
+    [
+        (1, 0, 0.05, 0),
+        (6, 0, 0.05, 0),
+        (6, 0, 0.4, 0),
+        (2, 0, 1.4, 0),
+        (3, 4, 0.05, 0),
+        (3, 0, 0.05, 2),
+        (3, 0, 0.3, 7),
+    ],
+)
+def test_no_more_hosts_use_the_origin_at_once_than_permitted(
+    spent: int, missing: int, refused: int, request_s: float, late: int
+) -> None:
+    """Hosts that had spent their uploads all took the first turn, since peers left them out."""
+    region = _OriginRegion(
+        missing=missing, spent=spent, refused=refused, request_s=request_s, late=late
+    )
+    for _ in range(4_000):
+        region.step()
+        assert len(region.hosts_at_origin) <= 2
+        assert len(region.orders) <= 1
+        if region.is_done:
+            break
+    assert region.is_done
+
+
+@pytest.mark.parametrize("spent", [3, 6, 8])
+def test_hosts_that_have_spent_their_uploads_use_the_origin_after_the_others(spent: int) -> None:
+    """Chunks that such a host fetches reach no other host."""
+    region = _OriginRegion(spent=spent)
+    for _ in range(100):
+        region.step()
+        if region.hosts_at_origin:
+            break
+    assert len(region.hosts_at_origin) == min(2, 9 - spent) + (spent == 8)
+    assert len(region.hosts_at_origin & region.spent_hosts) == (spent == 8)
