Keep hosts that take over from using the origin beside those that use it

Cause: when the two hosts that fetch the first copies were late for longer than the take-over timeout, the next two were assigned their chunks, and counted as stalled 0.2 s later, since they had never made progress. Within a second, most hosts had taken over, in different orders.

Change: where the hosts at the origin are limited, a first copy is fetched only while fewer other hosts than that have announced a request that may still be in progress. A host that holds such a place or waits for one does not count as stalled. Hosts assigned a first copy come before the others in the order of turns, and later turns wait until they could have taken over.

A frozen host is taken over from after the request timeout where that is longer than the take-over timeout, and a transfer from an origin whose requests take long is slower than with more hosts than permitted (docs/decisions/weights.md has figures in model time).

--- a/sycamoreproxy/chunk_plan.py
+++ b/sycamoreproxy/chunk_plan.py
@@ -811,6 +811,8 @@
                 & self._chunks_by_holder_count.get(0, 0)
                 & self._assignment.chunks_of(self._host)
             )
+            if unheld and not self._has_place_at_origin(now):
+                unheld = 0
             own_share = unheld & self._region_assignment.chunks_of(self._host)
             if own_share:
                 return self._make_fetch(self._pick_bit(own_share), ORIGIN)
@@ -848,11 +850,11 @@
         turn = self._find_origin_turn()
         if turn:
             # Hosts may have been idle for long when the origin becomes free, so that their idle time
-            # alone would not keep the turns apart.
+            # alone would not keep the turns apart, nor from hosts that take over.
             unused_s = now - self._find_last_origin_use()
             turn_s = _ORIGIN_TURN_FALLBACKS * fallback_s
             is_idle = idle_s >= fallback_s + turn * turn_s
-            if not is_idle or unused_s < self._find_origin_use_s() + (turn - 1) * turn_s:
+            if not is_idle or unused_s < self._find_origin_use_s() + turn * turn_s:
                 return None
         served_chunks = 0
         for host, peer in self._peers_by_host.items():
@@ -894,10 +896,12 @@
     def _rank_reseeding_hosts(self) -> list[str]:
         """Return the hosts that lack chunks, in the order of their turns.
 
-        Those that use the origin already come first. Those that don't use it after a failure, or
-        have spent their uploads and can't pass on what they fetch, come after the others.
+        Those that use the origin already come first, then those that are to fetch the first copy of
+        a chunk. Those that don't use it after a failure, or have spent their uploads and can't pass
+        on what they fetch, come after the others.
         """
         now = self._clock.monotonic()
+        unheld = self._chunks_by_holder_count.get(0, 0) & ~self._held
         lacking = {
             host for host, peer in self._peers_by_host.items() if peer.bitmap != self._unique_chunks
         }
@@ -905,6 +909,7 @@
             rank_origin_hosts(self.manifest.version, {self._host, *lacking}),
             key=lambda host: (
                 not self._is_at_origin(host, now),
+                not self._assignment.chunks_of(host) & unheld,
                 not self._find_announced(host).fetches_from_origin,
                 self._find_announced(host).has_spent_uploads,
             ),
@@ -934,6 +939,18 @@
             default=-math.inf,
         )
 
+    def _list_hosts_at_origin(self, now: float) -> list[str]:
+        """Return the hosts that use the origin, in the order in which they keep their place."""
+        return [host for host in self._rank_reseeding_hosts() if self._is_at_origin(host, now)]
+
+    def _has_place_at_origin(self, now: float) -> bool:
+        """Return whether other hosts leave this one a place at the origin."""
+        if self._origin_hosts is None:
+            return True
+        hosts = self._list_hosts_at_origin(now)
+        position = hosts.index(self._host) if self._host in hosts else len(hosts)
+        return position < self._origin_hosts
+
     def _has_spent_budget(self, peer: _PeerState) -> bool:
         return (
             peer.budget_spent_until > self._clock.monotonic()
@@ -1095,7 +1112,14 @@
             self._limits.takeover_timeout_s, 4 * max([self._origin_latency_s, *pending_s])
         )
         stalled_before = len(self._stalled_hosts)
+        hosts_at_origin = self._list_hosts_at_origin(now) if self._origin_hosts is not None else []
         for host in self._neighbours_by_host:
+            if host in hosts_at_origin:
+                # Its connection still counts at the origin, so no other host may take its place.
+                continue
+            if self._origin_hosts is not None and len(hosts_at_origin) >= self._origin_hosts:
+                # It waits for a place, which does not show that it is stalled.
+                self._progress_at_by_host[host] = now
             if host in self._stalled_hosts or now - self._progress_at_by_host[host] <= takeover_s:
                 continue
             peer = self._peers_by_host.get(host)
--- a/tests/test_chunk_plan.py
+++ b/tests/test_chunk_plan.py
@@ -482,7 +482,8 @@
 
     Every step takes 50 ms and ends with the announcements of all hosts, if any are due.
 
-    :param missing: number of chunks that each host lacks; if it is all, the holder lacks them too.
+    :param missing: number of chunks that each host lacks.
+    :param unheld: number of those that the holder lacks, too.
     :param spent: number of hosts that have spent their uploads.
     :param refused: number of first requests that the origin refuses.
     :param request_s: duration of a request to the origin.
@@ -498,6 +499,7 @@
         *,
         hosts: int = 9,
         missing: int = 1,
+        unheld: int = 0,
         spent: int = 0,
         refused: int = 0,
         request_s: float = 0.05,
@@ -523,9 +525,7 @@
         self._records = [make_record(name) for name in [*names, "holder"]]
         self._answers: list[tuple[float, str, str]] = []
         self.plans_by_host = {name: self._make_plan(name, _DIGESTS[:-missing]) for name in names}
-        self.plans_by_host["holder"] = self._make_plan(
-            "holder", _DIGESTS if missing < len(_DIGESTS) else []
-        )
+        self.plans_by_host["holder"] = self._make_plan("holder", _DIGESTS[: len(_DIGESTS) - unheld])
         for name in (*self.spent_hosts, "holder"):
             self.plans_by_host[name].bytes_uploaded = _MANIFEST.total_bytes
         self._announce()
@@ -616,23 +616,30 @@
 
 @pytest.mark.parametrize("spent", [0, 3, 6, 8, 9])
 @pytest.mark.parametrize(
-    ("missing", "refused", "request_s", "late"),
+    ("missing", "unheld", "refused", "request_s", "late"),
     [
-        (1, 0, 0.05, 0),
-        (6, 0, 0.05, 0),
-        (6, 0, 0.4, 0),
-        (2, 0, 1.4, 0),
-        (3, 4, 0.05, 0),
-        (3, 0, 0.05, 2),
-        (3, 0, 0.3, 7),
+        (1, 0, 0, 0.05, 0),
+        (6, 0, 0, 0.05, 0),
+        (6, 0, 0, 0.4, 0),
+        (2, 0, 0, 1.4, 0),
+        (2, 1, 0, 0.05, 0),
+        (6, 2, 0, 0.4, 0),
+        (3, 0, 4, 0.05, 0),
+        (3, 0, 0, 0.05, 2),
+        (3, 0, 0, 0.3, 7),
     ],
 )
 def test_no_more_hosts_use_the_origin_at_once_than_permitted(
-    spent: int, missing: int, refused: int, request_s: float, late: int
+    spent: int, missing: int, unheld: int, refused: int, request_s: float, late: int
 ) -> None:
     """Hosts that had spent their uploads all took the first turn, since peers left them out."""
     region = _OriginRegion(
-        missing=missing, spent=spent, refused=refused, request_s=request_s, late=late
+        missing=missing,
+        unheld=unheld,
+        spent=spent,
+        refused=refused,
+        request_s=request_s,
+        late=late,
     )
     for _ in range(4_000):
         region.step()
@@ -653,3 +660,54 @@
             break
     assert len(region.hosts_at_origin) == min(2, 9 - spent) + (spent == 8)
     assert len(region.hosts_at_origin & region.spent_hosts) == (spent == 8)
+
+
+@pytest.mark.parametrize("takeover_timeout_s", [0.3, 1.0])
+@pytest.mark.parametrize("announce_steps", [1, 4])
+@pytest.mark.parametrize("request_s", [0.05, 0.6])
+@pytest.mark.parametrize("is_frozen", [False, True])
+def test_hosts_do_not_take_each_others_chunks_over_in_a_series(
+    takeover_timeout_s: float, announce_steps: int, request_s: float, is_frozen: bool
+) -> None:
+    """Hosts counted as stalled as soon as they were to take over from others, so that all did."""
+    region = _OriginRegion(
+        missing=len(_DIGESTS),
+        unheld=len(_DIGESTS),
+        announce_steps=announce_steps,
+        takeover_timeout_s=takeover_timeout_s,
+        request_s=request_s,
+        idle_s=0,
+    )
+    for number in range(8_000):
+        region.step()
+        assert len(region.hosts_at_origin) <= 2
+        if is_frozen and number == announce_steps:
+            region.frozen_host = min(region.hosts_at_origin)
+        if region.is_done:
+            break
+    assert region.is_done
+
+
+@pytest.mark.parametrize("takeover_timeout_s", [0.3, 1.0])
+@pytest.mark.parametrize("frozen_at", [2, 10, 14])
+def test_host_that_resumes_leaves_the_origin_to_those_that_took_over(
+    takeover_timeout_s: float, frozen_at: int
+) -> None:
+    """It was still assigned its chunks in its own view, and used the origin beside the others."""
+    region = _OriginRegion(
+        missing=len(_DIGESTS),
+        unheld=len(_DIGESTS),
+        takeover_timeout_s=takeover_timeout_s,
+        request_s=0.6,
+        idle_s=0,
+    )
+    for number in range(8_000):
+        region.step()
+        assert len(region.hosts_at_origin) <= 2
+        if number == frozen_at:
+            region.frozen_host = min(region.hosts_at_origin)
+        if number == frozen_at + 40:
+            region.frozen_host = ""
+        if region.is_done:
+            break
+    assert region.is_done
--- a/tests/test_weight_transfer.py
+++ b/tests/test_weight_transfer.py
@@ -513,6 +513,60 @@
     assert origin.refused == 0
 
 
+def test_spent_uploads_are_announced_without_waiting_for_the_heartbeat() -> None:
+    """A host with spent uploads kept its turn at the origin at its peers for up to 3 s."""
+    origin = FakeOrigin()
+    origin.add("v1", _make_chunks(1, 4))
+    limits = dataclasses.replace(_FAST_LIMITS, max_queued_uploads=99)
+    haves: list[ChunkHave] = []
+
+    async def action(cluster: _Cluster) -> None:
+        cluster.start("h1")
+        manifest = await cluster.fetch("v1")
+        transfer = cluster.nodes["h1"].transfer
+        peer = SimpleNamespace(
+            hello=Hello("h2", "h2", "upstream", "a", "r"),
+            send=lambda message: haves.append(message) or True,
+        )
+        transfer._handle_open(peer)  # type: ignore[arg-type]
+        # Nothing is awaited from here on, so no announcement is sent in between.
+        assert transfer._plan is not None
+        transfer._plan.record_announced()
+        for timer in transfer._announcement_timers:
+            timer.record_sent()
+        for digest in manifest.chunks:
+            transfer._handle_request(peer, ChunkRequest("v1", digest))  # type: ignore[arg-type]
+        assert transfer._make_have().spent
+        assert all(timer.has_changes for timer in transfer._announcement_timers)
+
+    _run(origin, action, limits=limits, origin_connections=8)
+    assert not haves[0].spent
+
+
+def test_peer_that_announces_spent_uploads_is_ranked_last() -> None:
+    """Hosts took the first turn at the origin that peers had given to others."""
+    origin = FakeOrigin()
+    origin.add("v1", _make_chunks(1, 4))
+
+    async def action(cluster: _Cluster) -> None:
+        cluster.start("h1")
+        await cluster.fetch("v1")
+        transfer = cluster.nodes["h1"].transfer
+        assert transfer._plan is not None
+        for spent_host in ("h2", "h3"):
+            for host in ("h2", "h3"):
+                peer = SimpleNamespace(
+                    hello=Hello(host, host, "upstream", "a", "r"), send=lambda message: True
+                )
+                transfer._handle_open(peer)  # type: ignore[arg-type]
+                have = ChunkHave("v1", b"\x01", spent=host == spent_host)
+                transfer._handle_have(peer, have)  # type: ignore[arg-type]
+            order = transfer._plan._rank_reseeding_hosts()
+            assert [host for host in order if host != "h1"][-1] == spent_host
+
+    _run(origin, action, origin_connections=8)
+
+
 def test_local_chunks_are_used_if_the_manifest_comes_from_a_peer() -> None:
     origin = FakeOrigin()
     data = _make_chunks(1, 4)
