Check the times that the drain of an entry host sets

The cases with stop_s 3, 4 and 8 now fail for the time of the close (trial) and pass without the change.

--- a/tests/test_stop_refusals.py
+++ b/tests/test_stop_refusals.py
@@ -13,7 +13,7 @@
 from sycamoreproxy import routed_entry
 from sycamoreproxy.placement import REPORT_MAX_AGE_S, LoadReport
 from sycamoreproxy.routed_dispatch import RETRY_AFTER_MAX_FRACTION
-from sycamoreproxy.routed_entry import RoutedEntry
+from sycamoreproxy.routed_entry import READY_DRAIN_S, UNLISTED_S, RoutedEntry
 from sycamoreproxy.routed_settings import RoutedBounds
 from sycamoreproxy.upstream_book import UpstreamRecord
 from tests.test_routed_entry import (
@@ -157,6 +157,7 @@
         await entry.drain()
         (call,) = dispatcher.end_requests_within.call_args_list
         assert call.args[0] < stop_s
+        assert call.kwargs == {"unlisted_in_s": UNLISTED_S, "closes_in_s": READY_DRAIN_S}
         assert sum(slept) < stop_s
 
     asyncio.run(run())
