Refuse fewer requests before a stop closes its connections, and let their callers retry at once

Cause: asked for the longest response from SIGTERM on. Its Retry-After waited until the load balancer uses other hosts, though a retry reaches another host (PROTOCOL of the users), and a retry that comes late queues behind new requests.

From the close on nothing changes: only the latest end counts. Retry-After of 1207 is at most 0.1 s.

--- a/sycamoreproxy/generation_forecast.py
+++ b/sycamoreproxy/generation_forecast.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import math
-
 from sycamoreproxy.answer_relay import RequestProgress
 from sycamoreproxy.engine_forecast import EngineForecast
-from sycamoreproxy.route_table import RouteKind
 
 
 def forecast_mean_generation_s(progress: RequestProgress) -> float:
@@ -24,14 +21,11 @@
 def forecast_longest_generation_s(progress: RequestProgress, *, pace: float) -> float:
     """Return the time from the first token to the end of the longest response, in seconds.
 
-    It is infinite for a stream whose caller names no maximum length.
+    It is 0 if the caller names no maximum length.
 
     :param pace: factor on the engine's timings; above 1 is slower.
     """
     engine = progress.service.engine
     if engine is None:
-        return math.inf if progress.route.kind is RouteKind.STREAMING else 0.0
-    tokens = progress.request.answer_tokens
-    if not tokens:
-        return math.inf
-    return EngineForecast(engine, pace).generation_s(tokens)
+        return 0.0
+    return EngineForecast(engine, pace).generation_s(progress.request.answer_tokens)
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -183,18 +183,15 @@
             client.close()
         self._clients_by_address.clear()
 
-    def end_requests_within(
-        self, seconds: float, *, unlisted_in_s: float = 0.0, closes_in_s: float = 0.0
-    ) -> None:
+    def end_requests_within(self, seconds: float, *, closes_in_s: float = 0.0) -> None:
         """End all requests within this time, in seconds, including those that are still to come.
 
         Requests that cannot be finished by then are refused at once; those in progress at the end
         are refused then.
 
-        :param unlisted_in_s: time until load balancers send no new connections here, in seconds.
         :param closes_in_s: time until connections without a request are closed, in seconds.
         """
-        self._stop.shorten(ends_in_s=seconds, unlisted_in_s=unlisted_in_s, closes_in_s=closes_in_s)
+        self._stop.shorten(ends_in_s=seconds, closes_in_s=closes_in_s)
         for timeout in self._timeouts:
             self._limit_timeout(timeout)
         for progress, queued in self._queued_by_choice.values():
@@ -292,9 +289,9 @@
     def _choose_retry_delay_s(self, request: CallerRequest, refusal: Refusal) -> float:
         """Return the time after which a refused caller may retry, in seconds."""
         if refusal.code is codes.LEAVING:
-            delay_s = self._stop.find_unlisted_s() + LEAVING_SPREAD_S * self._random.random()
-            # Callers with little time would otherwise give up, or retry too late.
-            return min(delay_s, RETRY_AFTER_MAX_FRACTION * request.time_left_s)
+            # The retry reaches another host.
+            spread_s = LEAVING_SPREAD_S * self._random.random()
+            return min(spread_s, RETRY_AFTER_MAX_FRACTION * request.time_left_s)
         if refusal.retry_after_ms:
             spread_s = HOLD_SPREAD_FRACTION * request.time_left_s * self._random.random()
             return refusal.retry_after_ms / 1000 + spread_s
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -45,10 +45,8 @@
 #: Minimum interval between attempts to dispatch queued requests after load reports, in seconds. An
 #: attempt takes about as long as handling ten reports; a host receives up to 280 a second.
 MIN_DISPATCH_INTERVAL_S = 0.02
-#: Time after SIGTERM until the load balancer sends no new connections, in seconds. It probes once per
-#: second and stops after two failed probes.
-UNLISTED_S = 2.0
-#: Time after SIGTERM during which new connections are still accepted, in seconds.
+#: Time after SIGTERM during which new connections are still accepted, in seconds. The load balancer
+#: probes once per second and sends no new connections after two failed probes.
 READY_DRAIN_S = 2.8
 #: Part of the grace period that is reserved for closing connections, in seconds.
 CLOSE_RESERVE_S = 1.0
@@ -153,9 +151,7 @@
         stop_s = self.settings.bounds.stop_s
         drain_s = min(READY_DRAIN_S, MAX_DRAIN_FRACTION * stop_s)
         reserve_s = min(CLOSE_RESERVE_S, MAX_RESERVE_FRACTION * stop_s)
-        self._dispatcher.end_requests_within(
-            stop_s - reserve_s, unlisted_in_s=UNLISTED_S, closes_in_s=drain_s
-        )
+        self._dispatcher.end_requests_within(stop_s - reserve_s, closes_in_s=drain_s)
         await asyncio.sleep(drain_s)
         await self._caller_server.close(wait_s=stop_s - reserve_s - drain_s)
 
--- a/sycamoreproxy/stop_limit.py
+++ b/sycamoreproxy/stop_limit.py
@@ -14,6 +14,10 @@
 from sycamoreproxy.placement import Choice
 from sycamoreproxy.result_codes import Executed, Refusal
 
+#: Part of the longest output that must fit before a stop closes its connections. Few responses are
+#: longer, and a refused caller may find no place at another host.
+LIKELY_OUTPUT_FRACTION = 0.6
+
 
 class StopLimit:
     """The times of a stop, and the requests that may not end before it does.
@@ -23,8 +27,6 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        #: When load balancers have stopped sending new connections to this host.
-        self._unlisted_at = math.inf
         #: When connections without a request are closed.
         self._closes_at = math.inf
         #: When all requests must have ended.
@@ -37,10 +39,6 @@
         """Whether the process has been told to stop."""
         return self.ends_at < math.inf
 
-    def find_unlisted_s(self) -> float:
-        """Return the time until new connections reach other hosts only, in seconds."""
-        return max(0.0, self._unlisted_at - self._clock.monotonic())
-
     def find_time_limit(self, progress: RequestProgress) -> TimeLimit:
         """Return the limit that ends a request first."""
         if self.ends_at < progress.deadline:
@@ -57,12 +55,13 @@
         needed_s = self._find_needed_s(progress, choice)
         if self.ends_at - self._clock.monotonic() >= needed_s:
             return None
-        return Refusal(codes.LEAVING, Executed.NO, detail=f"{needed_s:.2f} s needed")
+        return Refusal(codes.LEAVING, Executed.NO, detail=f"may need {needed_s:.2f} s")
 
     def find_queue_time_left_s(self, progress: RequestProgress) -> float:
-        """Return the time within which a queued generation of mean length must end, in seconds.
+        """Return the time by which :class:`RequestQueue` must have a response end, in seconds.
 
-        A request that waits longer would be refused by :meth:`check` when it is dispatched.
+        The queue reserves the time of a mean response at the end of it, :meth:`check` possibly more
+        when the request is dispatched; the difference is subtracted here.
         """
         if self.ends_at >= progress.deadline:
             return math.inf
@@ -71,31 +70,27 @@
         return self.ends_at - reserve_s - self._clock.monotonic()
 
     def _find_needed_s(self, progress: RequestProgress, choice: Choice | None) -> float:
-        """Return the time that a request may need to end, in seconds.
-
-        A caller that is refused after the close reaches another host, so only the latest end counts
-        from then on. A request that an upstream may have executed needs the time of a mean
-        response: its caller gains nothing if it is ended early. A stream that has begun needs only
-        the time to go on, as its caller loses what it has read if it is ended.
-        """
+        """Return the time that a request must have left to be sent, in seconds."""
+        first_s = choice.forecast_s if choice is not None else 0.0
         if progress.first_output_at is not None:
-            return choice.forecast_s if choice is not None else 0.0
+            # The stream is cut for certain if it is not resumed.
+            return first_s
         longest_s = progress.deadline - self._clock.monotonic()
-        if not progress.executions and progress.received_at >= self._closes_at:
+        may_have_run = progress.executions > 0
+        if progress.received_at >= self._closes_at and not may_have_run:
+            # Its caller opened a connection to a host that closes, and now reaches another one.
             return longest_s
-        if progress.executions:
-            generation_s = forecast_mean_generation_s(progress)
-        else:
+        generation_s = forecast_mean_generation_s(progress)
+        if not may_have_run:
             pace = choice.last_pace if choice is not None else 1.0
-            generation_s = forecast_longest_generation_s(progress, pace=pace)
-        first_s = choice.forecast_s if choice is not None else 0.0
+            likely_s = LIKELY_OUTPUT_FRACTION * forecast_longest_generation_s(progress, pace=pace)
+            generation_s = max(generation_s, likely_s)
         return min(longest_s, max(progress.route.target_latency_s, first_s + generation_s))
 
     # Commands
 
-    def shorten(self, *, ends_in_s: float, unlisted_in_s: float, closes_in_s: float) -> None:
+    def shorten(self, *, ends_in_s: float, closes_in_s: float) -> None:
         """Set the times of the stop, in seconds from now; each may only become earlier."""
         now = self._clock.monotonic()
-        self._unlisted_at = min(self._unlisted_at, now + unlisted_in_s)
         self._closes_at = min(self._closes_at, now + closes_in_s)
         self.ends_at = min(self.ends_at, now + ends_in_s)
