Send long streams to stopping hosts late in the fault soak

The process soak could not see it: no stream of it lasted longer than what a stop leaves, its callers did not open connections near the close, and no check looked at responses that were cut.

Change: `late streams`, a fault that is played only on request, stops two entry hosts at once, overlapping or in series while engines are slower than their profile, the route's time limit changes and processes get SIGHUP. Twelve callers of each entry host open a connection in the last second before the close, two use one from before the stop; they send a stream of 80 events up to a second after the close. A new check wants what is sent more than 3 s after SIGTERM and passed on to end whole or with a refusal that says it was not executed; limits of the caller and of the route, kills and pauses of the host and faults of the upstream excuse it, faults of the store do not. `--short` plays only the added faults, at once, without the wait for the recovery. Plans of seeds without the new fault are as before.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -13,17 +13,28 @@
 from bench.soak_site import (
     CALLER_PORT,
     KEY,
+    LONG_EVENTS,
+    LONG_TIMEOUT_S,
     MODEL,
     PRIORITY_BY_GENERATION,
     TIMEOUT_S,
     Host,
 )
-
-#: Whole body of a stream of the stand-in's engines.
-STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 6))
-#: Time after which a caller gives a request up, in seconds: the route's limit, the allowed half
-#: second, and what the longest pause of a process adds.
-GIVE_UP_S = TIMEOUT_S + 6.0
+from standins.platform import EVENTS
+
+#: Whole body of a stream of the stand-in's engines, by kind.
+STREAM_BY_KIND = {
+    kind: b"".join(
+        b"id: %d\ndata: token %d\n\n" % (n, n)
+        for n in range(1, (LONG_EVENTS if kind == "long" else EVENTS) + 1)
+    )
+    for kind in PRIORITY_BY_GENERATION
+}
+#: Prompt and longest answer of a stream in tokens, by kind.
+TOKENS_BY_KIND = {"ask": "100,25", "draft": "100,25", "long": f"100,{5 * LONG_EVENTS}"}
+#: Time after its time limit at which a caller gives a request up, in seconds: the allowed half second,
+#: and what the longest pause of a process adds.
+GIVE_UP_S = 6.0
 #: Pause between two requests of one caller, in seconds.
 PAUSE_S = 0.1
 #: Least and greatest part of the permitted idle time after which a pausing caller reuses its connection.
@@ -64,9 +75,14 @@
     def expected_body(self) -> bytes:
         """The body of a success."""
         if self.kind in PRIORITY_BY_GENERATION:
-            return STREAM
+            return STREAM_BY_KIND[self.kind]
         return json.dumps({"path": f"/{self.kind}/x", "body": self.request_id}).encode()
 
+    @property
+    def limit_s(self) -> float:
+        """Time limit of its caller, in seconds."""
+        return find_limit_s(self.kind)
+
     @property
     def took_s(self) -> float:
         """Time from the request to its end, in seconds."""
@@ -123,7 +139,7 @@
     async def ask(self, kind: str) -> Outcome | None:
         """Send one request; None if the host takes no connection."""
         is_fresh = self._writer is None
-        if self._writer is None and not await self._connect():
+        if not await self.open():
             await asyncio.sleep(0.1)
             return None
         assert self._reader is not None and self._writer is not None
@@ -134,7 +150,7 @@
         status, body, is_whole = 0, b"", False
         headers: dict[str, str] = {}
         try:
-            async with asyncio.timeout(GIVE_UP_S):
+            async with asyncio.timeout(find_limit_s(kind) + GIVE_UP_S):
                 self._writer.write(_make_request(request_id, kind))
                 await self._writer.drain()
                 status, headers = await _read_head(self._reader)
@@ -171,7 +187,10 @@
             self._writer.close()
         self._reader = self._writer = self._idle_since = None
 
-    async def _connect(self) -> bool:
+    async def open(self) -> bool:
+        """Open a connection if none is open; return whether there is one."""
+        if self._writer is not None:
+            return True
         self._lifetime = self._host.lifetime
         try:
             async with asyncio.timeout(1):
@@ -183,16 +202,24 @@
         return True
 
 
+def find_limit_s(kind: str) -> float:
+    """Return the time that callers give a request of a kind, in seconds."""
+    return LONG_TIMEOUT_S if kind == "long" else TIMEOUT_S
+
+
 def _make_request(request_id: str, kind: str) -> bytes:
     headers = {
         "Host": "office.example",
         "Sycamoreproxy-Request-Id": request_id,
-        "Sycamoreproxy-Deadline-Ms": str(int(TIMEOUT_S * 1000)),
+        "Sycamoreproxy-Deadline-Ms": str(int(find_limit_s(kind) * 1000)),
         "X-Api-Key": KEY,
         "Content-Length": str(len(request_id)),
     }
     if kind in PRIORITY_BY_GENERATION:
-        headers |= {"Sycamoreproxy-Model": MODEL, "Sycamoreproxy-Token-Count": "100,25"}
+        headers |= {
+            "Sycamoreproxy-Model": MODEL,
+            "Sycamoreproxy-Token-Count": TOKENS_BY_KIND[kind],
+        }
     head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     return f"POST /{kind}/x HTTP/1.1\r\n{head}\r\n{request_id}".encode()
 
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -2,25 +2,31 @@
 
 from __future__ import annotations
 
+import json
 import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
-from bench.soak_callers import GIVE_UP_S, STREAM, Outcome
+from bench.soak_callers import GIVE_UP_S, Outcome
 from bench.soak_site import (
     CONFIG_S,
     CONTACT_S,
     LEAVE_S,
     PRIORITY_BY_GENERATION,
-    TIMEOUT_S,
     VERSION_S,
     Site,
+    Upstream,
 )
 from sycamoreproxy.registry import Registry
 
 #: Time beyond a route's limit after which a request must have its end, in seconds: the users' bound.
 LATE_S = 0.5
 
+#: Time after SIGTERM from which on a host must finish what it takes, in seconds: the users' bound.
+LATE_IN_STOP_S = 3.0
+#: Part of a time limit that its host's clock may have measured before its caller did, in seconds.
+EARLY_S = 0.05
+
 #: In any time of this length, in seconds, a runner gets at most this multiple of its limit, plus
 #: these requests: the users' rule.
 LIMIT_WINDOW_S = 4.0
@@ -61,7 +67,7 @@
             yield f"{seen.request_id} got a success that no runner signed"
         if seen.is_whole and seen.body != seen.expected_body:
             yield f"{seen.request_id} got {seen.body!r} as a whole answer"
-        if seen.kind in PRIORITY_BY_GENERATION and not STREAM.startswith(seen.body):
+        if seen.kind in PRIORITY_BY_GENERATION and not seen.expected_body.startswith(seen.body):
             yield f"{seen.request_id} got events out of order: {seen.body!r}"
 
 
@@ -114,6 +120,58 @@
             yield f"{seen.request_id} was passed on by {seen.host.name} and not answered"
 
 
+def is_late_in_stop(seen: Outcome) -> bool:
+    """Return whether a request was sent so late in a stop that its host must finish it or refuse it."""
+    stopped_at = seen.host.stopped_at.get(seen.lifetime, math.inf)
+    return seen.sent_at > stopped_at + LATE_IN_STOP_S
+
+
+def find_upstreams(site: Site) -> dict[str, list[Upstream]]:
+    """Return the upstreams that each request reached, by its id."""
+    upstreams_by_id = defaultdict(list)
+    for upstream in (*site.upstreams, *site.retired):
+        for _, request_id in upstream.runner.arrived:
+            upstreams_by_id[request_id].append(upstream)
+    return upstreams_by_id
+
+
+@checks.register("a request that is sent late in a stop ends whole or is refused unrun")
+def check_stops(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """Other hosts take requests then, so none need be taken here whose end is in doubt."""
+    upstreams_by_id = find_upstreams(site)
+    for seen in outcomes:
+        if not is_late_in_stop(seen) or _has_end(seen) or seen.request_id not in upstreams_by_id:
+            continue
+        limit_s = seen.limit_s
+        if seen.kind == "long":
+            # A host reads the route's limit when it receives a request; later changes are not for it.
+            limit_s = min(limit_s, site.long_timeouts.lowest_s(seen.sent_at))
+        span = (seen.sent_at, seen.ended_at)
+        if seen.took_s >= limit_s - EARLY_S or seen.host.pauses.had_fault(*span):
+            continue
+        if seen.ended_at >= seen.host.killed_at.get(seen.lifetime, math.inf):
+            continue
+        if any(
+            part.had_fault(*span)
+            for upstream in upstreams_by_id[seen.request_id]
+            for part in (upstream, upstream.answer_faults)
+        ):
+            continue
+        stopped_at = seen.host.stopped_at[seen.lifetime]
+        yield (
+            f"{seen.request_id} at {seen.host.name}, sent {seen.sent_at - stopped_at:.2f} s after"
+            f" SIGTERM, ended {seen.took_s:.2f} s later: status {seen.status}, {seen.body[-160:]!r}"
+        )
+
+
+def _has_end(seen: Outcome) -> bool:
+    """Return whether a request has a whole answer or a refusal that says it was not executed."""
+    if not seen.is_whole or seen.is_signed:
+        return seen.is_whole
+    error = json.loads(seen.body)["error"]
+    return bool(error["executed"] == "no")
+
+
 @checks.register("a request on a kept connection within the idle limit gets an answer")
 def check_idle_limit(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
     """A caller can't know that a connection will be closed, nor repeat what may have run."""
@@ -121,7 +179,9 @@
         if seen.status or seen.idle_since is None:
             continue
         limits, host = site.idle_limits, seen.host
-        if not limits.permit_reuse(seen.idle_since, seen.sent_at) or seen.took_s >= GIVE_UP_S:
+        if not limits.permit_reuse(seen.idle_since, seen.sent_at) or (
+            seen.took_s >= seen.limit_s + GIVE_UP_S
+        ):
             continue
         ends_at = (host.killed_at, host.stopped_at)
         if any(seen.ended_at >= ended_at.get(seen.lifetime, math.inf) for ended_at in ends_at):
@@ -138,7 +198,7 @@
 def check_time_limits(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
     """A caller that hangs can't turn elsewhere."""
     for seen in outcomes:
-        if seen.took_s > TIMEOUT_S + LATE_S and not _had_fault(seen):
+        if seen.took_s > seen.limit_s + LATE_S and not _had_fault(seen):
             yield f"{seen.request_id} at {seen.host.name} took {seen.took_s:.2f} s"
 
 
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -10,8 +10,17 @@
 from collections.abc import Callable, Coroutine
 
 from bench.relay import Relay
-from bench.soak_site import RUNNER_PORT, STOP_S, VERSION_S, Host, Site, Upstream
+from bench.soak_site import (
+    LONG_TIMEOUT_S,
+    RUNNER_PORT,
+    STOP_S,
+    VERSION_S,
+    Host,
+    Site,
+    Upstream,
+)
 from sycamoreproxy.registry import Registry
+from sycamoreproxy.routed_entry import READY_DRAIN_S
 
 #: Longest pause of a process and longest fault of a connection or of the store, in seconds.
 MAX_FAULT_S = 4.0
@@ -26,8 +35,10 @@
 RESTORED_STORE = "restored store"
 #: Name of the fault by which the idle limit of callers' connections changes.
 IDLE_LIMIT = "idle limit"
+#: Name of the fault by which hosts stop while long streams may outlast them.
+LATE_STREAMS = "late streams"
 #: Faults that are played only if they are asked for.
-EXTRA_FAULTS = (LEAVING_IN_ANSWERS, LIMIT_IN_ANSWERS, RESTORED_STORE, IDLE_LIMIT)
+EXTRA_FAULTS = (LEAVING_IN_ANSWERS, LIMIT_IN_ANSWERS, RESTORED_STORE, IDLE_LIMIT, LATE_STREAMS)
 
 #: Shortest and longest time for which a runner names a limit, in seconds.
 LIMIT_MIN_S = 8.0
@@ -36,6 +47,11 @@
 #: fifths of a raised limit at most, which is later than a lowered one with the hosts' margin of 5 s.
 LOWERED_IDLE_S = (1.0, 2.0)
 RAISED_IDLE_S = (11.0, 14.0)
+#: Shortest and longest time between two events of an engine that is slower than its profile, in
+#: seconds. A long stream then takes about as long as a host that closes its listener has left.
+SLOW_EVENT_S = (0.04, 0.08)
+#: Lowest and highest time limit of long streams beside such stops, in seconds.
+LONG_TIMEOUTS_S = (3.0, LONG_TIMEOUT_S)
 #: Time after its return in which a restored store gets again what it lost, in seconds.
 REPEAT_S = 1.0
 
@@ -98,6 +114,7 @@
 
 async def _pause(host: Host, for_s: float) -> None:
     host.note_fault(for_s)
+    host.pauses.note_fault(for_s)
     host.send_signal(signal.SIGSTOP)
     await asyncio.sleep(for_s)
     host.send_signal(signal.SIGCONT)
@@ -206,7 +223,9 @@
             ]
         )
     )
-    await asyncio.sleep(draw.uniform(0.5, MAX_FAULT_S))
+    for_s = draw.uniform(0.5, MAX_FAULT_S)
+    upstream.answer_faults.note_fault(for_s)
+    await asyncio.sleep(for_s)
     upstream.faults.replace({})
 
 
@@ -340,3 +359,39 @@
             await asyncio.sleep(draw.uniform(0.0, 0.5))
         await asyncio.sleep(draw.uniform(1.0, 2.5))
         await site.set_idle_limit(draw.uniform(*RAISED_IDLE_S))
+
+
+@faults.register(LATE_STREAMS)
+async def stop_beside_late_streams(site: Site, draw: random.Random) -> None:
+    """Stop entry hosts, together, overlapping or in series, while engines are slower than their profile.
+
+    Beside it, processes read their settings again and the time limit of long streams changes.
+    """
+    engines = [upstream for upstream in site.upstreams if upstream.service == "model"]
+    for upstream in engines:
+        upstream.faults.replace({"event_s": draw.uniform(*SLOW_EVENT_S)})
+    changes = asyncio.create_task(_change_beside_stops(site, random.Random(draw.random())))
+    gap_s = draw.choice(
+        [0.0, draw.uniform(0.2, READY_DRAIN_S), draw.uniform(READY_DRAIN_S, STOP_S)]
+    )
+    tasks = []
+    for host in draw.sample(site.entries, k=min(2, len(site.entries))):
+        tasks.append(asyncio.create_task(_stop(host)))
+        await asyncio.sleep(gap_s)
+    await asyncio.gather(*tasks)
+    changes.cancel()
+    for upstream in engines:
+        upstream.faults.replace({})
+    await site.set_long_timeout(LONG_TIMEOUT_S)
+
+
+async def _change_beside_stops(site: Site, draw: random.Random) -> None:
+    """Change the time limit of long streams and have processes read their settings until cancelled."""
+    while True:
+        await asyncio.sleep(draw.uniform(0.3, 1.5))
+        if draw.random() < 0.5:
+            await site.set_long_timeout(draw.uniform(*LONG_TIMEOUTS_S))
+        host, now = draw.choice(site.hosts), time.monotonic()
+        # SIGHUP ends a process whose Python has not started yet.
+        if not host.had_fault(now, now):
+            host.send_signal(signal.SIGHUP)
--- a/bench/soak_idle_limits.py
+++ b/bench/soak_idle_limits.py
@@ -1,4 +1,4 @@
-"""Idle limits of callers' connections that the operator writes during a run of the fault soak."""
+"""Limits that the operator writes during a run of the fault soak, and which of them hosts may apply."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 @dataclass(slots=True)
-class IdleLimitChange:
+class LimitChange:
     """A limit that the operator wrote, in seconds, and when."""
 
     limit_s: float
@@ -19,8 +19,8 @@
     acknowledged_at: float = math.inf
 
 
-class IdleLimits:
-    """Idle limits in the order in which the operator wrote them; times are monotonic.
+class LimitHistory:
+    """Values of a limit in the order in which the operator wrote them; times are monotonic.
 
     :param limit_s: limit from the start, in seconds.
     :param apply_s: time after the acknowledgement by which hosts apply a change, in seconds.
@@ -28,16 +28,16 @@
 
     def __init__(self, limit_s: float, *, apply_s: float) -> None:
         self._apply_s = apply_s
-        self._changes = [IdleLimitChange(limit_s, -math.inf, -math.inf)]
+        self._changes = [LimitChange(limit_s, -math.inf, -math.inf)]
 
     @property
     def newest_s(self) -> float:
         """The limit that was written last, in seconds."""
         return self._changes[-1].limit_s
 
-    def note_written(self, limit_s: float, *, at: float) -> IdleLimitChange:
+    def note_written(self, limit_s: float, *, at: float) -> LimitChange:
         """Note a limit that is about to be written; the writer sets its acknowledgement."""
-        self._changes.append(IdleLimitChange(limit_s, at))
+        self._changes.append(LimitChange(limit_s, at))
         return self._changes[-1]
 
     def lowest_s(self, at: float) -> float:
@@ -54,6 +54,10 @@
         written = [change for change in self._changes if change.written_at <= at]
         return min(at, written[-1].acknowledged_at + self._apply_s)
 
+
+class IdleLimits(LimitHistory):
+    """Idle limits of callers' connections."""
+
     def permit_reuse(self, idle_since: float, at: float) -> bool:
         """Return whether a caller may send a request on a connection that has been idle.
 
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -19,8 +19,9 @@
 from pathlib import Path
 
 from bench.soak_callers import Caller, Outcome
-from bench.soak_checks import find_violations
-from bench.soak_faults import EXTRA_FAULTS, LATE_WEIGHTS, faults
+from bench.soak_checks import find_upstreams, find_violations, is_late_in_stop
+from bench.soak_faults import EXTRA_FAULTS, LATE_STREAMS, LATE_WEIGHTS, faults
+from bench.soak_late_callers import LateCaller
 from bench.soak_site import START_S, VERSION_S, Site
 
 #: Time in which faults begin, in seconds.
@@ -37,6 +38,9 @@
 CALLERS = 8
 #: Callers of each entry host that pause for nearly the permitted idle time.
 PAUSING_CALLERS = 4
+#: Callers of each entry host that send long streams when it closes its listener, on new and on kept
+#: connections.
+LATE_CALLERS, LATE_KEPT_CALLERS = 12, 2
 #: Requests to each entry host after the recovery, all of which must be served.
 FINAL_REQUESTS = 8
 #: Pause between two requests of the caller that asks for the newest route, in seconds.
@@ -51,6 +55,7 @@
     :param violations: what was seen against a promise.
     :param raised_reuses: requests on connections that had been idle for longer than the limit at the
         start of their pause, as a raise permitted.
+    :param late_requests: requests that were sent late in a stop and were answered or passed on.
     """
 
     seed: int
@@ -58,6 +63,7 @@
     violations: tuple[str, ...]
     by_status: dict[int, int]
     raised_reuses: int
+    late_requests: int
     took_s: float
     directory: Path
 
@@ -67,6 +73,7 @@
         lines = [
             f"seed {self.seed}: {len(self.violations)} violations in {self.took_s:.0f} s;"
             f" answers {statuses}; {self.raised_reuses} reuses after a raise;"
+            f" {self.late_requests} late in a stop;"
             f" faults {', '.join(self.faults)}"
         ]
         lines += [f"  {violation}" for violation in self.violations]
@@ -76,11 +83,18 @@
 
 
 async def play(
-    seed: int, *, entries: int = 3, engines: int = 4, extra_faults: Sequence[str] = ()
+    seed: int,
+    *,
+    entries: int = 3,
+    engines: int = 4,
+    extra_faults: Sequence[str] = (),
+    is_short: bool = False,
 ) -> Result:
     """Play one seed.
 
     :param extra_faults: faults that begin at random times beside those of the seed.
+    :param is_short: whether only the extra faults are played, at once, without a check of the
+        recovery.
     :raises TimeoutError: if the site does not serve before the first fault.
     """
     draw = random.Random(seed)
@@ -100,9 +114,17 @@
                 site, outcomes, random.Random(f"pausing {seed}"), until=is_over
             ),
         ]
+        if LATE_STREAMS in extra_faults:
+            callers += _start_late_callers(
+                site, outcomes, random.Random(f"late {seed}"), until=is_over
+            )
         tasks = [asyncio.create_task(caller) for caller in callers]
-        names = await _play_faults(site, draw, extra_faults)
-        violations = await _check_recovery(site, outcomes)
+        if is_short:
+            plan = [(0.0, name, draw.random()) for name in extra_faults]
+        else:
+            plan = _plan_faults(draw, extra_faults)
+        await _play_faults(site, plan)
+        violations = [] if is_short else await _check_recovery(site, outcomes)
         is_over.set()
         await asyncio.gather(*tasks)
     finally:
@@ -110,12 +132,17 @@
             task.cancel()
         await site.close()
     violations += find_violations(site, outcomes)
+    passed_on = find_upstreams(site)
     result = Result(
         seed=seed,
-        faults=tuple(names),
+        faults=tuple(name for _, name, _ in plan),
         violations=tuple(violations),
         by_status=dict(Counter(seen.status for seen in outcomes)),
         raised_reuses=sum(_is_reuse_after_raise(site, seen) for seen in outcomes),
+        late_requests=sum(
+            is_late_in_stop(seen) and bool(seen.status or seen.request_id in passed_on)
+            for seen in outcomes
+        ),
         took_s=time.monotonic() - started,
         directory=directory,
     )
@@ -157,6 +184,19 @@
             yield caller.run_with_pauses(source, site.idle_limits, until=until)
 
 
+def _start_late_callers(
+    site: Site, outcomes: list[Outcome], draw: random.Random, *, until: asyncio.Event
+) -> Iterator[Coroutine[None, None, None]]:
+    for host in site.entries:
+        for number in range(LATE_CALLERS + LATE_KEPT_CALLERS):
+            late = LateCaller(
+                caller=Caller(name=f"{host.name}-late-{number}", host=host, outcomes=outcomes),
+                host=host,
+                keeps_connection=number >= LATE_CALLERS,
+            )
+            yield late.run(random.Random(draw.random()), until=until)
+
+
 def _is_reuse_after_raise(site: Site, seen: Outcome) -> bool:
     return (
         seen.idle_since is not None
@@ -172,8 +212,8 @@
         await asyncio.sleep(PROBE_S)
 
 
-async def _play_faults(site: Site, draw: random.Random, extra: Sequence[str]) -> list[str]:
-    """Begin faults at random times and wait until all are over; return their names."""
+def _plan_faults(draw: random.Random, extra: Sequence[str]) -> list[tuple[float, str, float]]:
+    """Return the faults of a run in their order, each with its time, its name and a seed."""
     # Faults that were added later are extra ones, so that a seed still stands for the same faults.
     names = [name for name in faults.list_names() if name not in EXTRA_FAULTS]
     plan = [
@@ -183,14 +223,17 @@
     if draw.random() < LATE_FRACTION:
         plan.append((draw.uniform(0.0, LATE_START_S), LATE_WEIGHTS, draw.random()))
     plan += [(draw.uniform(0.0, FAULTS_S), name, draw.random()) for name in extra]
-    plan.sort()
+    return sorted(plan)
+
+
+async def _play_faults(site: Site, plan: Sequence[tuple[float, str, float]]) -> None:
+    """Begin faults at their times and wait until all are over."""
 
     async def begin(at: float, name: str, part: float) -> None:
         await asyncio.sleep(at)
         await faults.get(name)(site, random.Random(part))
 
     await asyncio.gather(*(begin(*item) for item in plan))
-    return [name for _, name, _ in plan]
 
 
 async def _check_recovery(site: Site, outcomes: list[Outcome]) -> list[str]:
@@ -226,6 +269,7 @@
     parser.add_argument(
         "--extra", action="append", default=[], choices=EXTRA_FAULTS, help="a fault to add"
     )
+    parser.add_argument("--short", action="store_true", help="play only the faults that are added")
     options = parser.parse_args(arguments)
     first = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 31)
     broken = 0
@@ -236,6 +280,7 @@
                 entries=options.entries,
                 engines=options.engines,
                 extra_faults=options.extra,
+                is_short=options.short,
             )
         )
         print(result, flush=True)
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -23,7 +23,7 @@
 from tornado.httpserver import HTTPServer
 
 from bench.relay import Relay
-from bench.soak_idle_limits import IdleLimits
+from bench.soak_idle_limits import IdleLimits, LimitHistory
 from standins._server import Faults
 from standins.platform import (
     PlatformRunner,
@@ -57,8 +57,11 @@
 CONTACT_S = 3.0
 #: Time that a process may take to start on a busy machine, in seconds; callers don't see it.
 START_S = 2.0
-#: Time limit of every route of the stand-in, in seconds.
+#: Time limit of the routes of the stand-in, in seconds, but for the one to long streams.
 TIMEOUT_S = 2.0
+#: Time limit of the route to long streams in the first configuration, and of their callers. It is
+#: longer than a stop, so that only an end of the host or a lowered limit cuts a stream.
+LONG_TIMEOUT_S = 9.0
 #: Idle limit of callers' connections in the first configuration, in seconds.
 IDLE_LIMIT_S = 15.0
 ZONES = ("z1", "z2")
@@ -67,7 +70,9 @@
 MODEL = "m1"
 KEY = "office-key"
 #: Routes to the engines and their priority, 0 the most urgent.
-PRIORITY_BY_GENERATION = {"ask": 0, "draft": 2}
+PRIORITY_BY_GENERATION = {"ask": 0, "long": 1, "draft": 2}
+#: Events of a long stream. An engine that is as fast as its profile sends them in 0.4 s.
+LONG_EVENTS = 80
 
 ENGINE = {
     "slots": ENGINE_SLOTS,
@@ -142,6 +147,7 @@
     :param store: relay between the process and the store.
     :param peers: relay before the process's streams, on hosts of engines.
     :param lifetime: number of starts.
+    :param pauses: times in which its process did not run.
     :param killed_at: time of the kill by lifetime.
     :param stopped_at: time of the first SIGTERM by lifetime.
     :param bad_exits: ends that nothing had asked for, in words.
@@ -156,6 +162,7 @@
     process: Process | None = None
     lifetime: int = 0
     restart_after_s: float = 0.1
+    pauses: FaultSpans = field(default_factory=FaultSpans)
     killed_at: dict[int, float] = field(default_factory=dict)
     stopped_at: dict[int, float] = field(default_factory=dict)
     bad_exits: list[str] = field(default_factory=list)
@@ -189,7 +196,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Upstream(FaultSpans):
-    """A runner of the stand-in and the relay before it; its faults are those of the paths to it."""
+    """A runner of the stand-in and the relay before it; its faults are those of the paths to it.
+
+    :param answer_faults: times in which it or its end may break off answers.
+    """
 
     runner: PlatformRunner
     service: str
@@ -197,6 +207,7 @@
     address: str
     faults: Faults
     relay: Relay
+    answer_faults: FaultSpans = field(default_factory=FaultSpans)
     draining_since: float = 0.0
     #: From when on its answers say that it leaves; the store does not.
     says_leaving_since: float = math.inf
@@ -233,6 +244,7 @@
         self.weight_version = 1
         self.idle_limit_s = IDLE_LIMIT_S
         self.idle_limits = IdleLimits(IDLE_LIMIT_S, apply_s=CONFIG_S)
+        self.long_timeouts = LimitHistory(LONG_TIMEOUT_S, apply_s=CONFIG_S)
         #: Monotonic time at which the store acknowledged a version of the configuration.
         self.acknowledged_at: dict[int, float] = {}
         #: The same of a version of the weights.
@@ -378,6 +390,9 @@
                     session_affinity=True,
                     stream_resume=True,
                     priority=priority,
+                    timeout_ms=int(
+                        1000 * (self.long_timeouts.newest_s if name == "long" else TIMEOUT_S)
+                    ),
                 )
                 for name, priority in PRIORITY_BY_GENERATION.items()
             ),
@@ -402,6 +417,12 @@
         await self.configure()
         change.acknowledged_at = time.monotonic()
 
+    async def set_long_timeout(self, limit_s: float) -> None:
+        """Put a configuration into force that has another time limit of long streams."""
+        change = self.long_timeouts.note_written(limit_s, at=time.monotonic())
+        await self.configure()
+        change.acknowledged_at = time.monotonic()
+
     async def name_weights(self) -> None:
         """Name a newer version of the weights."""
         self.weight_version += 1
@@ -427,7 +448,9 @@
             slots=old.slots,
             started_ms=int(time.time() * 1000),
             staged=old.staged,
+            events_by_path=old.events_by_path,
         )
+        upstream.answer_faults.note_fault(0.0)
         upstream.relay.reset()
         server = self._server_by_ip[upstream.relay.target_ip]
         new = Upstream(
@@ -438,6 +461,7 @@
             faults=Faults(seed=self._instances),
             relay=upstream.relay,
             fault_spans=upstream.fault_spans,
+            answer_faults=upstream.answer_faults,
         )
         server.request_callback = tornado.web.Application(  # type: ignore[assignment]
             make_runner_routes(runner, new.faults)
@@ -461,7 +485,9 @@
     async def _add_upstream(self, service: str, number: int, zone: str) -> None:
         self._instances += 1
         slots = ENGINE_SLOTS if service == "model" else 8
-        runner = PlatformRunner(f"i-{self._instances}", slots=slots)
+        runner = PlatformRunner(
+            f"i-{self._instances}", slots=slots, events_by_path={"/long/x": LONG_EVENTS}
+        )
         faults = Faults(seed=self._instances)
         self._serve(make_runner_routes(runner, faults), self._ip(3, number), RUNNER_PORT)
         ip = self._ip(2, number)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -32,6 +32,8 @@
 EVENT_S = 0.01
 #: Priority of a request that names none, from 0 (first) to 9.
 USUAL_PRIORITY = 5
+#: Events of a stream.
+EVENTS = 5
 #: Time that a runner takes to load staged weights, in seconds.
 LOAD_S = 0.1
 #: Chunks of a version, and their size in bytes.
@@ -178,6 +180,7 @@
     :param begun: monotonic time and id of every run, and the version of the weights that it began on.
     :param leaving_header: what its answers say of its leaving; empty for nothing.
     :param limit_headers: values of ``Server-Limit`` in its answers, each in a header of its own.
+    :param events_by_path: number of events of the streams of a path, if it is not ``EVENTS``.
     :param broken_loads: versions that were ordered while a staged chunk was missing or another's.
     """
 
@@ -194,6 +197,7 @@
     received: list[dict[str, str]] = field(default_factory=list)
     arrived: list[tuple[float, str]] = field(default_factory=list)
     begun: list[tuple[float, str, int]] = field(default_factory=list)
+    events_by_path: dict[str, int] = field(default_factory=dict)
     broken_loads: list[int] = field(default_factory=list)
     cancelled: int = 0
     leaving_header: str = ""
@@ -336,11 +340,12 @@
     async def _stream(self) -> None:
         runner = self._runner
         first = int(self.request.headers.get("Last-Event-Id", 0)) + 1
+        last = runner.events_by_path.get(self.request.path, EVENTS)
         cut = int(self._faults.get("cut_after_events", 0))
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Sycamoreproxy-Weight-Versions", str(runner.version))
         try:
-            for number in range(first, 6):
+            for number in range(first, last + 1):
                 if self._left:
                     return
                 if cut and number > cut:
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from pathlib import Path
 
 import pytest
 
 from bench.relay import Relay
-from bench.soak_callers import STREAM, Outcome
+from bench.soak_callers import STREAM_BY_KIND, Outcome
 from bench.soak_checks import checks
-from bench.soak_faults import IDLE_LIMIT, LEAVING_IN_ANSWERS, LIMIT_IN_ANSWERS, RESTORED_STORE
+from bench.soak_faults import (
+    IDLE_LIMIT,
+    LATE_STREAMS,
+    LEAVING_IN_ANSWERS,
+    LIMIT_IN_ANSWERS,
+    RESTORED_STORE,
+)
 from bench.soak_idle_limits import IdleLimits
 from bench.soak_processes import play
-from bench.soak_site import VERSION_S, FaultSpans, Host, Site, Upstream
+from bench.soak_site import LONG_TIMEOUT_S, VERSION_S, FaultSpans, Host, Site, Upstream
 from standins._server import Faults
 from standins.platform import PlatformRunner
 
@@ -56,6 +63,13 @@
     assert set(result.faults) >= set(extra)
 
 
+def test_streams_that_reach_a_stopping_host_late_are_not_cut() -> None:
+    """A stopping host begins a stream that its stop cuts."""
+    result = asyncio.run(play(4113, extra_faults=[LATE_STREAMS], is_short=True))
+    assert result.violations == (), str(result)
+    assert result.late_requests > 0
+
+
 def _make_site(tmp_path: Path) -> tuple[Site, Host]:
     site = Site(directory=tmp_path, entries=0, engines=0)
     host = Host(
@@ -73,7 +87,7 @@
         ("answers are whole", {"status": 502, "echoed_id": "another"}),
         (
             "answers are whole",
-            {"kind": "ask", "status": 200, "is_signed": True, "body": STREAM[20:]},
+            {"kind": "ask", "status": 200, "is_signed": True, "body": STREAM_BY_KIND["ask"][20:]},
         ),
         ("every request ends", {"ended_at": 12.6}),
         ("a refusal that says", {"status": 503, "runs": 1}),
@@ -285,3 +299,81 @@
     )
     check = checks.get("a request on a kept connection within the idle limit gets an answer")
     assert not list(check(site, [seen]))
+
+
+REFUSAL = b'{"error": {"code": 1207, "executed": "no"}}'
+UNKNOWN = b'{"error": {"code": 1307, "executed": "unknown"}}'
+
+
+@pytest.mark.parametrize(
+    ("case", "seen", "spans_by_part", "is_broken"),
+    [
+        ("cut", {}, {}, True),
+        ("no answer", {"status": 0}, {}, True),
+        ("perhaps run", {"status": 504, "is_whole": True, "body": UNKNOWN}, {}, True),
+        ("whole", {"is_whole": True, "is_signed": True}, {}, False),
+        ("refused", {"status": 503, "is_whole": True, "body": REFUSAL}, {}, False),
+        ("sent sooner", {"sent_at": 2.9}, {}, False),
+        ("of another lifetime", {"lifetime": 2}, {}, False),
+        ("not passed on", {"request_id": "b"}, {}, False),
+        ("its caller's time was over", {"ended_at": 3.1 + LONG_TIMEOUT_S}, {}, False),
+        ("its caller's time was nearly over", {"ended_at": 2.9 + LONG_TIMEOUT_S}, {}, True),
+        ("the route's time was over", {"ended_at": 10.7}, {"lowered": (1.0, 3.0)}, False),
+        ("the route's time was nearly over", {"ended_at": 10.5}, {"lowered": (1.0, 3.0)}, True),
+        ("the route's time was lowered later", {"ended_at": 10.7}, {"lowered": (3.1, 3.2)}, True),
+        ("a plain request's time was over", {"kind": "post", "ended_at": 5.1}, {}, False),
+        ("a plain request's was not", {"kind": "post", "ended_at": 4.9}, {}, True),
+        ("the host was paused", {}, {"pauses": (4.0, 5.0)}, False),
+        ("the host had another fault", {}, {"host": (4.0, 5.0)}, True),
+        ("the store had a fault", {}, {"store": (4.0, 5.0)}, True),
+        ("the path had a fault", {}, {"path": (4.0, 5.0)}, False),
+        ("the upstream broke off", {}, {"answers": (4.0, 5.0)}, False),
+        ("the upstream broke off before", {}, {"answers": (1.0, 3.0)}, True),
+    ],
+)
+def test_request_that_is_cut_late_in_a_stop_is_seen(
+    tmp_path: Path,
+    case: str,
+    seen: dict[str, object],
+    spans_by_part: dict[str, tuple[float, float]],
+    is_broken: bool,
+) -> None:
+    """The check must neither pass a cut nor count one that a limit or a fault excuses.
+
+    Its host stops at 0. The route's time limit is lowered to 7.6 s.
+    """
+    site, host = _make_site(tmp_path)
+    host.stopped_at[1] = 0.0
+    spans = dict(spans_by_part)
+    lowered_at, acknowledged_at = spans.pop("lowered", (math.inf, math.inf))
+    site.long_timeouts.note_written(7.6, at=lowered_at).acknowledged_at = acknowledged_at
+    upstream = Upstream(
+        runner=PlatformRunner("i-1"),
+        service="model",
+        zone="z1",
+        address="",
+        faults=Faults(seed=1),
+        relay=host.store,
+    )
+    site.upstreams.append(upstream)
+    upstream.runner.arrived.append((3.1, "a"))
+    parts = {
+        "host": host,
+        "pauses": host.pauses,
+        "store": site.store_spans,
+        "path": upstream,
+        "answers": upstream.answer_faults,
+    }
+    for part, span in spans.items():
+        parts[part].fault_spans.append(span)
+    values: dict[str, object] = {
+        "request_id": "a",
+        "kind": "long",
+        "sent_at": 3.05,
+        "ended_at": 6.9,
+        "status": 200,
+        "lifetime": 1,
+    }
+    outcome = Outcome(host=host, **(values | seen))  # type: ignore[arg-type]
+    check = checks.get("a request that is sent late in a stop ends whole or is refused unrun")
+    assert bool(list(check(site, [outcome]))) is is_broken, case
