Stop stalled hosts beside late streams in the fault soak, and keep statuses of ended processes

Signals are sent by file descriptors of the processes. The wait until the site serves grows with the number of processes: 100 did not serve within 30 s.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -20,7 +20,7 @@
 
 from bench.soak_callers import Caller, Outcome
 from bench.soak_checks import find_upstreams, find_violations, is_late_in_stop
-from bench.soak_faults import EXTRA_FAULTS, LATE_STREAMS, LATE_WEIGHTS, faults
+from bench.soak_faults import EXTRA_FAULTS, LATE_STREAMS, LATE_STREAMS_STALLED, LATE_WEIGHTS, faults
 from bench.soak_late_callers import LateCaller
 from bench.soak_site import START_S, VERSION_S, Site
 
@@ -34,6 +34,9 @@
 #: that begins, in seconds: the bound is over while other faults still begin.
 LATE_FRACTION = 0.5
 LATE_START_S = 5.0
+#: Longest time until every entry host serves, and what each process adds to it, in seconds: all start at
+#: once, on processors that they share with other work.
+START_MAX_S, START_EACH_S = 30.0, 0.5
 #: Callers of each entry host.
 CALLERS = 8
 #: Callers of each entry host that pause for nearly the permitted idle time.
@@ -114,7 +117,7 @@
                 site, outcomes, random.Random(f"pausing {seed}"), until=is_over
             ),
         ]
-        if LATE_STREAMS in extra_faults:
+        if {LATE_STREAMS, LATE_STREAMS_STALLED} & set(extra_faults):
             callers += _start_late_callers(
                 site, outcomes, random.Random(f"late {seed}"), until=is_over
             )
@@ -155,7 +158,7 @@
 
 async def _wait_serving(site: Site, outcomes: list[Outcome]) -> None:
     """Wait until every entry host serves; this is before the first fault."""
-    async with asyncio.timeout(30):
+    async with asyncio.timeout(START_MAX_S + START_EACH_S * len(site.hosts)):
         for host in site.entries:
             caller = Caller(name=f"start-{host.name}", host=host, outcomes=outcomes)
             while (outcome := await caller.ask("ask")) is None or outcome.status != 200:
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -146,6 +146,7 @@
 
     :param store: relay between the process and the store.
     :param peers: relay before the process's streams, on hosts of engines.
+    :param handle: file descriptor of the process, while it runs.
     :param lifetime: number of starts.
     :param pauses: times in which its process did not run.
     :param killed_at: time of the kill by lifetime.
@@ -160,6 +161,7 @@
     store: Relay
     peers: Relay | None = None
     process: Process | None = None
+    handle: int | None = None
     lifetime: int = 0
     restart_after_s: float = 0.1
     pauses: FaultSpans = field(default_factory=FaultSpans)
@@ -189,9 +191,19 @@
         self.send_signal(signal.SIGKILL)
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process, if it runs."""
-        if self.is_running and self.process is not None:
-            self.process.send_signal(number)
+        """Send a signal to the process, if it runs.
+
+        Not by asyncio: it looks whether the process has ended, and then its status is lost (255).
+        """
+        if self.handle is not None:
+            with contextlib.suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self.handle, number)
+
+    def release(self) -> None:
+        """Close the file descriptor of a process that has ended."""
+        if self.handle is not None:
+            os.close(self.handle)
+        self.handle = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -323,6 +335,8 @@
         for host in self.hosts:
             host.kill()
         await asyncio.gather(*(h.process.wait() for h in self.hosts if h.process is not None))
+        for host in self.hosts:
+            host.release()
         for server in self._relays:
             server.close()
         for http in self._server_by_ip.values():
@@ -344,10 +358,12 @@
                     stdout=output,
                     stderr=output,
                 )
+            host.handle = os.pidfd_open(host.process.pid)
             host.lifetime += 1
             host.note_fault(START_S)
             written = host.log.stat().st_size
             status = await host.process.wait()
+            host.release()
             expected = set()
             if host.lifetime in host.stopped_at:
                 expected.add(0)
