--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -167,6 +167,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         #: Requests that are accepted and not yet received whole.
         self.receiving: set[HTTPMessageDelegate] = set()
+        #: Requests that are refused and not yet received whole.
+        self.refused: set[HTTPMessageDelegate] = set()
         self._used_connections: set[object] = set()
         self._server = _BoundedServer(
             self,
@@ -213,18 +215,28 @@
                 await asyncio.sleep(POLL_S)
         await self.dispatcher.wait_idle()
         give_up_at = time.monotonic() + FLUSH_LIMIT_S
-        while self._server.is_writing() and time.monotonic() < give_up_at:
+        while (unread := self._server.count_unread()) and time.monotonic() < give_up_at:
             await asyncio.sleep(POLL_S)
+        if unread:
+            _log.warning(
+                "responses not read at the end of a stop",
+                connections=unread,
+                waited_s=FLUSH_LIMIT_S,
+            )
 
     async def refuse_late_requests(self) -> None:
         """Close the listener, and refuse the requests that arrive on open connections for a moment.
 
         They may have been sent before the close, or right after a response that began before the
-        process was leaving.
+        process was leaving. A caller that still sends a refused request gets its time to do so,
+        because it may read the refusal only after that, and a close would reset its connection.
         """
         stop_listening(self._server)
-        give_up_at = time.monotonic() + STOP_WAIT_S
-        while self._server.has_connections and time.monotonic() < give_up_at:
+        closes_idle_at = time.monotonic() + STOP_WAIT_S
+        give_up_at = closes_idle_at + self.limits.receive_timeout_s
+        while self._server.has_connections and time.monotonic() < (
+            give_up_at if self.refused else closes_idle_at
+        ):
             await asyncio.sleep(POLL_S)
 
     async def close(self) -> None:
@@ -252,9 +264,9 @@
         """Whether any connection is open."""
         return bool(self._connections)
 
-    def is_writing(self) -> bool:
-        """Return whether a connection has data that its caller has not read."""
-        return any(connection.stream.writing() for connection in self._connections)
+    def count_unread(self) -> int:
+        """Return the number of connections with data that their callers have not read."""
+        return sum(connection.stream.writing() for connection in self._connections)
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         stream.max_write_buffer_size = MAX_UNREAD_BYTES
@@ -281,6 +293,7 @@
             self._end_slow_head if is_first else self._end_idle,
         )
         self._task: asyncio.Task[None] | None = None
+        self._is_first = is_first
         self._account: ClientAccountSettings | None = None
         self._is_refused = False
         self._is_last = False
@@ -346,6 +359,7 @@
         """Take the whole request on."""
         self._timer.cancel()
         self._server.receiving.discard(self)
+        self._server.refused.discard(self)
         if self._is_refused:
             self._finish_and_close()
             return
@@ -360,6 +374,7 @@
         """Cancel the request of a caller that is gone."""
         self._timer.cancel()
         self._server.receiving.discard(self)
+        self._server.refused.discard(self)
         self._release_body()
         if self._task is not None:
             self._task.cancel()
@@ -401,7 +416,7 @@
         try:
             stream.write(data)
         except StreamBufferFullError:
-            stream.close()
+            self._close_slow_reader()
         except StreamClosedError:
             pass
 
@@ -427,9 +442,12 @@
                 refusal = result.failure()
             number = refusal.code.number
             self._send_refusal(refusal)
-        except (StreamClosedError, StreamBufferFullError):
+        except StreamClosedError:
             number = codes.CALLER_GONE.number
             self._stream.close()
+        except StreamBufferFullError:
+            number = codes.CALLER_GONE.number
+            self._close_slow_reader()
         except asyncio.CancelledError:
             number = codes.CALLER_GONE.number
             raise
@@ -437,6 +455,12 @@
             self._release_body()
             REQUESTS.inc({"kind": kind, "rank": rank, "code": str(number)})
 
+    def _close_slow_reader(self) -> None:
+        """Cut a response of which the caller has left too much unread."""
+        path = self._start_line.path.partition("?")[0]
+        _log.warning("response cut, caller reads too slowly", path=path, unread=MAX_UNREAD_BYTES)
+        self._stream.close()
+
     def _release_body(self) -> None:
         self._server.held_bytes -= self._held_bytes
         self._held_bytes = 0
@@ -621,13 +645,21 @@
         fields["Content-Type"] = "application/json"
         fields["Content-Length"] = str(len(body))
         if refusal is not None and (refusal.retry_after_ms or refusal.code.retry_helps):
-            fields["Retry-After"] = str(max(1, -(-refusal.retry_after_ms // 1000)))
+            fields["Retry-After"] = str(self._choose_retry_after_s(refusal))
         if refusal is not None and refusal.code.http_status == 401:
             fields["WWW-Authenticate"] = "Bearer"
         if close:
             fields["Connection"] = "close"
         self._write_head(status, fields, body)
 
+    def _choose_retry_after_s(self, refusal: Refusal) -> int:
+        """Return the time after which the caller should repeat a refused request, in seconds."""
+        if refusal.code is codes.LEAVING and self._server.is_leaving and not self._is_first:
+            # The connection was opened before the stop, so a new one goes to another host. A
+            # connection that is opened in the stop shows that the balancer still sends here.
+            return 0
+        return max(1, -(-refusal.retry_after_ms // 1000))
+
     def _write_head(self, status: int, fields: HTTPHeaders, body: bytes | None) -> None:
         fields["Date"] = _format_date()
         if self._server.is_leaving:
@@ -642,6 +674,7 @@
         self._is_refused = True
         self.is_started = True
         self._server.receiving.discard(self)
+        self._server.refused.add(self)
         self._release_body()
         REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
         try:
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -145,6 +145,9 @@
         self.open_requests = 0
         self._stop = StopLimit(clock=clock)
         self._timeouts: set[asyncio.Timeout] = set()
+        self._queued_by_choice: dict[
+            asyncio.Future[Choice | None], tuple[RequestProgress, QueuedRequest]
+        ] = {}
         #: Called when a request is queued for lack of capacity.
         self.on_queued: Callable[[], None] = lambda: None
         #: Called with the engine's record and the prompt's shared parts when a request may have been
@@ -180,20 +183,24 @@
             client.close()
         self._clients_by_address.clear()
 
-    def end_requests_within(
-        self, seconds: float, *, unlisted_in_s: float = 0.0, closes_in_s: float = 0.0
-    ) -> None:
+    def end_requests_within(self, seconds: float, *, closes_in_s: float = 0.0) -> None:
         """End all requests within this time, in seconds, including those that are still to come.
 
         Requests that cannot be finished by then are refused at once; those in progress at the end
         are refused then.
 
-        :param unlisted_in_s: time until load balancers send no new connections here, in seconds.
         :param closes_in_s: time until connections without a request are closed, in seconds.
         """
-        self._stop.shorten(ends_in_s=seconds, unlisted_in_s=unlisted_in_s, closes_in_s=closes_in_s)
+        self._stop.shorten(ends_in_s=seconds, closes_in_s=closes_in_s)
         for timeout in self._timeouts:
             self._limit_timeout(timeout)
+        for progress, queued in self._queued_by_choice.values():
+            queued.shorten(
+                time_left_s=self._stop.find_queue_time_left_s(progress),
+                generation_s=forecast_mean_generation_s(progress),
+                now=self._clock.monotonic(),
+            )
+        self.dispatch_waiting()
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Handle one request; cancelling the task also cancels the request on the upstream."""
@@ -282,7 +289,9 @@
     def _choose_retry_delay_s(self, request: CallerRequest, refusal: Refusal) -> float:
         """Return the time after which a refused caller may retry, in seconds."""
         if refusal.code is codes.LEAVING:
-            return self._stop.find_unlisted_s() + LEAVING_SPREAD_S * self._random.random()
+            # The retry reaches another host.
+            spread_s = LEAVING_SPREAD_S * self._random.random()
+            return min(spread_s, RETRY_AFTER_MAX_FRACTION * request.time_left_s)
         if refusal.retry_after_ms:
             spread_s = HOLD_SPREAD_FRACTION * request.time_left_s * self._random.random()
             return refusal.retry_after_ms / 1000 + spread_s
@@ -425,11 +434,15 @@
         limit = self._stop.find_time_limit(progress)
         return Refusal(codes.TIMED_OUT, Executed.UNKNOWN, detail=str(limit))
 
-    def _make_unsent_refusal(self, progress: RequestProgress) -> Refusal:
-        """Return the refusal of a request that no upstream took in time."""
+    def _make_unsent_refusal(self, progress: RequestProgress, *, detail: str = "") -> Refusal:
+        """Return the refusal of a request that no upstream took in time.
+
+        :param detail: reason if no limit has passed yet; by default, the limit that has.
+        """
         limit = self._stop.find_time_limit(progress)
-        code = codes.LEAVING if limit is TimeLimit.STOP else codes.DEADLINE_UNREACHABLE
-        return Refusal(code, Executed.NO, detail=str(limit))
+        if limit is TimeLimit.STOP:
+            return Refusal(codes.LEAVING, Executed.NO, detail=str(limit))
+        return Refusal(codes.DEADLINE_UNREACHABLE, Executed.NO, detail=detail or str(limit))
 
     def _check_quarantine(self, progress: RequestProgress) -> Refusal | None:
         """Return a refusal if a part of the prompt is in quarantine."""
@@ -484,6 +497,10 @@
         choice = self._find_choice(service.name, requirements, ignore_capacity=ignore_capacity)
         if choice is None:
             return None
+        view = self._selector.view(choice.record.instance)
+        if service.engine is not None and view.has_pending_probe(self._clock.monotonic()):
+            # Its host may be suspended as well, and would then run the request after it has ended.
+            return None
         budget.count_resend()
         return self._begin(choice, requirements)
 
@@ -570,6 +587,7 @@
                 return self._make_unsent_refusal(progress)
             return Refusal(codes.OVERLOADED, Executed.NO, detail=f"wait {outcome.wait_s:.2f} s")
         if isinstance(outcome, QueuedRequest):
+            self._queued_by_choice[outcome.choice] = progress, outcome
             self.on_queued()
             try:
                 choice = await outcome.choice
@@ -583,9 +601,12 @@
                     self._selector.end(unused, failed=None)
                 raise
             finally:
+                del self._queued_by_choice[outcome.choice]
                 queue.remove(outcome)
             progress.waited_s = self._clock.monotonic() - outcome.arrived_at
-            return choice or self._make_unsent_refusal(progress)
+            return choice or self._make_unsent_refusal(
+                progress, detail="no upstream was free in time"
+            )
         return outcome
 
     def _make_requirements(self, progress: RequestProgress) -> Requirements:
--- a/sycamoreproxy/upstream_role.py
+++ b/sycamoreproxy/upstream_role.py
@@ -28,6 +28,7 @@
 )
 from sycamoreproxy.metrics import REFUSALS, RUNNING, WAITING, WINDOW
 from sycamoreproxy.peers import Peer, PeerHub
+from sycamoreproxy.response_times import ResponseTimes
 from sycamoreproxy.result_codes import (
     DEADLINE_UNREACHABLE,
     INTERNAL,
@@ -51,6 +52,11 @@
 ROUND_S = 0.1
 #: Time between heartbeats and between load reports, in seconds.
 STATUS_PERIOD_S = 1.0
+#: Shortest time for which a stopping process refuses requests before it closes its streams, in
+#: seconds. Entry hosts send work until they have read the status; a request that arrives after the
+#: close looks possibly executed to them. It covers a round trip between regions and a late event
+#: loop.
+LATE_SUBMIT_WAIT_S = 0.5
 #: Shortest time between checks for requests that became late, in seconds.
 EXPIRE_PERIOD_S = 0.02
 #: Longest silence of a streamed answer before and after its first output, and longest time of an
@@ -88,6 +94,7 @@
     __slots__ = (
         "_now",
         "_on_gap",
+        "_on_head",
         "_on_tokens",
         "cost",
         "had_output",
@@ -109,10 +116,12 @@
         peer: Peer,
         ticket: Ticket,
         now: Callable[[], float],
+        on_head: Callable[[_Attempt], None],
         on_gap: Callable[[float, int], None],
         on_tokens: Callable[[Ticket, int], None],
     ) -> None:
         self._now = now
+        self._on_head = on_head
         self._on_gap = on_gap
         self._on_tokens = on_tokens
         self.submit = submit
@@ -130,6 +139,7 @@
     def on_head(self, status: int, headers: HeaderPairs, version: str) -> None:
         """Pass status and headers on."""
         self.version = version
+        self._on_head(self)
         self.peer.send(ResponseHead(self.submit.attempt_id, status, headers, version))
 
     def on_output(self, data: bytes, tokens: int) -> None:
@@ -202,6 +212,7 @@
         )
         self._attempts_by_id: dict[str, _Attempt] = {}
         self._waiting_bytes = 0
+        self._response_times = ResponseTimes(clock=clock)
         self._prefixes: OrderedDict[str, None] = OrderedDict()
         self._rounds: asyncio.Task[None] | None = None
         self._reports: asyncio.Task[None] | None = None
@@ -240,10 +251,12 @@
     async def leave(self) -> None:
         """Refuse new work from now on and return when all accepted work is finished.
 
-        The wait is bounded by the time limits of each attempt.
+        The wait is bounded by the time limits of each attempt, and takes at least
+        :data:`LATE_SUBMIT_WAIT_S`.
         """
         self._is_leaving = True
         self._send_status()
+        await asyncio.sleep(LATE_SUBMIT_WAIT_S)
         await self._idle.wait()
 
     async def close(self) -> None:
@@ -286,6 +299,8 @@
             _log.warning("attempt ID is in use", attempt_id=submit.attempt_id)
             return
         refusal = self._check(submit)
+        if refusal is None:
+            refusal = self._check_response_time(submit)
         if refusal is None:
             refusal = self._enqueue(peer, submit)
         if refusal is not None:
@@ -325,6 +340,27 @@
             return None
         return Refusal(code, Executed.NO, retry_after_ms=1000 if code.retry_helps else 0)
 
+    def _check_response_time(self, submit: Submit) -> Refusal | None:
+        """Return a refusal if the service cannot respond within the deadline, as it is known.
+
+        Otherwise the request would run, and its caller would get a timeout.
+        """
+        if self._service is None:
+            return None
+        wait_s = self._queue.predict_wait(submit.rank, submit.client_account)
+        time_left_s = submit.time_left_ms / 1000.0 - wait_s
+        if self._response_times.try_admit(submit.method, submit.path, time_left_s):
+            return None
+        shortest_s = self._response_times.find_shortest(submit.method, submit.path)
+        detail = f"Recent responses took {shortest_s * 1000:.0f} ms or more."
+        return Refusal(DEADLINE_UNREACHABLE, Executed.NO, detail, retry_after_ms=1000)
+
+    def _record_response_time(self, attempt: _Attempt) -> None:
+        if self._service is not None:
+            seconds = self._clock.monotonic() - attempt.ticket.started_at
+            submit = attempt.submit
+            self._response_times.record(submit.method, submit.path, seconds)
+
     def _enqueue(self, peer: Peer, submit: Submit) -> Refusal | None:
         now = self._clock.monotonic()
         cost = float(max(1, submit.estimated_tokens)) if self._engine is not None else 1.0
@@ -348,6 +384,7 @@
             peer=peer,
             ticket=ticket,
             now=self._clock.monotonic,
+            on_head=self._record_response_time,
             on_gap=self._window.add_gap,
             on_tokens=self._add_tokens,
         )
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import pytest
+import structlog.testing
 
 from sycamoreproxy import caller_http
 from sycamoreproxy.messages import Output, Refuse, ResponseHead
@@ -21,6 +22,7 @@
     Entry,
     ScriptedUpstream,
     respond_plain,
+    send_response,
     with_entry,
 )
 
@@ -220,6 +222,8 @@
     assert answer.count(b"HTTP/1.1") == bool(status)
     assert (await entry.fetch("/v1/models")).code == 200
     assert entry.server.held_bytes == 0
+    assert not entry.server.receiving
+    assert not entry.server.refused
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -317,6 +321,86 @@
     writer.close()
 
 
+@pytest.mark.parametrize(
+    ("unread_bytes", "event"),
+    [
+        (64 * 1024 * 1024, "responses not read at the end of a stop"),
+        (256 * 1024, "response cut, caller reads too slowly"),
+    ],
+)
+@with_entry()
+async def test_response_that_is_cut_because_its_caller_does_not_read_has_a_log_line(
+    entry: Entry, monkeypatch: pytest.MonkeyPatch, unread_bytes: int, event: str
+) -> None:
+    monkeypatch.setattr(caller_http, "FLUSH_LIMIT_S", 0.1)
+    monkeypatch.setattr(caller_http, "MAX_UNREAD_BYTES", unread_bytes)
+    body = bytes(900_000)
+    await entry.add(
+        lambda upstream, peer, submit: send_response(peer, submit.attempt_id, [body] * 8),
+        service="ledger",
+    )
+    with (
+        socket.create_connection(("127.0.0.1", entry.port)) as connection,
+        structlog.testing.capture_logs() as lines,
+    ):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.send(b"GET /services/ledger/ HTTP/1.1\r\nAuthorization: Bearer k1\r\n\r\n")
+        while not entry.server.tasks:
+            await asyncio.sleep(0.005)
+        entry.server.leave()
+        await _stop(entry)
+    assert [line["event"] for line in lines if line["module"] == "caller_http"] == [event]
+
+
+@with_entry()
+async def test_caller_that_a_stop_refuses_waits_only_while_the_balancer_sends_here(
+    entry: Entry,
+) -> None:
+    """Callers on kept connections waited for 1 s, though another host takes the request at once."""
+    (upstream,) = await entry.add()
+    kept = await asyncio.open_connection("127.0.0.1", entry.port)
+    request = _with_length(_chat())
+    kept[1].write(request)
+    await kept[0].readuntil(b"\r\n\r\n")
+    await kept[0].readexactly(len(upstream.host) + 1 + len(CHAT) + 1 + len(_chat()))
+    entry.server.leave()
+    opened = await asyncio.open_connection("127.0.0.1", entry.port)
+    for (reader, writer), wait_s in ((kept, b"0"), (opened, b"1")):
+        writer.write(request)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b" 503 " in head
+        assert b"\r\nRetry-After: " + wait_s + b"\r\n" in head
+        writer.close()
+
+
+@with_entry()
+async def test_refused_caller_that_sends_its_body_at_the_end_of_a_stop_is_not_reset(
+    entry: Entry,
+) -> None:
+    """Callers that read the response after the body got a reset instead of the refusal."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    entry.server.leave()
+    data = _with_length(_chat(user="x" * 2000))
+    writer.write(data[:-1000])
+    stopping = asyncio.create_task(_stop(entry))
+    await asyncio.wait({stopping}, timeout=1.0)
+    for start in (-1000, -500):
+        writer.write(data[start : start + 500 or None])
+        await asyncio.sleep(0.05)
+    assert b" 503 " in await reader.read()
+    await stopping
+    writer.close()
+
+
+@with_entry(limits=CallerLimits(receive_timeout_s=0.8))
+async def test_stop_does_not_wait_for_a_refused_caller_that_sends_nothing(entry: Entry) -> None:
+    _, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    entry.server.leave()
+    writer.write(_with_length(_chat())[:-5])
+    await _stop(entry)
+    writer.close()
+
+
 async def _stop(entry: Entry) -> None:
     await entry.server.wait_idle()
     await entry.server.refuse_late_requests()
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -39,7 +39,12 @@
 from sycamoreproxy.event_splitter import MAX_EVENT_BYTES
 from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, RESERVED_BYTES
 from sycamoreproxy.messages import LimitNotice
-from sycamoreproxy.placement import LoadReport, Requirements, UpstreamSelector
+from sycamoreproxy.placement import (
+    InFlightRequest,
+    LoadReport,
+    Requirements,
+    UpstreamSelector,
+)
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
@@ -1342,11 +1347,17 @@
     """Two upstreams that give the n-th answer to the n-th request that either of them receives.
 
     They close the connection after an answer. ``{id}`` stands for the request's id; a part that is a number is a pause in seconds.
+
+    :param is_silent_until_resend: whether a pause of the first answer also lasts until the next
+        request was received.
     """
 
-    def __init__(self, *answers: Sequence[bytes | float]) -> None:
+    def __init__(
+        self, *answers: Sequence[bytes | float], is_silent_until_resend: bool = False
+    ) -> None:
         self.requests: list[bytes] = []
         self._answers = list(answers)
+        self._is_silent_until_resend = is_silent_until_resend
 
     async def listen(self) -> int:
         """Add a listener and return its port."""
@@ -1361,12 +1372,14 @@
                 self.requests.append(head)
                 request_id = re.search(rb"Sycamoreproxy-Request-Id: (\S+)", head)
                 assert request_id is not None
-                answer = self._answers[min(len(self.requests), len(self._answers)) - 1]
-                parts = (
-                    part.replace(b"{id}", request_id[1]) if isinstance(part, bytes) else part
-                    for part in answer
-                )
-                await write_parts(writer, parts)
+                is_first = len(self.requests) == 1
+                for part in self._answers[min(len(self.requests), len(self._answers)) - 1]:
+                    if isinstance(part, bytes):
+                        await write_parts(writer, [part.replace(b"{id}", request_id[1])])
+                        continue
+                    await asyncio.sleep(part)
+                    if is_first and self._is_silent_until_resend:
+                        await _wait_until(lambda: len(self.requests) > 1)
         finally:
             writer.close()
 
@@ -1540,6 +1553,39 @@
 }
 
 
+@pytest.mark.parametrize("is_reporting", [False, True])
+@pytest.mark.parametrize("path", ["/ask/x", "/ask/first"])
+def test_request_is_not_resent_to_an_engine_that_is_silent_too(
+    path: str, is_reporting: bool
+) -> None:
+    """Requests were resent from one suspended host to another, and arrived after their callers left."""
+
+    async def action(site: Site) -> None:
+        _change_routes(site, timeout_ms=6000)
+        dispatcher = site.front.dispatcher
+        sent = asyncio.create_task(site.send(path, Sycamoreproxy_Deadline_Ms="6000", **PROMPT))
+        while not upstream.requests:
+            await asyncio.sleep(0.01)
+        now = time.monotonic()
+        report = LoadReport(
+            received_at=now + 60.0 if is_reporting else now - 60.0,
+            running=0,
+            waiting=0,
+            version_by_model=(("m1", 1),),
+        )
+        for number in range(2):
+            dispatcher._selector.update_report(f"scripted-{number}", report)
+            view = dispatcher._selector.view(f"scripted-{number}")
+            # A request of another caller, so that each engine has one.
+            view.in_flight_by_number.setdefault(0, InFlightRequest(now, 100, overdue_at=now))
+        status, _, body, is_complete = await sent
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+        assert len(upstream.requests) == (2 if is_reporting else 1)
+
+    upstream = _ScriptedUpstream(SILENT_ANSWERS[path], [6.0])
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
 @pytest.mark.parametrize(
     "other", [[NOT_EXECUTED], [FAILED], [b""], [6.0]], ids=["refuses", "fails", "closes", "silent"]
 )
@@ -1557,7 +1603,7 @@
         assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
         assert len(upstream.requests) == 2
 
-    upstream = _ScriptedUpstream(SILENT_ANSWERS[path], other)
+    upstream = _ScriptedUpstream(SILENT_ANSWERS[path], other, is_silent_until_resend=True)
     _run_scripted(upstream, [0, 1, 2, 3], action)
 
 
