--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -9,6 +9,7 @@
 from sycamoreproxy.document_source import Document, DocumentError
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import ROUTES_REVISION
+from sycamoreproxy.result_codes import UNUSABLE_VALUE
 from sycamoreproxy.route_table import RouteTable
 from sycamoreproxy.routed_settings import RoutedBounds
 from sycamoreproxy.upstream_book import UpstreamCatalog, UpstreamRecord
@@ -123,7 +124,11 @@
                     self.catalog.put(self._decoder.read_upstream(instance, value), lag_s=lag_s)
         except DocumentError as error:
             _log.warning(
-                "document not usable", key=key, revision=document.revision, error=str(error)
+                "document not usable",
+                code=UNUSABLE_VALUE.number,
+                key=key,
+                revision=document.revision,
+                error=str(error),
             )
 
     def _apply_routes(self, value: bytes | None) -> None:
--- a/sycamoreproxy/result_codes.py
+++ b/sycamoreproxy/result_codes.py
@@ -123,6 +123,16 @@
     retry_helps=True,
 )
 
+# 1220 to 1222: no upstream of a permitted availability zone.
+NO_UPSTREAM_IN_REGION = _define(
+    1220,
+    "no_upstream_in_region",
+    503,
+    "No upstream in an allowed region serves this.",
+    retry_helps=True,
+)
+NO_ALLOWED_REGION = _define(1222, "no_allowed_region", 503, "No region with a zone may serve this.")
+
 # 13xx: upstreams and responses.
 UPSTREAM_FAILED = _define(1301, "upstream_failed", 502, "The upstream failed the request.")
 UPSTREAM_LOST = _define(1302, "upstream_lost", 502, "The connection to the upstream was lost.")
@@ -162,6 +172,9 @@
 STORE_UNAVAILABLE = _define(
     1507, "store_unavailable", 503, "The store did not answer the query.", retry_helps=True
 )
+UNUSABLE_VALUE = _define(
+    1510, "unusable_value", 422, "A document or setting is not usable; it changes nothing."
+)
 
 # 16xx: weights and engine orders.
 ORDER_REFUSED = _define(1601, "order_refused", 502, "The engine refused the order.")
--- a/sycamoreproxy/route_table.py
+++ b/sycamoreproxy/route_table.py
@@ -86,6 +86,7 @@
     :param is_public: whether requests are accepted without an API key.
     :param is_resumable: whether an interrupted stream may be resumed at another upstream.
     :param is_generation: whether requests carry a prompt for a model engine.
+    :param allowed_regions: regions whose upstreams may serve the requests; empty for any.
     """
 
     name: str
@@ -101,6 +102,7 @@
     is_public: bool = False
     is_resumable: bool = False
     is_generation: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -152,6 +154,8 @@
     :param routes_by_host: routes of each host name in lower case, longest prefix first.
     :param account_by_key: client account of each API key.
     :param rank_by_account: rank of each client account, which takes precedence over the route's.
+    :param allowed_regions_by_account: regions whose upstreams may serve an account's requests; an
+        account that is absent or has an empty set may use any.
     :param needs_keys: whether routes that are not public require an API key.
     :param priority_levels: pairs of account rank and route rank in use, most urgent first.
     """
@@ -161,6 +165,7 @@
     services_by_name: Mapping[str, ServiceSpec] = field(default_factory=dict)
     account_by_key: Mapping[str, str] = field(default_factory=dict)
     rank_by_account: Mapping[str, int] = field(default_factory=dict)
+    allowed_regions_by_account: Mapping[str, frozenset[str]] = field(default_factory=dict)
     needs_keys: bool = False
     bounds: CallerBounds = field(default_factory=CallerBounds)
     priority_levels: tuple[tuple[int, int], ...] = ()
--- a/sycamoreproxy/routed_settings.py
+++ b/sycamoreproxy/routed_settings.py
@@ -100,13 +100,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoutedSettings:
-    """All settings of one process on a routed deployment."""
+    """All settings of one process on a routed deployment.
+
+    :param zones: region of each availability zone, as :func:`sycamoreproxy.regions.read_zones` takes
+        it.
+    """
 
     process: RoutedProcessSettings
     listen: RoutedListenSettings
     store: RoutedStoreSettings
     bounds: RoutedBounds
     engine: EngineHostSettings | None = None
+    zones: object = None
     log: LogSettings = field(default_factory=LogSettings)
 
 
--- a/sycamoreproxy/settings_reader.py
+++ b/sycamoreproxy/settings_reader.py
@@ -66,6 +66,9 @@
         return cls(**values)
 
     def _convert(self, hint: Any, value: Any, key: str) -> Any:
+        if hint is object:
+            # The setting has a reader of its own.
+            return value
         origin = typing.get_origin(hint)
         if origin in (types.UnionType, typing.Union):
             hint = next(arg for arg in typing.get_args(hint) if arg is not type(None))
