--- a/sycamoreproxy/answer_relay.py
+++ b/sycamoreproxy/answer_relay.py
@@ -16,6 +16,7 @@
 from sycamoreproxy.held_bytes import BufferBudget
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.placement import Choice, LoadReport, UpstreamSelector
+from sycamoreproxy.regions import AllowedRegions
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, ServiceSpec
 
@@ -100,6 +101,9 @@
     :param possibly_executed: first failure after which the request may have been executed. It takes
         precedence over later refusals without execution.
     :param version: weight version of the latest stream that named one; None if none has.
+    :param allowed_regions: regions that every configuration since the request was accepted allows;
+        None for any.
+    :param configuration: revision of the newest of these configurations.
     """
 
     request: CallerRequest
@@ -124,6 +128,8 @@
     waited_s: float = 0.0
     load: str = ""
     instances: str = ""
+    allowed_regions: AllowedRegions = None
+    configuration: int = 0
 
     @property
     def may_have_run(self) -> bool:
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -205,6 +205,8 @@
     :param was_queued: whether the request waited for capacity, probably like requests on other
         hosts; it then counts against the queued quota.
     :param excluded: instances that already received this request.
+    :param allowed_regions: regions whose upstreams may serve the request; None for any. The caller
+        of :meth:`UpstreamSelector.choose` leaves out the other upstreams.
     """
 
     level: int
@@ -215,6 +217,7 @@
     max_forecast_s: float = math.inf
     was_queued: bool = False
     excluded: frozenset[str] = frozenset()
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -143,6 +143,7 @@
     from sycamoreproxy.permit_issuer import LIMITS_MIN_PROTOCOL
     from sycamoreproxy.placement import UpstreamSelector
     from sycamoreproxy.prompt_quarantine import PromptQuarantine
+    from sycamoreproxy.regions import ZoneFilter, read_zones
     from sycamoreproxy.resend_budget import ResendBudget
     from sycamoreproxy.routed_dispatch import RoutedDispatcher
     from sycamoreproxy.routed_entry import RoutedEntry
@@ -193,6 +194,7 @@
         return budget
 
     quarantine = PromptQuarantine(clock=parts.clock)
+    zones = ZoneFilter(read_zones(settings.zones))
     dialect = adapter.dialect()
     dispatcher = RoutedDispatcher(
         dialect=dialect,
@@ -203,6 +205,7 @@
         budget_for=budget_for,
         quarantine=quarantine,
         limits=limits,
+        zones=zones,
         clock=parts.clock,
         random_source=random.Random(),
     )
@@ -213,6 +216,7 @@
             "routes": lambda: {"revision": parts.routing_state.table.revision},
             "upstreams": selector.describe,
             "limits": limits.describe,
+            "zones": zones.describe,
             "waiting": dispatcher.count_waiting,
             "quarantine": quarantine.list_times_left,
             "open_requests": lambda: dispatcher.open_requests,
@@ -233,6 +237,7 @@
         budgets_by_service=budgets_by_service,
         quarantine=quarantine,
         limits=limits,
+        zones=zones,
         now=parts.clock.monotonic,
     )
     built.append(process)
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -48,6 +48,12 @@
 )
 from sycamoreproxy.placement import Choice, Requirements, UpstreamSelector
 from sycamoreproxy.prompt_quarantine import PromptQuarantine, list_shared_parts
+from sycamoreproxy.regions import (
+    AllowedRegions,
+    ZoneFilter,
+    find_allowed_regions,
+    restrict,
+)
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
@@ -112,6 +118,7 @@
     :param budget_for: returns the resend budget of a service.
     :param quarantine: parts of prompts that are not sent to engines.
     :param limits: limits that upstreams named in their answers.
+    :param zones: selects the upstreams whose zones may serve a request.
     """
 
     def __init__(
@@ -125,6 +132,7 @@
         budget_for: Callable[[str], ResendBudget],
         quarantine: PromptQuarantine,
         limits: UpstreamLimits,
+        zones: ZoneFilter,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
@@ -136,6 +144,7 @@
         self._budget_for = budget_for
         self._quarantine = quarantine
         self._limits = limits
+        self._zones = zones
         self._clock = clock
         self._random = random_source
         self._clients_by_address: dict[str, HttpClient] = {}
@@ -172,6 +181,16 @@
         for queue in self._queues_by_service.values():
             queue.dispatch()
 
+    def apply_zone_changes(self) -> None:
+        """Apply changed allowed regions and zones to the queued requests."""
+        for choice, (progress, queued) in list(self._queued_by_choice.items()):
+            queued.requirements = replace(
+                queued.requirements, allowed_regions=self._update_allowed_regions(progress)
+            )
+            if not choice.done() and self._check_zones(progress) is not None:
+                choice.set_result(None)
+        self.dispatch_waiting()
+
     def retain(self, addresses: Container[str]) -> None:
         """Close the idle connections to all other addresses."""
         for address in [item for item in self._clients_by_address if item not in addresses]:
@@ -228,6 +247,8 @@
             ),
             last_event_id=request.last_event_id,
             excluded=set(),
+            allowed_regions=find_allowed_regions(table, route, account),
+            configuration=table.revision,
         )
         self.open_requests += 1
         OPEN_REQUESTS.set({}, self.open_requests)
@@ -457,6 +478,41 @@
             retry_after_ms=math.ceil(left_s * 1000),
         )
 
+    def _update_allowed_regions(self, progress: RequestProgress) -> AllowedRegions:
+        """Restrict a request to the regions that the configuration in force allows it."""
+        table, request = self._table(), progress.request
+        if table.revision != progress.configuration:
+            progress.configuration = table.revision
+            progress.allowed_regions = restrict(
+                progress.allowed_regions,
+                table,
+                host=request.host,
+                target=request.target,
+                key=request.key,
+            )
+        return progress.allowed_regions
+
+    def _check_zones(self, progress: RequestProgress) -> Refusal | None:
+        """Return a refusal if no zone with an upstream of the service may serve a request."""
+        allowed = self._update_allowed_regions(progress)
+        if not self._zones.restricts(allowed):
+            return None
+        return self._zones.check(self._catalog.list_expected(progress.service.name), allowed)
+
+    def _list_barred(self, progress: RequestProgress) -> frozenset[str]:
+        """Return the upstreams of the service whose zones may not serve a request."""
+        allowed = self._update_allowed_regions(progress)
+        if not self._zones.restricts(allowed):
+            return frozenset()
+        return self._zones.list_barred(self._catalog.list_expected(progress.service.name), allowed)
+
+    def _may_send(self, progress: RequestProgress, choice: Choice) -> bool:
+        """Return whether the upstream of a request that is about to be sent may still get it."""
+        record = self._catalog.get(choice.record.instance)
+        return record is not None and self._zones.permits(
+            record, self._update_allowed_regions(progress)
+        )
+
     def _may_resend(self, progress: RequestProgress, refusal: Refusal) -> bool:
         """Return whether a request that no upstream has may be resent, and count the resend."""
         budget = self._budget_for(progress.service.name)
@@ -484,7 +540,8 @@
             not self._permits_repeat(progress)
             or progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS
             or not budget.allows()
-            or self._catalog.find_hold_left_s(service.name) is not None
+            or self._catalog.find_hold_left_s(service.name, excluded=self._list_barred(progress))
+            is not None
             or self._check_quarantine(progress) is not None
             or self._stop.check(progress) is not None
         ):
@@ -508,7 +565,7 @@
         """Wait until an upstream may be tried if all others are held, and if that is soon enough."""
         while True:
             hold_s = self._catalog.find_hold_left_s(
-                progress.service.name, excluded=progress.excluded
+                progress.service.name, excluded=progress.excluded | self._list_barred(progress)
             )
             if hold_s is None or hold_s > self._find_longest_pause_s(progress):
                 return
@@ -525,7 +582,9 @@
             and self._find_longest_pause_s(progress) > 0
             and any(
                 self._limits.find_requests_per_s(record) < math.inf
-                for record in self._catalog.list_usable(progress.service.name)
+                for record in self._zones.select(
+                    self._catalog.list_usable(progress.service.name), progress.allowed_regions
+                )
                 if record.instance not in progress.excluded
             )
         )
@@ -539,7 +598,12 @@
 
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
-        hold_s = self._catalog.find_hold_left_s(progress.service.name)
+        refusal = self._check_zones(progress)
+        if refusal is not None:
+            return refusal
+        hold_s = self._catalog.find_hold_left_s(
+            progress.service.name, excluded=self._list_barred(progress)
+        )
         if hold_s is not None:
             return Refusal(
                 codes.NO_UPSTREAM,
@@ -604,8 +668,10 @@
                 del self._queued_by_choice[outcome.choice]
                 queue.remove(outcome)
             progress.waited_s = self._clock.monotonic() - outcome.arrived_at
-            return choice or self._make_unsent_refusal(
-                progress, detail="no upstream was free in time"
+            return (
+                choice
+                or self._check_zones(progress)
+                or self._make_unsent_refusal(progress, detail="no upstream was free in time")
             )
         return outcome
 
@@ -618,6 +684,7 @@
             prompt_tokens=request.prompt_tokens,
             model=request.model if is_generation else "",
             excluded=frozenset(progress.excluded),
+            allowed_regions=self._update_allowed_regions(progress),
         )
 
     def _choose(
@@ -627,7 +694,10 @@
         choice = self._find_choice(service, requirements, ignore_capacity=ignore_capacity)
         if choice is not None:
             choice = self._begin(choice, requirements)
-        self._limits.request_permits(self._catalog.list_usable(service), level=requirements.level)
+        self._limits.request_permits(
+            self._zones.select(self._catalog.list_usable(service), requirements.allowed_regions),
+            level=requirements.level,
+        )
         return choice
 
     def _begin(self, choice: Choice, requirements: Requirements) -> Choice:
@@ -644,10 +714,13 @@
             requirements = replace(
                 requirements, minimum_version=self._targets.find_minimum_version(requirements.model)
             )
-        records: Sequence[UpstreamRecord] = self._catalog.list_usable(service)
+        usable: Sequence[UpstreamRecord] = self._catalog.list_usable(service)
+        records = self._zones.select(usable, requirements.allowed_regions)
         spec = self._table().services_by_name.get(service)
         if spec is not None and spec.engine is not None:
-            records = self._selector.list_subset(records, requirements)
+            subset = self._selector.list_subset(usable, requirements)
+            # The subset may have no engine in an allowed region.
+            records = self._zones.select(subset, requirements.allowed_regions) or records
         return self._selector.choose(
             records,
             requirements,
@@ -750,7 +823,7 @@
                 on_head=relay.receive_head,
                 on_data=relay.receive_data,
                 repeatable=route.repeatable,
-                may_send=lambda: self._catalog.get(choice.record.instance) is not None,
+                may_send=lambda: self._may_send(progress, choice),
             )
         )
         leaving_s = self._catalog.find_leaving_s(choice.record.instance)
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -27,6 +27,7 @@
 from sycamoreproxy.placement import LoadReport, UpstreamSelector
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
 from sycamoreproxy.pulse import ThrottledAction
+from sycamoreproxy.regions import ZoneFilter, read_zones
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.route_table import RouteTable
 from sycamoreproxy.routed_dispatch import RoutedDispatcher
@@ -82,6 +83,7 @@
         budgets_by_service: dict[str, ResendBudget],
         quarantine: PromptQuarantine,
         limits: UpstreamLimits,
+        zones: ZoneFilter,
         now: Callable[[], float],
     ) -> None:
         self.settings = settings
@@ -97,6 +99,7 @@
         self._budgets_by_service = budgets_by_service
         self._quarantine = quarantine
         self._limits = limits
+        self._zones = zones
         self._now = now
         self._readiness_server = HTTPServer(self._answer_readiness_probe)
         self._is_leaving = False
@@ -126,6 +129,9 @@
         self.settings = settings
         bounds = settings.bounds
         self._routing_state.set_bounds(bounds)
+        self._zones.set_zones(read_zones(settings.zones))
+        self._zones.report_unknown_regions(self._routing_state.table)
+        self._dispatcher.apply_zone_changes()
         for budget in self._budgets_by_service.values():
             budget.set_limits(
                 ratio=bounds.resend_ratio,
@@ -230,10 +236,12 @@
     def _on_table_changed(self, table: RouteTable) -> None:
         self._caller_server.set_bounds(table.bounds)
         self._update_peers()
+        self._zones.report_unknown_regions(table)
+        self._dispatcher.apply_zone_changes()
 
     def _on_upstream_changed(self, instance: str) -> None:
         self._update_peers()
-        self._dispatcher.dispatch_waiting()
+        self._dispatcher.apply_zone_changes()
 
     def _drop_removed_upstreams(self) -> None:
         """Drop the state of upstreams that are no longer listed.
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -271,6 +271,14 @@
         self._expire()
         return list(self._records_by_instance.values())
 
+    def list_expected(self, service: str) -> list[UpstreamRecord]:
+        """Return the upstreams of a service that may receive requests now or after a hold."""
+        return [
+            record
+            for record in self.list_all()
+            if record.service == service and self._is_usable(record.instance, ignore_hold=True)
+        ]
+
     def find(self, instance: str) -> UpstreamRecord | None:
         """Return the record of an upstream, even if it is leaving."""
         self._expire()
--- a/sycamoreproxy/waiting_line.py
+++ b/sycamoreproxy/waiting_line.py
@@ -17,6 +17,7 @@
 
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.placement import Choice, Requirements
+from sycamoreproxy.regions import AllowedRegions, covers
 
 #: Sliding window over which dispatched requests are counted to forecast the queueing time, in
 #: seconds.
@@ -122,17 +123,27 @@
             for (late, level), queued in self._queued_by_order.items()
         }
 
-    def forecast_wait_s(self, level: int, *, is_late: bool = False) -> float:
-        """Return the forecast queueing time of a request that arrives now, in seconds."""
-        ahead = sum(
-            len(queued)
-            for order, queued in self._queued_by_order.items()
-            if order <= (is_late, level)
-        )
+    def forecast_wait_s(
+        self, level: int, *, is_late: bool = False, allowed: AllowedRegions = None
+    ) -> float:
+        """Return the forecast queueing time of a request that arrives now, in seconds.
+
+        :param allowed: regions whose upstreams may serve the request; None for any.
+        """
+        ahead = self._count_ahead((is_late, level), allowed)
         if not ahead:
             return 0.0
         return (ahead + 1) / self._estimate_rate((is_late, level))
 
+    def _count_ahead(self, order: _Order, allowed: AllowedRegions) -> int:
+        """Return the number of queued requests that may take any place that a request could."""
+        return sum(
+            covers(request.requirements.allowed_regions, allowed)
+            for other, queued in self._queued_by_order.items()
+            if other <= order
+            for request in queued
+        )
+
     def _estimate_rate(self, order: _Order) -> float:
         """Return the rate at which queued requests of this order are dispatched, per second.
 
@@ -172,12 +183,13 @@
         order = (is_retry, requirements.level)
         now = self._clock.monotonic()
         bounded = replace(requirements, max_forecast_s=LATE_MAX_FORECAST_S if is_retry else goal_s)
-        if not any(q for o, q in self._queued_by_order.items() if o <= order):
+        allowed = requirements.allowed_regions
+        if not self._count_ahead(order, allowed):
             choice = self._choose_upstream(bounded)
             if choice is not None:
                 self._dispatched.append((now, order))
                 return choice
-        wait_s = self.forecast_wait_s(requirements.level, is_late=is_retry)
+        wait_s = self.forecast_wait_s(requirements.level, is_late=is_retry, allowed=allowed)
         longest_s = min(time_left_s - generation_s, caller_timeout_s) - LATE_FIRST_TOKEN_S
         limit_s = longest_s if is_retry else min(longest_s, goal_s * MAX_WAIT_GOAL_FRACTION)
         if wait_s > limit_s or len(self) >= MAX_QUEUED:
@@ -248,19 +260,26 @@
         """Send queued requests while an upstream takes them, and drop those that have expired."""
         for order in sorted(self._queued_by_order):
             queued = self._queued_by_order[order]
-            while queued:
-                request = queued[0]
+            # Regions without capacity. A request that is confined to them does not hold up others.
+            full: list[AllowedRegions] = []
+            for request in list(queued):
                 if request.choice.done():
-                    queued.popleft()
+                    queued.remove(request)
                     continue
                 if request.expires_at <= now:
-                    queued.popleft()
+                    queued.remove(request)
                     request.choice.set_result(None)
                     continue
+                allowed = request.requirements.allowed_regions
+                if any(covers(regions, allowed) for regions in full):
+                    continue
                 choice = self._choose_upstream(_with_time_left(request, now))
                 if choice is None:
-                    break
-                queued.popleft()
+                    full.append(allowed)
+                    if allowed is None:
+                        break
+                    continue
+                queued.remove(request)
                 self._dispatched.append((now, order))
                 request.choice.set_result(choice)
 
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -48,6 +48,7 @@
 from sycamoreproxy.platform.documents import PlatformDocuments
 from sycamoreproxy.platform.requests import PlatformDialect
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
+from sycamoreproxy.regions import ZoneFilter
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.routed_dispatch import CRASH_NOTICE_S, VERSION_MARGIN_S, RoutedDispatcher
 from sycamoreproxy.routed_http import CallerReply, RoutedCallerServer
@@ -144,8 +145,14 @@
         body += chunk[:-2]
 
 
-def run_with_site(action: Callable[[Site], Awaitable[None]], *, configured: bool = True) -> None:
+def run_with_site(
+    action: Callable[[Site], Awaitable[None]],
+    *,
+    configured: bool = True,
+    zones: ZoneFilter | None = None,
+) -> None:
     """Run a test against an entry host; runners 0 and 1 are engines, 2 and 3 a plain service."""
+    zone_filter = zones or ZoneFilter()
 
     async def run() -> None:
         clock, hub = SystemClock(), FakeHub()
@@ -179,9 +186,11 @@
             budget_for=lambda service: budget,
             quarantine=quarantine,
             limits=limits,
+            zones=zone_filter,
             clock=clock,
             random_source=random.Random(1),
         )
+        routing_state.subscribe(lambda table: dispatcher.apply_zone_changes())
         front = RoutedCallerServer(dispatcher=dispatcher, dialect=dialect)
         with reserve_address() as holder:
             port = holder.getsockname()[1]
@@ -222,14 +231,14 @@
     _put_upstream(site, runner.instance, "model" if number < 2 else "ledger", port)
 
 
-def _put_upstream(site: Site, instance: str, service: str, port: int) -> None:
+def _put_upstream(site: Site, instance: str, service: str, port: int, *, zone: str = "z1") -> None:
     _put(
         site,
         f"servers/{instance}",
         {
             "service": service,
             "address": f"127.0.0.1:{port}",
-            "zone": "z1",
+            "zone": zone,
             "slots": 4,
             "state": "ready",
             "models": [{"name": "m1", "version": 1}],
--- a/tests/test_stop_refusals.py
+++ b/tests/test_stop_refusals.py
@@ -151,6 +151,7 @@
             budgets_by_service={},
             quarantine=MagicMock(),
             limits=MagicMock(),
+            zones=MagicMock(),
             now=lambda: 0.0,
             **parts,
         )
