--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -48,12 +48,8 @@
 )
 from sycamoreproxy.placement import Choice, Requirements, UpstreamSelector
 from sycamoreproxy.prompt_quarantine import PromptQuarantine, list_shared_parts
-from sycamoreproxy.regions import (
-    AllowedRegions,
-    ZoneFilter,
-    find_allowed_regions,
-    restrict,
-)
+from sycamoreproxy.regions import ZoneFilter, find_allowed_regions
+from sycamoreproxy.request_zones import RequestZones
 from sycamoreproxy.resend_budget import ResendBudget
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import Route, RouteKind, RouteTable, ServiceSpec
@@ -144,7 +140,7 @@
         self._budget_for = budget_for
         self._quarantine = quarantine
         self._limits = limits
-        self._zones = zones
+        self._zones = RequestZones(zones=zones, catalog=catalog, table=table)
         self._clock = clock
         self._random = random_source
         self._clients_by_address: dict[str, HttpClient] = {}
@@ -185,9 +181,9 @@
         """Apply changed allowed regions and zones to the queued requests."""
         for choice, (progress, queued) in list(self._queued_by_choice.items()):
             queued.requirements = replace(
-                queued.requirements, allowed_regions=self._update_allowed_regions(progress)
+                queued.requirements, allowed_regions=self._zones.update(progress)
             )
-            if not choice.done() and self._check_zones(progress) is not None:
+            if not choice.done() and self._zones.check(progress) is not None:
                 choice.set_result(None)
         self.dispatch_waiting()
 
@@ -478,41 +474,6 @@
             retry_after_ms=math.ceil(left_s * 1000),
         )
 
-    def _update_allowed_regions(self, progress: RequestProgress) -> AllowedRegions:
-        """Restrict a request to the regions that the configuration in force allows it."""
-        table, request = self._table(), progress.request
-        if table.revision != progress.configuration:
-            progress.configuration = table.revision
-            progress.allowed_regions = restrict(
-                progress.allowed_regions,
-                table,
-                host=request.host,
-                target=request.target,
-                key=request.key,
-            )
-        return progress.allowed_regions
-
-    def _check_zones(self, progress: RequestProgress) -> Refusal | None:
-        """Return a refusal if no zone with an upstream of the service may serve a request."""
-        allowed = self._update_allowed_regions(progress)
-        if not self._zones.restricts(allowed):
-            return None
-        return self._zones.check(self._catalog.list_expected(progress.service.name), allowed)
-
-    def _list_barred(self, progress: RequestProgress) -> frozenset[str]:
-        """Return the upstreams of the service whose zones may not serve a request."""
-        allowed = self._update_allowed_regions(progress)
-        if not self._zones.restricts(allowed):
-            return frozenset()
-        return self._zones.list_barred(self._catalog.list_expected(progress.service.name), allowed)
-
-    def _may_send(self, progress: RequestProgress, choice: Choice) -> bool:
-        """Return whether the upstream of a request that is about to be sent may still get it."""
-        record = self._catalog.get(choice.record.instance)
-        return record is not None and self._zones.permits(
-            record, self._update_allowed_regions(progress)
-        )
-
     def _may_resend(self, progress: RequestProgress, refusal: Refusal) -> bool:
         """Return whether a request that no upstream has may be resent, and count the resend."""
         budget = self._budget_for(progress.service.name)
@@ -540,7 +501,9 @@
             not self._permits_repeat(progress)
             or progress.unexecuted_attempts > MAX_UNEXECUTED_RESENDS
             or not budget.allows()
-            or self._catalog.find_hold_left_s(service.name, excluded=self._list_barred(progress))
+            or self._catalog.find_hold_left_s(
+                service.name, excluded=self._zones.list_barred(progress)
+            )
             is not None
             or self._check_quarantine(progress) is not None
             or self._stop.check(progress) is not None
@@ -565,7 +528,8 @@
         """Wait until an upstream may be tried if all others are held, and if that is soon enough."""
         while True:
             hold_s = self._catalog.find_hold_left_s(
-                progress.service.name, excluded=progress.excluded | self._list_barred(progress)
+                progress.service.name,
+                excluded=progress.excluded | self._zones.list_barred(progress),
             )
             if hold_s is None or hold_s > self._find_longest_pause_s(progress):
                 return
@@ -582,8 +546,8 @@
             and self._find_longest_pause_s(progress) > 0
             and any(
                 self._limits.find_requests_per_s(record) < math.inf
-                for record in self._zones.select(
-                    self._catalog.list_usable(progress.service.name), progress.allowed_regions
+                for record in self._zones.list_usable(
+                    progress.service.name, progress.allowed_regions
                 )
                 if record.instance not in progress.excluded
             )
@@ -598,11 +562,11 @@
 
     async def _acquire_upstream(self, progress: RequestProgress) -> Choice | Refusal:
         """Return the upstream for the next attempt, waiting in the queue if none has capacity."""
-        refusal = self._check_zones(progress)
+        refusal = self._zones.check(progress)
         if refusal is not None:
             return refusal
         hold_s = self._catalog.find_hold_left_s(
-            progress.service.name, excluded=self._list_barred(progress)
+            progress.service.name, excluded=self._zones.list_barred(progress)
         )
         if hold_s is not None:
             return Refusal(
@@ -670,7 +634,7 @@
             progress.waited_s = self._clock.monotonic() - outcome.arrived_at
             return (
                 choice
-                or self._check_zones(progress)
+                or self._zones.check(progress)
                 or self._make_unsent_refusal(progress, detail="no upstream was free in time")
             )
         return outcome
@@ -684,7 +648,7 @@
             prompt_tokens=request.prompt_tokens,
             model=request.model if is_generation else "",
             excluded=frozenset(progress.excluded),
-            allowed_regions=self._update_allowed_regions(progress),
+            allowed_regions=self._zones.update(progress),
         )
 
     def _choose(
@@ -695,7 +659,7 @@
         if choice is not None:
             choice = self._begin(choice, requirements)
         self._limits.request_permits(
-            self._zones.select(self._catalog.list_usable(service), requirements.allowed_regions),
+            self._zones.list_usable(service, requirements.allowed_regions),
             level=requirements.level,
         )
         return choice
@@ -714,13 +678,11 @@
             requirements = replace(
                 requirements, minimum_version=self._targets.find_minimum_version(requirements.model)
             )
-        usable: Sequence[UpstreamRecord] = self._catalog.list_usable(service)
-        records = self._zones.select(usable, requirements.allowed_regions)
+        records: Sequence[UpstreamRecord] = self._catalog.list_usable(service)
         spec = self._table().services_by_name.get(service)
         if spec is not None and spec.engine is not None:
-            subset = self._selector.list_subset(usable, requirements)
-            # The subset may have no engine in an allowed region.
-            records = self._zones.select(subset, requirements.allowed_regions) or records
+            records = self._selector.list_subset(records, requirements)
+        records = self._zones.select_from(records, service, requirements.allowed_regions)
         return self._selector.choose(
             records,
             requirements,
@@ -823,7 +785,7 @@
                 on_head=relay.receive_head,
                 on_data=relay.receive_data,
                 repeatable=route.repeatable,
-                may_send=lambda: self._may_send(progress, choice),
+                may_send=lambda: self._zones.may_send(progress, choice.record.instance),
             )
         )
         leaving_s = self._catalog.find_leaving_s(choice.record.instance)
@@ -985,7 +947,7 @@
         spec = self._table().services_by_name.get(service)
         if spec is None or spec.engine is None:
             return 0.0
-        records = self._catalog.list_usable(service)
+        records = self._zones.list_usable(service)
         subset = self._selector.engine_subset
         engines = len(subset) or len(records)
         rate = 1 / EngineForecast(spec.engine).completion_interval_s()
@@ -1005,7 +967,7 @@
         subset = self._selector.engine_subset
         rates = [
             self._limits.find_requests_per_s(record)
-            for record in self._catalog.list_usable(service)
+            for record in self._zones.list_usable(service)
             if not subset or str(record.address) in subset
         ]
         return sum(rates) / max(1, self._selector.entry_hosts) if rates else math.inf
