--- a/sycamoreproxy/watched_documents.py
+++ b/sycamoreproxy/watched_documents.py
@@ -201,7 +201,8 @@
 class DocumentReplica:
     """Holds the newest known versions of the documents below some prefixes.
 
-    :param prefixes: prefixes of all documents.
+    :param prefixes: prefixes of all documents. One may begin with another: both are watched, and the
+        longer one determines how its documents are relayed.
     :param pause_s: returns the pause after changes below a prefix, in seconds.
     :param shared_prefixes: prefixes that a few readers of each availability zone watch for the
         other processes.
@@ -259,6 +260,11 @@
 
     # Queries
 
+    @property
+    def prefixes(self) -> tuple[str, ...]:
+        """Prefixes of all documents."""
+        return tuple(self._states_by_prefix)
+
     def get(self, key: str) -> Document | None:
         """Return a document, or None if it is not known; a deleted document has the value None."""
         return self._documents_by_key.get(key)
@@ -273,10 +279,15 @@
 
         Until then its documents may be outdated.
         """
-        return all(
-            state.has_read
-            for prefix, state in self._states_by_prefix.items()
-            if key.startswith(prefix)
+        prefix = self._find_prefix(key)
+        return prefix is None or self._states_by_prefix[prefix].has_read
+
+    def _find_prefix(self, key: str) -> str | None:
+        """Return the longest prefix of a key, which a process watches for it, or None."""
+        return max(
+            (prefix for prefix in self._states_by_prefix if key.startswith(prefix)),
+            key=len,
+            default=None,
         )
 
     def find_lag_s(self, key: str) -> float:
@@ -286,12 +297,11 @@
         otherwise they would end too late by the time in which this process could not receive the
         change.
         """
-        lags = [
-            state.lag_s if state.is_connected else self._find_interruption_s(state)
-            for prefix, state in self._states_by_prefix.items()
-            if key.startswith(prefix)
-        ]
-        return max(*lags, self._stall_lag_s(), 0.0)
+        lag_s = 0.0
+        if (prefix := self._find_prefix(key)) is not None:
+            state = self._states_by_prefix[prefix]
+            lag_s = state.lag_s if state.is_connected else self._find_interruption_s(state)
+        return max(lag_s, self._stall_lag_s(), 0.0)
 
     def find_relay_lag_s(self, key: str) -> float:
         """Return the maximum age of a change that was deferred or not relayed, in seconds.
@@ -300,7 +310,7 @@
         this process watches them itself without interruption, and after ``MAX_RELAY_LAG_S``: by then
         it has called the store, which did not respond.
         """
-        prefix = next((p for p in self._states_by_prefix if key.startswith(p)), None)
+        prefix = self._find_prefix(key)
         if prefix is None:
             return 0.0
         state = self._states_by_prefix[prefix]
@@ -376,7 +386,7 @@
         return True
 
     def _is_large(self, key: str) -> bool:
-        return any(key.startswith(prefix) for prefix in self._large_prefixes)
+        return self._find_prefix(key) in self._large_prefixes
 
     def _update_digest(self, before: Document | None, document: Document) -> None:
         for prefix in self._pushed_prefixes:
@@ -844,7 +854,7 @@
         )
 
     def _depends_on_readers(self, key: str) -> bool:
-        return any(key.startswith(p) for p in self._shared_prefixes) and not self._is_reader()
+        return self._find_prefix(key) in self._shared_prefixes and not self._is_reader()
 
     def _is_outranked(self, progress: DocumentProgress) -> bool:
         """Return whether the reporting process continues to watch if this one watches, too.
@@ -891,10 +901,11 @@
         ]
 
     def _handle_fetch(self, peer: Peer, fetch: DocumentFetch) -> None:
-        for key in fetch.keys:
-            known = self._documents_by_key.get(key)
-            if known is not None and self._can_read_revisions(peer):
-                peer.send(self._make_data(known))
+        found = [self._documents_by_key[key] for key in fetch.keys if key in self._documents_by_key]
+        # Small documents do not wait behind a configuration, which is used only with the evacuations.
+        for document in sorted(found, key=lambda document: len(document.value or b"")):
+            if self._can_read_revisions(peer):
+                peer.send(self._make_data(document))
 
     def _make_data(self, document: Document) -> DocumentData:
         is_deleted = document.value is None
--- a/tests/test_watched_documents.py
+++ b/tests/test_watched_documents.py
@@ -359,9 +359,10 @@
         pushed_prefixes: tuple[str, ...] = (),
         store: _RemoteStore | None = None,
         is_linked: bool = True,
+        shared_prefix: str = "op/config",
     ) -> None:
         self.store = store or _RemoteStore()
-        prefixes = ("op/config", "op/version/", *pushed_prefixes)
+        prefixes = (shared_prefix, "op/version/", *pushed_prefixes)
         self.network = FakeNetwork(seed=1)
         self.readers = frozenset(f"h{number}" for number in range(readers))
         self.hubs = [
@@ -379,7 +380,7 @@
                 hub=hub,  # type: ignore[arg-type]
                 prefixes=prefixes,
                 clock=LoopClock(),
-                shared_prefixes=("op/config",),
+                shared_prefixes=(shared_prefix,),
                 pushed_prefixes=pushed_prefixes,
                 find_readers=lambda: self.readers,
             )
