--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
 
+from sycamoreproxy.clock import Clock, SystemClock
 from sycamoreproxy.document_source import Document, DocumentError
+from sycamoreproxy.evacuations import Evacuations
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import ROUTES_REVISION
 from sycamoreproxy.result_codes import UNUSABLE_VALUE
@@ -16,6 +19,11 @@
 from sycamoreproxy.watched_documents import DocumentReplica
 from sycamoreproxy.weight_targets import WeightTargets
 
+#: Time from the first configuration until it is used although no list of evacuations was read, in
+#: seconds: the store is away then. Peers send evacuations before the configuration unless two of
+#: them announce these separately, and then within ``MAX_LOCAL_FETCH_DELAY_S``.
+EVACUATIONS_SETTLE_S = 0.3
+
 _log = get_logger("beliefs")
 
 
@@ -37,6 +45,16 @@
     def upstream_prefixes(self) -> tuple[str, ...]:
         """Those of the prefixes whose documents describe upstreams."""
 
+    @property
+    def evacuation_prefix(self) -> str:
+        """Prefix of the documents that name evacuated zones."""
+
+    def zone_of(self, key: str) -> str | None:
+        """Return the zone whose evacuation the document with this key names, if any."""
+
+    def check_evacuation(self, zone: str, value: bytes) -> None:
+        """Check the document of an evacuated zone."""
+
     def is_routes(self, key: str) -> bool:
         """Return whether the document with this key contains the routes."""
 
@@ -63,6 +81,7 @@
     :param replica: local copy of the documents.
     :param catalog: the known upstreams.
     :param targets: target versions of the weights.
+    :param clock: time source; the system's by default.
     """
 
     def __init__(
@@ -72,15 +91,35 @@
         replica: DocumentReplica,
         catalog: UpstreamCatalog,
         targets: WeightTargets,
+        clock: Clock | None = None,
     ) -> None:
+        self._clock = clock or SystemClock()
         self._decoder = decoder
         self._replica = replica
         self.catalog = catalog
         self.targets = targets
         self.table = RouteTable()
+        self.evacuations = Evacuations()
+        self._are_evacuations_known = False
+        #: Monotonic time from which the routes are used, whether evacuations were read or not.
+        self._settled_at = math.inf
         self._listeners: list[Callable[[RouteTable], None]] = []
         replica.subscribe(self._apply)
 
+    @property
+    def serving_table(self) -> RouteTable:
+        """The routes in force, empty until the evacuations are known too.
+
+        A host that serves with a configuration alone would use evacuated zones.
+        """
+        if self._are_evacuations_known or not self.table.revision:
+            return self.table
+        self._are_evacuations_known = (
+            self._replica.has_read(self._decoder.evacuation_prefix)
+            or self._clock.monotonic() >= self._settled_at
+        )
+        return self.table if self._are_evacuations_known else RouteTable()
+
     def set_bounds(self, bounds: RoutedBounds) -> None:
         """Apply changed time bounds."""
         self.catalog.set_bound(bounds.leave_s)
@@ -116,6 +155,10 @@
                         is_first_read=not self._replica.has_read(key),
                         lag_s=self._replica.find_lag_s(key),
                     )
+            elif (zone := self._decoder.zone_of(key)) is not None:
+                if value is not None:
+                    self._decoder.check_evacuation(zone, value)
+                self.evacuations.apply(zone, document.revision, is_evacuated=value is not None)
             elif (instance := self._decoder.instance_of(key)) is not None:
                 lag_s = self._replica.find_relay_lag_s(key)
                 if value is None:
@@ -139,6 +182,8 @@
         if table.revision <= self.table.revision:
             return
         previous, self.table = self.table, table
+        if not previous.revision:
+            self._settled_at = self._clock.monotonic() + EVACUATIONS_SETTLE_S
         ROUTES_REVISION.set({}, table.revision)
         _log.info(
             "configuration in force",
--- a/sycamoreproxy/metrics.py
+++ b/sycamoreproxy/metrics.py
@@ -42,6 +42,7 @@
 UPSTREAM_LIMITS = Counter(
     "sycamore_upstream_limits_total", "Limits that upstreams named in answers, by service"
 )
+EVACUATED_ZONES = Gauge("sycamore_evacuated_zones", "Availability zones that are evacuated")
 QUARANTINED_PARTS = Counter(
     "sycamore_quarantined_parts_total", "Parts of prompts quarantined for crashing engines"
 )
--- a/sycamoreproxy/platform/documents.py
+++ b/sycamoreproxy/platform/documents.py
@@ -42,10 +42,12 @@
 class PlatformDocuments:
     """Decodes the store's documents into the product's types."""
 
-    prefixes = (names.VERSION_PREFIX, names.CONFIG_KEY, names.RUNNER_PREFIX)
-    # A configuration holds all routes and keys; the others take some hundred bytes each. Its key is
-    # the only one that begins so.
-    shared_prefixes = (names.CONFIG_KEY,)
+    # Versions are watched by every process. The readers of a zone watch all that the operators write,
+    # so evacuations arrive with the configuration and take no further call.
+    prefixes = (names.VERSION_PREFIX, names.OPERATOR_PREFIX, names.RUNNER_PREFIX)
+    # A configuration holds all routes and keys; the others take some hundred bytes each.
+    shared_prefixes = (names.OPERATOR_PREFIX,)
+    evacuation_prefix = names.EVACUATION_PREFIX
     upstream_prefixes = (names.RUNNER_PREFIX,)
 
     def is_routes(self, key: str) -> bool:
@@ -64,6 +66,21 @@
             return key.removeprefix(names.RUNNER_PREFIX)
         return None
 
+    def zone_of(self, key: str) -> str | None:
+        """Return the zone whose evacuation a key names, or None."""
+        if key.startswith(names.EVACUATION_PREFIX):
+            return key.removeprefix(names.EVACUATION_PREFIX)
+        return None
+
+    def check_evacuation(self, zone: str, value: bytes) -> None:
+        """Check the document of an evacuated zone, which has no fields.
+
+        :raises DocumentError: if it is no object, or the zone is no name.
+        """
+        if not is_zone_name(zone):
+            raise DocumentError("the key names no zone")
+        _read_object(value)
+
     def read_routes(self, value: bytes) -> RouteTable:
         """Return the routes of the configuration.
 
--- a/sycamoreproxy/platform/names.py
+++ b/sycamoreproxy/platform/names.py
@@ -27,9 +27,12 @@
 LAST_EVENT_ID = "Last-Event-Id"
 API_KEY = "X-Api-Key"
 
-#: Store keys: the configuration, the named weights, and the runners.
+#: Store keys: what the operators write (the configuration, the named weights, evacuated zones), and
+#: the runners.
+OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
+EVACUATION_PREFIX = "op/evacuate/"
 RUNNER_PREFIX = "servers/"
 
 #: State of a runner that takes no new work soon.
--- a/sycamoreproxy/regions.py
+++ b/sycamoreproxy/regions.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.logs import get_logger
@@ -112,17 +112,29 @@
     """Selects the upstreams whose zones may serve a request.
 
     :param region_by_zone: region of each availability zone.
+    :param find_evacuated: returns the evacuated zones.
     """
 
-    def __init__(self, region_by_zone: Mapping[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        region_by_zone: Mapping[str, str] | None = None,
+        *,
+        find_evacuated: Callable[[], frozenset[str]] = frozenset,
+    ) -> None:
         self._region_by_zone: Mapping[str, str] = region_by_zone or {}
+        self._find_evacuated = find_evacuated
+        self._reported_zones: set[str] = set()
         self._reported_regions: set[str] = set()
 
     # Queries
 
     def restricts(self, allowed: AllowedRegions) -> bool:
         """Return whether any upstream may be barred from a request with these allowed regions."""
-        return allowed is not None
+        return allowed is not None or bool(self._find_evacuated())
+
+    def is_evacuated(self, record: UpstreamRecord) -> bool:
+        """Return whether the zone of an upstream is evacuated."""
+        return record.availability_zone in self._find_evacuated()
 
     def find_region(self, zone: str) -> str | None:
         """Return the region of a zone, or None if the zone is unknown."""
@@ -130,6 +142,9 @@
 
     def permits(self, record: UpstreamRecord, allowed: AllowedRegions) -> bool:
         """Return whether an upstream may serve a request with these allowed regions."""
+        return not self.is_evacuated(record) and self._allows(record, allowed)
+
+    def _allows(self, record: UpstreamRecord, allowed: AllowedRegions) -> bool:
         return allowed is None or self.find_region(record.availability_zone) in allowed
 
     def select(
@@ -153,7 +168,11 @@
 
         :param records: all upstreams of its service, including those that are held.
         """
-        if allowed is None or any(self.permits(record, allowed) for record in records):
+        in_region = [record for record in records if self._allows(record, allowed)]
+        if in_region and all(self.is_evacuated(record) for record in in_region):
+            zones = sorted({record.availability_zone for record in in_region})
+            return Refusal(codes.ZONES_EVACUATED, Executed.NO, detail=", ".join(zones))
+        if in_region or allowed is None:
             return None
         detail = f"allowed: {', '.join(sorted(allowed)) or 'none'}"
         if allowed.isdisjoint(self._region_by_zone.values()):
@@ -162,7 +181,10 @@
 
     def describe(self) -> dict[str, object]:
         """Return the zones in the format of the state dump."""
-        return {"region_by_zone": dict(self._region_by_zone)}
+        return {
+            "region_by_zone": dict(self._region_by_zone),
+            "evacuated": sorted(self._find_evacuated()),
+        }
 
     # Commands
 
@@ -170,6 +192,15 @@
         """Change the regions of the zones."""
         self._region_by_zone = region_by_zone
 
+    def report_unknown_zones(self, records: Iterable[UpstreamRecord]) -> None:
+        """Log evacuated zones that neither the settings nor an upstream names, each of them once."""
+        unknown = self._find_evacuated() - self._region_by_zone.keys() - self._reported_zones
+        for zone in unknown - {record.availability_zone for record in records}:
+            self._reported_zones.add(zone)
+            _log.warning(
+                "an unknown zone is evacuated", code=codes.UNUSABLE_VALUE.number, zone=zone
+            )
+
     def report_unknown_regions(self, table: RouteTable) -> None:
         """Log allowed regions in which no zone is, each of them once."""
         known = set(self._region_by_zone.values())
--- a/sycamoreproxy/result_codes.py
+++ b/sycamoreproxy/result_codes.py
@@ -131,6 +131,9 @@
     "No upstream in an allowed region serves this.",
     retry_helps=True,
 )
+ZONES_EVACUATED = _define(
+    1221, "zones_evacuated", 503, "All zones that may serve this are evacuated.", retry_helps=True
+)
 NO_ALLOWED_REGION = _define(1222, "no_allowed_region", 503, "No region with a zone may serve this.")
 
 # 13xx: upstreams and responses.
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -97,7 +97,7 @@
         self.replica = DocumentReplica(
             source=adapter.open_source(str(settings.store.address)),
             hub=self.hub,
-            prefixes=self.documents.prefixes,
+            prefixes=self._list_prefixes(settings),
             clock=self.clock,
             pause_s=self._find_pause_s,
             shared_prefixes=self.documents.shared_prefixes,
@@ -116,10 +116,20 @@
             replica=self.replica,
             catalog=self.catalog,
             targets=self.targets,
+            clock=self.clock,
         )
         self.tasks = BackgroundTasks()
         self.tasks.start("stalls", self.stalls.run)
 
+    def _list_prefixes(self, settings: RoutedSettings) -> tuple[str, ...]:
+        """Return the prefixes to watch.
+
+        The zone's readers relay evacuations, which takes too long for a short bound.
+        """
+        if settings.bounds.evacuate_s >= MIN_SHARED_BOUND_S:
+            return self.documents.prefixes
+        return (*self.documents.prefixes, self.documents.evacuation_prefix)
+
     def _find_pause_s(self, prefix: str) -> float:
         if prefix in self.documents.upstream_prefixes:
             return self.catalog.leave_bound_s * UPSTREAM_COALESCE_FRACTION
@@ -194,11 +204,14 @@
         return budget
 
     quarantine = PromptQuarantine(clock=parts.clock)
-    zones = ZoneFilter(read_zones(settings.zones))
+    zones = ZoneFilter(
+        read_zones(settings.zones),
+        find_evacuated=lambda: parts.routing_state.evacuations.zones,
+    )
     dialect = adapter.dialect()
     dispatcher = RoutedDispatcher(
         dialect=dialect,
-        table=lambda: parts.routing_state.table,
+        table=lambda: parts.routing_state.serving_table,
         catalog=parts.catalog,
         selector=selector,
         targets=parts.targets,
@@ -214,6 +227,7 @@
         sections_by_name={
             "documents": parts.replica.describe,
             "routes": lambda: {"revision": parts.routing_state.table.revision},
+            "evacuations": parts.routing_state.evacuations.describe,
             "upstreams": selector.describe,
             "limits": limits.describe,
             "zones": zones.describe,
@@ -225,7 +239,6 @@
     )
     process = RoutedEntry(
         settings=settings,
-        documents=parts.documents,
         hub=parts.hub,
         replica=parts.replica,
         routing_state=parts.routing_state,
@@ -346,6 +359,7 @@
         sections_by_name={
             "documents": parts.replica.describe,
             "routes": lambda: {"revision": parts.routing_state.table.revision},
+            "evacuations": parts.routing_state.evacuations.describe,
             "limits": permits.describe,
             "weights": lambda: transfer.state,
             "engine": lambda: built[0].report,
@@ -354,7 +368,6 @@
     )
     process = RoutedUpstream(
         settings=settings,
-        documents=parts.documents,
         hub=parts.hub,
         peer_server=MessageServer(handle=parts.hub.serve, tls=None),
         replica=parts.replica,
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -10,7 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
-from sycamoreproxy.beliefs import DocumentDecoder, RoutingState
+from sycamoreproxy.beliefs import RoutingState
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import (
     EngineLoad,
@@ -22,7 +22,7 @@
     SoundParts,
     SuspectedParts,
 )
-from sycamoreproxy.metrics import QUARANTINED_PARTS
+from sycamoreproxy.metrics import EVACUATED_ZONES, QUARANTINED_PARTS
 from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.placement import LoadReport, UpstreamSelector
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
@@ -71,7 +71,6 @@
         self,
         *,
         settings: RoutedSettings,
-        documents: DocumentDecoder,
         hub: PeerHub,
         replica: DocumentReplica,
         routing_state: RoutingState,
@@ -87,7 +86,6 @@
         now: Callable[[], float],
     ) -> None:
         self.settings = settings
-        self._documents = documents
         self._hub = hub
         self._replica = replica
         self._routing_state = routing_state
@@ -117,12 +115,13 @@
         hub.on(LimitNotice, self._on_limit_notice)
         hub.on_open(self._reset_announced_uses)
         routing_state.subscribe(self._on_table_changed)
+        routing_state.evacuations.subscribe(self._on_evacuations_changed)
         routing_state.catalog.subscribe(self._on_upstream_changed)
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send new connections."""
-        return not self._is_leaving and self._routing_state.table.revision > 0
+        return not self._is_leaving and self._routing_state.serving_table.revision > 0
 
     def reload(self, settings: RoutedSettings) -> None:
         """Apply changed bounds; changed addresses take effect only after a restart."""
@@ -146,7 +145,7 @@
         self._caller_server.listen(listen.callers.ip, listen.callers.port)
         self._readiness_server.listen(listen.ready.port, listen.ready.ip)
         self._state.listen(listen.ip, listen.state_port)
-        for prefix in self._documents.prefixes:
+        for prefix in self._replica.prefixes:
             self._tasks.start(f"watch {prefix}", partial(self._replica.follow, prefix))
         self._tasks.start("heartbeat", self._send_heartbeats)
 
@@ -239,6 +238,12 @@
         self._zones.report_unknown_regions(table)
         self._dispatcher.apply_zone_changes()
 
+    def _on_evacuations_changed(self) -> None:
+        EVACUATED_ZONES.set({}, len(self._routing_state.evacuations.zones))
+        self._zones.report_unknown_zones(self._routing_state.catalog.list_all())
+        self._update_peers()
+        self._dispatcher.apply_zone_changes()
+
     def _on_upstream_changed(self, instance: str) -> None:
         self._update_peers()
         self._dispatcher.apply_zone_changes()
@@ -258,14 +263,20 @@
         """Select the engine subset and connect to the sidecar process of each engine in it."""
         port = self.settings.listen.peer_port
         engines = self._routing_state.list_engines()
-        self._engine_count = len(engines)
-        subset = select_subset(
+        usable = [record for record in engines if not self._zones.is_evacuated(record)]
+        self._engine_count = len(usable)
+        subset = self._select_subset(usable)
+        self._selector.engine_subset = subset
+        # The processes of evacuated zones still relay documents.
+        followed = subset if len(usable) == len(engines) else subset | self._select_subset(engines)
+        self._hub.set_targets({Address(Address.parse(address).ip, port) for address in followed})
+
+    def _select_subset(self, engines: list[UpstreamRecord]) -> frozenset[str]:
+        return select_subset(
             engines,
             host=self.settings.listen.ip,
             availability_zone=self.settings.process.availability_zone,
         )
-        self._selector.engine_subset = subset
-        self._hub.set_targets({Address(Address.parse(address).ip, port) for address in subset})
 
     def _on_engine_load(self, peer: Peer, load: EngineLoad) -> None:
         now = self._now()
--- a/sycamoreproxy/routed_settings.py
+++ b/sycamoreproxy/routed_settings.py
@@ -10,6 +10,11 @@
 from sycamoreproxy.settings_reader import LogSettings, SettingsError, SettingsReader
 from sycamoreproxy.streams import Address
 
+#: Bound on evacuated zones of the platform's standard terms, and the longest one that is taken for
+#: a bound, in milliseconds.
+DEFAULT_EVACUATE_MS = 5_000.0
+MAX_EVACUATE_MS = 3_600_000.0
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoutedProcessSettings:
@@ -62,6 +67,7 @@
     :param resend_window_s: length of the window, in seconds.
     :param version_ms: until requests begin only on a newly named version, in milliseconds; 0
         if older versions may answer for any time.
+    :param evacuate_ms: until an evacuated zone receives nothing, in milliseconds.
     """
 
     leave_ms: float = 2_000.0
@@ -70,12 +76,19 @@
     resend_slack: float = 20.0
     resend_window_s: float = 10.0
     version_ms: float = 0.0
+    evacuate_ms: float = DEFAULT_EVACUATE_MS
 
     @property
     def leave_s(self) -> float:
         """The bound on leaving upstreams in seconds."""
         return self.leave_ms / 1000
 
+    @property
+    def evacuate_s(self) -> float:
+        """The bound on evacuated zones in seconds; the default if it is out of range."""
+        is_usable = 0 < self.evacuate_ms <= MAX_EVACUATE_MS
+        return (self.evacuate_ms if is_usable else DEFAULT_EVACUATE_MS) / 1000
+
     @property
     def version_s(self) -> float:
         """The bound on older versions in seconds."""
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from functools import partial
 
-from sycamoreproxy.beliefs import DocumentDecoder, RoutingState
+from sycamoreproxy.beliefs import RoutingState
 from sycamoreproxy.crash_correlator import CrashCorrelator
 from sycamoreproxy.engine_stage import (
     EngineReport,
@@ -118,7 +118,6 @@
         self,
         *,
         settings: RoutedSettings,
-        documents: DocumentDecoder,
         hub: PeerHub,
         peer_server: MessageServer,
         replica: DocumentReplica,
@@ -134,7 +133,6 @@
         assert settings.engine is not None
         self._settings = settings
         self._address = str(settings.engine.address)
-        self._documents = documents
         self._hub = hub
         self._peer_server = peer_server
         self._replica = replica
@@ -209,7 +207,7 @@
         listen = self._settings.listen
         self._peer_server.listen(listen.peer_port, listen.ip)
         self._state.listen(listen.ip, listen.state_port)
-        for prefix in self._documents.prefixes:
+        for prefix in self._replica.prefixes:
             self._tasks.start(f"watch {prefix}", partial(self._replica.follow, prefix))
         self._tasks.start("heartbeat", self._send_heartbeats)
         self._tasks.start("load reports", self._poll_engine)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -217,7 +217,7 @@
             move(site, number, "z2")
         await action(site)
 
-    run_with_site(run, zones=ZoneFilter(REGION_BY_ZONE))
+    run_with_site(run, region_by_zone=REGION_BY_ZONE)
 
 
 SERVED = [("/ask/x", 1), ("/once/x", 1), ("/order/x", 1), ("/read/x", 3), ("/post/x", 3)]
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -12,7 +12,7 @@
 import socket
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -149,10 +149,9 @@
     action: Callable[[Site], Awaitable[None]],
     *,
     configured: bool = True,
-    zones: ZoneFilter | None = None,
+    region_by_zone: Mapping[str, str] | None = None,
 ) -> None:
     """Run a test against an entry host; runners 0 and 1 are engines, 2 and 3 a plain service."""
-    zone_filter = zones or ZoneFilter()
 
     async def run() -> None:
         clock, hub = SystemClock(), FakeHub()
@@ -186,11 +185,14 @@
             budget_for=lambda service: budget,
             quarantine=quarantine,
             limits=limits,
-            zones=zone_filter,
+            zones=ZoneFilter(
+                region_by_zone, find_evacuated=lambda: routing_state.evacuations.zones
+            ),
             clock=clock,
             random_source=random.Random(1),
         )
         routing_state.subscribe(lambda table: dispatcher.apply_zone_changes())
+        routing_state.evacuations.subscribe(dispatcher.apply_zone_changes)
         front = RoutedCallerServer(dispatcher=dispatcher, dialect=dialect)
         with reserve_address() as holder:
             port = holder.getsockname()[1]
--- a/tests/test_stop_refusals.py
+++ b/tests/test_stop_refusals.py
@@ -135,7 +135,6 @@
         parts = {
             name: MagicMock()
             for name in (
-                "documents",
                 "hub",
                 "replica",
                 "routing_state",
