--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -11,8 +11,10 @@
 from bench.soak_site import (
     CONFIG_S,
     CONTACT_S,
+    EVACUATE_S,
     LEAVE_S,
     PRIORITY_BY_GENERATION,
+    REGION_BY_ZONE,
     VERSION_S,
     Site,
     Upstream,
@@ -267,6 +269,36 @@
                 yield f"{seen.request_id} reached {upstream.runner.instance} {at - told:.2f} s"
 
 
+@checks.register("an evacuated zone gets nothing after the bound")
+def check_evacuations(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """A host that had no fault for as long as the bound must know of the evacuation."""
+    by_id = {seen.request_id: seen for seen in outcomes}
+    for zone, since, until in site.evacuations:
+        for upstream in (*site.upstreams, *site.retired):
+            for at, request_id in upstream.runner.arrived:
+                seen = by_id.get(request_id)
+                if upstream.zone != zone or seen is None or not since + EVACUATE_S < at < until:
+                    continue
+                is_calm = seen.host.longest_calm_s(since, at) > EVACUATE_S
+                if is_calm and not upstream.had_fault(seen.sent_at, at):
+                    yield f"{request_id} of {seen.host.name} reached {zone} {at - since:.2f} s"
+
+
+@checks.register("a request reaches upstreams of its allowed regions only")
+def check_regions(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
+    """The configuration of its acceptance binds, also when a newer one names no region."""
+    by_id = {seen.request_id: seen for seen in outcomes}
+    for regions, since, until in site.region_spans:
+        for upstream in (*site.upstreams, *site.retired):
+            for _, request_id in upstream.runner.arrived:
+                seen = by_id.get(request_id)
+                if seen is None or seen.kind != "read" or not since < seen.sent_at < until:
+                    continue
+                is_calm = seen.host.longest_calm_s(since, seen.sent_at) > CONFIG_S
+                if is_calm and REGION_BY_ZONE[upstream.zone] not in regions:
+                    yield f"{request_id} of {seen.host.name} reached {upstream.zone}"
+
+
 @checks.register("a runner gets no more requests than the limit that it names")
 def check_limits(site: Site, outcomes: list[Outcome]) -> Iterator[str]:
     """The limit is one for all entry hosts together."""
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -11,10 +11,14 @@
 
 from bench.relay import Relay
 from bench.soak_site import (
+    CONFIG_S,
+    EVACUATE_S,
     LONG_TIMEOUT_S,
+    REGION_BY_ZONE,
     RUNNER_PORT,
     STOP_S,
     VERSION_S,
+    ZONES,
     Host,
     Site,
     Upstream,
@@ -39,11 +43,17 @@
 LATE_STREAMS = "late streams"
 #: Name of the same fault with hosts that do not run when they are told to stop.
 LATE_STREAMS_STALLED = "late streams, stalled hosts"
+#: Name of the fault by which a zone is evacuated and used again.
+EVACUATED_ZONE = "evacuated zone"
+#: Name of the fault by which a route is confined to a region.
+ALLOWED_REGIONS = "allowed regions"
 #: Faults that are played only if they are asked for.
 EXTRA_FAULTS = (
     LEAVING_IN_ANSWERS,
     LIMIT_IN_ANSWERS,
     RESTORED_STORE,
+    EVACUATED_ZONE,
+    ALLOWED_REGIONS,
     IDLE_LIMIT,
     LATE_STREAMS,
     LATE_STREAMS_STALLED,
@@ -356,6 +366,22 @@
         await site.store.repeat(before)
 
 
+@faults.register(EVACUATED_ZONE)
+async def evacuate_zone(site: Site, draw: random.Random) -> None:
+    """Evacuate a zone for longer than the bound; another one stays in use."""
+    async with site.evacuation_lock:
+        for_s = EVACUATE_S + draw.uniform(1.0, 2 * MAX_FAULT_S)
+        await site.evacuate(draw.choice(ZONES), for_s=for_s)
+
+
+@faults.register(ALLOWED_REGIONS)
+async def confine_reads(site: Site, draw: random.Random) -> None:
+    """Confine a route to a region for a time."""
+    async with site.region_lock:
+        region = REGION_BY_ZONE[draw.choice(ZONES)]
+        await site.confine_reads(region, for_s=CONFIG_S + draw.uniform(1.0, 2 * MAX_FAULT_S))
+
+
 @faults.register(IDLE_LIMIT)
 async def change_idle_limit(site: Site, draw: random.Random) -> None:
     """Lower the idle limit of callers' connections, also in quick succession, and raise it again.
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -52,6 +52,7 @@
 STOP_S = 8.0
 LEAVE_S = 2.0
 CONFIG_S = 2.0
+EVACUATE_S = 5.0
 VERSION_S = 6.0
 #: Time after a fault in which bounds on time don't hold, in seconds.
 CONTACT_S = 3.0
@@ -65,6 +66,7 @@
 #: Idle limit of callers' connections in the first configuration, in seconds.
 IDLE_LIMIT_S = 15.0
 ZONES = ("z1", "z2")
+REGION_BY_ZONE = {"z1": "r1", "z2": "r2"}
 #: Slots of an engine: as few as leave room for the least urgent, so that engines queue when they are slow.
 ENGINE_SLOTS = 3
 MODEL = "m1"
@@ -90,7 +92,7 @@
 role = "{role}"
 host = "{host}"
 availability_zone = "{zone}"
-region = "r1"
+region = "{region}"
 
 [listen]
 ip = "{ip}"
@@ -107,6 +109,10 @@
 resend_slack = 104
 resend_window_s = 10
 version_ms = {version_ms}
+evacuate_ms = {evacuate_ms}
+
+[zones]
+{zones}
 
 [log]
 level = "info"
@@ -246,6 +252,8 @@
         self.store_faults = Faults(seed=0)
         self.store_spans = FaultSpans()
         self.restore_lock = asyncio.Lock()
+        self.evacuation_lock = asyncio.Lock()
+        self.region_lock = asyncio.Lock()
         self.origin_faults = Faults(seed=0)
         self.origin_outages = 0
         self.entries: list[Host] = []
@@ -257,6 +265,12 @@
         self.idle_limit_s = IDLE_LIMIT_S
         self.idle_limits = IdleLimits(IDLE_LIMIT_S, apply_s=CONFIG_S)
         self.long_timeouts = LimitHistory(LONG_TIMEOUT_S, apply_s=CONFIG_S)
+        #: Zones with the spans of monotonic time from the acknowledgement of their evacuation until it
+        #: was taken back.
+        self.evacuations: list[tuple[str, float, float]] = []
+        #: Allowed regions of the route ``read``, and spans from their acknowledgement until a change.
+        self.read_regions: tuple[str, ...] = ()
+        self.region_spans: list[tuple[tuple[str, ...], float, float]] = []
         #: Monotonic time at which the store acknowledged a version of the configuration.
         self.acknowledged_at: dict[int, float] = {}
         #: The same of a version of the weights.
@@ -414,7 +428,7 @@
                 )
                 for name, priority in PRIORITY_BY_GENERATION.items()
             ),
-            make_route("read", "idempotent", "ledger"),
+            make_route("read", "idempotent", "ledger", allowed_regions=list(self.read_regions)),
             make_route("post", "non_idempotent", "ledger", max_attempts=1),
             *(make_route(f"new-{n}", "idempotent", "ledger") for n in range(1, version + 1)),
         ]
@@ -441,6 +455,24 @@
         await self.configure()
         change.acknowledged_at = time.monotonic()
 
+    async def evacuate(self, zone: str, *, for_s: float) -> None:
+        """Evacuate a zone for a time."""
+        await self.store.put(f"op/evacuate/{zone}", {})
+        acknowledged_at = time.monotonic()
+        await asyncio.sleep(for_s)
+        self.evacuations.append((zone, acknowledged_at, time.monotonic()))
+        await self.store.delete(f"op/evacuate/{zone}")
+
+    async def confine_reads(self, region: str, *, for_s: float) -> None:
+        """Confine the route ``read`` to a region for a time."""
+        self.read_regions = (region,)
+        await self.configure()
+        acknowledged_at = time.monotonic()
+        await asyncio.sleep(for_s)
+        self.region_spans.append((self.read_regions, acknowledged_at, time.monotonic()))
+        self.read_regions = ()
+        await self.configure()
+
     async def name_weights(self) -> None:
         """Name a newer version of the weights."""
         self.weight_version += 1
@@ -561,6 +593,7 @@
                 role="routed-upstream" if engine else "routed-entry",
                 host=name,
                 zone=zone,
+                region=REGION_BY_ZONE[zone],
                 ip=ip,
                 peer_port=peer_port,
                 state_port=STATE_PORT,
@@ -569,6 +602,8 @@
                 leave_ms=LEAVE_S * 1000,
                 stop_s=STOP_S,
                 version_ms=VERSION_S * 1000,
+                evacuate_ms=EVACUATE_S * 1000,
+                zones="\n".join(f'{name} = "{region}"' for name, region in REGION_BY_ZONE.items()),
                 engine=engine,
             ),
             encoding="utf-8",
