--- a/sycamoreproxy/platform/documents.py
+++ b/sycamoreproxy/platform/documents.py
@@ -8,7 +8,7 @@
 
 from sycamoreproxy.document_source import DocumentError
 from sycamoreproxy.platform import names
-from sycamoreproxy.regions import is_zone_name
+from sycamoreproxy.regions import is_zone_name, read_regions
 from sycamoreproxy.route_table import (
     CallerBounds,
     EngineProfile,
@@ -31,8 +31,6 @@
 #: Longest text of an entry in characters, and longest error text.
 _MAX_TEXT_CHARACTERS = 1_000
 _MAX_ERROR_CHARACTERS = 200
-#: Largest number of allowed regions of a route or account.
-_MAX_REGIONS = 1_000
 #: Counts from here on are no counts; messages hold smaller ones only.
 _COUNT_LIMIT = 1 << 63
 #: Errors from documents of another shape, or with numbers that are too large.
@@ -107,7 +105,7 @@
                 allowed_regions_by_account={
                     account["name"]: regions
                     for account in accounts
-                    if (regions := _read_regions(account))
+                    if (regions := read_regions(account.get("allowed_regions")))
                 },
                 needs_keys="tenants" in data and data["tenants"] is not None,
                 bounds=_read_bounds(data.get("limits") or {}),
@@ -205,26 +203,10 @@
         is_resumable=bool(item.get("stream_resume")),
         # Routes of requests that carry prompts have this field set, whether sessions exist or not.
         is_generation=bool(item.get("session_affinity")),
-        allowed_regions=_read_regions(item),
+        allowed_regions=read_regions(item.get("allowed_regions")),
     )
 
 
-def _read_regions(item: dict[str, Any]) -> frozenset[str]:
-    """Return the allowed regions of a route or account, empty for any.
-
-    :raises ValueError: if they are no list of names. Read as any region, a malformed list would let
-        requests out of the regions that the operator meant.
-    """
-    regions = item.get("allowed_regions")
-    if regions is None:
-        return frozenset()
-    if not isinstance(regions, list) or len(regions) > _MAX_REGIONS:
-        raise ValueError(f"allowed_regions is no list of at most {_MAX_REGIONS} names")
-    if not all(is_zone_name(region) for region in regions):
-        raise ValueError("allowed_regions has an entry that is no name")
-    return frozenset(regions)
-
-
 def _read_service(item: dict[str, Any]) -> ServiceSpec:
     engine = item.get("engine")
     return ServiceSpec(
--- a/sycamoreproxy/regions.py
+++ b/sycamoreproxy/regions.py
@@ -18,8 +18,8 @@
 #: Regions in which a request may be served; None for any, empty for none.
 AllowedRegions = frozenset[str] | None
 
-#: Longest name of a zone or region in characters, and largest number of zones in the settings. Both
-#: are far above any deployment, and bound what a malformed settings file can take.
+#: Longest name of a zone or region in characters, and largest number of zones or regions in one list.
+#: Both are far above any deployment, and bound what malformed settings and documents can take.
 MAX_NAME_CHARACTERS = 200
 MAX_ZONES = 1_000
 
@@ -72,6 +72,21 @@
         yield from value.items()
 
 
+def read_regions(value: object) -> frozenset[str]:
+    """Return the allowed regions that a document names, empty for any.
+
+    :raises ValueError: if they are no list of names. Read as any region, a malformed list would let
+        requests out of the regions that the operator meant.
+    """
+    if value is None:
+        return frozenset()
+    if not isinstance(value, list) or len(value) > MAX_ZONES:
+        raise ValueError(f"allowed_regions is no list of at most {MAX_ZONES} names")
+    if not all(is_zone_name(region) for region in value):
+        raise ValueError("allowed_regions has an entry that is no name")
+    return frozenset(value)
+
+
 def intersect(first: AllowedRegions, second: AllowedRegions) -> AllowedRegions:
     """Return the regions that two rules both allow."""
     if first is None or second is None:
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -10,7 +10,7 @@
 PACKAGE = Path(__file__).parent.parent.parent / "sycamoreproxy"
 NAMES = re.compile(
     r"Sycamoreproxy-|X-Api-Key|At-Server|/kv-|/stage-|SYCAMOREPROXY_NODE_FILE|kv_used|api_keys"
-    r"|traffic_split|gap_target_ms|stream_resume|session_affinity|op/config|servers/|op/version"
+    r"|traffic_split|gap_target_ms|stream_resume|session_affinity|op/config|servers/|op/version|op/evacuate"
 )
 
 
