--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -12,6 +12,8 @@
 
 from standins.platform import make_configuration, make_route
 from sycamoreproxy import result_codes as codes
+from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.placement import Requirements
 from sycamoreproxy.regions import (
     AllowedRegions,
     ZoneFilter,
@@ -23,6 +25,7 @@
 )
 from sycamoreproxy.route_table import Route, RouteKind, RouteTable, index_routes
 from sycamoreproxy.upstream_subset import select_subset
+from sycamoreproxy.waiting_line import QueuedRequest, RequestQueue
 from tests._upstreams import make_upstream
 from tests.test_routed_entry import (
     COMPLETE_STREAM,
@@ -356,6 +359,60 @@
     run_with_two_zones(action)
 
 
+@pytest.mark.parametrize(
+    ("queued", "free", "sent"),
+    [
+        ([R2, None, R1], {"r1": 2}, [1, 2]),
+        ([R2, R2, R12], {"r1": 1}, [2]),
+        ([R2, R1, R2], {"r2": 1}, [0]),
+        ([None, R1], {"r2": 1}, [0]),
+        ([R12, R1, R2], {}, []),
+        ([R12, R1, None, R2], {"r3": 1}, [2]),
+    ],
+)
+def test_queued_requests_wait_only_for_regions_that_may_serve_them(
+    queued: list[AllowedRegions], free: dict[str, int], sent: list[int]
+) -> None:
+    """The first request of a priority level held up those behind it that other regions could serve."""
+
+    async def run() -> None:
+        places: dict[str, int] = {}
+
+        def choose(requirements: Requirements) -> Any:
+            allowed = requirements.allowed_regions
+            for region, count in places.items():
+                if count and (allowed is None or region in allowed):
+                    places[region] -= 1
+                    return region
+            return None
+
+        queue = RequestQueue(
+            clock=ManualClock(start=10.0), choose_upstream=choose, nominal_rate=lambda: 100.0
+        )
+        requests = [
+            queue.submit(
+                Requirements(level=0, allowed_regions=allowed),
+                goal_s=1.0,
+                time_left_s=6.0,
+                caller_timeout_s=4.0,
+                generation_s=1.0,
+                is_retry=False,
+            )
+            for allowed in queued
+        ]
+        places.update(free)
+        queue.dispatch()
+        assert all(isinstance(request, QueuedRequest) for request in requests)
+        done = [
+            number
+            for number, request in enumerate(requests)
+            if isinstance(request, QueuedRequest) and request.choice.done()
+        ]
+        assert done == sent and len(queue) == len(queued) - len(sent)
+
+    asyncio.run(run())
+
+
 def test_allowed_engine_outside_the_subset_is_used() -> None:
     """The subset of an entry host may have no engine of the allowed region."""
 
