--- a/sycamoreproxy/metrics.py
+++ b/sycamoreproxy/metrics.py
@@ -26,6 +26,17 @@
     "sycamore_closed_caller_connections_total",
     "Connections of callers that were closed while they waited for a request, by reason",
 )
+CALLER_CONNECTIONS = Gauge("sycamore_caller_connections", "Open connections of callers")
+CALLER_BYTES = Gauge(
+    "sycamore_caller_bytes", "Memory that callers' requests and unread responses use, by kind"
+)
+ENDED_CALLER_CONNECTIONS = Counter(
+    "sycamore_ended_caller_connections_total",
+    "Connections of callers that a limit ended or refused, by phase and reason",
+)
+PORT_REFUSALS = Counter(
+    "sycamore_port_refusals_total", "Connections that a port other than that of callers ended"
+)
 ROUTES_REVISION = Gauge("sycamore_routes_revision", "Revision of the routes in force")
 WEIGHT_VERSION = Gauge("sycamore_weight_version", "Newest named version of the weights by model")
 ENDED_VERSION_ANSWERS = Counter(
--- a/sycamoreproxy/routed_settings.py
+++ b/sycamoreproxy/routed_settings.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from sycamoreproxy.settings_reader import LogSettings, SettingsError, SettingsReader
+from sycamoreproxy.settings_reader import (
+    LogSettings,
+    MachineSettings,
+    SettingsError,
+    SettingsReader,
+)
 from sycamoreproxy.streams import Address
 
 
@@ -108,6 +113,7 @@
     bounds: RoutedBounds
     engine: EngineHostSettings | None = None
     log: LogSettings = field(default_factory=LogSettings)
+    machine: MachineSettings = field(default_factory=MachineSettings)
 
 
 #: Roles of a routed deployment.
--- a/sycamoreproxy/settings.py
+++ b/sycamoreproxy/settings.py
@@ -9,7 +9,12 @@
 from pathlib import Path
 from typing import Any
 
-from sycamoreproxy.settings_reader import LogSettings, SettingsError, SettingsReader
+from sycamoreproxy.settings_reader import (
+    LogSettings,
+    MachineSettings,
+    SettingsError,
+    SettingsReader,
+)
 from sycamoreproxy.streams import Address
 
 RANKS: tuple[str, ...] = ("urgent", "normal", "batch")
@@ -198,6 +203,7 @@
     caller_limits: CallerLimits = field(default_factory=CallerLimits)
     limits: LimitSettings = field(default_factory=LimitSettings)
     log: LogSettings = field(default_factory=LogSettings)
+    machine: MachineSettings = field(default_factory=MachineSettings)
     client_accounts: tuple[ClientAccountSettings, ...] = ()
     operators: tuple[OperatorSettings, ...] = ()
     secrets_file: Path | None = None
--- a/sycamoreproxy/settings_reader.py
+++ b/sycamoreproxy/settings_reader.py
@@ -39,6 +39,18 @@
     level: str = "info"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MachineSettings:
+    """Resources of the machine; 0 to read them from the operating system at the start.
+
+    :param memory_mb: memory in MB.
+    :param max_fds: file descriptors of all programs on the machine.
+    """
+
+    memory_mb: float = 0.0
+    max_fds: float = 0.0
+
+
 class SettingsReader:
     """Builds settings classes from TOML values.
 
