--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -10,6 +10,7 @@
 from sycamoreproxy.beliefs import RoutingState
 from sycamoreproxy.chunk_plan import PlanLimits
 from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.machine_limits import read_machine_limits
 from sycamoreproxy.messages import Hello
 from sycamoreproxy.origins import Origin, OriginError
 from sycamoreproxy.peers import Peer, PeerHub
@@ -81,6 +82,7 @@
     def __init__(self, settings: RoutedSettings, adapter: PlatformAdapter) -> None:
         process = settings.process
         self.clock = SystemClock()
+        self.machine = read_machine_limits(settings.machine)
         self.stalls = StallDetector(clock=self.clock)
         self.documents = adapter.documents()
         self.hub = PeerHub(
@@ -140,6 +142,8 @@
 def _build_entry(
     settings: RoutedSettings, adapter: PlatformAdapter, parts: _Parts
 ) -> RoutedProcess:
+    from sycamoreproxy.connection_limits import make_connection_limits
+    from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES
     from sycamoreproxy.permit_issuer import LIMITS_MIN_PROTOCOL
     from sycamoreproxy.placement import UpstreamSelector
     from sycamoreproxy.prompt_quarantine import PromptQuarantine
@@ -206,7 +210,10 @@
         clock=parts.clock,
         random_source=random.Random(),
     )
-    caller_server = RoutedCallerServer(dispatcher=dispatcher, dialect=dialect)
+    caller_limits = make_connection_limits(parts.machine, clock=parts.clock)
+    dispatcher.buffer_budget.max_bytes = min(MAX_BUFFERED_BYTES, parts.machine.response_bytes)
+    caller_server = RoutedCallerServer(dispatcher=dispatcher, dialect=dialect, limits=caller_limits)
+    parts.tasks.start("caller limits", caller_limits.run)
     state = StateServer(
         sections_by_name={
             "documents": parts.replica.describe,
@@ -216,6 +223,7 @@
             "waiting": dispatcher.count_waiting,
             "quarantine": quarantine.list_times_left,
             "open_requests": lambda: dispatcher.open_requests,
+            "callers": caller_limits.describe,
             "tasks": parts.tasks.list_names,
         }
     )
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -8,7 +8,6 @@
 from dataclasses import asdict, dataclass, replace
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -23,13 +22,21 @@
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.accept_queue import LISTEN_BACKLOG, stop_listening
 from sycamoreproxy.caller_request import BadRequestError, CallerRequest, Dialect
-from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, BufferBudget
+from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.connection_limits import (
+    ConnectionLimits,
+    LimitedConnection,
+    make_connection_limits,
+)
 from sycamoreproxy.idle_connections import IdleConnections
+from sycamoreproxy.limited_http import LimitedHTTPServer
 from sycamoreproxy.logs import get_logger
+from sycamoreproxy.machine_limits import read_machine_limits
 from sycamoreproxy.metrics import UNFINISHED_REQUESTS
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.route_table import CallerBounds
 from sycamoreproxy.routed_dispatch import RoutedDispatcher
+from sycamoreproxy.settings_reader import MachineSettings
 
 #: Margin added to the idle timeout that callers may rely on, in seconds, so that a connection is
 #: not closed while a request is in transit.
@@ -174,6 +181,7 @@
 class _Exchange(HTTPMessageDelegate):
     """Receives one request and runs the task that answers it.
 
+    :param limited: the connection as the limits know it.
     :param on_headers: called when the request headers have been received.
     """
 
@@ -182,9 +190,13 @@
         caller_server: RoutedCallerServer,
         connection: HTTP1Connection,
         *,
+        limited: LimitedConnection,
         on_headers: Callable[[], object],
     ) -> None:
         self._caller_server = caller_server
+        self._limits = caller_server.limits
+        self._limited = limited
+        self._number = limited.request_number
         self._on_headers = on_headers
         self._connection = connection
         self._request: CallerRequest | None = None
@@ -192,7 +204,6 @@
         self._early_reply: CallerReply | None = None
         self._has_response_body = True
         self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -216,20 +227,20 @@
         try:
             self._request = self._caller_server.dialect.read_request(start_line, headers)
         except BadRequestError as error:
+            self._limits.receive(self._limited)
             self._refusal = Refusal(codes.INVALID_HEADER, Executed.NO, detail=str(error))
             return
+        self._limits.receive(self._limited, time_left_s=self._request.time_left_s)
         length = headers.get("Content-Length", "")
-        if length.isdecimal() and not self._caller_server.body_budget.permits(0, int(length)):
+        if length.isdecimal() and not self._limits.permits_body(int(length)):
             self._refuse_body()
 
     def data_received(self, chunk: bytes) -> None:
-        if self._request is None or self._early_reply is not None:
+        if self._request is None or self._early_reply is not None or self.is_closed:
             return
-        size = self._body_bytes + len(chunk)
-        if not self._caller_server.body_budget.resize(self._body_bytes, size):
+        if not self._limits.hold(self._limited, len(chunk)):
             self._refuse_body()
             return
-        self._body_bytes = size
         self._body_chunks.append(chunk)
 
     def finish(self) -> None:
@@ -244,6 +255,7 @@
         if self._early_reply is not None:
             self._early_reply.end_exchange()
             return
+        self._limits.serve(self._limited)
         reply = self._make_reply()
         if self._request is None:
             reply.refuse(
@@ -258,7 +270,7 @@
         self._connection.set_close_callback(self._cancel)
         self._caller_server.tasks.add(self._task)
         self._task.add_done_callback(self._caller_server.tasks.discard)
-        self._task.add_done_callback(lambda task: self._release_body())
+        self._task.add_done_callback(lambda task: self._end_service())
 
     def on_connection_close(self) -> None:
         self._caller_server.receiving.discard(self)
@@ -269,7 +281,8 @@
     def _refuse_body(self) -> None:
         """Refuse the request before its body was received; the rest of the body is discarded."""
         assert self._request is not None
-        self._release_body()
+        self._body_chunks.clear()
+        self._limits.refuse(self._limited)
         self._early_reply = self._make_reply(is_early=True)
         refusal = Refusal(codes.BODIES_TOO_LARGE, Executed.NO)
         self._caller_server.dispatcher.refuse(self._request, None, refusal, self._early_reply)
@@ -287,8 +300,14 @@
     def _release_body(self) -> None:
         """Release the buffer space that is reserved for the body."""
         self._body_chunks.clear()
-        self._caller_server.body_budget.resize(self._body_bytes, 0)
-        self._body_bytes = 0
+        if self._limited.request_number == self._number:
+            self._limits.release(self._limited)
+
+    def _end_service(self) -> None:
+        """Release the body; what the caller has not read of the response is limited from now on."""
+        self._release_body()
+        if self._limited.request_number == self._number and not self.is_closed:
+            self._limits.respond(self._limited, _count_unsent_bytes(self._connection.stream))
 
     def _cancel(self) -> None:
         if self._task is not None:
@@ -319,41 +338,27 @@
         reply.refuse(Refusal(codes.INTERNAL, Executed.UNKNOWN), retry_after_s=None)
 
 
-class _CallerHTTPServer(HTTPServer):
-    """Tells its delegate of closed connections, which Tornado's server does not."""
-
-    request_callback: RoutedCallerServer
-
-    def on_close(self, server_conn: object) -> None:
-        super().on_close(server_conn)
-        self.request_callback.on_close(server_conn)
-
-    @property
-    def connection_count(self) -> int:
-        """Number of open connections, including those that are not served yet."""
-        return len(self._connections)
-
-    @property
-    def has_connections(self) -> bool:
-        """Whether any connection is open, including those that are not served yet."""
-        return bool(self._connections)
-
-    def close_streams(self) -> None:
-        """Close all connections at once, so that none of them delivers another request."""
-        for server_conn in list(self._connections):
-            server_conn.stream.close()
-
-
 class RoutedCallerServer(HTTPServerConnectionDelegate):
     """HTTP server that accepts callers' requests.
 
     :param dispatcher: answers the requests.
+    :param limits: what callers may hold; None for the limits of the operating system.
     """
 
-    def __init__(self, *, dispatcher: RoutedDispatcher, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        *,
+        dispatcher: RoutedDispatcher,
+        dialect: Dialect,
+        limits: ConnectionLimits | None = None,
+    ) -> None:
         self.dispatcher = dispatcher
         self.dialect = dialect
-        self.body_budget = BufferBudget()
+        self.limits = limits or make_connection_limits(
+            read_machine_limits(MachineSettings()), clock=SystemClock()
+        )
+        #: Shared memory of the bodies that are being received or in progress.
+        self.body_budget = self.limits.large_bodies
         self.tasks: set[asyncio.Task[None]] = set()
         #: Requests whose headers have been received and whose body is incomplete.
         self.receiving: set[_Exchange] = set()
@@ -361,7 +366,7 @@
         self.stop_counts = StopCounts()
         self._is_leaving = False
         self._is_closing = False
-        self._http_server: _CallerHTTPServer | None = None
+        self._http_server: LimitedHTTPServer | None = None
         self._server_conns: set[HTTP1ServerConnection] = set()
         #: Connections that wait for request headers.
         self._idle_connections = IdleConnections(
@@ -380,6 +385,9 @@
         assert isinstance(server_conn, HTTP1ServerConnection)
         assert isinstance(request_conn, HTTP1Connection)
         self._server_conns.add(server_conn)
+        assert self._http_server is not None
+        limited = self._http_server.find_connection(server_conn.stream)
+        self.limits.wait(limited)
         self._idle_connections.add(server_conn, request_conn)
         if self._is_closing:
             # Tornado starts to read only after this call.
@@ -389,6 +397,7 @@
         return _Exchange(
             self,
             request_conn,
+            limited=limited,
             on_headers=lambda: self._idle_connections.remove(server_conn),
         )
 
@@ -400,11 +409,12 @@
 
     def listen(self, ip: str, port: int) -> None:
         """Open the listener."""
-        self._http_server = _CallerHTTPServer(
+        self._http_server = LimitedHTTPServer(
             self,
             max_header_size=self.bounds.max_header_bytes,
             max_body_size=self.bounds.max_body_bytes,
         )
+        self._http_server.limits = self.limits
         # The idle connections have a limit that changes with the configuration.
         self._http_server.conn_params.header_timeout = None
         self._http_server.listen(port, ip, backlog=LISTEN_BACKLOG)
@@ -418,7 +428,8 @@
             _log.info("bounds of callers changed", **asdict(bounds))
         self.bounds = bounds
         # A body of the largest permitted size is always accepted if it is the only one.
-        self.body_budget.max_bytes = max(MAX_BUFFERED_BYTES, bounds.max_body_bytes)
+        self.limits.set_max_body(bounds.max_body_bytes)
+        self.limits.set_allowances(head_s=bounds.header_timeout_s, idle_s=bounds.idle_timeout_s)
         if self._http_server is not None:
             # Tornado takes this limit when a connection begins to wait for a request.
             self._http_server.conn_params.max_header_size = max(
