--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -14,8 +14,7 @@
 from typing import Any, Protocol
 
 from returns.result import Result, Success
-from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -29,14 +28,20 @@
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.accept_queue import stop_listening
+from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.connection_limits import LimitedConnection, make_connection_limits
 from sycamoreproxy.dispatch import CallerRequest, PolicyView, Response
+from sycamoreproxy.held_bytes import MAX_BUFFERED_BYTES, BufferBudget
 from sycamoreproxy.idle_connections import STOP_WAIT_S, has_head, is_request_arriving
+from sycamoreproxy.limited_http import LimitedHTTPServer, refuse_stream
 from sycamoreproxy.logs import get_logger
+from sycamoreproxy.machine_limits import MachineLimits, read_machine_limits
 from sycamoreproxy.membership import Membership
 from sycamoreproxy.messages import HeaderPairs
 from sycamoreproxy.metrics import REFUSALS, REQUESTS
 from sycamoreproxy.result_codes import Executed, Refusal
 from sycamoreproxy.settings import RANKS, CallerLimits, ClientAccountSettings
+from sycamoreproxy.settings_reader import MachineSettings
 from sycamoreproxy.streams import Address
 
 #: RFC 9110, section 9.2.2.
@@ -61,8 +66,6 @@
 #: Longest wait at a stop for callers that have not read their answers, and its steps, in seconds.
 FLUSH_LIMIT_S = 30.0
 POLL_S = 0.02
-#: Bytes of request bodies that are held at once for all callers.
-MAX_HELD_BYTES = 256 * 1024 * 1024
 
 #: Headers that end at this host (RFC 9110, section 7.6.1) or that this host sets.
 _DROPPED_HEADERS = frozenset(
@@ -144,6 +147,7 @@
     :param accounts: client accounts and their keys.
     :param limits: bounds on what a caller may send.
     :param tls: server context; None for plain HTTP.
+    :param machine: resources of the machine; None for those of the operating system.
     """
 
     def __init__(
@@ -155,15 +159,24 @@
         accounts: Sequence[ClientAccountSettings],
         limits: CallerLimits,
         tls: ssl.SSLContext | None,
+        machine: MachineLimits | None = None,
     ) -> None:
+        machine = machine or read_machine_limits(MachineSettings())
+        self.connection_limits = make_connection_limits(machine, clock=SystemClock())
+        self.connection_limits.max_connections = min(
+            limits.max_connections, machine.caller_connections
+        )
+        self.connection_limits.set_max_body(limits.max_body_bytes)
+        self.connection_limits.set_allowances(head_s=limits.receive_timeout_s, idle_s=KEEP_ALIVE_S)
+        #: Parts of responses that wait for slow readers while their requests are in progress.
+        self.unread_budget = BufferBudget()
+        self.unread_budget.max_bytes = min(MAX_BUFFERED_BYTES, machine.response_bytes)
         self.dispatcher = dispatcher
         self.membership = membership
         self.get_view = get_view
         self.accounts = Accounts(accounts)
         self.limits = limits
         self.is_leaving = False
-        #: Bytes of request bodies held for all callers.
-        self.held_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
         #: Requests that are accepted and not yet received whole.
         self.receiving: set[HTTPMessageDelegate] = set()
@@ -180,7 +193,12 @@
         )
         # _Exchange limits the time for a head; Tornado's timer would drop one that has been read.
         self._server.conn_params.header_timeout = None
-        self._server.max_connections = limits.max_connections
+        self._server.limits = self.connection_limits
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of request bodies held for all callers."""
+        return self.connection_limits.body_bytes
 
     def listen(self, address: Address) -> int:
         """Bind the listener and return its port (useful where the address names port 0)."""
@@ -196,7 +214,10 @@
         """Return the delegate of the next request on a connection."""
         is_first = server_conn not in self._used_connections
         self._used_connections.add(server_conn)
-        return _Exchange(server=self, connection=request_conn, is_first=is_first)
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        limited = self._server.find_connection(server_conn.stream)
+        self.connection_limits.wait(limited)
+        return _Exchange(server=self, connection=request_conn, limited=limited, is_first=is_first)
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection."""
@@ -248,46 +269,42 @@
         await self._server.close_all_connections()
 
 
-class _BoundedServer(HTTPServer):
-    """Refuses connections above a limit and bounds what waits for slow readers."""
+class _BoundedServer(LimitedHTTPServer):
+    """Bounds what waits for slow readers."""
 
-    max_connections = 0
     request_callback: CallerServer
 
-    def on_close(self, server_conn: object) -> None:
-        super().on_close(server_conn)
-        # HTTPServer tells this to no delegate.
-        self.request_callback.on_close(server_conn)
-
-    @property
-    def has_connections(self) -> bool:
-        """Whether any connection is open."""
-        return bool(self._connections)
-
     def count_unread(self) -> int:
         """Return the number of connections with data that their callers have not read."""
         return sum(connection.stream.writing() for connection in self._connections)
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve a new connection, or refuse it at a limit."""
         stream.max_write_buffer_size = MAX_UNREAD_BYTES
-        if len(self._connections) >= self.max_connections:
-            refusal = Refusal(codes.TOO_MANY_CONNECTIONS, Executed.NO)
-            _refuse_stream(stream, refusal)
-            return
         super().handle_stream(stream, address)
 
 
 class _Exchange(HTTPMessageDelegate):
     """One request and its answer; the :class:`dispatch.ResponseWriter` of its request."""
 
-    def __init__(self, *, server: CallerServer, connection: HTTPConnection, is_first: bool) -> None:
+    def __init__(
+        self,
+        *,
+        server: CallerServer,
+        connection: HTTPConnection,
+        limited: LimitedConnection,
+        is_first: bool,
+    ) -> None:
         assert isinstance(connection, HTTP1Connection)
         self._server = server
         self._connection = connection
         self._stream = connection.stream
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._held_bytes = 0
+        self._limits = server.connection_limits
+        self._limited = limited
+        self._number = limited.request_number
+        self._unread_bytes = 0
         self._timer = asyncio.get_running_loop().call_later(
             server.limits.receive_timeout_s if is_first else KEEP_ALIVE_S,
             self._end_slow_head if is_first else self._end_idle,
@@ -315,6 +332,7 @@
         self._timer = asyncio.get_running_loop().call_later(
             limits.receive_timeout_s, self._end_slow_sender
         )
+        self._limits.receive(self._limited)
         size = len(start_line.path) + sum(
             len(name) + len(value) + 4 for name, value in headers.get_all()
         )
@@ -334,14 +352,13 @@
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body, within the limit."""
         self._body_bytes += len(chunk)
+        if self._stream.closed():
+            # It was read before a limit ended the connection.
+            return
         if self._is_refused:
             # The rest is read for a while so that the caller sees the refusal, not a reset.
             if self._body_bytes > 4 * self._server.limits.max_body_bytes:
                 self._stream.close()
-        elif self._server.held_bytes + len(chunk) > MAX_HELD_BYTES:
-            self._refuse_early(
-                Refusal(codes.TOO_MANY_CONNECTIONS, Executed.NO, "Too many bodies are held.")
-            )
         elif self._body_bytes > self._server.limits.max_body_bytes:
             self._refuse_early(
                 Refusal(
@@ -350,10 +367,10 @@
                     f"Limit {self._server.limits.max_body_bytes} bytes.",
                 )
             )
-        else:
+        elif self._limits.hold(self._limited, len(chunk)):
             self._body.append(chunk)
-            self._server.held_bytes += len(chunk)
-            self._held_bytes += len(chunk)
+        else:
+            self._refuse_early(Refusal(codes.BODIES_TOO_LARGE, Executed.NO, "", 1000))
 
     def finish(self) -> None:
         """Take the whole request on."""
@@ -363,6 +380,10 @@
         if self._is_refused:
             self._finish_and_close()
             return
+        if self._stream.closed():
+            self._release_body()
+            return
+        self._limits.serve(self._limited)
         # Once the body is read, tornado reports a closed connection only by this callback.
         self._connection.set_close_callback(self.on_connection_close)
         task = asyncio.get_running_loop().create_task(self._answer())
@@ -415,6 +436,10 @@
             return
         try:
             stream.write(data)
+            unread_bytes = len(stream._write_buffer or ())
+            if not self._server.unread_budget.resize(self._unread_bytes, unread_bytes):
+                raise StreamBufferFullError
+            self._unread_bytes = unread_bytes
         except StreamBufferFullError:
             self._close_slow_reader()
         except StreamClosedError:
@@ -453,6 +478,7 @@
             raise
         finally:
             self._release_body()
+            self._limit_unread_response()
             REQUESTS.inc({"kind": kind, "rank": rank, "code": str(number)})
 
     def _close_slow_reader(self) -> None:
@@ -462,10 +488,17 @@
         self._stream.close()
 
     def _release_body(self) -> None:
-        self._server.held_bytes -= self._held_bytes
-        self._held_bytes = 0
+        if self._limited.request_number == self._number:
+            self._limits.release(self._limited)
         self._body.clear()
 
+    def _limit_unread_response(self) -> None:
+        """Let the limits decide how long the caller may leave the complete response unread."""
+        self._server.unread_budget.resize(self._unread_bytes, 0)
+        self._unread_bytes = 0
+        if self._limited.request_number == self._number and not self._stream.closed():
+            self._limits.respond(self._limited, len(self._stream._write_buffer or ()))
+
     def _find_account(self) -> ClientAccountSettings:
         scheme, _, key = self._headers.get("Authorization", "").partition(" ")
         key = key.strip()
@@ -676,6 +709,7 @@
         self._server.receiving.discard(self)
         self._server.refused.add(self)
         self._release_body()
+        self._limits.refuse(self._limited)
         REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
         try:
             self._write_json(refusal.code.http_status, refusal.as_body(), refusal, close=True)
@@ -709,7 +743,7 @@
 
     def _end_slow_head(self) -> None:
         if not self._stream.closed() and not has_head(self._stream):
-            _refuse_stream(self._stream, Refusal(codes.SLOW_SENDER, Executed.NO))
+            refuse_stream(self._stream, Refusal(codes.SLOW_SENDER, Executed.NO))
 
     def _end_slow_sender(self) -> None:
         if not self._is_refused:
@@ -786,19 +820,6 @@
         future.exception()
 
 
-def _refuse_stream(stream: IOStream, refusal: Refusal) -> None:
-    """Refuse a connection on which no request was read, and close it."""
-    status = refusal.code.http_status
-    body = json.dumps(refusal.as_body()).encode()
-    head = (
-        f"HTTP/1.1 {status} {responses[status]}\r\nConnection: close\r\nRetry-After: 1\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-    )
-    stream.write(head.encode() + body).add_done_callback(
-        lambda future: _close_after(future, stream)
-    )
-
-
 def _close_after(future: asyncio.Future[None], stream: IOStream) -> None:
     _ignore_result(future)
     stream.close()
--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -18,6 +18,7 @@
 from sycamoreproxy.host_poller import HostPoller
 from sycamoreproxy.invariants import add_violation_listener, violations_by_name
 from sycamoreproxy.logs import get_logger
+from sycamoreproxy.machine_limits import read_machine_limits
 from sycamoreproxy.messages import Hello
 from sycamoreproxy.metrics import VIOLATIONS
 from sycamoreproxy.origins import Origin, origins
@@ -70,6 +71,7 @@
         process = settings.process
         self.settings = settings
         self.clock = SystemClock()
+        self.machine = read_machine_limits(settings.machine)
         self.client_tls = make_client_tls(settings.tls)
         self.hello = Hello(
             host=process.host,
@@ -230,7 +232,10 @@
         accounts=settings.client_accounts,
         limits=settings.caller_limits,
         tls=make_server_tls(settings.tls, mutual=False),
+        machine=parts.machine,
     )
+    parts.tasks.start("caller limits", callers.connection_limits.run)
+    parts.dump.add_section("callers", callers.connection_limits.describe)
     responder = CensusResponder(hub=parts.hub, revision=lambda: parts.replica.view.revision)
     process: EntryProcess
     admin = parts.build_admin(
--- a/sycamoreproxy/connection_limits.py
+++ b/sycamoreproxy/connection_limits.py
@@ -185,6 +185,11 @@
         """Memory that connections and what they sent use, in bytes."""
         return self._request_bytes
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of bodies that are held, each counted once."""
+        return sum(connection.body_bytes for connection in self._connections)
+
     @property
     def unread_bytes(self) -> int:
         """Bytes of complete responses that callers have not read."""
--- a/sycamoreproxy/limited_http.py
+++ b/sycamoreproxy/limited_http.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
+import socket
 from typing import Any, Protocol
 
 from tornado.httpserver import HTTPServer
@@ -15,6 +18,11 @@
 from sycamoreproxy.metrics import REFUSALS
 from sycamoreproxy.result_codes import Executed, Refusal
 
+#: Refused connections that wait for their close, and how long, in seconds: a round trip between
+#: regions and a late event loop.
+MAX_REFUSED_STREAMS = 32
+REFUSED_CLOSE_S = 1.0
+
 _CODE_BY_REASON = {
     EndReason.CONNECTIONS: codes.TOO_MANY_CONNECTIONS,
     EndReason.MEMORY: codes.BODIES_TOO_LARGE,
@@ -63,6 +71,7 @@
         """Set up the server; Tornado calls this in place of a constructor."""
         super().initialize(*args, **kwargs)
         self._connection_by_stream: dict[IOStream, LimitedConnection] = {}
+        self._refused_streams: set[IOStream] = set()
 
     @property
     def connection_count(self) -> int:
@@ -82,11 +91,29 @@
         """Serve a new connection, or refuse it at a limit."""
         connection = self.limits.open(_StreamHolder(stream))
         if connection is None:
-            refuse_stream(stream, Refusal(codes.TOO_MANY_CONNECTIONS, Executed.NO))
+            self._refuse_new(stream)
             return
         self._connection_by_stream[stream] = connection
         super().handle_stream(stream, address)
 
+    def _refuse_new(self, stream: IOStream) -> None:
+        """Refuse a new connection; its close waits, so that the caller reads the refusal.
+
+        A close while the request is unread resets the connection.
+        """
+        _write_refusal(stream, Refusal(codes.TOO_MANY_CONNECTIONS, Executed.NO))
+        if len(self._refused_streams) >= MAX_REFUSED_STREAMS:
+            stream.close()
+            return
+        self._refused_streams.add(stream)
+        with contextlib.suppress(OSError):
+            stream.socket.shutdown(socket.SHUT_WR)
+        asyncio.get_running_loop().call_later(REFUSED_CLOSE_S, self._close_refused, stream)
+
+    def _close_refused(self, stream: IOStream) -> None:
+        self._refused_streams.discard(stream)
+        stream.close()
+
     def on_close(self, server_conn: Any) -> None:
         """Forget a closed connection."""
         super().on_close(server_conn)
@@ -100,13 +127,21 @@
         """Close all connections at once, so that none of them delivers another request."""
         for server_conn in list(self._connections):
             server_conn.stream.close()
+        for stream in list(self._refused_streams):
+            self._close_refused(stream)
 
 
 def refuse_stream(stream: IOStream, refusal: Refusal) -> None:
-    """Refuse a request that has no response yet, and close its connection at once.
+    """Refuse a request that has no response yet, and close its connection at once."""
+    _write_refusal(stream, refusal)
+    stream.close()
+
 
-    The response is far smaller than the socket's buffer, so the socket takes all of it in this
-    call unless the caller does not read; then it is dropped.
+def _write_refusal(stream: IOStream, refusal: Refusal) -> None:
+    """Write a refusal as the only response of a connection.
+
+    It is far smaller than the socket's buffer, so the socket takes all of it in this call unless
+    the caller does not read.
     """
     status = refusal.code.http_status
     REFUSALS.inc({"code": str(refusal.code.number), "executed": str(refusal.executed)})
@@ -115,11 +150,7 @@
         f"HTTP/1.1 {status} {responses[status]}\r\nConnection: close\r\nRetry-After: 1\r\n"
         f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
     )
-    try:
+    with contextlib.suppress(StreamClosedError, StreamBufferFullError):
         stream.write(head.encode() + body).add_done_callback(
             lambda future: future.cancelled() or future.exception()
         )
-    except (StreamClosedError, StreamBufferFullError):
-        pass
-    finally:
-        stream.close()
