--- a/sycamoreproxy/admin_http.py
+++ b/sycamoreproxy/admin_http.py
@@ -11,14 +11,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-import tornado.httpserver
 import tornado.web
 from returns.result import Result, Success
 
 from sycamoreproxy.admin_commands import TableCommands
 from sycamoreproxy.admin_queries import DumpQuery, TableQueries, refuse, to_json
 from sycamoreproxy.logs import get_logger
+from sycamoreproxy.machine_limits import MachineLimits, read_machine_limits
 from sycamoreproxy.metrics import render_metrics
+from sycamoreproxy.port_limits import PortHTTPServer
 from sycamoreproxy.result_codes import (
     INTERNAL,
     INVALID_FIELD,
@@ -31,6 +32,7 @@
     Refusal,
 )
 from sycamoreproxy.settings import OperatorSettings
+from sycamoreproxy.settings_reader import MachineSettings
 from sycamoreproxy.streams import Address
 
 #: Largest request: 5,000 edits of at most 400 bytes.
@@ -39,6 +41,8 @@
 #: Longest time to receive one request body, and idle time of a kept connection, in seconds.
 BODY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 60.0
+#: Connections on the smallest machine.
+MIN_CONNECTIONS = 4
 #: Longest wait for requests in progress at a stop, above the limit of one commit, in seconds.
 CLOSE_TIMEOUT_S = 20.0
 
@@ -300,11 +304,19 @@
 
     :param application: from :func:`make_admin_application`.
     :param tls: server context; None for plain.
+    :param machine: resources of the machine; None for those of the operating system.
     """
 
-    def __init__(self, *, application: tornado.web.Application, tls: ssl.SSLContext | None) -> None:
+    def __init__(
+        self,
+        *,
+        application: tornado.web.Application,
+        tls: ssl.SSLContext | None,
+        machine: MachineLimits | None = None,
+    ) -> None:
         self._active_handlers: set[object] = application.settings["active_handlers"]
-        self._server = tornado.httpserver.HTTPServer(
+        machine = machine or read_machine_limits(MachineSettings())
+        self._server = PortHTTPServer(
             application,
             ssl_options=tls,
             max_body_size=MAX_BODY_BYTES,
@@ -312,6 +324,12 @@
             body_timeout=BODY_TIMEOUT_S,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
+        # Bodies are received before the operator's token is checked.
+        self._server.max_connections = max(
+            MIN_CONNECTIONS,
+            min(machine.port_connections, machine.request_bytes // (2 * MAX_BODY_BYTES)),
+        )
+        self._server.port_name = "admin"
 
     def listen(self, address: Address) -> None:
         """Open the listener.
--- a/sycamoreproxy/composition.py
+++ b/sycamoreproxy/composition.py
@@ -82,7 +82,9 @@
         )
         self.hub = PeerHub(hello=self.hello, client_tls=self.client_tls)
         self.peer_server = MessageServer(
-            handle=self.hub.serve, tls=make_server_tls(settings.tls, mutual=True)
+            handle=self.hub.serve,
+            tls=make_server_tls(settings.tls, mutual=True),
+            max_silent=self.machine.port_connections,
         )
         self.store = stores.get(settings.store.adapter)(
             settings.store.address, settings.store.timeout_s
@@ -139,6 +141,7 @@
         return AdminServer(
             application=make_admin_application(parts),
             tls=make_server_tls(self.settings.tls, mutual=False),
+            machine=self.machine,
         )
 
     def _build_origin(self) -> Origin | None:
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -225,7 +225,8 @@
             "open_requests": lambda: dispatcher.open_requests,
             "callers": caller_limits.describe,
             "tasks": parts.tasks.list_names,
-        }
+        },
+        max_connections=parts.machine.port_connections,
     )
     process = RoutedEntry(
         settings=settings,
@@ -242,6 +243,7 @@
         quarantine=quarantine,
         limits=limits,
         now=parts.clock.monotonic,
+        max_port_connections=parts.machine.port_connections,
     )
     built.append(process)
     return process
@@ -353,13 +355,16 @@
             "weights": lambda: transfer.state,
             "engine": lambda: built[0].report,
             "tasks": parts.tasks.list_names,
-        }
+        },
+        max_connections=parts.machine.port_connections,
     )
     process = RoutedUpstream(
         settings=settings,
         documents=parts.documents,
         hub=parts.hub,
-        peer_server=MessageServer(handle=parts.hub.serve, tls=None),
+        peer_server=MessageServer(
+            handle=parts.hub.serve, tls=None, max_silent=parts.machine.port_connections
+        ),
         replica=parts.replica,
         routing_state=parts.routing_state,
         engine=engine,
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from functools import partial
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from sycamoreproxy.beliefs import DocumentDecoder, RoutingState
@@ -25,6 +24,7 @@
 from sycamoreproxy.metrics import QUARANTINED_PARTS
 from sycamoreproxy.peers import Peer, PeerHub
 from sycamoreproxy.placement import LoadReport, UpstreamSelector
+from sycamoreproxy.port_limits import DEFAULT_MAX_CONNECTIONS, PortHTTPServer
 from sycamoreproxy.prompt_quarantine import PromptQuarantine
 from sycamoreproxy.pulse import ThrottledAction
 from sycamoreproxy.resend_budget import ResendBudget
@@ -32,7 +32,7 @@
 from sycamoreproxy.routed_dispatch import RoutedDispatcher
 from sycamoreproxy.routed_http import RoutedCallerServer
 from sycamoreproxy.routed_settings import RoutedSettings
-from sycamoreproxy.state_http import StateServer
+from sycamoreproxy.state_http import MAX_BODY_BYTES, MAX_HEADER_BYTES, StateServer
 from sycamoreproxy.streams import Address
 from sycamoreproxy.task_group import BackgroundTasks
 from sycamoreproxy.upstream_book import UpstreamRecord
@@ -64,6 +64,7 @@
 
     :param budgets_by_service: resend budget of each service, added on its first use.
     :param now: returns the monotonic time in seconds.
+    :param max_port_connections: connections of balancers that may be open at once.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         quarantine: PromptQuarantine,
         limits: UpstreamLimits,
         now: Callable[[], float],
+        max_port_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self.settings = settings
         self._documents = documents
@@ -98,7 +100,13 @@
         self._quarantine = quarantine
         self._limits = limits
         self._now = now
-        self._readiness_server = HTTPServer(self._answer_readiness_probe)
+        self._readiness_server = PortHTTPServer(
+            self._answer_readiness_probe,
+            max_body_size=MAX_BODY_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+        )
+        self._readiness_server.max_connections = max_port_connections
+        self._readiness_server.port_name = "ready"
         self._is_leaving = False
         self._engine_count = 0
         self._dispatch_throttle = ThrottledAction(
--- a/sycamoreproxy/state_http.py
+++ b/sycamoreproxy/state_http.py
@@ -5,10 +5,14 @@
 import json
 from collections.abc import Callable
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine, responses
 
 from sycamoreproxy.metrics import render_metrics
+from sycamoreproxy.port_limits import DEFAULT_MAX_CONNECTIONS, PortHTTPServer
+
+#: Largest request; none of these has a body.
+MAX_BODY_BYTES = 16 * 1024
+MAX_HEADER_BYTES = 16 * 1024
 
 RenderSection = Callable[[], object]
 
@@ -20,11 +24,21 @@
     whose import takes more processor time than an idle process uses in half a second.
 
     :param sections_by_name: functions that return the sections of the dump.
+    :param max_connections: connections that may be open at once.
     """
 
-    def __init__(self, *, sections_by_name: dict[str, RenderSection]) -> None:
+    def __init__(
+        self,
+        *,
+        sections_by_name: dict[str, RenderSection],
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ) -> None:
         self._sections_by_name = sections_by_name
-        self._server = HTTPServer(self._respond)
+        self._server = PortHTTPServer(
+            self._respond, max_body_size=MAX_BODY_BYTES, max_header_size=MAX_HEADER_BYTES
+        )
+        self._server.max_connections = max_connections
+        self._server.port_name = "state"
 
     def listen(self, ip: str, port: int) -> None:
         """Listen on an IP address and port."""
--- a/sycamoreproxy/streams.py
+++ b/sycamoreproxy/streams.py
@@ -17,6 +17,7 @@
 
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import MAX_FRAME_BYTES, MessageError, decode_message, encode_message
+from sycamoreproxy.metrics import PORT_REFUSALS
 
 _LENGTH_PREFIX = struct.Struct(">I")
 #: Native ``int`` of an ioctl.
@@ -31,6 +32,8 @@
 _MAX_UNSENT_BUFFERS = 512
 #: Maximum number of bytes buffered for a slow peer before the stream is closed.
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
+#: Accepted streams that may be open without a whole message, where the owner names no limit.
+MAX_SILENT_STREAMS = 256
 #: Timeout for establishing a connection, including the TLS handshake, in seconds.
 CONNECT_TIMEOUT_S = 2.0
 
@@ -100,6 +103,11 @@
         """Whether the connection is closed."""
         return self._transport is None or self._is_disconnected or self._transport.is_closing()
 
+    @property
+    def has_received(self) -> bool:
+        """Whether a whole message has arrived."""
+        return self._received_at > 0
+
     @property
     def is_acknowledged(self) -> bool:
         """Whether the peer's host has acknowledged all that was sent, or the connection is closed.
@@ -117,6 +125,11 @@
         (size,) = _INT.unpack(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size)))
         return bool(size == 0)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether a transport was given to the stream."""
+        return self._transport is not None
+
     # Transport callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -350,6 +363,8 @@
 
     :param handle: called with each stream, which is closed when the call returns.
     :param tls: server context for mutual TLS, or None for unencrypted connections.
+    :param max_silent: streams that may be open and have not sent a whole message; above it the oldest
+        of them is closed.
     """
 
     def __init__(
@@ -357,7 +372,11 @@
         *,
         handle: Callable[[MessageStream], Awaitable[None]],
         tls: ssl.SSLContext | None,
+        max_silent: int = MAX_SILENT_STREAMS,
     ) -> None:
+        self._max_silent = max_silent
+        #: Streams that had not sent a whole message when last looked at, the oldest first.
+        self._silent: dict[asyncio.Task[None], MessageStream] = {}
         self._handle = handle
         self._tls = tls
         self._stop_accepting_by_socket: dict[socket.socket, Callable[[], None]] = {}
@@ -388,13 +407,37 @@
         self._stop_accepting_by_socket.clear()
 
     def _accept(self, connection: socket.socket, address: Any) -> None:
-        task = asyncio.create_task(self._serve(connection))
+        self._limit_silent()
+        stream = MessageStream()
+        task = asyncio.create_task(self._serve(connection, stream))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._silent[task] = stream
+
+        def end(_: object) -> None:
+            self._tasks.discard(task)
+            self._silent.pop(task, None)
+            if not stream.is_connected:
+                # The task was cancelled before a transport owned the socket.
+                connection.close()
 
-    async def _serve(self, connection: socket.socket) -> None:
+        task.add_done_callback(end)
+
+    def _limit_silent(self) -> None:
+        """Make room for one more stream that has sent nothing."""
+        if len(self._silent) < self._max_silent:
+            return
+        self._silent = {
+            task: stream for task, stream in self._silent.items() if not stream.has_received
+        }
+        if len(self._silent) < self._max_silent:
+            return
+        oldest = next(iter(self._silent))
+        del self._silent[oldest]
+        oldest.cancel()
+        PORT_REFUSALS.inc({"port": "peer"})
+
+    async def _serve(self, connection: socket.socket, stream: MessageStream) -> None:
         """Run the handler for one connection, then close it."""
-        stream = MessageStream()
         try:
             await asyncio.get_running_loop().connect_accepted_socket(
                 lambda: stream,
