--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -357,6 +357,7 @@
             return
         if self._is_refused:
             # The rest is read for a while so that the caller sees the refusal, not a reset.
+            self._limits.discard(self._limited, len(chunk))
             if self._body_bytes > 4 * self._server.limits.max_body_bytes:
                 self._stream.close()
         elif self._body_bytes > self._server.limits.max_body_bytes:
--- a/sycamoreproxy/connection_limits.py
+++ b/sycamoreproxy/connection_limits.py
@@ -46,6 +46,8 @@
 MAX_CANDIDATES = 64
 #: Time between two sweeps, in seconds.
 SWEEP_S = 0.5
+#: Delay of a sweep, in seconds, from which on the process is taken to have stood still.
+MAX_LATE_S = 0.25
 #: Shortest time between two log lines about ended or refused connections, in seconds.
 LOG_PERIOD_S = 5.0
 
@@ -270,6 +272,10 @@
         self.release(connection)
         self._begin(connection, Phase.REFUSED, REFUSED_GRACE_S)
 
+    def discard(self, connection: LimitedConnection, size: int) -> None:
+        """Note received bytes of a body that was refused."""
+        self._note_progress(connection, size)
+
     def serve(self, connection: LimitedConnection) -> None:
         """Note that the whole request was received; the connection is not ended from now on."""
         connection.phase = Phase.SERVED
@@ -337,9 +343,21 @@
     async def run(self) -> None:
         """Sweep until cancelled."""
         while True:
+            began_at = self._clock.monotonic()
             await asyncio.sleep(SWEEP_S)
+            late_s = self._clock.monotonic() - began_at - SWEEP_S
+            if late_s > MAX_LATE_S:
+                self.excuse(late_s)
+                # What arrived meanwhile is read first.
+                continue
             self.sweep()
 
+    def excuse(self, seconds: float) -> None:
+        """Do not count time in which the process did not run, so that nothing was received."""
+        now = self._clock.monotonic()
+        for connection in self._connections:
+            connection.progress_at = min(now, connection.progress_at + seconds)
+
     def describe(self) -> dict[str, object]:
         """Return the limits and what is held, for the dump."""
         return {
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -236,7 +236,10 @@
             self._refuse_body()
 
     def data_received(self, chunk: bytes) -> None:
-        if self._request is None or self._early_reply is not None or self.is_closed:
+        if self.is_closed:
+            return
+        if self._request is None or self._early_reply is not None:
+            self._limits.discard(self._limited, len(chunk))
             return
         if not self._limits.hold(self._limited, len(chunk)):
             self._refuse_body()
--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -341,6 +341,22 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("kind", ["entry", "model"])
+def test_callers_that_never_read_do_not_keep_descriptors(tmp_path: Path, kind: str) -> None:
+    """Connections of callers that send a whole request and read nothing were kept as idle ones."""
+
+    async def run() -> None:
+        start = _routed_entry if kind == "entry" else _model_entry
+        async with start(tmp_path, max_fds=MAX_FDS) as target:
+            request = target.make_upload(1024, missing=0, is_chunked=False, pieces=1)
+            await target.flood(STALLED_CALLERS, request)
+            assert await target.send_ordinary() == 200
+            target.count_fds()
+            assert target.peak_fds <= MAX_OPEN_FDS
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunked"])
 def test_routed_entry_stays_within_the_memory_of_its_machine(
     tmp_path: Path, is_chunked: bool
