--- a/sycamoreproxy/routed_settings.py
+++ b/sycamoreproxy/routed_settings.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from sycamoreproxy.settings_reader import LogSettings, SettingsError, SettingsReader
+from sycamoreproxy.settings_reader import (
+    LogSettings,
+    MachineSettings,
+    SettingsError,
+    SettingsReader,
+)
 from sycamoreproxy.streams import Address
 
 #: Bound on evacuated zones of the platform's standard terms, and the longest one that is taken for
@@ -126,6 +131,7 @@
     engine: EngineHostSettings | None = None
     zones: object = None
     log: LogSettings = field(default_factory=LogSettings)
+    machine: MachineSettings = field(default_factory=MachineSettings)
 
 
 #: Roles of a routed deployment.
