--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -12,12 +12,21 @@
 from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
+from sycamoreproxy import result_codes as codes
 from sycamoreproxy.clock import Clock
 from sycamoreproxy.engine_forecast import EngineForecast
+from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import EngineUse
 from sycamoreproxy.retries import CircuitBreaker
 from sycamoreproxy.route_table import EngineProfile
 from sycamoreproxy.upstream_book import UpstreamRecord
+from sycamoreproxy.upstream_pace import (
+    MAX_LOAD,
+    DecayingEstimate,
+    is_plausible_pace,
+    make_load_estimate,
+    make_pace_estimate,
+)
 
 #: Requests beyond its batch slots that an engine may receive at the highest and at the lowest
 #: urgency. The engine admits by urgency, so urgent requests queue on the engine instead of waiting
@@ -44,8 +53,13 @@
 #: seconds. Reports arrive every 0.1 s, so network jitter does not explain a gap of this length. An
 #: engine without output in this time either gets one request of each entry host at a time.
 REPORT_TIMEOUT_S = 0.6
-#: Difference up to which costs count as equal, in seconds. The upstream is picked at random among
-#: equal ones: all entry hosts see the same reports and would otherwise choose the same engine.
+#: Difference in cost that makes an engine e times less likely to be chosen, in seconds. All entry
+#: hosts see the same reports and would otherwise choose the engine that has just looked fast. In
+#: simulated bursts of 41 hosts on 20 engines, 87% to 99% of first tokens came in time instead of
+#: 73% to 96% with a choice among equal costs; a single host loses nothing (upstream-pace.md).
+COST_SPREAD_S = 0.05
+#: Difference up to which the costs of plain services count as equal, and up to which an engine of
+#: another availability zone may be chosen, in seconds.
 TIE_TOLERANCE_S = 0.01
 #: Added to the cost of an upstream in another availability zone, in seconds. Cross-zone traffic is
 #: slower and shares links of low bandwidth.
@@ -53,9 +67,6 @@
 #: Forecast latency of a typical request to a plain service, in seconds; plain services publish no
 #: timings. Each full set of slots ahead of the request adds the same time again.
 PLAIN_SERVICE_LATENCY_S = 0.05
-#: Age up to which the pace that a plain service reported with a response is used, in seconds. The
-#: pace of hosts with other tenants changes many times per second.
-PACE_MAX_AGE_S = 0.2
 #: Weight of the newest outcome in the exponential moving average of failures.
 FAILURE_RATE_SMOOTHING = 0.15
 #: Cost of a failure rate of 1, in seconds; lower rates cost proportionally less.
@@ -74,6 +85,8 @@
 #: Use of an engine by a host without in-flight requests on it.
 NO_USE = EngineUse(0, 0)
 
+_log = get_logger("placement")
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport:
@@ -116,11 +129,17 @@
     :param last_output_at: monotonic time of the last output of any request.
     :param queued_quota: queued requests that may be sent before the next load report.
     :param announced_use: own use last announced to the process on the engine's host.
+    :param pace: estimate from the paces that were reported.
+    :param load: estimate of the requests on a plain service from its reports.
+    :param has_implausible_pace: whether an implausible pace was logged.
     """
 
     instance: str
     breaker: CircuitBreaker
     report: LoadReport | None = None
+    pace: DecayingEstimate = field(default_factory=make_pace_estimate)
+    load: DecayingEstimate = field(default_factory=make_load_estimate)
+    has_implausible_pace: bool = False
     in_flight_by_number: dict[int, InFlightRequest] = field(default_factory=dict)
     failure_rate: float = 0.0
     last_output_at: float = 0.0
@@ -380,7 +399,22 @@
         best = min(cost for cost, _ in choices)
         if best >= LAST_RESORT_PENALTY_S and may_wait:
             return None
-        return self._random.choice([c for cost, c in choices if cost <= best + TIE_TOLERANCE_S])
+        if profile is None:
+            return self._random.choice([c for cost, c in choices if cost <= best + TIE_TOLERANCE_S])
+        return self._choose_engine(choices, best)
+
+    def _choose_engine(self, choices: Sequence[tuple[float, Choice]], best: float) -> Choice:
+        """Return one of the choices at random; cheaper ones are more likely.
+
+        :param best: cost of the cheapest one.
+        """
+        candidates = [
+            (cost, choice)
+            for cost, choice in choices
+            if cost <= best + TIE_TOLERANCE_S or choice.record.availability_zone == self._zone
+        ]
+        weights = [math.exp((best - cost) / COST_SPREAD_S) for cost, _ in candidates]
+        return self._random.choices([choice for _, choice in candidates], weights)[0]
 
     def find_version(self, record: UpstreamRecord, model: str) -> int:
         """Return the version of a model's weights that an upstream holds, 0 if none."""
@@ -398,6 +432,7 @@
             view.instance: {
                 "own": len(view.in_flight_by_number),
                 "failure_rate": round(view.failure_rate, 3),
+                "pace": round(view.pace.value(now), 2),
                 "report": (
                     None
                     if view.report is None
@@ -421,7 +456,16 @@
         :param profile: timings of the engine; None for plain services.
         """
         view = self.view(instance)
+        if is_plausible_pace(report.pace):
+            view.pace.add(report.pace, at=report.received_at)
+        else:
+            if not view.has_implausible_pace:
+                view.has_implausible_pace = True
+                code = codes.INVALID_FIELD.number
+                _log.warning("pace ignored", upstream=instance, pace=str(report.pace), code=code)
+            report = replace(report, pace=1.0)
         view.report = report
+        view.load.add(min(MAX_LOAD, report.running + report.waiting), at=report.received_at)
         view.queued_quota = math.inf
         if profile is not None and report.use_by_others is not None:
             share = self._compute_backlog_share(view, report.use_by_others, profile)
@@ -550,17 +594,15 @@
                 backlog_tokens += reported.pending_prompt_tokens + unreported.pending_prompt_tokens
             else:
                 occupied = report.running + report.waiting + view.count_unreported()
+        elif report is not None and profile is None:
+            occupied = round(view.load.value(now)) + view.count_unreported()
         else:
             # Assumes that the other entry hosts send about as many requests as this one.
             occupied = own.open_requests * max(1, self.entry_hosts)
         slots = max(1, record.slots if profile is None else profile.slots)
         excess = occupied + 1 - slots
+        pace = view.pace.value(now)
         if profile is None:
-            pace = (
-                report.pace
-                if report is not None and now - report.received_at < PACE_MAX_AGE_S
-                else 1.0
-            )
             forecast = PLAIN_SERVICE_LATENCY_S * pace * (1 + occupied / slots)
         else:
             max_excess = (
@@ -570,7 +612,7 @@
             )
             if excess > max_excess and not ignore_capacity:
                 return None
-            engine = EngineForecast(profile, pace=report.pace if is_fresh and report else 1.0)
+            engine = EngineForecast(profile, pace=pace)
             forecast = engine.time_to_first_token_s(
                 queued_ahead=max(0, excess),
                 batch_size=min(occupied, slots),
