--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -78,6 +78,8 @@
         self.targets = targets
         self.table = RouteTable()
         self._listeners: list[Callable[[RouteTable], None]] = []
+        #: Called with each record that is received and whether its prefix has not been read before.
+        self.on_record: Callable[[UpstreamRecord, bool], None] = lambda record, is_first_read: None
         replica.subscribe(self._apply)
 
     def set_bounds(self, bounds: RoutedBounds) -> None:
@@ -120,7 +122,9 @@
                 if value is None:
                     self.catalog.remove(instance, lag_s=lag_s)
                 else:
-                    self.catalog.put(self._decoder.read_upstream(instance, value), lag_s=lag_s)
+                    record = self._decoder.read_upstream(instance, value)
+                    self.on_record(record, not self._replica.has_read(key))
+                    self.catalog.put(record, lag_s=lag_s)
         except DocumentError as error:
             _log.warning(
                 "document not usable", key=key, revision=document.revision, error=str(error)
--- a/sycamoreproxy/caller_request.py
+++ b/sycamoreproxy/caller_request.py
@@ -94,6 +94,8 @@
         requests per second; None if it names none.
     :param malformed_limit: beginning of a named limit that is not a decimal number; empty if it is
         one or absent.
+    :param cold_remaining_ms: time until the upstream is warm, in milliseconds, as it was read; 0 if
+        it is not told.
     :param headers: headers to forward to the caller.
     """
 
@@ -108,6 +110,7 @@
     hold_s: float = 0.0
     requests_per_s: float | None = None
     malformed_limit: str = ""
+    cold_remaining_ms: float = 0.0
     load: UpstreamLoad | None = None
     weight_version: int | None = None
     headers: Sequence[tuple[str, str]] = ()
--- a/sycamoreproxy/engine_stage.py
+++ b/sycamoreproxy/engine_stage.py
@@ -60,6 +60,7 @@
     :param is_loading: whether a load order is in progress.
     :param orders_accepted: number of orders accepted since the engine started.
     :param started_ms: start time of the engine in Unix milliseconds; 0 if not reported.
+    :param cold_remaining_ms: time until the engine is warm, in milliseconds, as it was read.
     """
 
     running: int
@@ -71,6 +72,7 @@
     orders_accepted: int
     started_ms: int
     version_by_model: tuple[tuple[str, int], ...]
+    cold_remaining_ms: float = 0.0
 
 
 class StagedEngine(Protocol):
--- a/sycamoreproxy/messages.py
+++ b/sycamoreproxy/messages.py
@@ -498,6 +498,7 @@
     :param open_requests: number of requests at the engine according to the latest reports of its
         entry hosts. The engine's own figures are older, by 200 ms on the users' machines.
     :param pending_prompt_tokens: prompt tokens of the open requests without output so far.
+    :param cold_remaining_ms: time until the engine is warm, in milliseconds.
     """
 
     address: str
@@ -509,6 +510,7 @@
     entry_hosts: int = 0
     open_requests: int = 0
     pending_prompt_tokens: int = 0
+    cold_remaining_ms: int = 0
 
 
 @message(74)
--- a/sycamoreproxy/metrics.py
+++ b/sycamoreproxy/metrics.py
@@ -42,6 +42,9 @@
 UPSTREAM_LIMITS = Counter(
     "sycamore_upstream_limits_total", "Limits that upstreams named in answers, by service"
 )
+COLD_STARTS = Counter(
+    "sycamore_cold_starts_total", "Times at which upstreams turned cold, by service"
+)
 QUARANTINED_PARTS = Counter(
     "sycamore_quarantined_parts_total", "Parts of prompts quarantined for crashing engines"
 )
--- a/sycamoreproxy/placement.py
+++ b/sycamoreproxy/placement.py
@@ -271,6 +271,8 @@
     :param availability_zone: availability zone of this host.
     :param permits: returns whether a request of a priority level may be sent to an upstream under
         its limit.
+    :param cold_pace: returns the lowest factor on the timings of an upstream, above 1 just after its
+        start.
     """
 
     def __init__(
@@ -280,11 +282,13 @@
         availability_zone: str,
         random_source: random.Random,
         permits: Callable[[UpstreamRecord, int], bool] = lambda record, level: True,
+        cold_pace: Callable[[UpstreamRecord], float] = lambda record: 1.0,
     ) -> None:
         self._clock = clock
         self._zone = availability_zone
         self._random = random_source
         self._permits = permits
+        self._cold_pace = cold_pace
         self._views_by_instance: dict[str, UpstreamView] = {}
         #: Views whose own use may differ from the announced one, in the order of the changes.
         self._changed_by_instance: dict[str, UpstreamView] = {}
@@ -601,7 +605,7 @@
             occupied = own.open_requests * max(1, self.entry_hosts)
         slots = max(1, record.slots if profile is None else profile.slots)
         excess = occupied + 1 - slots
-        pace = view.pace.value(now)
+        pace = max(view.pace.value(now), self._cold_pace(record))
         if profile is None:
             forecast = PLAIN_SERVICE_LATENCY_S * pace * (1 + occupied / slots)
         else:
--- a/sycamoreproxy/platform/documents.py
+++ b/sycamoreproxy/platform/documents.py
@@ -6,7 +6,9 @@
 import re
 from typing import Any
 
+from sycamoreproxy.cold_starts import MAX_COLD_PER_S, MAX_COLD_S
 from sycamoreproxy.document_source import DocumentError
+from sycamoreproxy.figures import FigureReader
 from sycamoreproxy.platform import names
 from sycamoreproxy.route_table import (
     CallerBounds,
@@ -45,6 +47,9 @@
     shared_prefixes = (names.CONFIG_KEY,)
     upstream_prefixes = (names.RUNNER_PREFIX,)
 
+    def __init__(self) -> None:
+        self._figures = FigureReader()
+
     def is_routes(self, key: str) -> bool:
         """Return whether a key holds the configuration."""
         return key == names.CONFIG_KEY
@@ -78,7 +83,9 @@
             return RouteTable(
                 revision=int(data["version"]),
                 routes_by_host=index_routes(routes),
-                services_by_name={item["name"]: _read_service(item) for item in data["services"]},
+                services_by_name={
+                    item["name"]: _read_service(item, self._figures) for item in data["services"]
+                },
                 account_by_key={
                     key: account["name"] for account in accounts for key in account["api_keys"]
                 },
@@ -128,6 +135,9 @@
                 ),
                 # Only model runners tell a stage or models, the latter empty while they load.
                 is_engine="models" in data or "stage" in data,
+                cold_remaining_ms=self._figures.read(
+                    data, "cold_remaining_ms", of=instance, maximum=MAX_COLD_S * 1000
+                ),
             )
         except _SHAPE_ERRORS as error:
             raise DocumentError(repr(error)[:_MAX_ERROR_CHARACTERS]) from error
@@ -183,14 +193,17 @@
     )
 
 
-def _read_service(item: dict[str, Any]) -> ServiceSpec:
+def _read_service(item: dict[str, Any], figures: FigureReader) -> ServiceSpec:
     engine = item.get("engine")
+    name = str(item["name"])
     return ServiceSpec(
-        name=str(item["name"]),
+        name=name,
         health_path=str(item.get("health_check_path") or ""),
         max_connections=int(item.get("max_connections") or 0),
         engine=_read_engine(engine) if engine else None,
         origin=str(item.get("origin") or ""),
+        cold_start_s=figures.read(item, "cold_start_s", of=name, maximum=MAX_COLD_S),
+        cold_per_s=figures.read(item, "cold_per_s", of=name, maximum=MAX_COLD_PER_S),
     )
 
 
--- a/sycamoreproxy/platform/names.py
+++ b/sycamoreproxy/platform/names.py
@@ -16,6 +16,8 @@
 SERVER_LEAVING = "Server-Leaving"
 SERVER_LIMIT = "Server-Limit"
 RETRY_AFTER = "Retry-After"
+#: In health responses and reports of runners: milliseconds until the runner is warm.
+COLD_REMAINING_MS = "Sycamoreproxy-Cold-Remaining-Ms"
 #: In all answers of the store: how often it came back from a copy.
 STORE_ERA = "Store-Era"
 MODEL = "Sycamoreproxy-Model"
--- a/sycamoreproxy/platform/requests.py
+++ b/sycamoreproxy/platform/requests.py
@@ -15,6 +15,7 @@
     UpstreamLoad,
     UpstreamResponseHead,
 )
+from sycamoreproxy.cold_starts import parse_remaining_ms
 from sycamoreproxy.platform import names
 
 #: Headers that concern one connection only (RFC 9110, section 7.6.1).
@@ -57,6 +58,7 @@
         names.AT_SERVER,
         names.SERVER_LEAVING,
         names.SERVER_LIMIT,
+        names.COLD_REMAINING_MS,
     )
 )
 #: A runner that refuses an instance, a version or a part of a path.
@@ -143,6 +145,7 @@
             ),
             requests_per_s=requests_per_s,
             malformed_limit=malformed_limit,
+            cold_remaining_ms=parse_remaining_ms(headers.get(names.COLD_REMAINING_MS)),
             load=_read_load(headers.get(names.SERVER_LOAD)),
             weight_version=_read_int(headers.get(names.WEIGHT_VERSIONS), None),
             headers=_pass_on(headers, _RUNNER_ANSWER_HEADERS),
--- a/sycamoreproxy/platform/runner.py
+++ b/sycamoreproxy/platform/runner.py
@@ -9,6 +9,7 @@
 from urllib.parse import quote
 
 from sycamoreproxy._http_client import AnswerLostError, HttpClient, NotSentError
+from sycamoreproxy.cold_starts import parse_remaining_ms
 from sycamoreproxy.engine_stage import EngineReport, OrderOutcome, StagedEngineError
 from sycamoreproxy.origins import OriginError, VersionUnknownError
 from sycamoreproxy.weights import Manifest, compute_version_digest
@@ -73,6 +74,7 @@
                 version_by_model=tuple(
                     (str(item["name"]), _read_count(item["version"])) for item in data["models"]
                 ),
+                cold_remaining_ms=parse_remaining_ms(data.get("cold_remaining_ms")),
             )
         except (
             ValueError,
--- a/sycamoreproxy/route_table.py
+++ b/sycamoreproxy/route_table.py
@@ -62,6 +62,8 @@
     :param max_connections: connections that one upstream accepts from all callers together.
     :param engine: profile of the model engines; None for other services.
     :param origin: ``IP:PORT`` of the origin server of model weights, empty for other services.
+    :param cold_start_s: time after a start for which an upstream is cold, in seconds; 0 for none.
+    :param cold_per_s: requests that a cold upstream takes in a second; 0 for no limit.
     """
 
     name: str
@@ -69,6 +71,8 @@
     max_connections: int = 0
     engine: EngineProfile | None = None
     origin: str = ""
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -10,6 +10,7 @@
 from sycamoreproxy.beliefs import RoutingState
 from sycamoreproxy.chunk_plan import PlanLimits
 from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.cold_starts import ColdStarts
 from sycamoreproxy.messages import Hello
 from sycamoreproxy.origins import Origin, OriginError
 from sycamoreproxy.peers import Peer, PeerHub
@@ -117,6 +118,15 @@
             catalog=self.catalog,
             targets=self.targets,
         )
+        self.cold_starts = ColdStarts(
+            clock=self.clock,
+            find_service=lambda name: self.routing_state.table.services_by_name.get(name),
+            overage=settings.bounds.cold_overage,
+            slack=settings.bounds.cold_slack,
+        )
+        self.routing_state.on_record = lambda record, is_first_read: (
+            self.cold_starts.observe_record(record, is_first_read=is_first_read)
+        )
         self.tasks = BackgroundTasks()
         self.tasks.start("stalls", self.stalls.run)
 
@@ -169,12 +179,14 @@
             for peer in parts.hub.list_peers(role="upstream")
             if peer.hello.protocol >= LIMITS_MIN_PROTOCOL
         ],
+        cold_starts=parts.cold_starts,
     )
     selector = UpstreamSelector(
         clock=parts.clock,
         availability_zone=settings.process.availability_zone,
         random_source=random.Random(),
         permits=limits.permits,
+        cold_pace=parts.cold_starts.find_pace,
     )
     budgets_by_service: dict[str, ResendBudget] = {}
     built: list[RoutedEntry] = []
@@ -213,6 +225,7 @@
             "routes": lambda: {"revision": parts.routing_state.table.revision},
             "upstreams": selector.describe,
             "limits": limits.describe,
+            "cold": parts.cold_starts.describe,
             "waiting": dispatcher.count_waiting,
             "quarantine": quarantine.list_times_left,
             "open_requests": lambda: dispatcher.open_requests,
@@ -233,6 +246,7 @@
         budgets_by_service=budgets_by_service,
         quarantine=quarantine,
         limits=limits,
+        cold_starts=parts.cold_starts,
         now=parts.clock.monotonic,
     )
     built.append(process)
@@ -342,6 +356,7 @@
             "documents": parts.replica.describe,
             "routes": lambda: {"revision": parts.routing_state.table.revision},
             "limits": permits.describe,
+            "cold": parts.cold_starts.describe,
             "weights": lambda: transfer.state,
             "engine": lambda: built[0].report,
             "tasks": parts.tasks.list_names,
@@ -361,6 +376,8 @@
             hub=parts.hub, evidence=CrashEvidence(clock=parts.clock), clock=parts.clock
         ),
         permits=permits,
+        cold_starts=parts.cold_starts,
+        now_ms=lambda: parts.clock.wall() * 1000,
         state=state,
         tasks=parts.tasks,
     )
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -516,18 +516,16 @@
             await asyncio.sleep(min(hold_s, RESEND_CHECK_INTERVAL_S))
 
     def _may_wait_for_permit(self, progress: RequestProgress) -> bool:
-        """Return whether a stream that has begun may soon be continued by an upstream with a limit.
-
-        The end of the wait is not known, so requests whose caller has received nothing do not wait.
-        """
-        return (
-            progress.first_output_at is not None
-            and self._find_longest_pause_s(progress) > 0
-            and any(
-                self._limits.find_requests_per_s(record) < math.inf
-                for record in self._catalog.list_usable(progress.service.name)
-                if record.instance not in progress.excluded
-            )
+        """Return whether an upstream with a limit may soon take a request."""
+        records = [
+            record
+            for record in self._catalog.list_usable(progress.service.name)
+            if record.instance not in progress.excluded
+        ]
+        return self._limits.may_permit_soon(
+            records,
+            within_s=self._find_longest_pause_s(progress),
+            has_begun=progress.first_output_at is not None,
         )
 
     def _find_longest_pause_s(self, progress: RequestProgress) -> float:
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from sycamoreproxy.beliefs import DocumentDecoder, RoutingState
+from sycamoreproxy.cold_starts import ColdStarts
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import (
     EngineLoad,
@@ -82,6 +83,7 @@
         budgets_by_service: dict[str, ResendBudget],
         quarantine: PromptQuarantine,
         limits: UpstreamLimits,
+        cold_starts: ColdStarts,
         now: Callable[[], float],
     ) -> None:
         self.settings = settings
@@ -97,7 +99,10 @@
         self._budgets_by_service = budgets_by_service
         self._quarantine = quarantine
         self._limits = limits
+        self._cold_starts = cold_starts
         self._now = now
+        #: Availability zones whose engines have reported since the start.
+        self._zones_heard: set[str] = set()
         self._readiness_server = HTTPServer(self._answer_readiness_probe)
         self._is_leaving = False
         self._engine_count = 0
@@ -126,6 +131,7 @@
         self.settings = settings
         bounds = settings.bounds
         self._routing_state.set_bounds(bounds)
+        self._cold_starts.set_bounds(overage=bounds.cold_overage, slack=bounds.cold_slack)
         for budget in self._budgets_by_service.values():
             budget.set_limits(
                 ratio=bounds.resend_ratio,
@@ -244,6 +250,7 @@
         instances = {record.instance for record in records}
         self._selector.retain(instances)
         self._limits.retain(instances)
+        self._cold_starts.retain(instances)
         self._dispatcher.retain({str(record.address) for record in records})
 
     def _update_peers(self) -> None:
@@ -269,8 +276,16 @@
         )
         for budget in self._budgets_by_service.values():
             budget.update_entry_hosts(entry_host_count)
-        self._limits.update_entry_hosts(entry_host_count)
+        self._zones_heard.add(peer.hello.availability_zone)
+        zones = {record.availability_zone for record in self._routing_state.list_engines()}
+        self._limits.update_entry_hosts(
+            entry_host_count,
+            zones_heard=len(self._zones_heard & zones),
+            zones=len(zones),
+        )
         for record in self._routing_state.catalog.list_at(load.address):
+            if load.cold_remaining_ms:
+                self._cold_starts.observe_remaining(record, load.cold_remaining_ms)
             spec = self._routing_state.table.services_by_name.get(record.service)
             self._selector.update_report(
                 record.instance,
--- a/sycamoreproxy/routed_settings.py
+++ b/sycamoreproxy/routed_settings.py
@@ -62,6 +62,8 @@
     :param resend_window_s: length of the window, in seconds.
     :param version_ms: until requests begin only on a newly named version, in milliseconds; 0
         if older versions may answer for any time.
+    :param cold_overage: factor on the rate of a cold upstream that requests may reach in a second.
+    :param cold_slack: requests of all entry hosts beyond that in a second.
     """
 
     leave_ms: float = 2_000.0
@@ -70,6 +72,8 @@
     resend_slack: float = 20.0
     resend_window_s: float = 10.0
     version_ms: float = 0.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
     @property
     def leave_s(self) -> float:
--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from sycamoreproxy.beliefs import DocumentDecoder, RoutingState
+from sycamoreproxy.cold_starts import ColdStarts
 from sycamoreproxy.crash_correlator import CrashCorrelator
 from sycamoreproxy.engine_stage import (
     EngineReport,
@@ -83,6 +84,8 @@
             sent_at, last_load = self._last_by_zone.get(zone, (-math.inf, None))
             if load == last_load:
                 interval_s = UNCHANGED_REPORT_INTERVAL_S
+            elif load.cold_remaining_ms and (last_load is None or not last_load.cold_remaining_ms):
+                interval_s = 0.0
             elif zone != self._own_zone:
                 interval_s = REMOTE_ZONE_REPORT_INTERVAL_S
             else:
@@ -112,6 +115,8 @@
     """Runs the background tasks of an engine's sidecar process.
 
     :mod:`sycamoreproxy.routed_composition` builds its dependencies.
+
+    :param now_ms: returns the Unix time in milliseconds.
     """
 
     def __init__(
@@ -128,6 +133,8 @@
         stager: WeightStager,
         crashes: CrashCorrelator,
         permits: PermitIssuer,
+        cold_starts: ColdStarts,
+        now_ms: Callable[[], float],
         state: StateServer,
         tasks: BackgroundTasks,
     ) -> None:
@@ -144,6 +151,8 @@
         self._stager = stager
         self._crashes = crashes
         self._permits = permits
+        self._cold_starts = cold_starts
+        self._now_ms = now_ms
         self._state = state
         self._tasks = tasks
         self._report: EngineReport | None = None
@@ -203,6 +212,9 @@
         """Apply changed bounds; changed addresses take effect only after a restart."""
         self._settings = settings
         self._routing_state.set_bounds(settings.bounds)
+        self._cold_starts.set_bounds(
+            overage=settings.bounds.cold_overage, slack=settings.bounds.cold_slack
+        )
 
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
@@ -296,10 +308,28 @@
                 elif self._report.started_ms != report.started_ms:
                     self._crashes.record_engine_lost(self._describe_lifetime(self._report))
                 self._log_version_change(self._report, report)
+                self._note_cold_start(report)
                 self._report = report
                 self._report_throttle.request()
             await asyncio.sleep(self._choose_read_interval_s())
 
+    def _note_cold_start(self, report: EngineReport) -> None:
+        """Note that the engine has started or is cold; this process sees it first."""
+        for record in self._routing_state.catalog.list_at(self._address):
+            service = self._routing_state.table.services_by_name.get(record.service)
+            remaining_ms = report.cold_remaining_ms
+            if not remaining_ms and report.started_ms and service is not None:
+                # The engine runs on this machine and has the same clock.
+                age_ms = self._now_ms() - report.started_ms
+                if 0 <= age_ms < service.cold_start_s * 1000:
+                    remaining_ms = service.cold_start_s * 1000 - age_ms
+            self._cold_starts.observe_remaining(record, remaining_ms)
+
+    def _find_cold_remaining_ms(self) -> int:
+        records = self._routing_state.catalog.list_at(self._address)
+        remaining_s = max(map(self._cold_starts.find_remaining_s, records), default=0.0)
+        return math.ceil(remaining_s * 1000)
+
     def _describe_lifetime(self, report: EngineReport) -> str:
         return f"{self._address}/{report.started_ms}"
 
@@ -357,4 +387,5 @@
             pending_prompt_tokens=sum(
                 use.pending_prompt_tokens for use in self._use_by_peer.values()
             ),
+            cold_remaining_ms=self._find_cold_remaining_ms(),
         )
--- a/sycamoreproxy/upstream_book.py
+++ b/sycamoreproxy/upstream_book.py
@@ -27,6 +27,7 @@
     :param started_ms: start of the instance in Unix milliseconds; 0 if unknown.
     :param version_by_model: versions of the weights that it holds.
     :param is_engine: whether it is a model engine, with a process of this system on its host.
+    :param cold_remaining_ms: time until it is warm, in milliseconds, as of the writing of the record.
     """
 
     instance: str
@@ -38,6 +39,7 @@
     started_ms: int = 0
     version_by_model: tuple[tuple[str, int], ...] = ()
     is_engine: bool = False
+    cold_remaining_ms: float = 0.0
 
 
 class UpstreamCatalog:
--- a/sycamoreproxy/upstream_limits.py
+++ b/sycamoreproxy/upstream_limits.py
@@ -6,6 +6,9 @@
 share. Their times are random, so that the hosts need no agreement and do not send at once. Sidecar
 processes tell the other hosts when such a limit begins, changes and ends. Under a limit of 0, one of
 them issues the permits for a plain service.
+
+A cold upstream has a limit as well, which its service's configuration names. Each host keeps to its
+share of it without a permit (``cold_shares``).
 """
 
 from __future__ import annotations
@@ -17,6 +20,8 @@
 
 from sycamoreproxy.caller_request import UpstreamResponseHead
 from sycamoreproxy.clock import Clock
+from sycamoreproxy.cold_shares import ColdShares
+from sycamoreproxy.cold_starts import ColdStarts
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import LimitNotice, LimitReport
 from sycamoreproxy.metrics import UPSTREAM_LIMITS
@@ -79,6 +84,7 @@
     :param find_coordinator: returns the stream to the sidecar process that issues permits for a
         plain service under a limit of 0, or None if there is none. All hosts have to agree on it.
     :param list_relays: returns the streams to all sidecar processes.
+    :param cold_starts: tells which upstreams are cold; None if none ever is.
     """
 
     def __init__(
@@ -89,12 +95,15 @@
         find_issuer: Callable[[UpstreamRecord], Peer | None] = lambda record: None,
         find_coordinator: Callable[[UpstreamRecord], Peer | None] = lambda record: None,
         list_relays: Callable[[], Sequence[Peer]] = tuple,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
         self._clock = clock
         self._random = random_source
         self._find_issuer = find_issuer
         self._find_coordinator = find_coordinator
         self._list_relays = list_relays
+        self._cold_starts = cold_starts
+        self._cold_shares = ColdShares(clock=clock, seed=str(random_source.random()))
         self._limits_by_instance: dict[str, _Limit] = {}
         self._malformed_instances: set[str] = set()
         self._entry_hosts = 0
@@ -105,16 +114,23 @@
 
     @property
     def has_limits(self) -> bool:
-        """Whether any upstream has named a limit."""
-        return bool(self._limits_by_instance)
+        """Whether any upstream has named a limit or may be cold."""
+        is_any_cold = self._cold_starts is not None and self._cold_starts.may_be_cold
+        return bool(self._limits_by_instance) or is_any_cold
 
     def find_requests_per_s(self, record: UpstreamRecord) -> float:
         """Return the limit in force for an upstream, in requests per second; infinite if none."""
         limit = self._find(record)
-        return math.inf if limit is None else limit.requests_per_s
+        cold_limit = None if self._cold_starts is None else self._cold_starts.find_limit(record)
+        return min(
+            math.inf if limit is None else limit.requests_per_s,
+            math.inf if cold_limit is None else cold_limit,
+        )
 
     def permits(self, record: UpstreamRecord, level: int) -> bool:
         """Return whether a request of a priority level may be sent to an upstream now."""
+        if self.find_cold_wait_s(record):
+            return False
         limit = self._find(record)
         if limit is None or not limit.is_in_force:
             return True
@@ -122,6 +138,32 @@
         usable_from = limit.permit_from + (RESERVED_S if is_reserved_for_others else 0.0)
         return usable_from <= self._clock.monotonic() < limit.permit_until
 
+    def find_cold_wait_s(self, record: UpstreamRecord) -> float:
+        """Return the time until a cold upstream takes a request of this host, in seconds."""
+        if self._cold_starts is None:
+            return 0.0
+        limit = self._cold_starts.find_limit(record)
+        if limit is None:
+            return 0.0
+        cold_since = self._cold_starts.find_since(record)
+        return self._cold_shares.find_wait_s(record.instance, limit=limit, cold_since=cold_since)
+
+    def may_permit_soon(
+        self, records: Sequence[UpstreamRecord], *, within_s: float, has_begun: bool
+    ) -> bool:
+        """Return whether an upstream with a limit may take a request within a time in seconds.
+
+        The end of the wait is known only for cold upstreams. Under a limit that an upstream named,
+        only requests wait whose caller has received something.
+
+        :param has_begun: whether the caller has received something.
+        """
+        if not self.has_limits or within_s <= 0:
+            return False
+        if any(0 < self.find_cold_wait_s(record) < within_s for record in records):
+            return True
+        return has_begun and any(self.find_requests_per_s(record) < math.inf for record in records)
+
     def describe(self) -> dict[str, float]:
         """Return the limits in force in the format of the state dump."""
         return {
@@ -132,9 +174,13 @@
 
     # Commands
 
-    def update_entry_hosts(self, count: int) -> None:
-        """Update the number of entry hosts; the highest number is kept, as in ``ResendBudget``."""
+    def update_entry_hosts(self, count: int, *, zones_heard: int = 1, zones: int = 1) -> None:
+        """Update the number of entry hosts; the highest number is kept, as in ``ResendBudget``.
+
+        :param zones_heard: see ``ColdShares.update_entry_hosts``, as for ``zones``.
+        """
         self._entry_hosts = max(self._entry_hosts, count)
+        self._cold_shares.update_entry_hosts(count, zones_heard=zones_heard, zones=zones)
 
     def observe(
         self, record: UpstreamRecord, head: UpstreamResponseHead, *, sent_at: float
@@ -148,6 +194,8 @@
         :param sent_at: monotonic time at which the request was sent.
         """
         instance = record.instance
+        if self._cold_starts is not None and head.cold_remaining_ms:
+            self._cold_starts.observe_remaining(record, head.cold_remaining_ms)
         if head.malformed_limit:
             if instance not in self._malformed_instances:
                 self._malformed_instances.add(instance)
@@ -196,6 +244,8 @@
 
     def use_permit(self, record: UpstreamRecord) -> None:
         """Count a request that is sent to an upstream."""
+        if self._cold_starts is not None:
+            self._cold_shares.record(record.instance)
         limit = self._find(record)
         if limit is not None:
             limit.permit_until = limit.requested_at = -math.inf
@@ -217,6 +267,7 @@
 
     def retain(self, instances: Container[str]) -> None:
         """Forget the limits of all other upstreams."""
+        self._cold_shares.retain(instances)
         for instance in [item for item in self._limits_by_instance if item not in instances]:
             del self._limits_by_instance[instance]
         self._malformed_instances = {i for i in self._malformed_instances if i in instances}
--- a/tests/test_routed_upstream.py
+++ b/tests/test_routed_upstream.py
@@ -112,6 +112,8 @@
                 "stager",
                 "crashes",
                 "permits",
+                "cold_starts",
+                "now_ms",
                 "state",
                 "tasks",
             )
