--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -10,6 +10,7 @@
 from sycamoreproxy.beliefs import RoutingState
 from sycamoreproxy.chunk_plan import PlanLimits
 from sycamoreproxy.clock import SystemClock
+from sycamoreproxy.cold_starts import ColdStarts
 from sycamoreproxy.machine_limits import read_machine_limits
 from sycamoreproxy.messages import Hello
 from sycamoreproxy.origins import Origin, OriginError
@@ -120,6 +121,15 @@
             targets=self.targets,
             clock=self.clock,
         )
+        self.cold_starts = ColdStarts(
+            clock=self.clock,
+            find_service=lambda name: self.routing_state.table.services_by_name.get(name),
+            overage=settings.bounds.cold_overage,
+            slack=settings.bounds.cold_slack,
+        )
+        self.routing_state.on_record = lambda record, is_first_read: (
+            self.cold_starts.observe_record(record, is_first_read=is_first_read)
+        )
         self.tasks = BackgroundTasks()
         self.tasks.start("stalls", self.stalls.run)
 
@@ -184,12 +194,14 @@
             for peer in parts.hub.list_peers(role="upstream")
             if peer.hello.protocol >= LIMITS_MIN_PROTOCOL
         ],
+        cold_starts=parts.cold_starts,
     )
     selector = UpstreamSelector(
         clock=parts.clock,
         availability_zone=settings.process.availability_zone,
         random_source=random.Random(),
         permits=limits.permits,
+        cold_pace=parts.cold_starts.find_pace,
     )
     budgets_by_service: dict[str, ResendBudget] = {}
     built: list[RoutedEntry] = []
@@ -238,6 +250,7 @@
             "upstreams": selector.describe,
             "limits": limits.describe,
             "zones": zones.describe,
+            "cold": parts.cold_starts.describe,
             "waiting": dispatcher.count_waiting,
             "quarantine": quarantine.list_times_left,
             "open_requests": lambda: dispatcher.open_requests,
@@ -260,6 +273,7 @@
         quarantine=quarantine,
         limits=limits,
         zones=zones,
+        cold_starts=parts.cold_starts,
         now=parts.clock.monotonic,
         max_port_connections=parts.machine.port_connections,
     )
@@ -371,6 +385,7 @@
             "routes": lambda: {"revision": parts.routing_state.table.revision},
             "evacuations": parts.routing_state.evacuations.describe,
             "limits": permits.describe,
+            "cold": parts.cold_starts.describe,
             "weights": lambda: transfer.state,
             "engine": lambda: built[0].report,
             "tasks": parts.tasks.list_names,
@@ -392,6 +407,8 @@
             hub=parts.hub, evidence=CrashEvidence(clock=parts.clock), clock=parts.clock
         ),
         permits=permits,
+        cold_starts=parts.cold_starts,
+        now_ms=lambda: parts.clock.wall() * 1000,
         state=state,
         tasks=parts.tasks,
     )
--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from sycamoreproxy.beliefs import RoutingState
+from sycamoreproxy.cold_starts import ColdStarts
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.messages import (
     EngineLoad,
@@ -84,6 +85,7 @@
         quarantine: PromptQuarantine,
         limits: UpstreamLimits,
         zones: ZoneFilter,
+        cold_starts: ColdStarts,
         now: Callable[[], float],
         max_port_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
@@ -108,6 +110,9 @@
         )
         self._readiness_server.max_connections = max_port_connections
         self._readiness_server.port_name = "ready"
+        self._cold_starts = cold_starts
+        #: Availability zones whose engines have reported since the start.
+        self._zones_heard: set[str] = set()
         self._is_leaving = False
         self._engine_count = 0
         self._dispatch_throttle = ThrottledAction(
@@ -139,6 +144,7 @@
         self._zones.set_zones(read_zones(settings.zones))
         self._zones.report_unknown_regions(self._routing_state.table)
         self._dispatcher.apply_zone_changes()
+        self._cold_starts.set_bounds(overage=bounds.cold_overage, slack=bounds.cold_slack)
         for budget in self._budgets_by_service.values():
             budget.set_limits(
                 ratio=bounds.resend_ratio,
@@ -265,6 +271,7 @@
         instances = {record.instance for record in records}
         self._selector.retain(instances)
         self._limits.retain(instances)
+        self._cold_starts.retain(instances)
         self._dispatcher.retain({str(record.address) for record in records})
 
     def _update_peers(self) -> None:
@@ -296,8 +303,16 @@
         )
         for budget in self._budgets_by_service.values():
             budget.update_entry_hosts(entry_host_count)
-        self._limits.update_entry_hosts(entry_host_count)
+        self._zones_heard.add(peer.hello.availability_zone)
+        zones = {record.availability_zone for record in self._routing_state.list_engines()}
+        self._limits.update_entry_hosts(
+            entry_host_count,
+            zones_heard=len(self._zones_heard & zones),
+            zones=len(zones),
+        )
         for record in self._routing_state.catalog.list_at(load.address):
+            if load.cold_remaining_ms:
+                self._cold_starts.observe_remaining(record, load.cold_remaining_ms)
             spec = self._routing_state.table.services_by_name.get(record.service)
             self._selector.update_report(
                 record.instance,
