--- a/sycamoreproxy/regions.py
+++ b/sycamoreproxy/regions.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.logs import get_logger
@@ -34,13 +33,13 @@
 def read_zones(value: object) -> dict[str, str]:
     """Return the region of each zone from the settings; unusable entries are logged and left out.
 
-    :param value: a table of zones; or tables whose ``json`` is the platform's value, whole or one
-        zone of it, which is how a template renders it.
+    :param value: a table of regions by zone; None for none.
     """
-    region_by_zone: dict[str, str] = {}
     if value is None:
-        return region_by_zone
-    for zone, region in _list_zones(value):
+        return {}
+    entries = list(value.items()) if isinstance(value, dict) else [(value, None)]
+    region_by_zone: dict[str, str] = {}
+    for zone, region in entries:
         if is_zone_name(zone) and is_zone_name(region) and len(region_by_zone) < MAX_ZONES:
             region_by_zone[str(zone)] = str(region)
         else:
@@ -52,26 +51,6 @@
     return region_by_zone
 
 
-def _list_zones(value: object) -> Iterator[tuple[object, object]]:
-    """Return the pairs of zone and region in a value; an unusable part has None as its region."""
-    if isinstance(value, list):
-        for item in value:
-            yield from _list_zones(item)
-    elif not isinstance(value, dict):
-        yield value, None
-    elif value.keys() == {"json"} and isinstance(value["json"], str):
-        try:
-            decoded = json.loads(value["json"])
-        except (ValueError, RecursionError):
-            yield value["json"], None
-        else:
-            yield from _list_zones(decoded)
-    elif "region" in value and "name" in value:
-        yield value["name"], value["region"]
-    else:
-        yield from value.items()
-
-
 def read_regions(value: object) -> frozenset[str]:
     """Return the allowed regions that a document names, empty for any.
 
