--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -14,6 +14,7 @@
 import structlog.testing
 
 from sycamoreproxy import caller_http
+from sycamoreproxy.held_bytes import RESERVED_BYTES
 from sycamoreproxy.messages import Output, Refuse, ResponseHead
 from sycamoreproxy.settings import CallerLimits
 from tests._entry import (
@@ -375,6 +376,46 @@
     assert [line["event"] for line in lines if line["module"] == "caller_http"] == [event]
 
 
+@pytest.mark.parametrize("is_stream", [False, True])
+@with_entry(deadline_ms=60_000)
+async def test_responses_that_callers_do_not_read_are_bounded_together(
+    entry: Entry, is_stream: bool
+) -> None:
+    """Each caller that does not read held up to 4 MiB, whatever the others held."""
+    callers, limit = 20, 4 * 1024 * 1024
+    entry.server.connection_limits.max_response_bytes = limit
+    entry.server.unread_budget.max_bytes = limit
+    part = bytes(900_000)
+
+    def respond(upstream: Any, peer: Any, submit: Any) -> None:
+        if not is_stream:
+            send_response(peer, submit.attempt_id, [part] * 4)
+            return
+        # The response has no end.
+        peer.send(ResponseHead(submit.attempt_id, 200, (("Content-Type", "text/plain"),), ""))
+        for number in range(4):
+            peer.send(Output(submit.attempt_id, number, part, 1))
+
+    upstream, *_ = await entry.add(respond, service="ledger")
+    connections = []
+    for _ in range(callers):
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", entry.port))
+        connection.send(b"GET /services/ledger/ HTTP/1.1\r\nAuthorization: Bearer k1\r\n\r\n")
+        connections.append(connection)
+        # The stream of the upstream takes one response at a time.
+        while len(upstream.submits) < len(connections) or (entry.server.tasks and not is_stream):
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.05)
+    streams = [item.stream for item in entry.server._server._connections]
+    unread = sum(len(stream._write_buffer or ()) for stream in streams)
+    assert 0 < unread <= 2 * limit + callers * RESERVED_BYTES
+    for connection in connections:
+        connection.close()
+
+
 @with_entry()
 async def test_caller_that_a_stop_refuses_waits_only_while_the_balancer_sends_here(
     entry: Entry,
