--- a/sycamoreproxy/caller_http.py
+++ b/sycamoreproxy/caller_http.py
@@ -162,9 +162,10 @@
         machine: MachineLimits | None = None,
     ) -> None:
         machine = machine or read_machine_limits(MachineSettings())
-        self.connection_limits = make_connection_limits(machine, clock=SystemClock())
-        self.connection_limits.max_connections = min(
-            limits.max_connections, machine.caller_connections
+        self.connection_limits = make_connection_limits(
+            machine,
+            max_connections=min(limits.max_connections, machine.caller_connections),
+            clock=SystemClock(),
         )
         self.connection_limits.set_max_body(limits.max_body_bytes)
         self.connection_limits.set_allowances(head_s=limits.receive_timeout_s, idle_s=KEEP_ALIVE_S)
--- a/sycamoreproxy/connection_limits.py
+++ b/sycamoreproxy/connection_limits.py
@@ -124,11 +124,13 @@
         return self.progress_at + self.allowance_s
 
 
-def make_connection_limits(machine: MachineLimits, *, clock: Clock) -> ConnectionLimits:
+def make_connection_limits(
+    machine: MachineLimits, *, max_connections: int, clock: Clock
+) -> ConnectionLimits:
     """Return the limits for the callers of a process on this machine."""
     return ConnectionLimits(
         clock=clock,
-        max_connections=machine.caller_connections,
+        max_connections=max_connections,
         max_request_bytes=machine.request_bytes,
         max_response_bytes=machine.response_bytes,
     )
--- a/sycamoreproxy/machine_limits.py
+++ b/sycamoreproxy/machine_limits.py
@@ -19,9 +19,12 @@
 SHARED_FDS = 200
 #: Largest part of the descriptor limit of the process that is kept for files and sudden needs.
 MAX_RESERVE_FRACTION = 0.2
-#: Part of the sockets that callers may use. Each request in progress may need one more for its
-#: upstream, and the store, peers and ports for operators share the rest.
+#: Part of the sockets that callers may use where requests share streams to the upstreams. The store,
+#: peers and ports for operators share the rest.
 CALLER_SOCKET_FRACTION = 0.6
+#: The same where each request in progress has a connection of its own to its upstream: with 0.6, 400
+#: callers that sent a request and read nothing left 2 of 300 descriptors.
+PROXIED_SOCKET_FRACTION = 0.4
 #: Part of the sockets that one port for operators may use, and that streams may use that have
 #: sent nothing.
 PORT_SOCKET_FRACTION = 0.05
@@ -58,6 +61,11 @@
         """Connections of callers that may be open at once."""
         return max(1, int(self.sockets * CALLER_SOCKET_FRACTION))
 
+    @property
+    def proxied_connections(self) -> int:
+        """The same if each request in progress has a connection to its upstream."""
+        return max(1, int(self.sockets * PROXIED_SOCKET_FRACTION))
+
     @property
     def port_connections(self) -> int:
         """Connections to one port for operators that may be open at once."""
--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -210,7 +210,12 @@
         clock=parts.clock,
         random_source=random.Random(),
     )
-    caller_limits = make_connection_limits(parts.machine, clock=parts.clock)
+    caller_limits = make_connection_limits(
+        parts.machine, max_connections=parts.machine.proxied_connections, clock=parts.clock
+    )
+    dispatcher.max_idle_connections = min(
+        dispatcher.max_idle_connections, parts.machine.port_connections
+    )
     dispatcher.buffer_budget.max_bytes = min(MAX_BUFFERED_BYTES, parts.machine.response_bytes)
     caller_server = RoutedCallerServer(dispatcher=dispatcher, dialect=dialect, limits=caller_limits)
     parts.tasks.start("caller limits", caller_limits.run)
--- a/sycamoreproxy/routed_dispatch.py
+++ b/sycamoreproxy/routed_dispatch.py
@@ -142,6 +142,8 @@
         self._queues_by_service: dict[str, RequestQueue] = {}
         self._deadlines = CallerDeadlines(clock=clock)
         self.buffer_budget = BufferBudget()
+        #: Idle connections that are kept for each upstream.
+        self.max_idle_connections = MAX_IDLE_CONNECTIONS
         self.open_requests = 0
         self._stop = StopLimit(clock=clock)
         self._timeouts: set[asyncio.Timeout] = set()
@@ -944,7 +946,7 @@
             client = HttpClient(
                 f"http://{address}",
                 max_body_bytes=MAX_ANSWER_BYTES,
-                idle_limit=MAX_IDLE_CONNECTIONS,
+                idle_limit=self.max_idle_connections,
             )
             self._clients_by_address[address] = client
         return client
--- a/sycamoreproxy/routed_http.py
+++ b/sycamoreproxy/routed_http.py
@@ -357,9 +357,12 @@
     ) -> None:
         self.dispatcher = dispatcher
         self.dialect = dialect
-        self.limits = limits or make_connection_limits(
-            read_machine_limits(MachineSettings()), clock=SystemClock()
-        )
+        if limits is None:
+            machine = read_machine_limits(MachineSettings())
+            limits = make_connection_limits(
+                machine, max_connections=machine.proxied_connections, clock=SystemClock()
+            )
+        self.limits = limits
         #: Shared memory of the bodies that are being received or in progress.
         self.body_budget = self.limits.large_bodies
         self.tasks: set[asyncio.Task[None]] = set()
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -286,6 +286,7 @@
     limits = read_machine_limits(MachineSettings(memory_mb=memory_mb, max_fds=max_fds))
     ports = 3 * limits.port_connections
     assert limits.caller_connections + ports < limits.sockets
+    assert 2 * limits.proxied_connections + ports < limits.sockets
     assert limits.request_bytes + limits.response_bytes <= memory_mb * MIB
     assert limits.request_bytes >= 2 * 4_194_304
 
