--- a/sycamoreproxy/cold_starts.py
+++ b/sycamoreproxy/cold_starts.py
@@ -29,6 +29,9 @@
 STRICT_OVERAGE, STRICT_SLACK = 1.0, 0.0
 #: Bounds of the settings that are used.
 MAX_OVERAGE, MAX_SLACK = 100.0, 10_000.0
+#: Largest difference between the clocks of two machines, in seconds. An upstream that started longer
+#: ago than this and its cold time is warm unless it says otherwise.
+CLOCK_SKEW_S = 30.0
 #: Factor on the usual duration of work at an upstream that has just started. It reports its pace
 #: only once it has work; the factor keeps it behind warm upstreams with the same load.
 COLD_PACE = 1.5
@@ -166,7 +169,7 @@
         else:
             known = _Observations(record, started_at=-math.inf)
             self._observations_by_instance[record.instance] = known
-            if not is_first_read:
+            if not is_first_read and not self._is_old(record):
                 service = self._find_service(record.service)
                 # Before the configuration is known, the time may turn out to be the longest one.
                 start_s = MAX_COLD_S if service is None else service.cold_start_s
@@ -215,6 +218,13 @@
             del self._observations_by_instance[instance]
         self._logged_instances = {i for i in self._logged_instances if i in instances}
 
+    def _is_old(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream started long ago; its record may return after an outage."""
+        service = self._find_service(record.service)
+        longest_s = MAX_COLD_S if service is None else service.cold_start_s
+        age_s = self._clock.wall() - record.started_ms / 1000
+        return record.started_ms > 0 and age_s > longest_s + CLOCK_SKEW_S
+
     def _extend(self, known: _Observations, *, remaining_s: float) -> None:
         """Record that an upstream is cold, and when that began if it was warm."""
         now = self._clock.monotonic()
