--- a/sycamoreproxy/routed_upstream.py
+++ b/sycamoreproxy/routed_upstream.py
@@ -317,13 +317,14 @@
         """Note that the engine has started or is cold; this process sees it first."""
         for record in self._routing_state.catalog.list_at(self._address):
             service = self._routing_state.table.services_by_name.get(record.service)
-            remaining_ms = report.cold_remaining_ms
-            if not remaining_ms and report.started_ms and service is not None:
-                # The engine runs on this machine and has the same clock.
-                age_ms = self._now_ms() - report.started_ms
-                if 0 <= age_ms < service.cold_start_s * 1000:
-                    remaining_ms = service.cold_start_s * 1000 - age_ms
-            self._cold_starts.observe_remaining(record, remaining_ms)
+            self._cold_starts.observe_remaining(record, report.cold_remaining_ms)
+            if service is None or not report.started_ms:
+                continue
+            # The engine runs on this machine and has the same clock.
+            age_ms = self._now_ms() - report.started_ms
+            if 0 <= age_ms < service.cold_start_s * 1000:
+                remaining_ms = service.cold_start_s * 1000 - age_ms
+                self._cold_starts.observe_remaining(record, remaining_ms)
 
     def _find_cold_remaining_ms(self) -> int:
         records = self._routing_state.catalog.list_at(self._address)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -135,6 +135,47 @@
     assert table.bounds.max_body_bytes == 4096 and table.revision == 7
 
 
+#: Figures that are none, as JSON, and the longest time and highest rate that are used.
+BAD_FIGURES = ["-1", "1e999", "NaN", '"3"', "true", "[]", "{}", "1" + "0" * 400]
+
+
+@pytest.mark.parametrize(
+    ("figure", "remaining_ms"),
+    [("0", 0.0), ("1500", 1500.0), ("2.5", 2.5), ("null", 0.0), *((f, 0.0) for f in BAD_FIGURES)],
+)
+def test_time_until_a_runner_is_warm(figure: str, remaining_ms: float) -> None:
+    """A malformed figure must neither throttle a runner nor hide its record."""
+    value = json.dumps(RUNNER)[:-1] + f', "cold_remaining_ms": {figure}}}'
+    record = PlatformDocuments().read_upstream("i-1", value.encode())
+    assert (record.instance, record.cold_remaining_ms) == ("i-1", remaining_ms)
+
+
+@pytest.mark.parametrize(
+    ("start_s", "per_s", "expected"),
+    [
+        ("3.0", "26.0", (3.0, 26.0)),
+        ("null", "null", (0.0, 0.0)),
+        ("601", "1e7", (0.0, 0.0)),
+        *((figure, "26", (0.0, 26.0)) for figure in BAD_FIGURES),
+        *(("3", figure, (3.0, 0.0)) for figure in BAD_FIGURES),
+    ],
+)
+def test_figures_of_cold_upstreams(start_s: str, per_s: str, expected: tuple[float, float]) -> None:
+    """A malformed figure must not make the process refuse the configuration."""
+    value = json.dumps(CONFIGURATION).replace(
+        '"max_connections": 434', f'"cold_start_s": {start_s}, "cold_per_s": {per_s}'
+    )
+    spec = PlatformDocuments().read_routes(value.encode()).services_by_name["model"]
+    assert (spec.cold_start_s, spec.cold_per_s) == expected
+
+
+def test_ignored_figure_is_logged_once(capsys: pytest.CaptureFixture[str]) -> None:
+    documents = PlatformDocuments()
+    for _ in range(3):
+        documents.read_upstream("i-1", encode({**RUNNER, "cold_remaining_ms": -5}))
+    assert capsys.readouterr().out.count("figure ignored") == 1
+
+
 @pytest.mark.parametrize("tenants", [None, "absent"])
 def test_configuration_without_accounts_needs_no_keys(tenants: Any) -> None:
     data = {**CONFIGURATION, "tenants": tenants}
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -184,6 +186,20 @@
     assert (head.requests_per_s, head.malformed_limit) == (limit, malformed)
 
 
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [(None, 0.0), ("", 0.0), ("1500", 1500.0), ("-1", -1.0), ("soon", math.nan), ("1,2", math.nan)],
+)
+def test_time_until_an_upstream_is_warm_is_read_and_not_shown_to_callers(
+    text: str | None, expected: float
+) -> None:
+    """``ColdStarts`` ignores implausible times; see its tests."""
+    headers = HTTPHeaders({} if text is None else {"Sycamoreproxy-Cold-Remaining-Ms": text})
+    head = PlatformDialect().read_response_head(200, headers)
+    assert head.cold_remaining_ms == pytest.approx(expected, nan_ok=True)
+    assert head.headers == ()
+
+
 def test_limit_of_an_upstream_is_not_shown_to_callers() -> None:
     head = PlatformDialect().read_response_head(200, HTTPHeaders({"Server-Limit": "2"}))
     assert not head.headers
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -182,6 +182,32 @@
     assert starts.find_limit(record) == 26.0
 
 
+@pytest.mark.parametrize(
+    ("seconds", "within_s", "has_begun", "may_wait"),
+    [
+        (0.0, 2.0, False, True),
+        (0.0, 0.5, False, False),
+        (0.0, 0.5, True, True),
+        (4.0, 2.0, True, False),
+    ],
+    ids=["due in time", "due too late", "stream that has begun", "warm"],
+)
+def test_request_waits_for_a_cold_upstream_only_if_it_is_due_in_time(
+    seconds: float, within_s: float, has_begun: bool, may_wait: bool
+) -> None:
+    """A plain request was refused although its only upstream took the next one in a moment."""
+    clock = ManualClock(start=100.0)
+    starts, record = make_cold_starts(clock), make_record()
+    limits = UpstreamLimits(clock=clock, random_source=random.Random(1), cold_starts=starts)
+    limits.update_entry_hosts(40)
+    clock.advance(SETTLE_S)
+    limits.use_permit(record)
+    starts.observe_remaining(record, 3000)
+    assert not limits.permits(record, 0)
+    clock.advance(seconds)
+    assert limits.may_permit_soon([record], within_s=within_s, has_begun=has_begun) == may_wait
+
+
 class Host:
     """A simulated entry host that sends a request whenever its limits permit one.
 
--- a/tests/test_routed_upstream.py
+++ b/tests/test_routed_upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import replace
 from types import SimpleNamespace
@@ -10,6 +11,7 @@
 
 from sycamoreproxy.beliefs import RoutingState
 from sycamoreproxy.clock import ManualClock
+from sycamoreproxy.cold_starts import ColdStarts
 from sycamoreproxy.messages import EngineLoad
 from sycamoreproxy.route_table import RouteTable, ServiceSpec
 from sycamoreproxy.routed_upstream import (
@@ -74,6 +76,52 @@
     assert hub.zones.count("z1") == sent
 
 
+def test_engine_that_turns_cold_is_reported_to_all_zones_at_once() -> None:
+    """Requests that hosts send before they learn it count against the limit of a cold engine."""
+    hub = _FakeHub()
+    reporter = _ZoneReporter(hub, own_zone="z1")  # type: ignore[arg-type]
+    reporter.send(make_load(1), now=1.0, slots=8)
+    reporter.send(replace(make_load(1), cold_remaining_ms=3000), now=1.01, slots=8)
+    assert hub.zones.count("z1") == hub.zones.count("z2") == 2
+
+
+@pytest.mark.parametrize(
+    ("started_s_ago", "told_ms", "expected_ms"),
+    [
+        (1.0, 0.0, 2000),
+        (10.0, 0.0, 0),
+        (10.0, 1200.0, 1200),
+        (-5.0, 0.0, 0),
+        (1.0, math.nan, 2000),
+        (1.0, 2500.0, 2500),
+        (None, 0.0, 0),
+    ],
+    ids=["new", "old", "cold again", "future", "malformed", "longer by its own account", "unknown"],
+)
+def test_process_beside_an_engine_tells_that_it_is_cold(
+    started_s_ago: float | None, told_ms: float, expected_ms: int
+) -> None:
+    """The process may have started after the engine, so it does not see a restart."""
+    clock = ManualClock(start=1000.0)
+    service = ServiceSpec(name="model", cold_start_s=3.0, cold_per_s=26.0)
+    starts = ColdStarts(clock=clock, find_service=lambda name: service, overage=1.5, slack=5.0)
+    record = make_upstream(1)
+    process = SimpleNamespace(
+        _address=str(record.address),
+        _routing_state=SimpleNamespace(
+            catalog=SimpleNamespace(list_at=lambda address: (record,)),
+            table=SimpleNamespace(services_by_name={"model": service}),
+        ),
+        _cold_starts=starts,
+        _now_ms=lambda: clock.wall() * 1000,
+    )
+    started_ms = 0 if started_s_ago is None else round((1000.0 - started_s_ago) * 1000)
+    report = SimpleNamespace(started_ms=started_ms, cold_remaining_ms=told_ms)
+    RoutedUpstream._note_cold_start(process, report)  # type: ignore[arg-type]
+    told = RoutedUpstream._find_cold_remaining_ms(process)  # type: ignore[arg-type]
+    assert expected_ms <= told <= expected_ms + 1
+
+
 def test_unchanged_load_is_reported_again_before_it_counts_as_lost() -> None:
     hub = _FakeHub()
     reporter = _ZoneReporter(hub, own_zone="z1")  # type: ignore[arg-type]
