--- a/sycamoreproxy/beliefs.py
+++ b/sycamoreproxy/beliefs.py
@@ -12,6 +12,7 @@
 from sycamoreproxy.evacuations import Evacuations
 from sycamoreproxy.logs import get_logger
 from sycamoreproxy.metrics import ROUTES_REVISION
+from sycamoreproxy.regions import is_zone_name
 from sycamoreproxy.result_codes import UNUSABLE_VALUE
 from sycamoreproxy.route_table import RouteTable
 from sycamoreproxy.routed_settings import RoutedBounds
@@ -52,7 +53,7 @@
     def zone_of(self, key: str) -> str | None:
         """Return the zone whose evacuation the document with this key names, if any."""
 
-    def check_evacuation(self, zone: str, value: bytes) -> None:
+    def check_evacuation(self, value: bytes) -> None:
         """Check the document of an evacuated zone."""
 
     def is_routes(self, key: str) -> bool:
@@ -158,8 +159,10 @@
                         lag_s=self._replica.find_lag_s(key),
                     )
             elif (zone := self._decoder.zone_of(key)) is not None:
+                if not is_zone_name(zone):
+                    raise DocumentError("the key names no zone")
                 if value is not None:
-                    self._decoder.check_evacuation(zone, value)
+                    self._decoder.check_evacuation(value)
                 self.evacuations.apply(zone, document.revision, is_evacuated=value is not None)
             elif (instance := self._decoder.instance_of(key)) is not None:
                 lag_s = self._replica.find_relay_lag_s(key)
--- a/sycamoreproxy/platform/documents.py
+++ b/sycamoreproxy/platform/documents.py
@@ -10,7 +10,7 @@
 from sycamoreproxy.document_source import DocumentError
 from sycamoreproxy.figures import FigureReader
 from sycamoreproxy.platform import names
-from sycamoreproxy.regions import is_zone_name, read_regions
+from sycamoreproxy.regions import read_regions, read_regions_by_name
 from sycamoreproxy.route_table import (
     CallerBounds,
     EngineProfile,
@@ -75,13 +75,11 @@
             return key.removeprefix(names.EVACUATION_PREFIX)
         return None
 
-    def check_evacuation(self, zone: str, value: bytes) -> None:
+    def check_evacuation(self, value: bytes) -> None:
         """Check the document of an evacuated zone, which has no fields.
 
-        :raises DocumentError: if it is no object, or the zone is no name.
+        :raises DocumentError: if it is no object.
         """
-        if not is_zone_name(zone):
-            raise DocumentError("the key names no zone")
         _read_object(value)
 
     def read_routes(self, value: bytes) -> RouteTable:
@@ -101,25 +99,34 @@
             return RouteTable(
                 revision=int(data["version"]),
                 routes_by_host=index_routes(routes),
-                services_by_name={
-                    item["name"]: _read_service(item, self._figures) for item in data["services"]
-                },
+                services_by_name={s["name"]: self._read_service(s) for s in data["services"]},
                 account_by_key={
                     key: account["name"] for account in accounts for key in account["api_keys"]
                 },
                 rank_by_account=rank_by_account,
                 priority_levels=list_priority_levels(routes, rank_by_account),
-                allowed_regions_by_account={
-                    account["name"]: regions
-                    for account in accounts
-                    if (regions := read_regions(account.get("allowed_regions")))
-                },
+                allowed_regions_by_account=read_regions_by_name(
+                    (account["name"], account.get("allowed_regions")) for account in accounts
+                ),
                 needs_keys="tenants" in data and data["tenants"] is not None,
                 bounds=_read_bounds(data.get("limits") or {}),
             )
         except _SHAPE_ERRORS as error:
             raise DocumentError(f"configuration: {error!r}") from error
 
+    def _read_service(self, item: dict[str, Any]) -> ServiceSpec:
+        engine = item.get("engine")
+        name = str(item["name"])
+        return ServiceSpec(
+            name=name,
+            health_path=str(item.get("health_check_path") or ""),
+            max_connections=int(item.get("max_connections") or 0),
+            engine=_read_engine(engine) if engine else None,
+            origin=str(item.get("origin") or ""),
+            cold_start_s=self._figures.read(item, "cold_start_s", of=name, maximum=MAX_COLD_S),
+            cold_per_s=self._figures.read(item, "cold_per_s", of=name, maximum=MAX_COLD_PER_S),
+        )
+
     def read_version(self, value: bytes) -> int:
         """Return the version of the weights that the operator names.
 
@@ -217,20 +224,6 @@
     )
 
 
-def _read_service(item: dict[str, Any], figures: FigureReader) -> ServiceSpec:
-    engine = item.get("engine")
-    name = str(item["name"])
-    return ServiceSpec(
-        name=name,
-        health_path=str(item.get("health_check_path") or ""),
-        max_connections=int(item.get("max_connections") or 0),
-        engine=_read_engine(engine) if engine else None,
-        origin=str(item.get("origin") or ""),
-        cold_start_s=figures.read(item, "cold_start_s", of=name, maximum=MAX_COLD_S),
-        cold_per_s=figures.read(item, "cold_per_s", of=name, maximum=MAX_COLD_PER_S),
-    )
-
-
 def _read_engine(item: dict[str, Any]) -> EngineProfile:
     usual = item.get("usual") or {}
     return EngineProfile(
--- a/sycamoreproxy/regions.py
+++ b/sycamoreproxy/regions.py
@@ -66,6 +66,15 @@
     return frozenset(value)
 
 
+def read_regions_by_name(pairs: Iterable[tuple[str, object]]) -> dict[str, frozenset[str]]:
+    """Return the allowed regions of each client account that names some.
+
+    :param pairs: name of each account, and what :func:`read_regions` takes.
+    :raises ValueError: as :func:`read_regions`.
+    """
+    return {name: regions for name, value in pairs if (regions := read_regions(value))}
+
+
 def intersect(first: AllowedRegions, second: AllowedRegions) -> AllowedRegions:
     """Return the regions that two rules both allow."""
     if first is None or second is None:
