--- a/tests/test_routed_upstream.py
+++ b/tests/test_routed_upstream.py
@@ -104,7 +104,6 @@
         routing_state=routing_state,  # type: ignore[arg-type]
         **dict.fromkeys(  # type: ignore[arg-type]
             (
-                "documents",
                 "peer_server",
                 "replica",
                 "engine",
