--- a/standins/platform.py
+++ b/standins/platform.py
@@ -178,6 +178,7 @@
     :param waiting: places of generations without a slot, with priority and number, as a heap.
     :param arrived: monotonic time and id of every request that reached it.
     :param begun: monotonic time and id of every run, and the version of the weights that it began on.
+    :param cold_until: monotonic time until which it is cold.
     :param leaving_header: what its answers say of its leaving; empty for nothing.
     :param limit_headers: values of ``Server-Limit`` in its answers, each in a header of its own.
     :param events_by_path: number of events of the streams of a path, if it is not ``EVENTS``.
@@ -200,6 +201,7 @@
     events_by_path: dict[str, int] = field(default_factory=dict)
     broken_loads: list[int] = field(default_factory=list)
     cancelled: int = 0
+    cold_until: float = 0.0
     leaving_header: str = ""
     limit_headers: tuple[str, ...] = ()
     waiting: list[tuple[int, int, asyncio.Future[None]]] = field(default_factory=list)
@@ -230,6 +232,10 @@
         """Return the generations that wait for a slot."""
         return sum(not place.done() for _, _, place in self.waiting)
 
+    def find_cold_remaining_ms(self) -> int:
+        """Return the time until the runner is warm, in milliseconds."""
+        return max(0, round((self.cold_until - time.monotonic()) * 1000))
+
     def note_begun(self, request_id: str) -> None:
         """Note that a request begins to run."""
         self.ran[request_id] += 1
@@ -383,6 +389,7 @@
                 "kv_total": 1000,
                 "handles": 0,
                 "born": runner.started_ms,
+                "cold_remaining_ms": runner.find_cold_remaining_ms(),
                 "pace": float(self._faults.get("event_s", EVENT_S)) / EVENT_S,
             }
         )
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -312,3 +313,18 @@
         server.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(("cold_s", "at_most_ms"), [(0.0, 0), (3.0, 3000)])
+def test_report_tells_how_long_the_runner_is_cold(cold_s: float, at_most_ms: int) -> None:
+    """Entry hosts learn from the report that their requests are limited."""
+
+    async def action(
+        stand_in: RunnerStandIn, faults: Faults, runner: PlatformRunner, origin: PlatformOrigin
+    ) -> None:
+        stand_in.cold_until = time.monotonic() + cold_s if cold_s else 0.0
+        report = await runner.read_report()
+        assert report.cold_remaining_ms <= at_most_ms
+        assert (report.cold_remaining_ms > 0) == (cold_s > 0)
+
+    play(action)
