--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -103,6 +103,7 @@
         self._now = now
         #: Availability zones whose engines have reported since the start.
         self._zones_heard: set[str] = set()
+        self._engine_zones: set[str] = set()
         self._readiness_server = HTTPServer(self._answer_readiness_probe)
         self._is_leaving = False
         self._engine_count = 0
@@ -258,6 +259,7 @@
         port = self.settings.listen.peer_port
         engines = self._routing_state.list_engines()
         self._engine_count = len(engines)
+        self._engine_zones = {record.availability_zone for record in engines}
         subset = select_subset(
             engines,
             host=self.settings.listen.ip,
@@ -277,11 +279,10 @@
         for budget in self._budgets_by_service.values():
             budget.update_entry_hosts(entry_host_count)
         self._zones_heard.add(peer.hello.availability_zone)
-        zones = {record.availability_zone for record in self._routing_state.list_engines()}
         self._limits.update_entry_hosts(
             entry_host_count,
-            zones_heard=len(self._zones_heard & zones),
-            zones=len(zones),
+            zones_heard=len(self._zones_heard & self._engine_zones),
+            zones=len(self._engine_zones),
         )
         for record in self._routing_state.catalog.list_at(load.address):
             if load.cold_remaining_ms:
