--- a/sycamoreproxy/routed_entry.py
+++ b/sycamoreproxy/routed_entry.py
@@ -113,6 +113,8 @@
         self._cold_starts = cold_starts
         #: Availability zones whose engines have reported since the start.
         self._zones_heard: set[str] = set()
+        self._engine_zones: set[str] = set()
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._is_leaving = False
         self._engine_count = 0
         self._dispatch_throttle = ThrottledAction(
@@ -253,8 +255,14 @@
         self._dispatcher.apply_zone_changes()
 
     def _on_evacuations_changed(self) -> None:
-        EVACUATED_ZONES.set({}, len(self._routing_state.evacuations.zones))
-        self._zones.report_unknown_zones(self._routing_state.catalog.list_all())
+        evacuated = self._routing_state.evacuations.zones
+        returned, self._evacuated_zones = self._evacuated_zones - evacuated, evacuated
+        records = self._routing_state.catalog.list_all()
+        for record in records:
+            if record.availability_zone in returned:
+                self._cold_starts.mark_returned(record)
+        EVACUATED_ZONES.set({}, len(evacuated))
+        self._zones.report_unknown_zones(records)
         self._update_peers()
         self._dispatcher.apply_zone_changes()
 
@@ -280,6 +288,7 @@
         engines = self._routing_state.list_engines()
         usable = [record for record in engines if not self._zones.is_evacuated(record)]
         self._engine_count = len(usable)
+        self._engine_zones = {record.availability_zone for record in usable}
         subset = self._select_subset(usable)
         self._selector.engine_subset = subset
         # The processes of evacuated zones still relay documents.
@@ -304,11 +313,10 @@
         for budget in self._budgets_by_service.values():
             budget.update_entry_hosts(entry_host_count)
         self._zones_heard.add(peer.hello.availability_zone)
-        zones = {record.availability_zone for record in self._routing_state.list_engines()}
         self._limits.update_entry_hosts(
             entry_host_count,
-            zones_heard=len(self._zones_heard & zones),
-            zones=len(zones),
+            zones_heard=len(self._zones_heard & self._engine_zones),
+            zones=len(self._engine_zones),
         )
         for record in self._routing_state.catalog.list_at(load.address):
             if load.cold_remaining_ms:
