--- a/sycamoreproxy/routed_composition.py
+++ b/sycamoreproxy/routed_composition.py
@@ -61,6 +61,29 @@
 MANIFEST_RETRY_S = 0.4
 
 
+def make_plan_limits(*, link_bytes_per_s: float, availability_zone: str) -> PlanLimits:
+    """Return the limits of the weight transfer of an engine's sidecar process.
+
+    :param link_bytes_per_s: rate of the host's link each way.
+    """
+    return PlanLimits(
+        bytes_per_s=link_bytes_per_s * DOWNLOAD_LINK_FRACTION,
+        upload_bytes_per_s=link_bytes_per_s * UPLOAD_LINK_FRACTION,
+        upload_slice_bytes=UPLOAD_SLICE_BYTES,
+        upload_copies=UPLOAD_COPIES,
+        in_flight=CHUNKS_IN_FLIGHT,
+        in_flight_per_source=1,
+        takeover_timeout_s=TAKE_OVER_S,
+        request_timeout_s=CHUNK_REQUEST_S,
+        failed_peer_backoff_s=AVOID_FAILED_S,
+        availability_zone=availability_zone,
+        origin_stall_timeout_s=ORIGIN_STALL_S,
+        rollout_idle_timeout_s=QUIET_S,
+        max_manifest_retry_s=MANIFEST_RETRY_S,
+        balances_small_versions=True,
+    )
+
+
 class RoutedProcess(Protocol):
     """A process of a routed deployment."""
 
@@ -352,21 +375,9 @@
         origin=origin,
         origin_connections=origin.find_connection_limit,
         hosts=lambda: built[0].list_neighbours(),
-        limits=PlanLimits(
-            bytes_per_s=settings.engine.link_bytes_per_s * DOWNLOAD_LINK_FRACTION,
-            upload_bytes_per_s=settings.engine.link_bytes_per_s * UPLOAD_LINK_FRACTION,
-            upload_slice_bytes=UPLOAD_SLICE_BYTES,
-            upload_copies=UPLOAD_COPIES,
-            in_flight=CHUNKS_IN_FLIGHT,
-            in_flight_per_source=1,
-            takeover_timeout_s=TAKE_OVER_S,
-            request_timeout_s=CHUNK_REQUEST_S,
-            failed_peer_backoff_s=AVOID_FAILED_S,
+        limits=make_plan_limits(
+            link_bytes_per_s=settings.engine.link_bytes_per_s,
             availability_zone=settings.process.availability_zone,
-            origin_stall_timeout_s=ORIGIN_STALL_S,
-            rollout_idle_timeout_s=QUIET_S,
-            max_manifest_retry_s=MANIFEST_RETRY_S,
-            balances_small_versions=True,
         ),
         clock=parts.clock,
         random_source=random.Random(),
