--- a/bench/succession.py
+++ b/bench/succession.py
@@ -10,7 +10,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import json
 import logging
 import random
@@ -22,10 +21,9 @@
 import structlog
 
 from bench.virtual_time import LoopClock, run_in_virtual_time
-from sycamoreproxy.chunk_plan import PlanLimits
 from sycamoreproxy.engine_stage import EngineReport, OrderOutcome, WeightStager, may_switch
 from sycamoreproxy.host_list import HostRecord
-from sycamoreproxy.messages import ChunkData, ChunkHave, ChunkSlice, Hello
+from sycamoreproxy.messages import ChunkData, ChunkSlice, Hello
 from sycamoreproxy.origins import OriginError
 from sycamoreproxy.routed_composition import make_plan_limits
 from sycamoreproxy.routed_upstream import EXCHANGE_GROUP
