--- a/sycamoreproxy/cold_shares.py
+++ b/sycamoreproxy/cold_shares.py
@@ -23,7 +23,7 @@
 ASSUMED_ENTRY_HOSTS = 64
 #: Time for which the number of hosts must not have risen before it is used, in seconds. After a
 #: start of all hosts, the first reports count only those that have connected by then.
-SETTLE_S = 1.5
+SETTLE_S = 0.75
 #: Fraction of the limit that hosts use together if each may send less than one request in a window.
 #: Their random times coincide; with 64 hosts the limit of 44 is 4 standard deviations above 26.
 USABLE_FRACTION = 0.6
