--- a/sycamoreproxy/upstream_pace.py
+++ b/sycamoreproxy/upstream_pace.py
@@ -18,7 +18,7 @@
 #: Weight of the usual value in the mean, in readings. A single reading is no mean.
 USUAL_WEIGHT = 0.5
 #: Readings of the pace that are used; others change nothing. Upstreams become up to 5 times slower.
-MIN_PACE, MAX_PACE = 0.05, 50.0
+MIN_PACE, MAX_PACE = 0.05, 1000.0
 #: Largest load of a plain service that is believed, in requests.
 MAX_LOAD = 1000
 
