--- a/tests/test_stop_refusals.py
+++ b/tests/test_stop_refusals.py
@@ -148,6 +148,7 @@
             dispatcher=dispatcher,
             caller_server=front,
             budgets_by_service={},
+            cold_starts=MagicMock(),
             quarantine=MagicMock(),
             limits=MagicMock(),
             zones=MagicMock(),
