--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -203,6 +203,8 @@
         self.engines: list[Runner] = []
         self.ledgers: list[Runner] = []
         self.config_version = 0
+        #: What the configuration says of the engines.
+        self.engine_profile: dict[str, Any] = ENGINE
         self._servers: list[HTTPServer] = []
         self._beats: asyncio.Task[None] | None = None
 
@@ -245,7 +247,11 @@
         zones = list(ZONES)
         for number in range(1, engines + 1):
             zone = zones[number % len(zones)]
-            self.engines.append(self._add_runner("model", zone, self.ip(2, number), ENGINE_SLOTS))
+            self.engines.append(
+                self._add_runner(
+                    "model", zone, self.ip(2, number), int(self.engine_profile["slots"])
+                )
+            )
         for number in range(1, ledgers + 1):
             zone = zones[number % len(zones)]
             self.ledgers.append(self._add_runner("ledger", zone, self.ip(3, number), 6))
@@ -304,7 +310,7 @@
         self.config_version += 1
         origin = f"{self.ip(9, 2)}:{ORIGIN_PORT}"
         services: list[dict[str, Any]] = [
-            {"name": "model", "max_connections": 434, "engine": ENGINE},
+            {"name": "model", "max_connections": 434, "engine": self.engine_profile},
             {"name": "ledger", "max_connections": 110},
             {"name": "weights", "max_connections": 48, "origin": origin},
         ]
