--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -207,6 +207,8 @@
         self.engine_profile: dict[str, Any] = ENGINE
         self._servers: list[HTTPServer] = []
         self._beats: asyncio.Task[None] | None = None
+        #: Set after each round of the runners' heartbeats.
+        self.beat_done = asyncio.Event()
 
     def _find_octet(self) -> int:
         first = os.getpid()
@@ -335,6 +337,7 @@
             for runner in (*self.engines, *self.ledgers):
                 if self.is_listed(runner):
                     await self.write_entry(runner)
+            self.beat_done.set()
 
     def _add_runner(self, service: str, zone: str, ip: str, slots: int) -> Runner:
         name = f"i-{service}{len(self.engines) + len(self.ledgers) + 1}"
