--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -489,6 +489,8 @@
     import tempfile
     import traceback
 
+    # A run that is ended from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     record = Record(Path(sys.argv[1]) / "record.txt")
     record.say(f"disruption: {'yes' if trouble() else 'no'}")
     status = 2
