Treat an answer whose status is out of range as lost

Callers got answers with status 000 to 099 and 600 to 999, signed or not-executed fields included: a plain request that may not be repeated and a stream as the upstream's answer, and after "not executed" a 503 that promised that the request had not run. An upstream process relayed them too, took them for load reports, and the platform's store could raise the known era in such an answer, after which every later answer was rejected. Cause: tornado's parser accepts any three digits, and the client treated all but 1xx as a final status. Why it works: every answer of an upstream, of its control calls and of the platform's store is read by HttpClient, which now rejects the head before any listener sees it and closes the connection. The request counts as possibly executed, so only a repeatable one is resent, within its attempts and the resend budget, and the failure counts against the upstream.

--- a/sycamoreproxy/_http_client.py
+++ b/sycamoreproxy/_http_client.py
@@ -50,7 +50,7 @@
 
 
 class AnswerLostError(Exception):
-    """The request may have been received; its answer is absent or cut.
+    """The request may have been received; its answer is absent, cut or malformed.
 
     :param received: whether any part of the answer was received.
     """
@@ -68,6 +68,14 @@
 DataListener = Callable[[bytes], None]
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a status code is in the range of HTTP (RFC 9110, section 15).
+
+    Tornado accepts any three digits.
+    """
+    return 100 <= status <= 599
+
+
 class _Delegate(HTTPMessageDelegate):
     """Passes the parts of one answer on and keeps what a listener raised.
 
@@ -92,7 +100,7 @@
         self.received = True
         connection = headers.get("Connection", "").lower()
         self.keeps_open = "close" not in connection and start_line.version != "HTTP/1.0"
-        self._call(lambda: self._on_head(start_line.code, headers))
+        self._call(lambda: self._pass_head(start_line.code, headers))
 
     def data_received(self, chunk: bytes) -> None:
         if self.error is None:
@@ -104,6 +112,11 @@
     def on_connection_close(self) -> None:
         """The caller sees the closed connection by the exception or the result."""
 
+    def _pass_head(self, status: int, headers: HTTPHeaders) -> None:
+        if not is_valid_status(status):
+            raise AnswerLostError(f"the status {status:03} is invalid", received=True)
+        self._on_head(status, headers)
+
     def _call(self, action: Callable[[], None]) -> None:
         # An exception that leaves a delegate is logged and replaced by tornado.
         try:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -61,7 +61,14 @@
 
 @pytest.mark.parametrize(
     ("second", "repeatable", "sent"),
-    [(b"", True, 3), (b"", False, 2), (WHOLE[:-1], True, 2), (b"junk\r\n\r\n", True, 3)],
+    [
+        (b"", True, 3),
+        (b"", False, 2),
+        (WHOLE[:-1], True, 2),
+        (b"junk\r\n\r\n", True, 3),
+        (b"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok", True, 2),
+        (b"HTTP/1.1 600 X\r\n\r\nok", True, 2),
+    ],
 )
 def test_only_a_repeatable_request_without_any_answer_is_sent_again(
     second: bytes, repeatable: bool, sent: int
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1490,6 +1490,62 @@
     _run_scripted(upstream, [0, 1, 2, 3], action)
 
 
+#: Fields after a status line: of a response that claims to be executed, and of one that does not.
+SIGNED_FIELDS = b"Sycamoreproxy-Request-Id: {id}\r\nSycamoreproxy-Response-Signature: s\r\n"
+NOT_EXECUTED_FIELDS = b"Sycamoreproxy-Request-Id: {id}\r\nSycamoreproxy-Not-Executed: 1\r\n"
+#: Ways to tell the end of a body of 25 bytes, and the body itself.
+FRAMED_BODIES = [
+    (b"Content-Length: 25\r\n\r\n", b"id: 1\ndata: token first\n\n"),
+    (b"Transfer-Encoding: chunked\r\n\r\n", b"19\r\nid: 1\ndata: token first\n\n\r\n0\r\n\r\n"),
+    (b"\r\n", b"id: 1\ndata: token first\n\n"),
+]
+#: Status codes outside the range of HTTP (RFC 9110, section 15).
+INVALID_STATUSES = [b"000", b"001", b"099", b"600", b"999"]
+
+
+@pytest.mark.parametrize("framing", FRAMED_BODIES)
+@pytest.mark.parametrize("fields", [SIGNED_FIELDS, NOT_EXECUTED_FIELDS])
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_response_with_an_invalid_status_is_not_relayed(
+    status: bytes, interim: bytes, fields: bytes, framing: tuple[bytes, bytes]
+) -> None:
+    """Callers got responses with status 000, or a refusal that claimed not executed."""
+    head = interim + b"HTTP/1.1 " + status + b" X\r\n" + fields + framing[0]
+
+    async def action(site: Site) -> None:
+        paths = ["/read/x", "/post/x", "/ask/x", "/once/x", "/order/x"]
+        answers = await asyncio.gather(*(site.send(path, **GENERATION_HEADERS) for path in paths))
+        for code, headers, body, is_complete in answers:
+            assert is_complete and "Sycamoreproxy-Response-Signature" not in headers
+            error = json.loads(body)["error"]
+            assert (code, error["code"], error["executed"]) == (502, 1302, "unknown")
+            assert "Retry-After" not in headers
+        received = Counter(request.split()[1] for request in upstream.requests)
+        assert [received[path] for path in (b"/post/x", b"/once/x", b"/order/x")] == [1, 1, 1]
+
+    upstream = _ScriptedUpstream([head + framing[1]])
+    _run_scripted(upstream, [0, 1, 2, 3], action)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize(("path", "number"), [("/read/x", 2), ("/ask/x", 0)])
+def test_request_is_resent_after_a_response_with_an_invalid_status(
+    path: str, number: int, status: bytes
+) -> None:
+    async def action(site: Site) -> None:
+        for _ in range(6):
+            code, _, body, is_complete = await site.send(path, **GENERATION_HEADERS)
+            assert (code, is_complete) == (200, True) and b"broken" not in body
+        selector = site.front.dispatcher._selector
+        assert len(upstream.requests) >= 1
+        assert selector.view(f"scripted-{number}").failure_rate > 0
+
+    head = b"HTTP/1.1 " + status + b" X\r\n" + SIGNED_FIELDS
+    upstream = _ScriptedUpstream([head + b"Content-Length: 6\r\n\r\nbroken"])
+    _run_scripted(upstream, [number], action)
+
+
 #: Longer than an upstream may be silent before a request is withdrawn from it, in seconds.
 SILENCE_S = 1.6
 
@@ -1753,6 +1809,8 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nfailure",
         b"HTTP/1.1 200 OK\r\nSycamoreproxy-Response-Signature: s\r\nContent-Length: 7\r\n\r\nfailure",
         b"HTTP/1.1 500 X\r\n\r\nfailure",
+        b"HTTP/1.1 000 X\r\nSycamoreproxy-Response-Signature: s\r\nContent-Length: 7\r\n\r\nfailure",
+        b"HTTP/1.1 600 X\r\nSycamoreproxy-Response-Signature: s\r\n\r\nfailure",
         b"failure",
     ],
 )
