Do not believe a store answer with an invalid status that a call had no effect

An answer of the etcd gateway with status 000, 099 or 600 was read like an error of the store: with a code of a rejected call, or "no leader", the write counted as one that certainly had no effect, and "lease not found" as the end of a lease. Operators and callers could be told "not executed" of a write that was made. Cause: only the JSON of an answer that is not 200 was read, whatever its status. Evidence: 3 of 4 new cases of test_error_and_malformed_responses_map_to_error_types fail before the change (StoreUnavailableError twice, LeaseNotFoundError once); the fourth has no such promise and passes. Why it works: such an answer is a lost one, and the callers of the adapter read the key back after a lost answer. The watch reads through HttpClient, which rejects such answers already.

--- a/sycamoreproxy/store_etcd.py
+++ b/sycamoreproxy/store_etcd.py
@@ -17,7 +17,7 @@
     SimpleAsyncHTTPClient,
 )
 
-from sycamoreproxy._http_client import HttpClient
+from sycamoreproxy._http_client import HttpClient, is_valid_status
 from sycamoreproxy.metrics import STORE_CALLS
 from sycamoreproxy.store import (
     Delete,
@@ -169,15 +169,18 @@
         except (HTTPStreamClosedError, HTTPClientError, OSError) as error:
             # Any other socket error may occur after the request was sent.
             raise StoreAnswerLostError(f"{verb}: {error!r}") from error
+        status = http_response.code
+        if not is_valid_status(status):
+            raise StoreAnswerLostError(f"{verb}: the status {status:03} is invalid")
         try:
             response = json.loads(http_response.body or b"")
             if not isinstance(response, dict):
                 raise ValueError("not a JSON object")
         except ValueError as error:
-            raise StoreAnswerLostError(f"{verb}: status {http_response.code}, {error}") from error
-        if http_response.code == 200:
+            raise StoreAnswerLostError(f"{verb}: status {status}, {error}") from error
+        if status == 200:
             return response
-        raise _error_from_response(verb, http_response.code, response)
+        raise _error_from_response(verb, status, response)
 
 
 class _WatchReader:
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -137,6 +137,10 @@
         (200, b"[]", StoreAnswerLostError),
         (200, b"", StoreAnswerLostError),
         (200, b'{"kvs":', StoreAnswerLostError),
+        (0, b'{"code":3,"message":"bad"}', StoreAnswerLostError),
+        (99, b'{"code":14,"message":"etcdserver: no leader"}', StoreAnswerLostError),
+        (600, b'{"code":5,"message":"lease not found"}', StoreAnswerLostError),
+        (0, b'{"kvs":[]}', StoreAnswerLostError),
     ],
 )
 def test_error_and_malformed_responses_map_to_error_types(
@@ -144,7 +148,7 @@
 ) -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
+        writer.write(b"HTTP/1.1 %03d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
         writer.close()
 
     async def run() -> None:
