Ask for the outcome of an edit after an answer with an invalid status

sycamorectl told the operator that an edit was refused, and that nothing was changed, when the answer to the edit had a status such as 000 and the body of a refusal. The edit may have been accepted. Cause: the client read the body of any answer that is not 200. Evidence: 4 of 4 cases of test_edit_is_not_reported_as_refused_after_an_answer_with_an_invalid_status fail before the change with "1501 table_conflict". Why it works: such an answer counts as lost, so the next address is asked, and else the outcome by the change id.

--- a/sycamoreproxy/_admin_client.py
+++ b/sycamoreproxy/_admin_client.py
@@ -139,6 +139,8 @@
     def _send(self, method: str, path: str, body: Any) -> tuple[int, Any]:
         from tornado.httpclient import HTTPRequest
 
+        from sycamoreproxy._http_client import is_valid_status
+
         failures: list[str] = []
         answer_lost = False
         for address in self._addresses:
@@ -162,7 +164,7 @@
                 failures.append(f"{address}: {error}")
                 answer_lost = answer_lost or not isinstance(error, ConnectionRefusedError)
                 continue
-            if response.code == 599:
+            if response.code == 599 or not is_valid_status(response.code):
                 failures.append(f"{address}: {response.error}")
                 answer_lost = True
                 continue
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -10,6 +12,7 @@
 from tornado.testing import bind_unused_port
 
 from sycamoreproxy import result_codes as codes
+from sycamoreproxy._admin_client import AdminClient
 from sycamoreproxy.document_source import SourceUnavailableError
 from sycamoreproxy.engines import EngineReportError, OpenAiEngine
 from sycamoreproxy.platform.store import PlatformStore
@@ -31,8 +34,12 @@
     port: int = 0
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Read the head of a request, answer it and close the connection."""
-        self.received.append(await reader.readuntil(b"\r\n\r\n"))
+        """Read a request, answer it and close the connection."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = re.search(rb"Content-Length: ([0-9]+)", head)
+        # A connection that is closed with unread bytes is reset.
+        await reader.readexactly(int(length[1]) if length else 0)
+        self.received.append(head)
         writer.write(self.answers[min(len(self.received), len(self.answers)) - 1])
         writer.close()
 
@@ -137,3 +144,29 @@
         make_answer(b"200", page, b"Store-Era: 1\r\n"),
     ]
     run_with_server(answers, action)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_edit_is_not_reported_as_refused_after_an_answer_with_an_invalid_status(
+    status: bytes,
+) -> None:
+    """The operator was told of a conflict, though the change may have been accepted."""
+    error = {"code": 1501, "name": "table_conflict", "message": "", "executed": "no"}
+
+    def commit(port: int) -> dict[str, object]:
+        client = AdminClient(addresses=[f"127.0.0.1:{port}"], token="t")
+        try:
+            return client.commit([])
+        finally:
+            client.close()
+
+    async def action(server: ScriptedServer) -> None:
+        accepted = await asyncio.to_thread(commit, server.port)
+        assert accepted["revision"] == 2
+        assert b"GET /v1/table/changes/" in server.received[1]
+
+    answers = [
+        make_answer(status, json.dumps({"error": error}).encode()),
+        make_answer(b"200", b'{"revision": 2, "change_id": "c"}'),
+    ]
+    run_with_server(answers, action)
