Test every reader of answers with invalid statuses and field names

Cause: answers whose field names hold a blank or a control byte reached clients of other systems of this kind, and the remaining readers of answers were not tested with such heads. Change: tests only. 114 cases with such field names at the entry host; a table of 16 calls of the clients of stores, origins, engines, runners and the host list with a sound answer, 4 invalid statuses and 5 invalid field names; heads with invalid statuses in messages of an upstream process. The load report moves into the table.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -17,7 +17,7 @@
 from sycamoreproxy import dispatch
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy.claims import ClaimRegistry
-from sycamoreproxy.messages import Finish, Output, Refuse, Started, Submit
+from sycamoreproxy.messages import Finish, Output, Refuse, ResponseHead, Started, Submit
 from sycamoreproxy.peers import Peer
 from tests._entry import (
     DONE,
@@ -100,6 +100,24 @@
     assert json.loads(response.body)["error"]["executed"] == "unknown"
 
 
+@pytest.mark.parametrize("path", [CHAT, LEDGER])
+@pytest.mark.parametrize("status", [-1, 0, 99, 100, 199, 600, 999])
+@with_entry()
+async def test_response_with_an_invalid_status_never_reaches_the_caller(
+    entry: Entry, status: int, path: str
+) -> None:
+    def script(upstream: ScriptedUpstream, peer: Peer, submit: Submit) -> None:
+        for message in make_response_messages(submit.attempt_id, [b"{}"]):
+            is_head = isinstance(message, ResponseHead)
+            peer.send(dataclasses.replace(message, status=status) if is_head else message)
+
+    await entry.add(script, service="" if path is CHAT else "ledger")
+    response = await entry.fetch(path, method="POST", body=PLAIN)
+    error = json.loads(response.body)["error"]
+    assert (response.code, error["executed"]) == (502, "unknown")
+    assert entry.links.open_attempts == 0
+
+
 @with_entry()
 async def test_misdirected_and_late_responses_reach_no_other_caller(entry: Entry) -> None:
     submits: list[tuple[Peer, Submit]] = []
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -6,7 +6,8 @@
 import json
 import re
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
+from typing import Any
 
 import pytest
 from tornado.testing import bind_unused_port
@@ -14,15 +15,25 @@
 from sycamoreproxy import result_codes as codes
 from sycamoreproxy._admin_client import AdminClient
 from sycamoreproxy.document_source import SourceUnavailableError
+from sycamoreproxy.engine_control import EngineAnswerLostError, HttpEngineControl, LoadOrder
+from sycamoreproxy.engine_stage import OrderOutcome, StagedEngineError
 from sycamoreproxy.engines import EngineReportError, OpenAiEngine
+from sycamoreproxy.host_list import HostListError, HttpHostList
+from sycamoreproxy.origins import HttpRangeOrigin, OriginError
+from sycamoreproxy.platform.runner import PlatformOrigin, PlatformRunner
 from sycamoreproxy.platform.store import PlatformStore
 from sycamoreproxy.result_codes import Executed
 from sycamoreproxy.services import HttpService
+from sycamoreproxy.store import Entry, StoreAnswerLostError
+from sycamoreproxy.store_etcd import EtcdJsonStore
 from sycamoreproxy.store_position import make_position
 from sycamoreproxy.upstream_answers import UpstreamFailureError, UpstreamRequest
+from sycamoreproxy.weights import Manifest, compute_version_digest
 
 #: Status codes outside the range of HTTP (RFC 9110, section 15).
 INVALID_STATUSES = [b"000", b"099", b"600", b"999"]
+#: Field names that are not tokens (RFC 9110, section 5.1).
+INVALID_FIELD_NAMES = [b"X Broken", b"X-Broken ", b"\tX-Broken", b"X\x00Broken", b"X\x7fBroken"]
 
 
 @dataclass
@@ -114,19 +125,6 @@
     run_with_server([make_answer(status, b"{}")], action)
 
 
-@pytest.mark.parametrize("status", INVALID_STATUSES)
-def test_load_report_with_an_invalid_status_is_not_used(status: bytes) -> None:
-    """A status below 400 counted as a success."""
-
-    async def action(server: ScriptedServer) -> None:
-        engine = OpenAiEngine(f"http://127.0.0.1:{server.port}", 2.0)
-        with pytest.raises(EngineReportError):
-            await engine.read_report()
-        engine.close()
-
-    run_with_server([make_answer(status, b'{"running": 3, "waiting": 1}')], action)
-
-
 @pytest.mark.parametrize("status", INVALID_STATUSES)
 def test_era_in_a_store_answer_with_an_invalid_status_is_not_taken(status: bytes) -> None:
     """Every later answer counted as one from before a restore of the store."""
@@ -170,3 +168,223 @@
         make_answer(b"200", b'{"revision": 2, "change_id": "c"}'),
     ]
     run_with_server(answers, action)
+
+
+CHUNKS = ("0" * 64,)
+MANIFEST = Manifest(
+    version="m1/2",
+    model="m1",
+    digest=compute_version_digest(CHUNKS),
+    chunk_bytes=4,
+    total_bytes=4,
+    chunks=CHUNKS,
+)
+ENTRY = {"key": "L2s=", "value": "dg=="}
+
+
+@dataclass(frozen=True)
+class Reader:
+    """A call of a client.
+
+    :param adapter: type of the client.
+    :param arguments: its arguments after the address.
+    :param read: makes the call and returns a value of its answer.
+    :param body: body of the answer.
+    :param value: value that a sound answer gives.
+    :param error: error that any other answer raises.
+    :param status: status of a sound answer.
+    """
+
+    adapter: Callable[..., Any]
+    arguments: tuple[float, ...]
+    read: Callable[[Any], Awaitable[object]]
+    body: bytes
+    value: object
+    error: type[Exception]
+    status: bytes = b"200"
+
+    async def call(self, port: int) -> object:
+        """Make the call on a new client."""
+        scheme = (
+            "" if self.adapter in (PlatformStore, PlatformRunner, PlatformOrigin) else "http://"
+        )
+        client = self.adapter(f"{scheme}127.0.0.1:{port}", *self.arguments)
+        try:
+            return await self.read(client)
+        finally:
+            if hasattr(client, "close"):
+                client.close()
+
+
+async def _read_fields(answer: Awaitable[Any], *names: str) -> tuple[object, ...]:
+    value = await answer
+    return tuple(getattr(value, name) for name in names)
+
+
+READERS = {
+    "store pages": Reader(
+        PlatformStore,
+        (),
+        lambda store: _read_fields(store.read_all("servers/"), "revision"),
+        b'{"items": [], "store_revision": 6}',
+        (6,),
+        SourceUnavailableError,
+    ),
+    "store watch": Reader(
+        PlatformStore,
+        (),
+        lambda store: _read_fields(store.wait_changes("op/", after=5, wait_s=0.1), "revision"),
+        b'{"events": [], "store_revision": 6}',
+        (6,),
+        SourceUnavailableError,
+    ),
+    "runner report": Reader(
+        PlatformRunner,
+        (),
+        lambda runner: _read_fields(runner.read_report(), "running", "waiting"),
+        b'{"running": 3, "waiting": 1, "kv_used": 0, "kv_total": 1, "busy": false, "sequence": 0,'
+        b' "models": []}',
+        (3, 1),
+        StagedEngineError,
+    ),
+    "runner order": Reader(
+        PlatformRunner,
+        (),
+        lambda runner: runner.order_load("m1", 2, expected=0),
+        b"{}",
+        OrderOutcome.BEGUN,
+        StagedEngineError,
+        status=b"202",
+    ),
+    "staged chunk": Reader(
+        PlatformRunner,
+        (),
+        lambda runner: runner.get_chunk("m1", 0),
+        b"data",
+        b"data",
+        StagedEngineError,
+    ),
+    "staging of a chunk": Reader(
+        PlatformRunner,
+        (),
+        lambda runner: runner.put_chunk("m1", 0, b"data"),
+        b"",
+        None,
+        StagedEngineError,
+    ),
+    "platform manifest": Reader(
+        PlatformOrigin,
+        (),
+        lambda origin: _read_fields(origin.read_manifest("m1/2"), "chunks"),
+        b'{"version": 2, "digests": ["d"], "chunk_bytes": 4}',
+        (("d",),),
+        OriginError,
+    ),
+    "platform chunk": Reader(
+        PlatformOrigin,
+        (),
+        lambda origin: origin.read_chunk(MANIFEST, 0),
+        b"data",
+        b"data",
+        OriginError,
+    ),
+    "origin manifest": Reader(
+        HttpRangeOrigin,
+        (2.0,),
+        lambda origin: origin.read_manifest("m1/2"),
+        json.dumps(asdict(MANIFEST)).encode(),
+        MANIFEST,
+        OriginError,
+    ),
+    "origin chunk": Reader(
+        HttpRangeOrigin,
+        (2.0,),
+        lambda origin: origin.read_chunk(MANIFEST, 0),
+        b"data",
+        b"data",
+        OriginError,
+        status=b"206",
+    ),
+    "load report": Reader(
+        OpenAiEngine,
+        (2.0,),
+        lambda engine: _read_fields(engine.read_report(), "running", "waiting"),
+        b'{"running": 3, "waiting": 1}',
+        (3, 1),
+        EngineReportError,
+    ),
+    "engine state": Reader(
+        HttpEngineControl,
+        (2.0, 2.0),
+        lambda control: _read_fields(control.read_state(), "version", "fence"),
+        b'{"version": "v1", "digest": "d", "fence": 4, "loading": false}',
+        ("v1", 4),
+        EngineAnswerLostError,
+    ),
+    "load order": Reader(
+        HttpEngineControl,
+        (2.0, 2.0),
+        lambda control: control.load(LoadOrder("v1", "d", (), (), 4)),
+        b'{"version": "v1", "digest": "d"}',
+        ("v1", "d"),
+        EngineAnswerLostError,
+    ),
+    "host list": Reader(
+        HttpHostList,
+        (2.0,),
+        lambda hosts: hosts.read(),
+        b'{"hosts": []}',
+        (),
+        HostListError,
+    ),
+    "etcd store": Reader(
+        EtcdJsonStore,
+        (2.0,),
+        lambda store: _read_fields(store.get("/k"), "value"),
+        json.dumps({"kvs": [ENTRY]}).encode(),
+        (b"v",),
+        StoreAnswerLostError,
+    ),
+    "etcd watch": Reader(
+        EtcdJsonStore,
+        (2.0,),
+        lambda store: anext(store.watch("/k", from_revision=1)),
+        json.dumps({"result": {"events": [{"kv": ENTRY}]}}).encode() + b"\n",
+        [Entry("/k", b"v", 0, 0)],
+        StopAsyncIteration,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", READERS)
+def test_sound_answer_is_used(name: str) -> None:
+    reader = READERS[name]
+
+    async def action(server: ScriptedServer) -> None:
+        assert await reader.call(server.port) == reader.value
+
+    run_with_server([make_answer(reader.status, reader.body)], action)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize("name", READERS)
+def test_answer_with_an_invalid_status_is_not_used(name: str, status: bytes) -> None:
+    reader = READERS[name]
+
+    async def action(server: ScriptedServer) -> None:
+        with pytest.raises(reader.error):
+            await reader.call(server.port)
+
+    run_with_server([make_answer(status, reader.body)], action)
+
+
+@pytest.mark.parametrize("field_name", INVALID_FIELD_NAMES)
+@pytest.mark.parametrize("name", READERS)
+def test_answer_with_an_invalid_field_name_is_not_used(name: str, field_name: bytes) -> None:
+    reader = READERS[name]
+
+    async def action(server: ScriptedServer) -> None:
+        with pytest.raises(reader.error):
+            await reader.call(server.port)
+
+    run_with_server([make_answer(reader.status, reader.body, field_name + b": 5\r\n")], action)
--- a/tests/test_routed_entry.py
+++ b/tests/test_routed_entry.py
@@ -1496,38 +1496,72 @@
 #: Ways to tell the end of a body of 25 bytes, and the body itself.
 FRAMED_BODIES = [
     (b"Content-Length: 25\r\n\r\n", b"id: 1\ndata: token first\n\n"),
-    (b"Transfer-Encoding: chunked\r\n\r\n", b"19\r\nid: 1\ndata: token first\n\n\r\n0\r\n\r\n"),
+    (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"19\r\nid: 1\ndata: token first\n\n\r\n0\r\n\r\n",
+    ),
     (b"\r\n", b"id: 1\ndata: token first\n\n"),
 ]
 #: Status codes outside the range of HTTP (RFC 9110, section 15).
 INVALID_STATUSES = [b"000", b"001", b"099", b"600", b"999"]
+#: Field names that are not tokens (RFC 9110, section 5.1).
+INVALID_FIELD_NAMES = [
+    b"",
+    b"X Broken",
+    b"X\tBroken",
+    b" X-Broken",
+    b"\tX-Broken",
+    b"X-Broken ",
+    b"X-Broken\t",
+    b"Content Length",
+    b"Content-Length ",
+    *(b"X%cBroken" % byte for byte in (0x00, 0x01, 0x08, 0x0B, 0x0C, 0x0D, 0x1F, 0x7F, 0x85, 0xA0)),
+]
 
 
-@pytest.mark.parametrize("framing", FRAMED_BODIES)
-@pytest.mark.parametrize("fields", [SIGNED_FIELDS, NOT_EXECUTED_FIELDS])
-@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
-@pytest.mark.parametrize("status", INVALID_STATUSES)
-def test_response_with_an_invalid_status_is_not_relayed(
-    status: bytes, interim: bytes, fields: bytes, framing: tuple[bytes, bytes]
-) -> None:
-    """Callers got responses with status 000, or a refusal that claimed not executed."""
-    head = interim + b"HTTP/1.1 " + status + b" X\r\n" + fields + framing[0]
+def _check_malformed_response(response: bytes) -> None:
+    """Check that a response counts as lost on every kind of route."""
 
     async def action(site: Site) -> None:
         paths = ["/read/x", "/post/x", "/ask/x", "/once/x", "/order/x"]
         answers = await asyncio.gather(*(site.send(path, **GENERATION_HEADERS) for path in paths))
-        for code, headers, body, is_complete in answers:
+        for status, headers, body, is_complete in answers:
             assert is_complete and "Sycamoreproxy-Response-Signature" not in headers
             error = json.loads(body)["error"]
-            assert (code, error["code"], error["executed"]) == (502, 1302, "unknown")
+            assert (status, error["code"], error["executed"]) == (502, 1302, "unknown")
             assert "Retry-After" not in headers
         received = Counter(request.split()[1] for request in upstream.requests)
         assert [received[path] for path in (b"/post/x", b"/once/x", b"/order/x")] == [1, 1, 1]
 
-    upstream = _ScriptedUpstream([head + framing[1]])
+    upstream = _ScriptedUpstream([response])
     _run_scripted(upstream, [0, 1, 2, 3], action)
 
 
+@pytest.mark.parametrize("framing", FRAMED_BODIES)
+@pytest.mark.parametrize("fields", [SIGNED_FIELDS, NOT_EXECUTED_FIELDS])
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_response_with_an_invalid_status_is_not_relayed(
+    status: bytes, interim: bytes, fields: bytes, framing: tuple[bytes, bytes]
+) -> None:
+    """Callers got responses with status 000, or a refusal that claimed not executed."""
+    _check_malformed_response(
+        interim + b"HTTP/1.1 " + status + b" X\r\n" + fields + b"".join(framing)
+    )
+
+
+@pytest.mark.parametrize("framing", FRAMED_BODIES)
+@pytest.mark.parametrize("is_first", [True, False])
+@pytest.mark.parametrize("name", INVALID_FIELD_NAMES)
+def test_response_with_an_invalid_field_name_is_not_relayed(
+    name: bytes, is_first: bool, framing: tuple[bytes, bytes]
+) -> None:
+    """Other operators' callers got such a line, or a body that was not the upstream's."""
+    line = name + b": 5\r\n"
+    fields = line + SIGNED_FIELDS if is_first else SIGNED_FIELDS + line
+    _check_malformed_response(b"HTTP/1.1 200 OK\r\n" + fields + b"".join(framing))
+
+
 @pytest.mark.parametrize("status", INVALID_STATUSES)
 @pytest.mark.parametrize(("path", "number"), [("/read/x", 2), ("/ask/x", 0)])
 def test_request_is_resent_after_a_response_with_an_invalid_status(
