--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -116,6 +116,8 @@
         self._processes: list[subprocess.Popen[bytes]] = []
         self._logs: list[Any] = []
         self.store_port = 0
+        #: Ports for a relay, by the port in a runner's entry, if the runners are relayed.
+        self.relay_ports: dict[int, int] = {}
         self.write("trouble", self.has_trouble)
 
     def write(self, what: str, *values: object) -> None:
@@ -146,7 +148,12 @@
 
     def start_platform(self, *, runners: int, **options: Any) -> list[int]:
         """Start the stand-in of the platform; return the ports of its runners."""
-        ports = find_free_ports(1 + runners)
+        # Ports of relays are chosen before, so they are known to be free together.
+        listed = find_free_ports(1 + 2 * runners)
+        ports, listed = listed[: 1 + runners], listed[1 + runners :]
+        self.relay_ports = dict(zip(listed, ports[1:], strict=True))
+        if options.pop("is_relayed", False):
+            options["listed_ports"] = listed
         self.store_port = ports[0]
         folder = str(ROOT / "review" / "common-3" / "platform_stand_in.py")
         self.start(
--- a/review/common-3/platform_stand_in.py
+++ b/review/common-3/platform_stand_in.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import sys
 import time
 from collections import Counter
@@ -90,6 +92,25 @@
     return [*make_runner_routes(runner, faults)[:-1], (r"/.*", _NotingHandler, options)]
 
 
+class _CappedServer(tornado.httpserver.HTTPServer):
+    """A server that accepts a number of connections and resets those beyond."""
+
+    max_connections = 0
+    #: Connections that were reset, and the most that were open.
+    reset_count = 0
+    most_open = 0
+
+    def handle_stream(self, stream: Any, address: Any) -> None:
+        """Serve a new connection, or reset it at the limit."""
+        if self.max_connections and len(self._connections) >= self.max_connections:
+            self.reset_count += 1
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            stream.close()
+            return
+        super().handle_stream(stream, address)
+        self.most_open = max(self.most_open, len(self._connections))
+
+
 class _Control(JsonHandler):
     def initialize(self, bed: _Stand) -> None:
         """Take the stand-in."""
@@ -127,6 +148,10 @@
         self.write_json(
             {
                 "manifests": self.bed.manifests,
+                "connections": [
+                    {"reset": server.reset_count, "most_open": server.most_open}
+                    for server in self.bed.servers
+                ],
                 "runners": [
                     {
                         "instance": runner.instance,
@@ -150,6 +175,7 @@
         self.runners: list[PlatformRunner] = []
         self.runner_faults: list[Faults] = []
         self.manifests: list[list[Any]] = []
+        self.servers: list[_CappedServer] = []
         self.paths_by_instance: dict[str, dict[str, str]] = {}
         self.spoilt_version, self.spoilt_left = 0, 0
         self._tasks: list[asyncio.Task[None]] = []
@@ -159,6 +185,7 @@
         ports = self.options["ports"]
         born = int(time.time() * 1000) - 60_000
         services = self.options.get("services", [])
+        listed_ports = self.options.get("listed_ports", ports[1:])
         for number, port in enumerate(ports[1:]):
             runner = PlatformRunner(instance=f"i-{number}", started_ms=born, slots=6)
             service = services[number] if number < len(services) else "ledger"
@@ -166,12 +193,12 @@
             self.runners.append(runner)
             self.runner_faults.append(faults)
             paths = self.paths_by_instance[runner.instance] = {}
-            self._listen(_make_noting_routes(runner, faults, paths), port)
+            self._listen(_make_noting_routes(runner, faults, paths), port, is_runner=True)
             await self.store.put(
                 f"servers/{runner.instance}",
                 {
                     "service": service,
-                    "address": f"127.0.0.1:{port}",
+                    "address": f"127.0.0.1:{listed_ports[number]}",
                     "zone": "trakia-z1",
                     "version": "1",
                     "slots": 6,
@@ -184,7 +211,10 @@
         configuration = make_configuration(
             1,
             services=[
-                {"name": "ledger", "max_connections": 1000},
+                {
+                    "name": "ledger",
+                    "max_connections": self.options.get("max_connections") or 1000,
+                },
                 {"name": "archive", "max_connections": 1000},
             ],
             routes=[
@@ -281,10 +311,15 @@
             },
         )
 
-    @staticmethod
-    def _listen(routes: list[Any], port: int, ip: str = "127.0.0.1") -> None:
-        server = tornado.httpserver.HTTPServer(tornado.web.Application(routes))
+    def _listen(
+        self, routes: list[Any], port: int, ip: str = "127.0.0.1", *, is_runner: bool = False
+    ) -> None:
+        idle_s = self.options.get("idle_timeout_s", 3600.0) if is_runner else 3600.0
+        server = _CappedServer(tornado.web.Application(routes), idle_connection_timeout=idle_s)
         server.listen(port, ip)
+        if is_runner:
+            server.max_connections = self.options.get("max_connections", 0)
+            self.servers.append(server)
 
 
 if __name__ == "__main__":
