--- a/review/common-3/platform_stand_in.py
+++ b/review/common-3/platform_stand_in.py
@@ -297,7 +297,11 @@
         options = {"sent": Counter(), "faults": Faults(seed=0), "bed": self}
         self._listen([(r"/(manifest|piece)/(.*)", _Origin, options)], origin_port)
         configuration["services"] += [
-            {"name": "model", "max_connections": 434, "engine": ENGINE},
+            {
+                "name": "model",
+                "max_connections": 434,
+                "engine": {**ENGINE, **self.options.get("engine", {})},
+            },
             {
                 "name": "weights",
                 "origin": f"127.0.0.1:{origin_port}",
