--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -171,6 +171,7 @@
         memory_mb: int = 300,
         ports: list[int] | None = None,
         bounds: dict[str, Any] | None = None,
+        store_port: int = 0,
     ) -> Entry:
         """Start an entry process with the command and the template of the deploy file."""
         ports = ports or find_free_ports(4)
@@ -181,7 +182,7 @@
             "ip": HOST,
             "listen": {"front": f"{HOST}:{ports[0]}", "ready": f"{HOST}:{ports[1]}"},
             "internal_port_range": [ports[2], ports[3]],
-            "platform": {"address": f"{HOST}:{self.store_port}"},
+            "platform": {"address": f"{HOST}:{store_port or self.store_port}"},
             "limits": {"memory_mb": memory_mb, "max_fds": 4100},
             "bounds": bounds or BOUNDS,
             "zones": ZONES,
@@ -264,7 +265,7 @@
         self.write("store put", key)
 
     def set_faults(self, runner: int, **faults: Any) -> None:
-        """Set the faults of a runner, by its number from 0; -1 for the store."""
+        """Set the faults of a runner, by its number from 0; -1 for the store, -2 for its second port."""
         self.call("POST", "/standin/faults", {"runner": runner, "faults": faults})
         self.write("faults", runner, faults)
 
--- a/review/common-3/platform_stand_in.py
+++ b/review/common-3/platform_stand_in.py
@@ -14,10 +14,10 @@
 import tornado.httpserver
 import tornado.web
 
+import standins.platform
 from standins._server import Faults, JsonHandler
 from standins.platform import (
     CHUNK_BYTES,
-    CHUNKS,
     OriginHandler,
     PlatformRunner,
     PlatformStore,
@@ -34,6 +34,9 @@
 #: Time for which the store keeps its history, in seconds.
 HISTORY_S = 20.0
 MODEL = "m1"
+#: Pieces of a version, as on the sheet.
+CHUNKS = 48
+standins.platform.CHUNKS = CHUNKS
 #: What the configuration says of the model runners.
 ENGINE = {
     "slots": 4,
@@ -60,6 +63,10 @@
         super().initialize(sent, faults)
         self._bed = bed
 
+    def on_finish(self) -> None:
+        """Note when an answer was sent."""
+        self._bed.origin_answers_at.append(time.monotonic())
+
     def write_json(self, value: Any, status: int = 200) -> None:
         """Write a manifest; in a spoilt one the first digit of a digest is another character."""
         version, bed = value.get("version"), self._bed
@@ -145,10 +152,13 @@
 
 class _SetFaults(_Control):
     def post(self) -> None:
-        """Set the faults of a runner, or of the store for -1."""
+        """Set the faults of a runner, or of the store for -1, or at its second port for -2."""
         data = self.read_json()
         number = data["runner"]
-        faults = self.bed.faults if number < 0 else self.bed.runner_faults[number]
+        if number < 0:
+            faults = self.bed.faults if number == -1 else self.bed.second_faults
+        else:
+            faults = self.bed.runner_faults[number]
         faults.replace(data["faults"])
         self.write_json({})
 
@@ -177,6 +187,7 @@
         self.write_json(
             {
                 "manifests": self.bed.manifests,
+                "origin_answers_at": self.bed.origin_answers_at,
                 "connections": [
                     {"reset": server.reset_count, "most_open": server.most_open}
                     for server in self.bed.servers
@@ -202,6 +213,8 @@
         self.options = options
         self.store = PlatformStore()
         self.faults = Faults(seed=1)
+        #: Faults for the machines that reach the store at its second port.
+        self.second_faults = Faults(seed=2)
         self.runners: list[PlatformRunner] = []
         self.runner_faults: list[Faults] = []
         self.manifests: list[list[Any]] = []
@@ -209,6 +222,7 @@
         self.paths_by_instance: dict[str, dict[str, str]] = {}
         self.spoilt_version, self.spoilt_left = 0, 0
         self.forgotten_revision = 0
+        self.origin_answers_at: list[float] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
@@ -275,6 +289,15 @@
             ],
             ports[0],
         )
+        if "second_port" in self.options:
+            options = {"store": self.store, "faults": self.second_faults}
+            self._listen(
+                [
+                    (r"/kv-watch", _Watch, {**options, "bed": self}),
+                    *make_store_routes(self.store, self.second_faults),
+                ],
+                self.options["second_port"],
+            )
         await self._forget_history()
 
     async def _forget_history(self) -> None:
